Serve a request end to end by separate processes

Cause: nothing stood yet. The whole path comes first: caller with a key, entry, admission, queue, choice of upstream, answer; operators' commands replicated over three control processes; upstreams that announce themselves.

Ruled out: grants in the leader's memory (a new leader would have to guess what is outstanding), so grants are commands of the log and their sum cannot pass the limit. asyncio.wait_for around the inbox: on Python 3.11 the daemon swallowed its cancellation and a stop hung for over 10 s; a ticking task that posts to the inbox stops at once.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo run test check bench soak capacity lock clean
+
+setup: $(STAMP)
+
+# The stamp is written last, so that an interrupted install starts again.
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv --clear $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m sardinemast.demo
+
+run: setup
+	$(BIN)/python -m sardinemast.demo --keep
+
+check: setup
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+test: setup
+	$(BIN)/pytest -n 8
+
+bench: setup
+	$(BIN)/python -m bench
+
+lock: setup
+	$(BIN)/uv pip compile --quiet --all-extras --generate-hashes --no-header --no-emit-index-url pyproject.toml -o requirements.lock
+
+clean:
+	rm -rf $(VENV) var
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: figures and ratios, and no verdicts."""
--- /dev/null
+++ b/src/sardinemast/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinate fleet capacity and maintenance over many nodes."""
--- /dev/null
+++ b/src/sardinemast/checks/exceptions.py
@@ -0,0 +1,15 @@
+"""Errors that report findings."""
+
+from collections.abc import Sequence
+
+from sardinemast.checks._findings import Finding, format_finding
+from sardinemast.exceptions import CodedError
+
+
+class CheckError(CodedError):
+    """Report all findings at once."""
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        lines = '\n'.join(format_finding(finding) for finding in findings)
+        super().__init__('conf.E001', f'Settings with mistakes.\n{lines}')
+        self.findings = tuple(findings)
--- /dev/null
+++ b/src/sardinemast/cli/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the command line."""
+
+from sardinemast.exceptions import CodedError
+
+
+class CliError(CodedError):
+    """Report what an operator asked for and did not get."""
--- /dev/null
+++ b/src/sardinemast/conf/_process_files.py
@@ -0,0 +1,99 @@
+"""Settings of one process."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from sardinemast.checks import CheckError
+from sardinemast.conf._fields import (
+    Field,
+    choice,
+    list_of,
+    number,
+    record,
+    text,
+)
+from sardinemast.conf._files import read_file
+
+_port = number(0, is_whole=True)
+
+
+class Address(NamedTuple):
+    """Name an IP address and a port."""
+
+    host: str
+    port: int
+
+
+class ControlAddress(NamedTuple):
+    """Name a control process and where it listens."""
+
+    name: str
+    peer: Address
+    operator: Address
+
+
+class ProcessSettings(NamedTuple):
+    """Hold everything a process is told when it starts."""
+
+    name: str
+    roles: tuple[str, ...]
+    data_centre: str
+    data_folder: Path
+    callers: Address
+    controls: tuple[ControlAddress, ...]
+
+
+_ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
+_CONTROL = record(
+    {
+        'name': Field(text()),
+        'peer': Field(_ADDRESS),
+        'operator': Field(_ADDRESS),
+    },
+)
+_PROCESS = record(
+    {
+        'name': Field(text()),
+        'roles': Field(list_of(choice('entry', 'control'))),
+        'data_centre': Field(text()),
+        'data_folder': Field(text(), 'var'),
+        'callers': Field(_ADDRESS, {'host': '127.0.0.1', 'port': 0}),
+        'controls': Field(list_of(_CONTROL)),
+    },
+)
+
+
+def load_process_file(path: Path) -> ProcessSettings:
+    """Read the settings, or raise ``CheckError`` with all findings."""
+    found, source = read_file(path, _PROCESS)
+    if not source.findings:
+        names = [control['name'] for control in found['controls']]
+        if 'control' in found['roles'] and found['name'] not in names:
+            source.report(
+                None,
+                'conf.E017',
+                f'{found["name"]!r} has role control and no address.',
+                'List it under controls.',
+            )
+    if source.findings:
+        raise CheckError(source.findings)
+    return _build(found)
+
+
+def _build(found: Any) -> ProcessSettings:
+    return ProcessSettings(
+        name=found['name'],
+        roles=found['roles'],
+        data_centre=found['data_centre'],
+        data_folder=Path(found['data_folder']),
+        callers=Address(**found['callers']),
+        controls=tuple(_build_control(one) for one in found['controls']),
+    )
+
+
+def _build_control(found: Any) -> ControlAddress:
+    return ControlAddress(
+        found['name'],
+        Address(**found['peer']),
+        Address(**found['operator']),
+    )
--- /dev/null
+++ b/src/sardinemast/control/_events.py
@@ -0,0 +1,86 @@
+"""What goes into a control process's core and what comes out of it."""
+
+from typing import NamedTuple
+
+from sardinemast import consensus
+from sardinemast.fleet import Command, Outcome
+from sardinemast.protocol import ControlMessage, EntryMessage
+
+
+class Tick(NamedTuple):
+    """Tell the core that time has passed."""
+
+
+class PeerReceived(NamedTuple):
+    """Hand over a message of another control process."""
+
+    sender: str
+    message: consensus.Message
+
+
+class EntryConnected(NamedTuple):
+    """Tell that an entry opened a stream."""
+
+    stream_id: int
+    entry: str
+    incarnation: int
+
+
+class EntryReceived(NamedTuple):
+    """Hand over a message of an entry."""
+
+    stream_id: int
+    message: EntryMessage
+
+
+class EntryDisconnected(NamedTuple):
+    """Tell that a stream has ended."""
+
+    stream_id: int
+
+
+class OperatorAsked(NamedTuple):
+    """Hand over an operator's command."""
+
+    request_id: int
+    command: Command
+
+
+class OperatorAnswer(NamedTuple):
+    """Answer an operator truthfully.
+
+    ``entries_in_force`` of ``entries_total`` have the change in force or no
+    lease to serve without it. ``leader`` is set where another process must
+    be asked; then nothing was written.
+    """
+
+    outcome: Outcome | None
+    log_index: int
+    entries_in_force: int
+    entries_total: int
+    leader: str | None = None
+
+
+class AnswerOperator(NamedTuple):
+    """Send the answer to an operator."""
+
+    request_id: int
+    answer: OperatorAnswer
+
+
+class SendToEntry(NamedTuple):
+    """Send a message on an entry's stream."""
+
+    stream_id: int
+    message: ControlMessage
+
+
+ControlEvent = (
+    Tick
+    | PeerReceived
+    | EntryConnected
+    | EntryReceived
+    | EntryDisconnected
+    | OperatorAsked
+)
+ControlOutput = consensus.Output | AnswerOperator | SendToEntry
--- /dev/null
+++ b/src/sardinemast/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon ``sardinemastd``."""
+
+from sardinemast.daemon._main import main
+
+__all__ = ('main',)
--- /dev/null
+++ b/src/sardinemast/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A first run: one daemon, three upstreams, two teams."""
--- /dev/null
+++ b/src/sardinemast/fleet/_state.py
@@ -0,0 +1,118 @@
+"""State that the log's commands make."""
+
+from typing import NamedTuple
+
+from sardinemast.fleet._documents import EMPTY_DOCUMENT, FleetDocument
+
+
+class KeyRecord(NamedTuple):
+    """Hold a key by its digest; the key itself is nowhere."""
+
+    key_id: str
+    team: str
+    digest: bytes
+
+
+class Instance(NamedTuple):
+    """Hold where an instance belongs; its pool stands here and only here."""
+
+    name: str
+    pool: str
+
+
+class EntryProcess(NamedTuple):
+    """Hold an entry process that may hold grants."""
+
+    name: str
+    incarnation: int
+
+
+class Grant(NamedTuple):
+    """Hold how many requests an entry incarnation may have running.
+
+    ``index`` is the log index of the last change, so that an entry's word
+    about an older amount is recognised as stale.
+    """
+
+    entry: str
+    incarnation: int
+    team: str
+    amount: int
+    log_index: int
+
+
+class Outcome(NamedTuple):
+    """Answer a command; the same answer is given to every resend."""
+
+    is_accepted: bool
+    version: int
+    code: str = ''
+    text: str = ''
+
+
+class RememberedCommand(NamedTuple):
+    """Hold what a command id stood for and what it was answered."""
+
+    command_id: str
+    digest: bytes
+    outcome: Outcome
+
+
+class FleetImage(NamedTuple):
+    """Hold the whole state as one record, for snapshots and streams."""
+
+    log_index: int
+    version: int
+    document: FleetDocument
+    keys: tuple[KeyRecord, ...]
+    instances: tuple[Instance, ...]
+    entries: tuple[EntryProcess, ...]
+    grants: tuple[Grant, ...]
+    remembered: tuple[RememberedCommand, ...]
+
+
+class FleetState:
+    """Hold the state at one log index."""
+
+    def __init__(self) -> None:
+        self.log_index = 0
+        self.version = 0
+        self.document: FleetDocument = EMPTY_DOCUMENT
+        self.keys_by_id: dict[str, KeyRecord] = {}
+        self.keys_by_digest: dict[bytes, KeyRecord] = {}
+        self.instances: dict[str, Instance] = {}
+        self.entries: dict[str, EntryProcess] = {}
+        self.grants: dict[tuple[str, int, str], Grant] = {}
+        self.remembered: dict[str, RememberedCommand] = {}
+
+
+def dump_state(state: FleetState) -> FleetImage:
+    """Give the whole state as one record."""
+    return FleetImage(
+        state.log_index,
+        state.version,
+        state.document,
+        tuple(state.keys_by_id.values()),
+        tuple(state.instances.values()),
+        tuple(state.entries.values()),
+        tuple(state.grants.values()),
+        tuple(state.remembered.values()),
+    )
+
+
+def load_state(image: FleetImage) -> FleetState:
+    """Make a state from its record."""
+    state = FleetState()
+    state.log_index = image.log_index
+    state.version = image.version
+    state.document = image.document
+    state.keys_by_id = {key.key_id: key for key in image.keys}
+    state.keys_by_digest = {key.digest: key for key in image.keys}
+    state.instances = {one.name: one for one in image.instances}
+    state.entries = {one.name: one for one in image.entries}
+    state.grants = {
+        (grant.entry, grant.incarnation, grant.team): grant
+        for grant in image.grants
+    }
+    state.remembered = {one.command_id: one for one in image.remembered}
+    return state
--- /dev/null
+++ b/src/sardinemast/fleet/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of commands on the fleet."""
+
+from sardinemast.exceptions import CodedError
+
+
+class FleetError(CodedError):
+    """Refuse a command that does not fit the state."""
--- /dev/null
+++ b/src/sardinemast/protocol/__init__.py
@@ -0,0 +1,35 @@
+"""Messages between an entry and the control processes."""
+
+from sardinemast.protocol._messages import (
+    CONTROL_MESSAGES,
+    ENTRY_MESSAGES,
+    AppliedCommand,
+    ControlMessage,
+    EntryMessage,
+    GrantReturn,
+    LeaseGranted,
+    NotLeader,
+    RenewLease,
+    ReportUpstreams,
+    RosterChanged,
+    StateChanged,
+    StateReplaced,
+    TeamDemand,
+)
+
+__all__ = (
+    'CONTROL_MESSAGES',
+    'ENTRY_MESSAGES',
+    'AppliedCommand',
+    'ControlMessage',
+    'EntryMessage',
+    'GrantReturn',
+    'LeaseGranted',
+    'NotLeader',
+    'RenewLease',
+    'ReportUpstreams',
+    'RosterChanged',
+    'StateChanged',
+    'StateReplaced',
+    'TeamDemand',
+)
--- /dev/null
+++ b/src/sardinemast/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Which upstream runs a request."""
+
+from sardinemast.routing._picker import UpstreamPicker
+
+__all__ = ('UpstreamPicker',)
--- /dev/null
+++ b/src/sardinemast/shell/_links.py
@@ -0,0 +1,108 @@
+"""Streams between our processes: CBOR frames over websockets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from types import MappingProxyType
+from typing import Any
+
+from logbook import Logger
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from sardinemast.conf import Address
+from sardinemast.shell._identity import Identity, seal
+from sardinemast.wire import MAX_FRAME_BYTES
+
+_log = Logger('link')
+_QUEUE_FRAMES = 1024
+_RECONNECT_S = 0.2
+_HEARTBEAT_S = 1.0
+
+LINK_OPTIONS: Mapping[str, Any] = MappingProxyType(
+    {
+        'compression': None,
+        'max_size': MAX_FRAME_BYTES,
+        'ping_interval': _HEARTBEAT_S,
+        'ping_timeout': 2 * _HEARTBEAT_S,
+        'close_timeout': _HEARTBEAT_S,
+    }
+)
+LINK_ERRORS = (OSError, TimeoutError, ConnectionClosed, InvalidHandshake)
+
+
+@asynccontextmanager
+async def open_link(
+    address: Address,
+    path: str,
+) -> AsyncIterator[ClientConnection]:
+    """Connect to another process."""
+    url = f'ws://{address.host}:{address.port}{path}'
+    async with connect(
+        url,
+        open_timeout=_HEARTBEAT_S,
+        proxy=None,
+        **LINK_OPTIONS,
+    ) as link:
+        yield link
+
+
+class PeerLink:
+    """Send messages to one peer, in order, over a stream that comes back.
+
+    Messages that find no stream are dropped: the log's protocol repeats what
+    matters, and old heartbeats would only delay new ones.
+    """
+
+    def __init__(self, identity: Identity, address: Address) -> None:
+        self._identity = identity
+        self._address = address
+        self._outbox: asyncio.Queue[Any] = asyncio.Queue(_QUEUE_FRAMES)
+
+    def send(self, body: Any) -> None:
+        """Queue a message, or drop it where the queue is full."""
+        if not self._outbox.full():
+            self._outbox.put_nowait(body)
+
+    async def run(self) -> None:
+        """Hold the stream until cancelled."""
+        while True:
+            try:
+                await self._send_all()
+            except LINK_ERRORS as error:
+                _log.debug('Link to {} is down: {}.', self._address, error)
+            self._drop_queued()
+            await asyncio.sleep(_RECONNECT_S)
+
+    async def _send_all(self) -> None:
+        async with open_link(self._address, '/peer') as link:
+            while True:
+                body = await self._outbox.get()
+                await link.send(seal(self._identity, body))
+
+    def _drop_queued(self) -> None:
+        while not self._outbox.empty():
+            self._outbox.get_nowait()
+
+
+class Outbox:
+    """Send frames on a stream from a task of its own."""
+
+    def __init__(
+        self,
+        send: Callable[[bytes], Any],
+        identity: Identity,
+    ) -> None:
+        self._send = send
+        self._identity = identity
+        self._queue: asyncio.Queue[Any] = asyncio.Queue()
+
+    def put(self, body: Any) -> None:
+        """Queue a message."""
+        self._queue.put_nowait(body)
+
+    async def run(self) -> None:
+        """Send until the stream ends."""
+        while True:
+            body = await self._queue.get()
+            await self._send(seal(self._identity, body))
--- /dev/null
+++ b/src/sardinemast/shell/_operator_http.py
@@ -0,0 +1,164 @@
+"""Operators' HTTP: commands and queries."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from itertools import count
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from sardinemast import control
+from sardinemast.conf import Address
+from sardinemast.fleet import COMMANDS, describe_state
+from sardinemast.shell._identity import Identity
+from sardinemast.wire import WireError, dump_plain
+
+_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+_ANSWER_TIMEOUT_S = 10.0
+
+
+class OperatorDesk:
+    """Pair operators' requests with the answers of the core."""
+
+    def __init__(
+        self,
+        core: control.ControlCore,
+        identity: Identity,
+    ) -> None:
+        self.core = core
+        self.identity = identity
+        self._put: Callable[[control.ControlEvent], None] | None = None
+        self._request_ids = count(1)
+        self._waiting: dict[int, asyncio.Future[control.OperatorAnswer]] = {}
+
+    def attach(self, put: Callable[[control.ControlEvent], None]) -> None:
+        """Take the way to the core."""
+        self._put = put
+
+    async def ask(self, command: Any) -> control.OperatorAnswer:
+        """Hand a command to the core and wait for the answer."""
+        request_id = next(self._request_ids)
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = answer
+        if self._put is not None:
+            self._put(control.OperatorAsked(request_id, command))
+        try:
+            return await asyncio.wait_for(answer, _ANSWER_TIMEOUT_S)
+        finally:
+            self._waiting.pop(request_id, None)
+
+    def answer(self, output: control.AnswerOperator) -> None:
+        """Pass an answer to whoever waits for it."""
+        waiting = self._waiting.get(output.request_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(output.answer)
+            self.identity.recorder.record(
+                'operator answered',
+                index=output.answer.log_index,
+                in_force=output.answer.entries_in_force,
+                total=output.answer.entries_total,
+            )
+
+
+class _DeskHandler(RequestHandler):
+    def initialize(self, desk: OperatorDesk) -> None:
+        self.desk = desk
+
+    def refuse(self, status: HTTPStatus, code: str, text: str) -> None:
+        """Answer with a code, and with the leader to ask instead."""
+        self.set_status(status)
+        leader = self.desk.core.replica.leader
+        self.finish({'code': code, 'text': text, 'leader': leader})
+
+
+class CommandHandler(_DeskHandler):
+    """Take one command as CBOR and answer when it is in force."""
+
+    async def post(self) -> None:
+        """Replicate the command."""
+        try:
+            command = COMMANDS.decode(self.request.body)
+        except WireError as error:
+            self.refuse(HTTPStatus.BAD_REQUEST, error.code, error.text)
+            return
+        try:
+            answer = await self.desk.ask(command)
+        except TimeoutError:
+            self.refuse(
+                HTTPStatus.GATEWAY_TIMEOUT,
+                'control.E002',
+                'No majority answered in time; it may still be accepted. '
+                'Send it again with the same command id.',
+            )
+            return
+        self._write_answer(answer)
+
+    def _write_answer(self, answer: control.OperatorAnswer) -> None:
+        if answer.outcome is None:
+            self.refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'control.E001',
+                'This process does not lead.',
+            )
+            return
+        if not answer.outcome.is_accepted:
+            self.set_status(HTTPStatus.CONFLICT)
+        self.finish(
+            {
+                **answer.outcome._asdict(),
+                'index': answer.log_index,
+                'entries_in_force': answer.entries_in_force,
+                'entries_total': answer.entries_total,
+            },
+        )
+
+
+class StateHandler(_DeskHandler):
+    """Show the state, as the leader has it."""
+
+    def get(self) -> None:
+        """Give the state, or the leader to ask."""
+        if not self.desk.core.is_leader(time.monotonic()):
+            self.refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'control.E001',
+                'This process does not lead.',
+            )
+            return
+        self.finish(describe_state(self.desk.core.state))
+
+
+class TimelineHandler(RequestHandler):
+    """Show the events of this process."""
+
+    def initialize(self, identity: Identity) -> None:
+        """Take the process whose events are shown."""
+        self.identity = identity
+
+    def get(self) -> None:
+        """Give all events that are kept."""
+        events = self.identity.recorder.get_events()
+        self.finish({'events': dump_plain(events)})
+
+
+def listen_for_operators(desk: OperatorDesk, address: Address) -> HTTPServer:
+    """Open the operators' port."""
+    options = {'desk': desk}
+    application = Application(
+        [
+            ('/v1/commands', CommandHandler, options),
+            ('/v1/state', StateHandler, options),
+            ('/-/timeline', TimelineHandler, {'identity': desk.identity}),
+        ],
+        log_function=_skip_log,
+    )
+    server = HTTPServer(application, max_body_size=_BODY_LIMIT_BYTES)
+    server.listen(address.port, address.host)
+    return server
+
+
+def _skip_log(handler: RequestHandler) -> None:
+    """Leave the access log to the time line."""
--- /dev/null
+++ b/src/sardinemast/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that stand for what is outside the system."""
--- /dev/null
+++ b/src/sardinemast/storage/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the data folder."""
+
+from sardinemast.exceptions import CodedError
+
+
+class StorageError(CodedError):
+    """Report files that cannot be trusted or written."""
--- /dev/null
+++ b/src/sardinemast/timeline/_recorder.py
@@ -0,0 +1,40 @@
+"""Newest events of one process."""
+
+from collections import deque
+from typing import Any
+
+from sardinemast.timeline._clock import HybridClock
+from sardinemast.timeline._events import TimelineEvent
+
+MAX_EVENTS = 20_000
+
+
+class Recorder:
+    """Keep the newest events in memory, and drop the oldest."""
+
+    def __init__(
+        self,
+        process: str,
+        incarnation: int,
+        clock: HybridClock,
+    ) -> None:
+        self.clock = clock
+        self._process = process
+        self._incarnation = incarnation
+        self._events: deque[TimelineEvent] = deque(maxlen=MAX_EVENTS)
+
+    def record(self, kind: str, **details: Any) -> None:
+        """Note an event; details never hold a key or a body."""
+        self._events.append(
+            TimelineEvent(
+                self.clock.stamp(),
+                self._process,
+                self._incarnation,
+                kind,
+                details,
+            ),
+        )
+
+    def get_events(self) -> tuple[TimelineEvent, ...]:
+        """Give the events from the oldest to the newest."""
+        return tuple(self._events)
--- /dev/null
+++ b/tests/builders/processes.py
@@ -0,0 +1,170 @@
+"""Real processes on loopback for tests."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import yaml
+from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
+
+from sardinemast.exceptions import CodedError
+
+_PATIENCE_S = 30.0
+_POLL_S = 0.05
+
+
+class Fleet:
+    """Hold the processes of one test."""
+
+    def __init__(self, folder: Path, control_count: int, entry_count: int):
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.control_names = [
+            f'control-{number}' for number in range(1, control_count + 1)
+        ]
+        self.entry_names = [
+            f'entry-{number}' for number in range(1, entry_count + 1)
+        ]
+        ports = iter(_find_ports(2 * control_count + entry_count))
+        self._controls: list[dict[str, Any]] = [
+            {
+                'name': name,
+                'peer': {'port': next(ports)},
+                'operator': {'port': next(ports)},
+            }
+            for name in self.control_names
+        ]
+        self._entry_ports = dict(zip(self.entry_names, ports, strict=True))
+
+    @property
+    def controls(self) -> str:
+        """Give the operators' addresses as the command line takes them."""
+        return ','.join(
+            f'127.0.0.1:{one["operator"]["port"]}' for one in self._controls
+        )
+
+    @property
+    def entries(self) -> str:
+        """Give the callers' addresses."""
+        return ','.join(map(self.get_entry, self.entry_names))
+
+    def get_entry(self, name: str) -> str:
+        """Give the callers' address of an entry."""
+        return f'127.0.0.1:{self._entry_ports[name]}'
+
+    def start(self, name: str) -> None:
+        """Start a control process or an entry."""
+        role = name.partition('-')[0]
+        settings: dict[str, Any] = {
+            'name': name,
+            'roles': [role],
+            'data_centre': 'rennes',
+            'data_folder': str(self.folder / name),
+            'controls': self._controls,
+        }
+        if role == 'entry':
+            settings['callers'] = {'port': self._entry_ports[name]}
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        self.run(name, 'sardinemast.daemon', str(path))
+
+    def start_upstream(self, name: str, *options: str) -> None:
+        """Start an upstream that announces itself to all entries."""
+        self.run(
+            name,
+            'sardinemast.standins',
+            'upstream',
+            f'--name={name}',
+            '--pool=enrolment',
+            f'--entries={self.entries}',
+            '--data_centre=rennes',
+            *options,
+        )
+
+    def run(self, name: str, module: str, *arguments: str) -> None:
+        """Start a module under a name."""
+        with (self.folder / f'{name}.log').open('ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, name: str) -> None:
+        """Kill a process with no chance to tidy up."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
+
+@contextmanager
+def run_fleet(
+    folder: Path,
+    control_count: int = 3,
+    entry_count: int = 3,
+) -> Iterator[Fleet]:
+    """Start control processes and entries, and stop all at the end."""
+    fleet = Fleet(folder, control_count, entry_count)
+    for name in (*fleet.control_names, *fleet.entry_names):
+        fleet.start(name)
+    try:
+        yield fleet
+    finally:
+        for process in fleet.processes.values():
+            process.kill()
+            process.wait()
+
+
+def wait_for(action: Callable[[], Any]) -> Any:
+    """Repeat an action until it gives something true, or fail."""
+    give_up_s = time.monotonic() + _PATIENCE_S
+    while True:
+        try:
+            found = action()
+        except (OSError, CodedError):
+            if time.monotonic() > give_up_s:
+                raise
+            found = None
+        if found:
+            return found
+        assert time.monotonic() < give_up_s, 'Gave up waiting.'
+        time.sleep(_POLL_S)
+
+
+def call(
+    address: str,
+    path: str,
+    key: str = '',
+    **options: Any,
+) -> HTTPResponse:
+    """Send one request to an entry."""
+    headers = {'Authorization': f'Bearer {key}', **options.pop('headers', {})}
+    client = HTTPClient()
+    try:
+        return client.fetch(
+            HTTPRequest(f'http://{address}{path}', headers=headers, **options),
+            raise_error=False,
+        )
+    finally:
+        client.close()
+
+
+def _find_ports(count: int) -> list[int]:
+    # All sockets stay open until the last port is known, so that the system
+    # gives no port twice.
+    with ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return [one.getsockname()[1] for one in sockets]
--- /dev/null
+++ b/tests/processes/test_whole_path.py
@@ -0,0 +1,74 @@
+"""The whole path with real processes on loopback."""
+
+import json
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from builders import Fleet, run_fleet
+from builders.processes import call, wait_for
+from sardinemast.cli import commands, queries
+
+_BASE = """
+sites: {rennes: {region: brittany}}
+pools: {enrolment: {slots: 8}}
+teams: {petits-pixels: {share: 1, limit: 9}}
+"""
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    """Run three control processes, three entries and two upstreams."""
+    folder = tmp_path_factory.mktemp('fleet')
+    with run_fleet(folder) as running:
+        running.start_upstream('enrol-1')
+        running.start_upstream('enrol-2')
+        _apply(running, folder)
+        yield running
+
+
+def _apply(fleet: Fleet, folder: Path) -> None:
+    base = folder / 'base.yaml'
+    base.write_text(_BASE)
+    wait_for(lambda: commands.apply(str(base), controls=fleet.controls))
+
+
+def _grant(fleet: Fleet, key_id: str) -> str:
+    answer = commands.grant_key(
+        'petits-pixels',
+        key_id,
+        controls=fleet.controls,
+    )
+    return str(answer['key'])
+
+
+def test_any_entry_serves(fleet: Fleet) -> None:
+    """A request gets the whole answer through each entry."""
+    key = _grant(fleet, 'any-entry')
+    for name in fleet.entry_names:
+        address = fleet.get_entry(name)
+        response = wait_for(partial(_get_served, address, key))
+        assert json.loads(response.body)['uri'] == '/enrolment/roster?day=6'
+
+
+def _get_served(address: str, key: str) -> object:
+    response = call(address, '/enrolment/roster?day=6', key)
+    return response if response.code == 200 else None
+
+
+def test_withdrawn_key_stops_everywhere(fleet: Fleet) -> None:
+    """Once the operator is told, no entry takes the key any more."""
+    key = _grant(fleet, 'withdrawn')
+    answer = commands.withdraw_key('withdrawn', controls=fleet.controls)
+    assert answer['entries_in_force'] == answer['entries_total']
+    for name in fleet.entry_names:
+        response = call(fleet.get_entry(name), '/enrolment/roster', key)
+        assert json.loads(response.body)['code'] == 'admission.E002'
+
+
+def test_events_of_all_processes_are_merged(fleet: Fleet) -> None:
+    """The time line holds events of control processes and entries."""
+    addresses = f'{fleet.controls},{fleet.entries}'.split(',')
+    assert 'role=leader' in queries.timeline(*addresses)
