--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 bench: setup
 	$(BIN)/python -m bench
 
+# New seeds until a fault is found; hypothesis prints the smallest history.
+soak: setup
+	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -n 8 -m fuzz
+
 lock: setup
 	$(BIN)/uv pip compile --quiet --all-extras --generate-hashes --no-header --no-emit-index-url pyproject.toml -o requirements.lock
 
--- a/src/sardinemast/entry/__init__.py
+++ b/src/sardinemast/entry/__init__.py
@@ -3,7 +3,6 @@
 from sardinemast.entry._core import EntryCore, EntrySettings
 from sardinemast.entry._events import (
     AttemptEnded,
-    AttemptResult,
     CallerLeft,
     ControlLost,
     ControlReceived,
@@ -13,10 +12,10 @@
     RefuseRequest,
     RequestArrived,
     SendToControl,
-    StartAttempt,
     Tick,
     UpstreamAnnounced,
 )
+from sardinemast.routing import AttemptResult, StartAttempt
 
 __all__ = (
     'AttemptEnded',
--- a/src/sardinemast/entry/_events.py
+++ b/src/sardinemast/entry/_events.py
@@ -1,24 +1,11 @@
 """What goes into an entry's core and what comes out of it."""
 
-from enum import StrEnum
 from typing import NamedTuple
 
 from sardinemast.admission import Arrival, Refusal
 from sardinemast.membership import Announcement
 from sardinemast.protocol import ControlMessage, EntryMessage
-
-
-class AttemptResult(StrEnum):
-    """Tell how an attempt at an upstream ended.
-
-    ``not_sent`` may be said only where no byte of the request can have left.
-    ``broken`` and ``timed_out`` mean that the upstream may still run it.
-    """
-
-    answered = 'answered'
-    not_sent = 'not sent'
-    broken = 'broken'
-    timed_out = 'timed out'
+from sardinemast.routing import AttemptResult, StartAttempt
 
 
 class Tick(NamedTuple):
@@ -60,14 +47,6 @@
     """Tell that the stream to the leader has ended."""
 
 
-class StartAttempt(NamedTuple):
-    """Send the request to the upstream, and stop at the timeout."""
-
-    request_id: int
-    upstream: Announcement
-    timeout_s: float
-
-
 class PassAnswer(NamedTuple):
     """Give the upstream's answer to the caller."""
 
