Give the command line outputs, exit codes and a readable time line

Cause: operators' scripts could not tell a refusal from an unknown outcome, a lost answer left no command id to send again, and the time line had no filter.

Ruled out: fire's own serialization flags (they do not reach its errors).

Measured: fuzzing of command lines found a crash on a file name with a null byte (ValueError, not OSError); red before, the example stays.

--- a/src/sardinemast/cli/__init__.py
+++ b/src/sardinemast/cli/__init__.py
@@ -1,5 +1,5 @@
 """The command line ``sardinemast``."""
 
-from sardinemast.cli._main import main
+from sardinemast.cli._main import main, run
 
-__all__ = ('main',)
+__all__ = ('main', 'run')
--- /dev/null
+++ b/src/sardinemast/cli/_addresses.py
@@ -0,0 +1,37 @@
+"""Addresses that the command line talks to."""
+
+import os
+from typing import Any
+
+from sardinemast.cli.exceptions import UsageError
+
+CONTROLS_VARIABLE = 'SARDINEMAST_CONTROLS'
+_DEFAULT_CONTROLS = '127.0.0.1:8101'
+
+
+def get_controls(controls: Any = '') -> list[str]:
+    """Give the control processes to ask.
+
+    They come from the argument, else from the environment variable
+    ``SARDINEMAST_CONTROLS``, else the embedded default's address is taken.
+    """
+    return split_addresses(
+        controls or os.environ.get(CONTROLS_VARIABLE, '') or _DEFAULT_CONTROLS,
+    )
+
+
+def split_addresses(addresses: Any) -> list[str]:
+    """Give the addresses of a text with commas, or raise ``cli.E003``."""
+    parts = addresses
+    if isinstance(addresses, str):
+        parts = addresses.split(',')
+    found = [str(part).strip() for part in parts]
+    for address in found:
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdecimal():
+            raise UsageError(
+                'cli.E003',
+                f'{address!r} is no address.',
+                'Give HOST:PORT, several with commas between.',
+            )
+    return found
--- a/src/sardinemast/cli/_client.py
+++ b/src/sardinemast/cli/_client.py
@@ -2,21 +2,40 @@
 
 import json
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Any
 
 from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
 
-from sardinemast.cli.exceptions import CliError
+from sardinemast.cli.exceptions import CliError, UnreachableError
 from sardinemast.fleet import COMMANDS, Command
 
 _TIMEOUT_S = 15.0
+_NO_ANSWER = 599
+_COMMANDS_PATH = '/v1/commands'
 _NOT_LEADER = 'control.E001'
 
 
 def send_command(controls: Sequence[str], command: Command) -> dict[str, Any]:
-    """Send a command to whichever process leads, and give the answer."""
-    body = COMMANDS.encode(command)
-    return ask_leader(controls, '/v1/commands', body)
+    """Send a command to whichever process leads, and give the answer.
+
+    Raises ``CliError`` with the refusal's code where nothing was changed,
+    and ``UnreachableError`` where the outcome is not known.
+    """
+    command_id = getattr(command, 'command_id', '')
+    try:
+        answer = ask_leader(controls, _COMMANDS_PATH, COMMANDS.encode(command))
+    except UnreachableError as error:
+        # Without the id the operator could only send a second command, which
+        # may do the same thing twice.
+        hint = f'To send it again, add --command_id={command_id}.'
+        raise UnreachableError(error.code, error.text, hint) from error
+    if answer.get('is_accepted'):
+        return {'command_id': command_id, **answer}
+    raise CliError(
+        str(answer.get('code', 'cli.E002')),
+        str(answer.get('text', 'The command was refused.')),
+    )
 
 
 def ask_leader(
@@ -35,32 +54,44 @@
         if answer.get('code') != _NOT_LEADER:
             return answer
         problems.append(f'{address} does not lead')
-    raise CliError(
+    raise UnreachableError(
         'cli.E001',
         f'No control process leads ({"; ".join(problems)}).',
-        'Try again in a second; the same command id is safe to repeat.',
+        'Try again in a second.',
     )
 
 
 def fetch(url: str, body: bytes | None = None) -> dict[str, Any]:
-    """Send one request, and give the JSON map of the answer."""
+    """Send one request, and give the JSON map of the answer.
+
+    Raises ``OSError`` where there was no answer, and ``UnreachableError``
+    where the other side does not know the outcome.
+    """
+    response = _fetch_raw(url, body)
+    if response.code == _NO_ANSWER:
+        raise OSError(str(response.error))
+    try:
+        answer = json.loads(response.body)
+    except ValueError:
+        raise CliError(
+            'cli.E005',
+            f'{url} answered {response.code} and no JSON.',
+            'Check that the address is one of sardinemast.',
+        ) from None
+    if response.code == HTTPStatus.GATEWAY_TIMEOUT:
+        raise UnreachableError(str(answer['code']), str(answer['text']))
+    return dict(answer)
+
+
+def _fetch_raw(url: str, body: bytes | None) -> HTTPResponse:
     client = HTTPClient()
+    request = HTTPRequest(
+        url,
+        method='GET' if body is None else 'POST',
+        body=body,
+        request_timeout=_TIMEOUT_S,
+    )
     try:
-        response: HTTPResponse = client.fetch(
-            HTTPRequest(
-                url,
-                method='GET' if body is None else 'POST',
-                body=body,
-                request_timeout=_TIMEOUT_S,
-            ),
-            raise_error=False,
-        )
+        return client.fetch(request, raise_error=False)
     finally:
         client.close()
-    if response.error is not None and response.code == _NO_ANSWER:
-        raise OSError(str(response.error))
-    answer: dict[str, Any] = json.loads(response.body)
-    return answer
-
-
-_NO_ANSWER = 599
--- a/src/sardinemast/cli/commands.py
+++ b/src/sardinemast/cli/commands.py
@@ -5,86 +5,105 @@
 from pathlib import Path
 from typing import Any
 
+from sardinemast.cli._addresses import get_controls
 from sardinemast.cli._client import ask_leader, send_command
-from sardinemast.cli.exceptions import CliError
 from sardinemast.conf import load_fleet_files
 from sardinemast.fleet import (
     ApplyDocument,
-    Command,
+    AssignInstance,
     GrantKey,
     WithdrawKey,
     digest_key,
 )
 
 _KEY_BYTES = 32
-_DEFAULT_CONTROLS = '127.0.0.1:8101'
 
 
 def apply(
     base: str,
     *overlays: str,
-    controls: str = _DEFAULT_CONTROLS,
+    controls: str = '',
     command_id: str = '',
 ) -> dict[str, Any]:
-    """Put a base file and its overlays in force."""
+    """Put a base file and its overlays in force, as one change.
+
+    Args:
+        base: The base file, with sites, pools and teams.
+        overlays: Files that change pools for one site each.
+        controls: Operators' addresses of the control processes.
+        command_id: Give the id that was shown, to send a command again.
+
+    """
     document = load_fleet_files(
-        Path(base),
-        [Path(overlay) for overlay in overlays],
+        Path(str(base)),
+        [Path(str(overlay)) for overlay in overlays],
     )
-    addresses = split_addresses(controls)
+    addresses = get_controls(controls)
     version = ask_leader(addresses, '/v1/state')['version']
-    return _send(
-        addresses,
-        ApplyDocument(command_id or make_id(), version, document),
-    )
+    command = ApplyDocument(make_id(command_id), version, document)
+    return send_command(addresses, command)
 
 
 def grant_key(
     team: str,
     key_id: str = '',
-    controls: str = _DEFAULT_CONTROLS,
+    controls: str = '',
     command_id: str = '',
 ) -> dict[str, Any]:
-    """Make a key for a team and show it, this one time."""
+    """Make a key for a team and show it, this one time.
+
+    Args:
+        team: The team that the key's callers work for.
+        key_id: A name to withdraw the key by; made up where left out.
+        controls: Operators' addresses of the control processes.
+        command_id: Name the command; a new key is made all the same.
+
+    """
     key = secrets.token_urlsafe(_KEY_BYTES)
-    key_id = key_id or make_id()
-    answer = _send(
-        split_addresses(controls),
-        GrantKey(command_id or make_id(), key_id, team, digest_key(key)),
+    named = make_id(key_id)
+    answer = send_command(
+        get_controls(controls),
+        GrantKey(make_id(command_id), named, str(team), digest_key(key)),
     )
-    return {**answer, 'key_id': key_id, 'key': key}
+    return {**answer, 'key_id': named, 'key': key}
 
 
 def withdraw_key(
     key_id: str,
-    controls: str = _DEFAULT_CONTROLS,
+    controls: str = '',
     command_id: str = '',
 ) -> dict[str, Any]:
-    """Stop a key from working."""
-    return _send(
-        split_addresses(controls),
-        WithdrawKey(command_id or make_id(), key_id),
-    )
+    """Stop a key from working, everywhere.
 
+    Args:
+        key_id: The name that was shown when the key was made.
+        controls: Operators' addresses of the control processes.
+        command_id: Give the id that was shown, to send a command again.
 
-def split_addresses(controls: Any) -> list[str]:
-    """Give the addresses that stand in a text with commas."""
-    if isinstance(controls, str):
-        return controls.split(',')
-    return [str(address) for address in controls]
+    """
+    command = WithdrawKey(make_id(command_id), str(key_id))
+    return send_command(get_controls(controls), command)
 
 
-def make_id() -> str:
-    """Make an id that no other command has."""
-    return uuid.uuid4().hex
+def assign_instance(
+    instance: str,
+    pool: str,
+    controls: str = '',
+    command_id: str = '',
+) -> dict[str, Any]:
+    """Put an instance into a pool; it leaves the one it was in.
 
+    Args:
+        instance: The name under which the instance announces itself.
+        pool: The pool to put it into.
+        controls: Operators' addresses of the control processes.
+        command_id: Give the id that was shown, to send a command again.
 
-def _send(addresses: list[str], command: Command) -> dict[str, Any]:
-    answer = send_command(addresses, command)
-    if answer.get('is_accepted'):
-        command_id = getattr(command, 'command_id', '')
-        return {'command_id': command_id, **answer}
-    raise CliError(
-        str(answer.get('code', 'cli.E002')),
-        str(answer.get('text', 'The command was refused.')),
-    )
+    """
+    command = AssignInstance(make_id(command_id), str(instance), str(pool))
+    return send_command(get_controls(controls), command)
+
+
+def make_id(given: str = '') -> str:
+    """Give the id that was given, or one that no other command has."""
+    return str(given) or uuid.uuid4().hex
--- a/src/sardinemast/cli/queries.py
+++ b/src/sardinemast/cli/queries.py
@@ -1,26 +1,108 @@
 """Queries: what only shows something."""
 
+from pathlib import Path
 from typing import Any
 
+from sardinemast.cli._addresses import get_controls, split_addresses
 from sardinemast.cli._client import ask_leader, fetch
-from sardinemast.cli.commands import split_addresses
-from sardinemast.timeline import TimelineEvent, format_event, merge_events
-from sardinemast.wire import load_plain
+from sardinemast.cli._timeline import (
+    Filter,
+    collect_events,
+    draw_picture,
+    follow_events,
+)
+from sardinemast.conf import load_fleet_files, load_process_file
+from sardinemast.timeline import format_event
 
-_DEFAULT_CONTROLS = '127.0.0.1:8101'
 
+def show(controls: str = '') -> dict[str, Any]:
+    """Show the state as the leader has it.
 
-def show(controls: str = _DEFAULT_CONTROLS) -> dict[str, Any]:
-    """Show the state as the leader has it."""
-    return ask_leader(split_addresses(controls), '/v1/state')
+    Args:
+        controls: Operators' addresses of the control processes.
 
+    """
+    return ask_leader(get_controls(controls), '/v1/state')
 
-def timeline(*processes: str) -> str:
-    """Merge the events of processes, given as HOST:PORT."""
-    streams = []
-    for address in processes:
-        found = fetch(f'http://{address}/-/timeline')
-        streams.append(
-            [load_plain(TimelineEvent, one) for one in found['events']],
-        )
-    return '\n'.join(map(format_event, merge_events(*streams)))
+
+def check(base: str, *overlays: str) -> dict[str, Any]:
+    """Check a base file and its overlays without changing anything.
+
+    Args:
+        base: The base file.
+        overlays: Overlays, one for a site.
+
+    """
+    document = load_fleet_files(
+        Path(str(base)),
+        [Path(str(overlay)) for overlay in overlays],
+    )
+    return {
+        'findings': 0,
+        'sites': len(document.sites),
+        'pools': len(document.pools),
+        'teams': len(document.teams),
+    }
+
+
+def check_process(settings: str) -> dict[str, Any]:
+    """Check the settings file of one process.
+
+    Args:
+        settings: The file that sardinemastd would be started with.
+
+    """
+    found = load_process_file(Path(str(settings)))
+    return {'findings': 0, 'name': found.name, 'roles': list(found.roles)}
+
+
+def health(*entries: str) -> dict[str, Any]:
+    """Show which entries may serve.
+
+    Args:
+        entries: Callers' addresses of entries.
+
+    """
+    found: dict[str, Any] = {}
+    for address in split_addresses(entries):
+        try:
+            answer = fetch(f'http://{address}/-/health')
+        except OSError as error:
+            found[address] = f'no answer: {error}'
+            continue
+        found[address] = 'serving' if answer.get('is_ready') else 'not serving'
+    return found
+
+
+def timeline(
+    *processes: str,
+    kind: str = '',
+    matching: str = '',
+    since: str = '',
+    until: str = '',
+    picture: str = '',
+    is_followed: bool = False,
+) -> str:
+    """Merge the events of processes into one time line.
+
+    Args:
+        processes: Addresses of entries (callers) and control processes
+            (operators).
+        kind: Show only events of this kind, such as "attempt started".
+        matching: Show only events with these details, such as
+            "request=5,upstream=enrol-1"; also process=NAME.
+        since: Show only events from this moment on (ISO 8601, UTC).
+        until: Show only events before this moment.
+        picture: Write a picture to this file, to be opened in a browser.
+        is_followed: Go on showing new events until interrupted.
+
+    """
+    wanted = Filter.parse(kind, matching, since, until)
+    addresses = split_addresses(processes)
+    if is_followed:
+        follow_events(addresses, wanted)
+    events = collect_events(addresses, wanted)
+    if picture:
+        Path(str(picture)).write_text(draw_picture(events))
+        return f'{len(events)} events are drawn in {picture}.'
+    return '\n'.join(map(format_event, events))
--- a/src/sardinemast/conf/__init__.py
+++ b/src/sardinemast/conf/__init__.py
@@ -4,6 +4,7 @@
 from sardinemast.conf._process_files import (
     Address,
     ControlAddress,
+    LogSettings,
     ProcessSettings,
     load_process_file,
 )
@@ -11,6 +12,7 @@
 __all__ = (
     'Address',
     'ControlAddress',
+    'LogSettings',
     'ProcessSettings',
     'load_fleet_files',
     'load_process_file',
--- a/src/sardinemast/conf/_fields.py
+++ b/src/sardinemast/conf/_fields.py
@@ -69,8 +69,13 @@
     return read
 
 
-def number(minimum: float, *, is_whole: bool = False) -> Reader:
-    """Read a finite number that is not below the minimum."""
+def number(
+    minimum: float,
+    maximum: float = math.inf,
+    *,
+    is_whole: bool = False,
+) -> Reader:
+    """Read a finite number from the minimum to the maximum."""
 
     def read(source: Source, node: yaml.Node) -> Any:
         found = _parse_number(node, is_whole=is_whole)
@@ -83,6 +88,12 @@
                 'conf.E005',
                 f'{found} is below {minimum}.',
             )
+        if found > maximum:
+            return source.report(
+                node,
+                'conf.E018',
+                f'{found} is above {maximum}.',
+            )
         return found
 
     return read
@@ -158,6 +169,11 @@
     return read
 
 
+def get_defaults(fields: Mapping[str, Field]) -> dict[str, Any]:
+    """Give what a record has where nothing of it is set."""
+    return {name: field.default for name, field in fields.items()}
+
+
 def _read_known(
     source: Source,
     node: yaml.MappingNode,
--- a/src/sardinemast/conf/_files.py
+++ b/src/sardinemast/conf/_files.py
@@ -13,15 +13,15 @@
     """Give what the file holds, and its source with all findings."""
     source = Source(str(path))
     try:
-        node = yaml.compose(path.read_text(), Loader=yaml.SafeLoader)
-    except OSError as error:
-        source.report(
-            None,
-            'conf.E002',
-            f'The file cannot be read: {error.strerror}.',
-        )
-        return INVALID, source
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        content = path.read_bytes()
+    except (OSError, ValueError) as error:
+        # A name with a null byte is a ValueError to the language.
+        problem = getattr(error, 'strerror', None) or error
+        message = f'The file cannot be read: {problem}.'
+        return source.report(None, 'conf.E002', message), source
+    try:
+        node = yaml.compose(content, Loader=yaml.SafeLoader)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         source.findings.append(_describe_syntax(source.name, error))
         return INVALID, source
     if node is None:
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -1,12 +1,15 @@
 """Settings of one process."""
 
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from sardinemast.checks import CheckError
 from sardinemast.conf._fields import (
     Field,
+    Source,
     choice,
+    get_defaults,
     list_of,
     number,
     record,
@@ -14,7 +17,8 @@
 )
 from sardinemast.conf._files import read_file
 
-_port = number(0, is_whole=True)
+_HIGHEST_PORT = 65535
+_port = number(0, _HIGHEST_PORT, is_whole=True)
 
 
 class Address(NamedTuple):
@@ -32,6 +36,16 @@
     operator: Address
 
 
+class LogSettings(NamedTuple):
+    """Say where logs go; without a file they go to stderr."""
+
+    level: str
+    format: str
+    file: str
+    max_bytes: int
+    backups: int
+
+
 class ProcessSettings(NamedTuple):
     """Hold everything a process is told when it starts."""
 
@@ -41,6 +55,7 @@
     data_folder: Path
     callers: Address
     controls: tuple[ControlAddress, ...]
+    logs: LogSettings
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -51,6 +66,19 @@
         'operator': Field(_ADDRESS),
     },
 )
+_DEFAULT_LOG_BYTES = 10_000_000
+_LOGS = MappingProxyType(
+    {
+        'level': Field(
+            choice('debug', 'info', 'warning', 'error'),
+            'info',
+        ),
+        'format': Field(choice('text', 'json'), 'text'),
+        'file': Field(text(), ''),
+        'max_bytes': Field(number(1, is_whole=True), _DEFAULT_LOG_BYTES),
+        'backups': Field(number(1, is_whole=True), 3),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -59,6 +87,7 @@
         'data_folder': Field(text(), 'var'),
         'callers': Field(_ADDRESS, {'host': '127.0.0.1', 'port': 0}),
         'controls': Field(list_of(_CONTROL)),
+        'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
     },
 )
 
@@ -67,19 +96,29 @@
     """Read the settings, or raise ``CheckError`` with all findings."""
     found, source = read_file(path, _PROCESS)
     if not source.findings:
-        names = [control['name'] for control in found['controls']]
-        if 'control' in found['roles'] and found['name'] not in names:
-            source.report(
-                None,
-                'conf.E017',
-                f'{found["name"]!r} has role control and no address.',
-                'List it under controls.',
-            )
+        _check_controls(source, found)
     if source.findings:
         raise CheckError(source.findings)
     return _build(found)
 
 
+def _check_controls(source: Source, found: Any) -> None:
+    names = [control['name'] for control in found['controls']]
+    if 'control' in found['roles'] and found['name'] not in names:
+        source.report(
+            None,
+            'conf.E017',
+            f'{found["name"]!r} has role control and no address.',
+            'List it under controls.',
+        )
+    # Two replicas of one name would count as one voter here and as two
+    # there, and two majorities could form.
+    if len(set(names)) < len(names):
+        source.report(None, 'conf.E019', 'Two controls have the same name.')
+    if not names:
+        source.report(None, 'conf.E020', 'No control process is listed.')
+
+
 def _build(found: Any) -> ProcessSettings:
     return ProcessSettings(
         name=found['name'],
@@ -88,6 +127,7 @@
         data_folder=Path(found['data_folder']),
         callers=Address(**found['callers']),
         controls=tuple(_build_control(one) for one in found['controls']),
+        logs=LogSettings(**found['logs']),
     )
 
 
--- /dev/null
+++ b/src/sardinemast/daemon/_logs.py
@@ -0,0 +1,45 @@
+"""Logs as text for people or as JSON lines for machines."""
+
+import json
+from typing import Any
+
+from logbook import LogRecord, RotatingFileHandler, StderrHandler
+from logbook.handlers import Handler
+
+from sardinemast.conf import LogSettings
+
+_TEXT_FORMAT = (
+    '{record.time:%Y-%m-%d %H:%M:%S.%f} {record.level_name:<7} '
+    '[{record.channel}] {record.message}'
+)
+
+
+def create_log_handler(logs: LogSettings) -> Handler:
+    """Make the handler that the settings ask for."""
+    level = logs.level.upper()
+    if logs.file:
+        handler: Handler = RotatingFileHandler(
+            logs.file,
+            level=level,
+            max_size=logs.max_bytes,
+            backup_count=logs.backups,
+        )
+    else:
+        handler = StderrHandler(level=level)
+    if logs.format == 'json':
+        handler.formatter = format_json_line
+    else:
+        handler.format_string = _TEXT_FORMAT
+    return handler
+
+
+def format_json_line(record: LogRecord, handler: Any) -> str:
+    """Give a log record as one line of JSON."""
+    return json.dumps(
+        {
+            'time': record.time.isoformat(),
+            'level': record.level_name.lower(),
+            'part': record.channel,
+            'text': record.message,
+        },
+    )
--- a/src/sardinemast/daemon/_main.py
+++ b/src/sardinemast/daemon/_main.py
@@ -7,9 +7,9 @@
 from typing import NoReturn
 
 import fire
-from logbook import StderrHandler
 
 from sardinemast.conf import ProcessSettings, load_process_file
+from sardinemast.daemon._logs import create_log_handler
 from sardinemast.exceptions import CodedError
 from sardinemast.shell import create_identity, run_control, run_entry
 
@@ -23,9 +23,13 @@
 
 def run(settings: str) -> None:
     """Run one process by its settings file until SIGTERM or SIGINT."""
-    with StderrHandler(level='INFO').applicationbound():
+    try:
+        found = load_process_file(Path(str(settings)))
+    except CodedError as error:
+        _fail(str(error))
+    with create_log_handler(found.logs).applicationbound():
         try:
-            asyncio.run(_run_roles(load_process_file(Path(settings))))
+            asyncio.run(_run_roles(found))
         except CodedError as error:
             _fail(str(error))
         except OSError as error:
