Count latencies in histograms that merge over entries

Cause: callers' times were nowhere to be seen, and percentiles of several entries must not be averaged. Ruled out: one histogram per pair of team and upstream (370 x 1,900 at the target). Not wired to the entry yet.

--- /dev/null
+++ b/src/sardinemast/metrics/_exposition.py
@@ -0,0 +1,104 @@
+"""Metrics in the usual text format."""
+
+from collections.abc import Iterator, Mapping
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+from sardinemast.metrics._latencies import Dimension, LatencyBook
+
+_US_PER_S = 1_000_000
+_BOUNDS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100)
+
+Family = CounterMetricFamily | GaugeMetricFamily | HistogramMetricFamily
+
+
+class _Metrics(Collector):
+    def __init__(
+        self,
+        book: LatencyBook,
+        counts: Mapping[str, int],
+        gauges: Mapping[str, float],
+    ) -> None:
+        self._book = book
+        self._counts = counts
+        self._gauges = gauges
+
+    def collect(self) -> Iterator[Family]:
+        """Give all families of metrics."""
+        for name, gauge in self._gauges.items():
+            yield GaugeMetricFamily(
+                f'sardinemast_{name}',
+                f'Current {name}.',
+                value=gauge,
+            )
+        counter = CounterMetricFamily(
+            'sardinemast_answers',
+            'Final answers by code; "answered" is an answer of an upstream.',
+            labels=['code'],
+        )
+        for code, count in self._counts.items():
+            counter.add_metric([code], count)
+        yield counter
+        for dimension in Dimension:
+            yield self._collect_latencies(dimension)
+
+    def _collect_latencies(
+        self,
+        dimension: Dimension,
+    ) -> HistogramMetricFamily:
+        family = HistogramMetricFamily(
+            f'sardinemast_{dimension}_latency_seconds',
+            f'Time from arrival to answer by {dimension}.',
+            labels=[str(dimension)],
+        )
+        for name, histogram in self._book.get_histograms(dimension).items():
+            family.add_metric(
+                [name],
+                _get_buckets(histogram),
+                sum_value=_get_sum_s(histogram),
+            )
+        return family
+
+
+def render_metrics(
+    book: LatencyBook,
+    counts: Mapping[str, int],
+    gauges: Mapping[str, float],
+) -> bytes:
+    """Give the metrics of one process as text.
+
+    ``counts`` holds final answers by code, ``gauges`` current figures by
+    name with their unit.
+    """
+    registry = CollectorRegistry()
+    registry.register(_Metrics(book, counts, gauges))
+    return generate_latest(registry)
+
+
+def _get_buckets(histogram: HdrHistogram) -> list[tuple[str, float]]:
+    total = histogram.get_total_count()
+    bounded = [
+        (str(bound_s), _count_up_to(histogram, bound_s))
+        for bound_s in _BOUNDS_S
+    ]
+    return [*bounded, ('+Inf', total)]
+
+
+def _count_up_to(histogram: HdrHistogram, bound_s: float) -> float:
+    return sum(
+        int(item.count_at_value_iterated_to)
+        for item in histogram.get_recorded_iterator()
+        if item.value_iterated_to <= bound_s * _US_PER_S
+    )
+
+
+def _get_sum_s(histogram: HdrHistogram) -> float:
+    mean_us = float(histogram.get_mean_value())
+    return mean_us * int(histogram.get_total_count()) / _US_PER_S
