--- a/src/sardinemast/metrics/_latencies.py
+++ b/src/sardinemast/metrics/_latencies.py
@@ -17,6 +17,7 @@
 _P99 = 99
 _WORST = 100
 
+_Key = tuple[str, str]
 EncodedLatencies = Mapping[str, Mapping[str, str]]
 
 
@@ -93,16 +94,16 @@
     The counts are added and the percentiles taken from the sum; an average
     of percentiles would hide the entry that is slow.
     """
-    merged: dict[tuple[str, str], HdrHistogram] = {}
+    merged: dict[_Key, HdrHistogram] = {}
     for place, encoded in _iterate(books):
         total = merged.setdefault(place, _create_histogram())
         total.decode_and_add(encoded)
-    return [_summarize(*place, merged[place]) for place in sorted(merged)]
+    return [_summarize(key, merged[key]) for key in sorted(merged)]
 
 
 def _iterate(
     books: Iterable[EncodedLatencies],
-) -> Iterator[tuple[tuple[str, str], str]]:
+) -> Iterator[tuple[_Key, str]]:
     for book in books:
         for dimension, by_name in book.items():
             for name, encoded in by_name.items():
@@ -114,13 +115,11 @@
 
 
 def _summarize(
-    dimension: str,
-    name: str,
+    key: _Key,
     histogram: HdrHistogram,
 ) -> LatencySummary:
     return LatencySummary(
-        dimension,
-        name,
+        *key,
         histogram.get_total_count(),
         histogram.get_value_at_percentile(_MEDIAN) / _US_PER_S,
         histogram.get_value_at_percentile(_P99) / _US_PER_S,
