--- a/src/sardinemast/conf/__init__.py
+++ b/src/sardinemast/conf/__init__.py
@@ -6,6 +6,7 @@
     ControlAddress,
     LogSettings,
     ProcessSettings,
+    Security,
     load_process_file,
 )
 
@@ -14,6 +15,7 @@
     'ControlAddress',
     'LogSettings',
     'ProcessSettings',
+    'Security',
     'load_fleet_files',
     'load_process_file',
 )
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -1,5 +1,6 @@
 """Settings of one process."""
 
+from ipaddress import ip_address
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, NamedTuple
@@ -46,6 +47,14 @@
     backups: int
 
 
+class Security(NamedTuple):
+    """Name the PEM files by which processes and operators know each other."""
+
+    authority: Path
+    certificate: Path
+    private_key: Path
+
+
 class ProcessSettings(NamedTuple):
     """Hold everything a process is told when it starts."""
 
@@ -56,6 +65,7 @@
     callers: Address
     controls: tuple[ControlAddress, ...]
     logs: LogSettings
+    security: Security | None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -79,6 +89,13 @@
         'backups': Field(number(1, is_whole=True), 3),
     },
 )
+_SECURITY = record(
+    {
+        'authority': Field(text()),
+        'certificate': Field(text()),
+        'private_key': Field(text()),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -87,6 +104,7 @@
         'data_folder': Field(text(), 'var'),
         'callers': Field(_ADDRESS, {'host': '127.0.0.1', 'port': 0}),
         'controls': Field(list_of(_CONTROL)),
+        'security': Field(_SECURITY, None),
         'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
     },
 )
@@ -117,6 +135,29 @@
         source.report(None, 'conf.E019', 'Two controls have the same name.')
     if not names:
         source.report(None, 'conf.E020', 'No control process is listed.')
+    if found['security'] is None:
+        _check_loopback(source, found)
+
+
+def _check_loopback(source: Source, found: Any) -> None:
+    # Without credentials anybody who reaches the port could command the
+    # fleet, so that is left open on the own machine only.
+    for control in found['controls']:
+        hosts = {control['peer']['host'], control['operator']['host']}
+        if not all(map(_is_loopback, hosts)):
+            source.report(
+                None,
+                'conf.E021',
+                f'{control["name"]!r} is reached from other machines.',
+                'Set security, or use a loopback address.',
+            )
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
 
 
 def _build(found: Any) -> ProcessSettings:
@@ -128,9 +169,16 @@
         callers=Address(**found['callers']),
         controls=tuple(_build_control(one) for one in found['controls']),
         logs=LogSettings(**found['logs']),
+        security=_build_security(found['security']),
     )
 
 
+def _build_security(found: Any) -> Security | None:
+    if found is None:
+        return None
+    return Security(**{name: Path(path) for name, path in found.items()})
+
+
 def _build_control(found: Any) -> ControlAddress:
     return ControlAddress(
         found['name'],
--- /dev/null
+++ b/src/sardinemast/shell/_security.py
@@ -0,0 +1,88 @@
+"""Credentials of processes and operators: mutual TLS."""
+
+import ssl
+from enum import StrEnum
+from itertools import chain
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from sardinemast.conf import Security
+
+_UNIT_FIELD = 'organizationalUnitName'
+_NAME_FIELD = 'commonName'
+
+
+class Unit(StrEnum):
+    """Say what the holder of a certificate may do."""
+
+    process = 'process'
+    operator = 'operator'
+
+
+class PeerIdentity(NamedTuple):
+    """Hold the name and the unit of a verified certificate."""
+
+    name: str
+    unit: str
+
+
+class ServerCredentials:
+    """Hold a server's TLS context and follow its files.
+
+    A certificate that runs out must be replaced while the process serves;
+    a restart of each control process only for that would cost leases and an
+    election. New connections use the new files, open ones stay.
+    """
+
+    def __init__(self, security: Security) -> None:
+        self.context = _create_context(
+            ssl.PROTOCOL_TLS_SERVER,
+            security,
+        )
+        self.context.verify_mode = ssl.CERT_REQUIRED
+        self._security = security
+        self._read_at_ns = _get_changed_ns(security)
+
+    def refresh(self) -> bool:
+        """Read the files again where they changed, and tell whether."""
+        changed_ns = _get_changed_ns(self._security)
+        if changed_ns == self._read_at_ns:
+            return False
+        _load_files(self.context, self._security)
+        self._read_at_ns = changed_ns
+        return True
+
+
+def create_client_context(security: Security) -> ssl.SSLContext:
+    """Make the context for one connection, from the files as they are."""
+    context = _create_context(ssl.PROTOCOL_TLS_CLIENT, security)
+    # Processes are known by IP addresses and certificates by names, so the
+    # name is compared by the protocol above and not by TLS.
+    context.check_hostname = False
+    return context
+
+
+def get_peer_identity(certificate: Any) -> PeerIdentity:
+    """Read the name and the unit from ``getpeercert()``'s answer."""
+    parts = (certificate or {}).get('subject', ())
+    subject = dict(chain.from_iterable(parts))
+    return PeerIdentity(
+        subject.get(_NAME_FIELD, ''),
+        subject.get(_UNIT_FIELD, ''),
+    )
+
+
+def _create_context(protocol: int, security: Security) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    _load_files(context, security)
+    return context
+
+
+def _load_files(context: ssl.SSLContext, security: Security) -> None:
+    context.load_verify_locations(security.authority)
+    context.load_cert_chain(security.certificate, security.private_key)
+
+
+def _get_changed_ns(security: Security) -> tuple[int, ...]:
+    return tuple(Path(path).stat().st_mtime_ns for path in security)
