Write the page of error codes from the source

Cause: a page kept by hand falls behind the code. Ruled out: a registry of all codes in one module, which each part would edit.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo run test check bench soak capacity lock clean
+.PHONY: setup demo run test check bench soak capacity lock clean reference
 
 setup: $(STAMP)
 
@@ -21,9 +21,9 @@
 	$(BIN)/python -m sardinemast.demo --keep
 
 check: setup
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
-	$(BIN)/flake8 src tests bench
+	$(BIN)/ruff format --check src tests bench tools
+	$(BIN)/ruff check src tests bench tools
+	$(BIN)/flake8 src tests bench tools
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
@@ -42,3 +42,6 @@
 
 clean:
 	rm -rf $(VENV) var
+
+reference: setup
+	$(BIN)/python -m tools.errors_page
--- a/src/sardinemast/cli/_client.py
+++ b/src/sardinemast/cli/_client.py
@@ -32,10 +32,9 @@
         raise UnreachableError(error.code, error.text, hint) from error
     if answer.get('is_accepted'):
         return {'command_id': command_id, **answer}
-    raise CliError(
-        str(answer.get('code', 'cli.E002')),
-        str(answer.get('text', 'The command was refused.')),
-    )
+    if 'code' not in answer:
+        raise CliError('cli.E002', 'The command was refused without a code.')
+    raise CliError(str(answer['code']), str(answer.get('text', '')))
 
 
 def ask_leader(
--- a/src/sardinemast/cli/_main.py
+++ b/src/sardinemast/cli/_main.py
@@ -43,8 +43,9 @@
     except CodedError as error:
         return _report(str(error), _get_exit_code(error))
     except OSError as error:
-        line = f'cli.E008: {error}. Check the address and try again.'
-        return _report(line, ExitCode.unknown)
+        hint = 'Check the address and try again.'
+        problem = CliError('cli.E008', f'{error}.', hint)
+        return _report(str(problem), ExitCode.unknown)
     except fire.core.FireExit as leaving:
         return int(leaving.code or 0)
     return ExitCode.done
--- a/src/sardinemast/daemon/_main.py
+++ b/src/sardinemast/daemon/_main.py
@@ -33,7 +33,8 @@
         except CodedError as error:
             _fail(str(error))
         except OSError as error:
-            _fail(f'daemon.E001: {error}. Free the address or change it.')
+            hint = 'Free the address or change it.'
+            _fail(str(CodedError('daemon.E001', f'{error}.', hint)))
 
 
 def _fail(line: str) -> NoReturn:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of maintainers."""
