Split the fleet's commands by who sends them

One module held the commands of operators, entries and grants. Each group now registers its own execution, so that further groups are added as modules. An entry's record keeps its former incarnations, whose leases may still run; RetireEntry takes them away. Nothing proposes that yet.

--- a/src/sardinemast/fleet/__init__.py
+++ b/src/sardinemast/fleet/__init__.py
@@ -26,6 +26,7 @@
     GrantChange,
     GrantKey,
     RegisterEntry,
+    RetireEntry,
     WithdrawKey,
     apply_command,
 )
@@ -58,6 +59,7 @@
     'Outcome',
     'Pool',
     'RegisterEntry',
+    'RetireEntry',
     'Site',
     'Team',
     'WithdrawKey',
--- /dev/null
+++ b/src/sardinemast/fleet/_grant_commands.py
@@ -0,0 +1,44 @@
+"""Commands about grants."""
+
+from typing import NamedTuple
+
+from sardinemast.fleet._dispatch import accept, execute_command
+from sardinemast.fleet._state import FleetState, Grant, Outcome
+from sardinemast.fleet.queries import get_free_limit
+
+
+class GrantChange(NamedTuple):
+    """Set what one entry incarnation may have running for a team."""
+
+    entry: str
+    incarnation: int
+    team: str
+    amount: int
+
+
+class ChangeGrants(NamedTuple):
+    """Change several grants at one index."""
+
+    changes: tuple[GrantChange, ...]
+
+
+@execute_command.register
+def _apply_grants(command: ChangeGrants, state: FleetState) -> Outcome:
+    for change in command.changes:
+        _change_grant(state, change)
+    return accept(state)
+
+
+def _change_grant(state: FleetState, change: GrantChange) -> None:
+    place = (change.entry, change.incarnation, change.team)
+    known = state.grants.get(place)
+    held = known.amount if known else 0
+    # The leader splits by the state it has; a command of a former leader may
+    # be applied after the limit went down. Raising past the limit here would
+    # let a team run more than it may, so the raise is cut to what is free.
+    free = max(0, get_free_limit(state, change.team))
+    amount = min(change.amount, held + free)
+    if amount > 0:
+        state.grants[place] = Grant(*place, amount, state.log_index)
+    else:
+        state.grants.pop(place, None)
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -21,10 +21,14 @@
 
 
 class EntryProcess(NamedTuple):
-    """Hold an entry process that may hold grants."""
+    """Hold an entry process that may have a lease and hold grants.
+
+    ``former`` are earlier incarnations whose last lease may still run.
+    """
 
     name: str
     incarnation: int
+    former: tuple[int, ...] = ()
 
 
 class Grant(NamedTuple):
