Count every lease, answer operators within a bound, keep versions

Causes found by reading the code: - A restarted entry's old incarnation may live on with a lease; only the registered one was counted, so 'in force' could be said too early. The log now keeps former incarnations until their lease has surely ended. - An entry that renews without applying kept an operator waiting for ever. It now gets no lease after 0.75 s of lag, and an answer comes within 5 s. - A command given up at the end of a term was answered as 'nothing was written'. It may still be accepted, and is answered so; one that was applied is answered as accepted, with the count so far. - A resend of an accepted document was taken for another command, since the command line reads the version anew. The version is no part of the content. - Any command, also the leader's own, was taken on the operators' port.

Entries get the state without remembered commands, history and other entries' grants, and only what was applied afresh. Versions are kept (32), a document is checked whole, the loser of a race gets the difference, going back is a new version. Commands are remembered for 7 days by the log's own time.

--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -24,12 +24,19 @@
 from sardinemast.control._sessions import LEASE_S, EntrySessions
 from sardinemast.fleet import (
     COMMANDS,
+    AdvanceTime,
     ChangeGrants,
     Command,
+    EntryCommand,
     FleetState,
+    RetireEntry,
     apply_command,
+    is_known_command,
+    make_entry_command,
 )
-from sardinemast.protocol import AppliedCommand, NotLeader, RenewLease
+from sardinemast.protocol import NotLeader, RenewLease
+
+_TIME_STEP_S = 60.0
 
 
 class ControlSettings(NamedTuple):
@@ -63,7 +70,7 @@
             self._propose,
             settings.lease_s,
         )
-        self._sessions = EntrySessions()
+        self._sessions = EntrySessions(settings.lease_s)
         self._entry_desk = EntryDesk(self._context, self._sessions)
         self._grant_desk = GrantDesk(self._context, self._sessions)
         self._pending = PendingCommands()
@@ -77,7 +84,8 @@
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs.clear()
         self._handle(event, now_s)
-        self._entry_desk.send_fresh()
+        self._sessions.note_log(self.state.log_index, now_s)
+        self._entry_desk.streams.send_fresh(now_s)
         self._answer_operators(now_s)
         return list(self._outputs)
 
@@ -90,6 +98,7 @@
         self._step_replica(consensus.Tick(), now_s)
         if self.is_leader(now_s):
             self._entry_desk.expire_upstreams(now_s)
+            self._entry_desk.retire_ended(now_s)
             self._grant_desk.release_dead(now_s)
 
     @_handle.register
@@ -99,6 +108,8 @@
 
     @_handle.register
     def _handle_operator(self, event: OperatorAsked, now_s: float) -> None:
+        if event.wall_s >= self.state.wall_s + _TIME_STEP_S:
+            self._propose(AdvanceTime(event.wall_s), INTERNAL_REQUEST, now_s)
         self._propose(event.command, event.request_id, now_s)
 
     @_handle.register
@@ -115,6 +126,7 @@
         now_s: float,
     ) -> None:
         self._sessions.close(event.stream_id)
+        self._entry_desk.streams.forget_closed()
 
     @_handle.register
     def _handle_entry(self, event: EntryReceived, now_s: float) -> None:
@@ -140,7 +152,7 @@
 
     def _take_output(self, output: consensus.Output, now_s: float) -> None:
         if isinstance(output, consensus.ApplyEntry):
-            self._apply(output.entry)
+            self._apply(output.entry, now_s)
         elif isinstance(output, consensus.ProposalAccepted):
             self._pending.note_proposal(output)
         elif isinstance(output, consensus.ProposalRejected):
@@ -150,21 +162,35 @@
                 self._change_role(output, now_s)
             self._outputs.append(output)
 
-    def _apply(self, entry: consensus.LogEntry) -> None:
+    def _apply(self, entry: consensus.LogEntry, now_s: float) -> None:
+        applied = EntryCommand(entry.log_index, b'', {})
         if entry.payload:
-            command = COMMANDS.decode(entry.payload)
-            outcome = apply_command(self.state, command, entry.log_index)
-            self._pending.note_applied(entry, outcome)
-            if isinstance(command, ChangeGrants):
-                self._grant_desk.note_applied(command)
+            applied = self._apply_command(entry, now_s)
         self.state.log_index = entry.log_index
         # The first entry of the own term shows that all entries of former
         # terms are applied; before that a leader may lack acknowledged ones.
         if entry.term == self.replica.term:
             self._is_ready = self.replica.role is consensus.Role.leader
-        self._entry_desk.note_applied(
-            AppliedCommand(entry.log_index, entry.payload),
-        )
+        self._entry_desk.streams.note_applied(applied)
+
+    def _apply_command(
+        self,
+        entry: consensus.LogEntry,
+        now_s: float,
+    ) -> EntryCommand:
+        command = COMMANDS.decode(entry.payload)
+        is_known = is_known_command(self.state, command)
+        outcome = apply_command(self.state, command, entry.log_index)
+        self._pending.note_applied(entry, outcome, now_s)
+        if isinstance(command, ChangeGrants):
+            self._grant_desk.note_applied(command)
+        elif isinstance(command, RetireEntry):
+            self._entry_desk.note_retired(command)
+        # A resend and a refusal change nothing. An entry does not remember
+        # commands, and would carry out the resend once more.
+        if is_known or not outcome.is_accepted:
+            return EntryCommand(entry.log_index, b'', {})
+        return make_entry_command(self.state, command, entry.log_index)
 
     def _change_role(
         self,
@@ -174,10 +200,12 @@
         self._is_ready = False
         self._grant_desk.start_term()
         if changed.role is consensus.Role.leader:
-            self._sessions.start_term(now_s)
+            self._entry_desk.start_term(now_s)
             return
-        for request_id in self._pending.give_up():
-            self._answer_elsewhere(request_id)
+        self._outputs.extend(
+            self._pending.give_up(self.state, self._sessions, now_s),
+        )
+        self._entry_desk.end_term(self.replica.leader)
 
     def _answer_elsewhere(self, request_id: int) -> None:
         if request_id != INTERNAL_REQUEST:
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -40,18 +40,19 @@
 
 
 class OperatorAsked(NamedTuple):
-    """Hand over an operator's command."""
+    """Hand over an operator's command, and the wall time for the log."""
 
     request_id: int
     command: Command
+    wall_s: float = 0
 
 
 class OperatorAnswer(NamedTuple):
     """Answer an operator truthfully.
 
     ``entries_in_force`` of ``entries_total`` have the change in force or no
-    lease to serve without it. ``leader`` is set where another process must
-    be asked; then nothing was written.
+    lease to serve without it. Without an outcome nothing was written and
+    ``leader`` must be asked, or with ``is_unknown`` it may still be accepted.
     """
 
     outcome: Outcome | None
@@ -59,6 +60,7 @@
     entries_in_force: int
     entries_total: int
     leader: str | None = None
+    is_unknown: bool = False
 
 
 class AnswerOperator(NamedTuple):
--- a/src/sardinemast/control/_operators.py
+++ b/src/sardinemast/control/_operators.py
@@ -8,11 +8,16 @@
 from sardinemast.control._sessions import EntrySessions
 from sardinemast.fleet import FleetState, Outcome
 
+# A lagging entry gets no lease after LAG_LIMIT_S and its last one ends after
+# LEASE_S, so that by now all is in force, or this process has lost its term.
+ANSWER_WITHIN_S = 5.0
+
 
 class _Applied(NamedTuple):
     request_id: int
     log_index: int
     outcome: Outcome
+    applied_s: float
 
 
 class PendingCommands:
@@ -27,14 +32,24 @@
         if accepted.proposal_id != INTERNAL_REQUEST:
             self._proposed[accepted.log_index] = accepted
 
-    def note_applied(self, entry: LogEntry, outcome: Outcome) -> None:
+    def note_applied(
+        self,
+        entry: LogEntry,
+        outcome: Outcome,
+        now_s: float,
+    ) -> None:
         """Note the outcome of the command at the place, where it is ours."""
         proposed = self._proposed.pop(entry.log_index, None)
         # Another leader's entry may stand at the index now; then what
         # became of the command is told by the resend, not guessed here.
         if proposed is not None and proposed.term == entry.term:
             self._applied.append(
-                _Applied(proposed.proposal_id, entry.log_index, outcome),
+                _Applied(
+                    proposed.proposal_id,
+                    entry.log_index,
+                    outcome,
+                    now_s,
+                ),
             )
 
     def take_answers(
@@ -43,26 +58,62 @@
         sessions: EntrySessions,
         now_s: float,
     ) -> list[AnswerOperator]:
-        """Give the answers of all commands that are in force."""
+        """Give the answers of all commands that need no more waiting."""
         answers: list[AnswerOperator] = []
         waiting: list[_Applied] = []
-        total = len(state.entries)
         for one in self._applied:
-            ready = sessions.count_in_force(state, one.log_index, now_s)
-            if ready < total:
+            answer = _count(one, state, sessions, now_s)
+            is_over = now_s >= one.applied_s + ANSWER_WITHIN_S
+            if _is_in_force(answer) or is_over or not one.outcome.is_accepted:
+                answers.append(AnswerOperator(one.request_id, answer))
+            else:
                 waiting.append(one)
-                continue
-            answer = OperatorAnswer(one.outcome, one.log_index, ready, total)
-            answers.append(AnswerOperator(one.request_id, answer))
         self._applied = waiting
         return answers
 
-    def give_up(self) -> list[int]:
-        """Give the requests that lost their leader, and forget them."""
-        lost = [
-            *(one.proposal_id for one in self._proposed.values()),
-            *(one.request_id for one in self._applied),
+    def give_up(
+        self,
+        state: FleetState,
+        sessions: EntrySessions,
+        now_s: float,
+    ) -> list[AnswerOperator]:
+        """Answer all that wait when this process leads no more.
+
+        What is applied is accepted for good, and an entry that has it keeps
+        it; so the count is true, if maybe too low. What is only proposed may
+        still be accepted by the next leader, and nothing else may be said.
+        """
+        answers = [
+            AnswerOperator(
+                one.request_id,
+                _count(one, state, sessions, now_s),
+            )
+            for one in self._applied
         ]
+        unknown = OperatorAnswer(None, 0, 0, 0, is_unknown=True)
+        answers.extend(
+            AnswerOperator(one.proposal_id, unknown)
+            for one in self._proposed.values()
+        )
         self._proposed.clear()
         self._applied.clear()
-        return lost
+        return answers
+
+
+def _count(
+    one: _Applied,
+    state: FleetState,
+    sessions: EntrySessions,
+    now_s: float,
+) -> OperatorAnswer:
+    ready = sessions.count_in_force(state, one.log_index, now_s)
+    return OperatorAnswer(
+        one.outcome,
+        one.log_index,
+        ready,
+        len(state.entries),
+    )
+
+
+def _is_in_force(answer: OperatorAnswer) -> bool:
+    return answer.entries_in_force == answer.entries_total
--- a/src/sardinemast/entry/_link.py
+++ b/src/sardinemast/entry/_link.py
@@ -1,7 +1,8 @@
 """The entry's side of the stream to the leader: state, lease, demand."""
 
-from sardinemast.fleet import COMMANDS, FleetState, apply_command, load_state
+from sardinemast.fleet import COMMANDS, FleetState, load_state, replay_command
 from sardinemast.protocol import (
+    NEEDS_STATE,
     GrantReturn,
     LeaseGranted,
     RenewLease,
@@ -22,7 +23,10 @@
         self._name = name
         self._incarnation = incarnation
         self._lease_until_s = float('-inf')
+        self._awaited: LeaseGranted | None = None
         self._renewed_s = float('-inf')
+        self._has_gap = False
+        self._has_news = False
 
     def has_lease(self, now_s: float) -> bool:
         """Tell whether the leader surely still counts on this entry."""
@@ -43,7 +47,15 @@
         }
 
     def take_lease(self, granted: LeaseGranted) -> None:
-        """Renew the lease; an older answer never shortens it."""
+        """Renew the lease; an older answer never shortens it.
+
+        A lease that was given at a later index than this entry has is kept
+        until the entry has caught up. With it the entry would serve by a
+        state that the leader told an operator to be gone.
+        """
+        if granted.log_index > self.state.log_index:
+            self._awaited = granted
+            return
         self._lease_until_s = max(
             self._lease_until_s,
             granted.sent_at_s + granted.duration_s,
@@ -57,12 +69,26 @@
         """
         if replaced.image.log_index >= self.state.log_index:
             self.state = load_state(replaced.image)
+            self._has_gap = False
+            self._note_news()
 
     def take_commands(self, changed: StateChanged) -> None:
-        """Apply commands in the order of the log, each once."""
+        """Apply commands in the order of the log, each once.
+
+        Where commands are missing before these, nothing is applied and the
+        whole state is asked for: the rest would be right by its index and
+        wrong by its content.
+        """
+        if changed.previous_index > self.state.log_index:
+            self._has_gap = True
+            return
         for command in changed.commands:
             if command.log_index > self.state.log_index:
                 self._apply(command.payload, command.log_index)
+        self.state.log_index = max(self.state.log_index, changed.log_index)
+        if changed.commands:
+            self._note_news()
+        self._take_awaited()
 
     def get_renewal(
         self,
@@ -71,21 +97,33 @@
         *,
         is_urgent: bool,
     ) -> RenewLease | None:
-        """Give a renewal when one is due."""
+        """Give a renewal when one is due; news are acknowledged at once."""
+        is_urgent = is_urgent or self._has_news
         interval_s = URGENT_INTERVAL_S if is_urgent else RENEWAL_INTERVAL_S
         if now_s < self._renewed_s + interval_s:
             return None
         self._renewed_s = now_s
+        self._has_news = False
         return RenewLease(
             now_s,
-            self.state.log_index,
+            NEEDS_STATE if self._has_gap else self.state.log_index,
             demands,
             self._get_returns(demands),
         )
 
+    def _note_news(self) -> None:
+        self._has_news = True
+        self._take_awaited()
+
+    def _take_awaited(self) -> None:
+        awaited = self._awaited
+        if awaited is not None and awaited.log_index <= self.state.log_index:
+            self._awaited = None
+            self.take_lease(awaited)
+
     def _apply(self, payload: bytes, index: int) -> None:
         if payload:
-            apply_command(self.state, COMMANDS.decode(payload), index)
+            replay_command(self.state, COMMANDS.decode(payload), index)
         self.state.log_index = index
 
     def _get_returns(
--- a/src/sardinemast/fleet/_grant_commands.py
+++ b/src/sardinemast/fleet/_grant_commands.py
@@ -22,6 +22,26 @@
     changes: tuple[GrantChange, ...]
 
 
+class HoldGrants(NamedTuple):
+    """Tell an entry what it holds now; an amount of 0 is none.
+
+    Only the leader sends this, as the result of a change in the log.
+    """
+
+    grants: tuple[Grant, ...]
+
+
+@execute_command.register
+def _hold_grants(command: HoldGrants, state: FleetState) -> Outcome:
+    for grant in command.grants:
+        place = (grant.entry, grant.incarnation, grant.team)
+        if grant.amount > 0:
+            state.grants[place] = grant
+        else:
+            state.grants.pop(place, None)
+    return accept(state)
+
+
 @execute_command.register
 def _apply_grants(command: ChangeGrants, state: FleetState) -> Outcome:
     for change in command.changes:
--- a/src/sardinemast/fleet/_operator_commands.py
+++ b/src/sardinemast/fleet/_operator_commands.py
@@ -2,9 +2,18 @@
 
 from typing import NamedTuple
 
+from sardinemast.fleet._diff import (
+    MAX_CHANGES,
+    DocumentChange,
+    diff_documents,
+)
 from sardinemast.fleet._dispatch import accept, execute_command, refuse
+from sardinemast.fleet._document_checks import check_document
 from sardinemast.fleet._documents import FleetDocument
 from sardinemast.fleet._state import FleetState, Instance, KeyRecord, Outcome
+from sardinemast.fleet._time_commands import get_version_document, keep_version
+
+MAX_KEYS = 50_000
 
 
 class ApplyDocument(NamedTuple):
@@ -15,6 +24,14 @@
     document: FleetDocument
 
 
+class RestoreVersion(NamedTuple):
+    """Put the document of an earlier version in place, as a new version."""
+
+    command_id: str
+    based_on: int
+    version: int
+
+
 class GrantKey(NamedTuple):
     """Let whoever presents the key work for the team."""
 
@@ -23,6 +40,10 @@
     team: str
     digest: bytes
 
+    def __repr__(self) -> str:
+        """Leave the digest out, so that no log or error shows it."""
+        return f'GrantKey({self.command_id!r}, {self.key_id!r}, {self.team!r})'
+
 
 class WithdrawKey(NamedTuple):
     """Stop a key from working."""
@@ -39,23 +60,77 @@
     pool: str
 
 
-OperatorCommand = ApplyDocument | GrantKey | WithdrawKey | AssignInstance
+class ForgetInstance(NamedTuple):
+    """Take an instance that is gone for good out of its pool."""
+
+    command_id: str
+    instance: str
+
+
+OperatorCommand = (
+    ApplyDocument
+    | RestoreVersion
+    | GrantKey
+    | WithdrawKey
+    | AssignInstance
+    | ForgetInstance
+)
 
 
 @execute_command.register
 def _apply_document(command: ApplyDocument, state: FleetState) -> Outcome:
-    if command.based_on != state.version:
+    return _replace_document(command, command.document, state)
+
+
+@execute_command.register
+def _restore_version(command: RestoreVersion, state: FleetState) -> Outcome:
+    document = get_version_document(state, command.version)
+    if document is None:
         return refuse(
             state,
-            'fleet.E002',
-            f'Based on version {command.based_on}, but version '
-            f'{state.version} is in place.',
+            'fleet.E007',
+            f'Version {command.version} is not kept.',
+        )
+    return _replace_document(command, document, state)
+
+
+def _replace_document(
+    command: ApplyDocument | RestoreVersion,
+    document: FleetDocument,
+    state: FleetState,
+) -> Outcome:
+    if command.based_on != state.version:
+        return _refuse_loser(command.based_on, state)
+    findings = check_document(state, document)
+    if findings:
+        refusal = refuse(
+            state,
+            'fleet.E010',
+            f'The document has {len(findings)} mistakes.',
         )
-    state.document = command.document
+        return refusal._replace(findings=findings)
+    state.document = document
     state.version += 1
+    keep_version(state, command.command_id)
     return accept(state)
 
 
+def _refuse_loser(based_on: int, state: FleetState) -> Outcome:
+    # Two operators start from the same version. The second must see what the
+    # first changed, or it would put the old values back with its next try.
+    changes: tuple[DocumentChange, ...] = ()
+    base = get_version_document(state, based_on)
+    if base is not None:
+        changes = diff_documents(base, state.document)
+    refusal = refuse(
+        state,
+        'fleet.E002',
+        f'Based on version {based_on}, but version '
+        f'{state.version} is in place; {len(changes)} fields differ.',
+    )
+    return refusal._replace(changes=changes[:MAX_CHANGES])
+
+
 @execute_command.register
 def _grant_key(command: GrantKey, state: FleetState) -> Outcome:
     if command.team not in state.document.teams:
@@ -65,6 +140,8 @@
         or command.digest in state.keys_by_digest
     ):
         return refuse(state, 'fleet.E004', f'Key {command.key_id!r} exists.')
+    if len(state.keys_by_id) >= MAX_KEYS:
+        return refuse(state, 'fleet.E008', f'There are {MAX_KEYS} keys.')
     record = KeyRecord(command.key_id, command.team, command.digest)
     state.keys_by_id[record.key_id] = record
     state.keys_by_digest[record.digest] = record
@@ -86,3 +163,14 @@
         return refuse(state, 'fleet.E006', f'No pool {command.pool!r}.')
     state.instances[command.instance] = Instance(command.instance, command.pool)
     return accept(state)
+
+
+@execute_command.register
+def _forget_instance(command: ForgetInstance, state: FleetState) -> Outcome:
+    if state.instances.pop(command.instance, None) is None:
+        return refuse(
+            state,
+            'fleet.E009',
+            f'No instance {command.instance!r}.',
+        )
+    return accept(state)
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinemast.fleet._diff import DocumentChange, DocumentFinding
 from sardinemast.fleet._documents import EMPTY_DOCUMENT, FleetDocument
 
 
@@ -12,6 +13,10 @@
     team: str
     digest: bytes
 
+    def __repr__(self) -> str:
+        """Leave the digest out, so that no log or error shows it."""
+        return f'KeyRecord({self.key_id!r}, {self.team!r})'
+
 
 class Instance(NamedTuple):
     """Hold where an instance belongs; its pool stands here and only here."""
@@ -46,20 +51,39 @@
 
 
 class Outcome(NamedTuple):
-    """Answer a command; the same answer is given to every resend."""
+    """Answer a command; the same answer is given to every resend.
+
+    ``changes`` tell the loser of a race what the winner changed, and
+    ``findings`` what is wrong with a document.
+    """
 
     is_accepted: bool
     version: int
     code: str = ''
     text: str = ''
+    changes: tuple[DocumentChange, ...] = ()
+    findings: tuple[DocumentFinding, ...] = ()
 
 
 class RememberedCommand(NamedTuple):
-    """Hold what a command id stood for and what it was answered."""
+    """Hold what a command id stood for and what it was answered.
+
+    ``noted_s`` is the wall time of the log when the command was applied.
+    """
 
     command_id: str
     digest: bytes
     outcome: Outcome
+    noted_s: float = 0
+
+
+class VersionRecord(NamedTuple):
+    """Hold a document as it was accepted, and by which command."""
+
+    version: int
+    noted_s: float
+    command_id: str
+    document: FleetDocument
 
 
 class FleetImage(NamedTuple):
@@ -73,14 +97,20 @@
     entries: tuple[EntryProcess, ...]
     grants: tuple[Grant, ...]
     remembered: tuple[RememberedCommand, ...]
+    history: tuple[VersionRecord, ...] = ()
+    wall_s: float = 0
 
 
 class FleetState:
-    """Hold the state at one log index."""
+    """Hold the state at one log index.
+
+    ``wall_s`` is the wall time that the log's commands have told.
+    """
 
     def __init__(self) -> None:
         self.log_index = 0
         self.version = 0
+        self.wall_s: float = 0
         self.document: FleetDocument = EMPTY_DOCUMENT
         self.keys_by_id: dict[str, KeyRecord] = {}
         self.keys_by_digest: dict[bytes, KeyRecord] = {}
@@ -88,6 +118,7 @@
         self.entries: dict[str, EntryProcess] = {}
         self.grants: dict[tuple[str, int, str], Grant] = {}
         self.remembered: dict[str, RememberedCommand] = {}
+        self.history: dict[int, VersionRecord] = {}
 
 
 def dump_state(state: FleetState) -> FleetImage:
@@ -101,6 +132,8 @@
         tuple(state.entries.values()),
         tuple(state.grants.values()),
         tuple(state.remembered.values()),
+        tuple(state.history.values()),
+        state.wall_s,
     )
 
 
@@ -109,6 +142,7 @@
     state = FleetState()
     state.log_index = image.log_index
     state.version = image.version
+    state.wall_s = image.wall_s
     state.document = image.document
     state.keys_by_id = {key.key_id: key for key in image.keys}
     state.keys_by_digest = {key.digest: key for key in image.keys}
@@ -119,4 +153,5 @@
         for grant in image.grants
     }
     state.remembered = {one.command_id: one for one in image.remembered}
+    state.history = {one.version: one for one in image.history}
     return state
--- /dev/null
+++ b/src/sardinemast/fleet/_streams.py
@@ -0,0 +1,96 @@
+"""What an entry is sent of the state, and how it follows the log."""
+
+from typing import NamedTuple
+
+from sardinemast.fleet._dispatch import execute_command
+from sardinemast.fleet._state import (
+    FleetImage,
+    FleetState,
+    Grant,
+    Outcome,
+    dump_state,
+)
+from sardinemast.fleet.commands import (
+    COMMANDS,
+    AdvanceTime,
+    ApplyDocument,
+    ChangeGrants,
+    Command,
+    HoldGrants,
+    RestoreVersion,
+)
+
+
+class EntryCommand(NamedTuple):
+    """Hold what a command changes at all entries and at single ones.
+
+    ``payload`` goes to every entry. ``grants_by_holder`` holds, by entry and
+    incarnation, a payload that goes to this one besides.
+    """
+
+    log_index: int
+    payload: bytes
+    payload_by_holder: dict[tuple[str, int], bytes]
+
+
+def dump_for_entry(
+    state: FleetState,
+    entry: str,
+    incarnation: int,
+) -> FleetImage:
+    """Give what an entry needs of the state."""
+    grants = tuple(
+        grant
+        for grant in state.grants.values()
+        if (grant.entry, grant.incarnation) == (entry, incarnation)
+    )
+    return dump_state(state)._replace(
+        grants=grants,
+        entries=(),
+        remembered=(),
+        history=(),
+    )
+
+
+def make_entry_command(
+    state: FleetState,
+    command: Command,
+    index: int,
+) -> EntryCommand:
+    """Give what entries are sent after the accepted command was applied.
+
+    An entry has neither the remembered commands nor the history nor other
+    entries' grants. A command that depends on them is sent as its result.
+    """
+    if isinstance(command, ChangeGrants):
+        return EntryCommand(index, b'', _split_grants(state, command))
+    if isinstance(command, AdvanceTime):
+        return EntryCommand(index, b'', {})
+    if isinstance(command, RestoreVersion):
+        command = ApplyDocument('', state.version - 1, state.document)
+    return EntryCommand(index, COMMANDS.encode(command), {})
+
+
+def replay_command(
+    state: FleetState,
+    command: Command,
+    index: int,
+) -> Outcome:
+    """Follow a command that the log has accepted."""
+    state.log_index = index
+    return execute_command(command, state)
+
+
+def _split_grants(
+    state: FleetState,
+    command: ChangeGrants,
+) -> dict[tuple[str, int], bytes]:
+    changed: dict[tuple[str, int], list[Grant]] = {}
+    for change in command.changes:
+        place = (change.entry, change.incarnation, change.team)
+        grant = state.grants.get(place, Grant(*place, 0, state.log_index))
+        changed.setdefault(place[:2], []).append(grant)
+    return {
+        holder: COMMANDS.encode(HoldGrants(tuple(grants)))
+        for holder, grants in changed.items()
+    }
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -2,43 +2,77 @@
 
 import hashlib
 
+import cbor2
+
 from sardinemast.fleet._dispatch import execute_command, refuse
 from sardinemast.fleet._entry_commands import RegisterEntry, RetireEntry
-from sardinemast.fleet._grant_commands import ChangeGrants, GrantChange
+from sardinemast.fleet._grant_commands import (
+    ChangeGrants,
+    GrantChange,
+    HoldGrants,
+)
+from sardinemast.fleet._instance_commands import RegisterInstances
 from sardinemast.fleet._operator_commands import (
     ApplyDocument,
     AssignInstance,
+    ForgetInstance,
     GrantKey,
     OperatorCommand,
+    RestoreVersion,
     WithdrawKey,
 )
 from sardinemast.fleet._state import FleetState, Outcome, RememberedCommand
+from sardinemast.fleet._time_commands import AdvanceTime, remember
 from sardinemast.wire import MessageSet
 
-Command = OperatorCommand | RegisterEntry | RetireEntry | ChangeGrants
-COMMANDS = MessageSet(
+Command = (
+    OperatorCommand
+    | RegisterEntry
+    | RetireEntry
+    | RegisterInstances
+    | ChangeGrants
+    | HoldGrants
+    | AdvanceTime
+)
+_OPERATOR_CLASSES = (
     ApplyDocument,
+    RestoreVersion,
     GrantKey,
     WithdrawKey,
     AssignInstance,
+    ForgetInstance,
+)
+OPERATOR_COMMANDS = MessageSet(*_OPERATOR_CLASSES)
+COMMANDS = MessageSet(
+    *_OPERATOR_CLASSES,
     RegisterEntry,
     RetireEntry,
+    RegisterInstances,
     ChangeGrants,
+    HoldGrants,
+    AdvanceTime,
 )
 
 __all__ = (
     'COMMANDS',
+    'OPERATOR_COMMANDS',
+    'AdvanceTime',
     'ApplyDocument',
     'AssignInstance',
     'ChangeGrants',
     'Command',
+    'ForgetInstance',
     'GrantChange',
     'GrantKey',
+    'HoldGrants',
     'OperatorCommand',
     'RegisterEntry',
+    'RegisterInstances',
+    'RestoreVersion',
     'RetireEntry',
     'WithdrawKey',
     'apply_command',
+    'is_known_command',
 )
 
 
@@ -48,14 +82,13 @@
     command_id = getattr(command, 'command_id', '')
     if not command_id:
         return execute_command(command, state)
-    digest = hashlib.sha256(COMMANDS.encode(command)).digest()
+    digest = _digest(command)
     known = state.remembered.get(command_id)
     if known is None:
         outcome = execute_command(command, state)
-        state.remembered[command_id] = RememberedCommand(
-            command_id,
-            digest,
-            outcome,
+        remember(
+            state,
+            RememberedCommand(command_id, digest, outcome, state.wall_s),
         )
         return outcome
     if known.digest == digest:
@@ -65,3 +98,19 @@
         'fleet.E001',
         'This command id stands for another command.',
     )
+
+
+def is_known_command(state: FleetState, command: Command) -> bool:
+    """Tell whether the id was seen, so that applying changes nothing."""
+    command_id = getattr(command, 'command_id', '')
+    return command_id in state.remembered
+
+
+def _digest(command: Command) -> bytes:
+    # The command line reads the version anew before each send. When the first
+    # send was accepted and its answer lost, the resend is based on the version
+    # that it made itself; it is the same command all the same.
+    if isinstance(command, ApplyDocument | RestoreVersion):
+        command = command._replace(based_on=0)
+    packed = COMMANDS.pack(command)
+    return hashlib.sha256(cbor2.dumps(packed, canonical=True)).digest()
--- a/src/sardinemast/fleet/queries.py
+++ b/src/sardinemast/fleet/queries.py
@@ -3,8 +3,10 @@
 import hmac
 from typing import Any
 
+from sardinemast.fleet._diff import DocumentChange, diff_documents
 from sardinemast.fleet._documents import Pool
 from sardinemast.fleet._state import FleetState, Grant
+from sardinemast.fleet._time_commands import get_version_document
 from sardinemast.wire import dump_plain
 
 
@@ -13,7 +15,9 @@
     record = state.keys_by_digest.get(digest)
     if record is None or not hmac.compare_digest(record.digest, digest):
         return None
-    return record.team
+    # Removing a team with keys is refused; should its document be gone all
+    # the same, its keys are gone with it.
+    return record.team if record.team in state.document.teams else None
 
 
 def get_pool(state: FleetState, name: str, site: str) -> Pool | None:
@@ -48,9 +52,30 @@
         ],
         'instances': _list_records(state.instances),
         'entries': _list_records(state.entries),
+        'versions': [
+            {
+                'version': one.version,
+                'accepted_s': one.noted_s,
+                'command_id': one.command_id,
+            }
+            for one in state.history.values()
+        ],
         'grants': [dump_plain(grant) for grant in state.grants.values()],
     }
 
 
+def diff_versions(
+    state: FleetState,
+    before: int,
+    after: int,
+) -> tuple[DocumentChange, ...] | None:
+    """Give what differs between two versions, or nothing where one is gone."""
+    old = get_version_document(state, before)
+    new = get_version_document(state, after)
+    if old is None or new is None:
+        return None
+    return diff_documents(old, new)
+
+
 def _list_records(records: Any) -> list[dict[str, Any]]:
     return [record._asdict() for record in records.values()]
--- a/src/sardinemast/protocol/__init__.py
+++ b/src/sardinemast/protocol/__init__.py
@@ -3,6 +3,7 @@
 from sardinemast.protocol._messages import (
     CONTROL_MESSAGES,
     ENTRY_MESSAGES,
+    NEEDS_STATE,
     AppliedCommand,
     ControlMessage,
     EntryMessage,
@@ -20,6 +21,7 @@
 __all__ = (
     'CONTROL_MESSAGES',
     'ENTRY_MESSAGES',
+    'NEEDS_STATE',
     'AppliedCommand',
     'ControlMessage',
     'EntryMessage',
--- a/src/sardinemast/protocol/_messages.py
+++ b/src/sardinemast/protocol/_messages.py
@@ -6,6 +6,8 @@
 from sardinemast.membership import Announcement
 from sardinemast.wire import MessageSet
 
+NEEDS_STATE = -1
+
 
 class TeamDemand(NamedTuple):
     """Say how much a team wants to run at this entry, and runs now."""
@@ -28,7 +30,10 @@
 
 
 class RenewLease(NamedTuple):
-    """Ask for the lease to go on; ``sent_at_s`` is the entry's clock."""
+    """Ask for the lease to go on; ``sent_at_s`` is the entry's clock.
+
+    An ``applied_index`` of ``NEEDS_STATE`` asks for the whole state.
+    """
 
     sent_at_s: float
     applied_index: int
@@ -43,10 +48,15 @@
 
 
 class LeaseGranted(NamedTuple):
-    """Renew the lease, counted from ``sent_at_s`` on the entry's clock."""
+    """Renew the lease, counted from ``sent_at_s`` on the entry's clock.
+
+    The lease holds only for an entry that has applied ``log_index``: what
+    was told to be in force before the grant is in force with it.
+    """
 
     sent_at_s: float
     duration_s: float
+    log_index: int = 0
 
 
 class StateReplaced(NamedTuple):
@@ -61,11 +71,22 @@
     log_index: int
     payload: bytes
 
+    def __repr__(self) -> str:
+        """Leave the payload out; it may hold a key's digest."""
+        size_bytes = len(self.payload)
+        return f'AppliedCommand({self.log_index}, {size_bytes} bytes)'
+
 
 class StateChanged(NamedTuple):
-    """Send the commands committed since the last message."""
+    """Send what was committed since the last message.
+
+    ``commands`` holds what changes the entry's state. It follows on
+    ``previous_index`` and brings the entry to ``log_index``.
+    """
 
     commands: tuple[AppliedCommand, ...]
+    previous_index: int = 0
+    log_index: int = 0
 
 
 class RosterChanged(NamedTuple):
--- a/src/sardinemast/shell/_operator_http.py
+++ b/src/sardinemast/shell/_operator_http.py
@@ -12,7 +12,11 @@
 
 from sardinemast import control
 from sardinemast.conf import Address
-from sardinemast.fleet import COMMANDS, describe_state
+from sardinemast.fleet import (
+    OPERATOR_COMMANDS,
+    describe_state,
+    diff_versions,
+)
 from sardinemast.shell._identity import Identity
 from sardinemast.wire import WireError, dump_plain
 
@@ -44,7 +48,9 @@
         answer = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = answer
         if self._put is not None:
-            self._put(control.OperatorAsked(request_id, command))
+            self._put(
+                control.OperatorAsked(request_id, command, time.time()),
+            )
         try:
             return await asyncio.wait_for(answer, _ANSWER_TIMEOUT_S)
         finally:
@@ -80,21 +86,27 @@
     async def post(self) -> None:
         """Replicate the command."""
         try:
-            command = COMMANDS.decode(self.request.body)
+            command = OPERATOR_COMMANDS.decode(self.request.body)
         except WireError as error:
             self.refuse(HTTPStatus.BAD_REQUEST, error.code, error.text)
             return
         try:
             answer = await self.desk.ask(command)
         except TimeoutError:
-            self.refuse(
-                HTTPStatus.GATEWAY_TIMEOUT,
-                'control.E002',
-                'No majority answered in time; it may still be accepted. '
-                'Send it again with the same command id.',
-            )
+            self._refuse_unknown()
             return
-        self._write_answer(answer)
+        if answer.is_unknown:
+            self._refuse_unknown()
+        else:
+            self._write_answer(answer)
+
+    def _refuse_unknown(self) -> None:
+        self.refuse(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'control.E002',
+            'No majority answered in time; it may still be accepted. '
+            'Send it again with the same command id.',
+        )
 
     def _write_answer(self, answer: control.OperatorAnswer) -> None:
         if answer.outcome is None:
@@ -109,6 +121,8 @@
         self.finish(
             {
                 **answer.outcome._asdict(),
+                'changes': _list_records(answer.outcome.changes),
+                'findings': _list_records(answer.outcome.findings),
                 'index': answer.log_index,
                 'entries_in_force': answer.entries_in_force,
                 'entries_total': answer.entries_total,
@@ -116,21 +130,45 @@
         )
 
 
-class StateHandler(_DeskHandler):
-    """Show the state, as the leader has it."""
-
-    def get(self) -> None:
-        """Give the state, or the leader to ask."""
+class _LeaderHandler(_DeskHandler):
+    def prepare(self) -> None:
+        """Answer only while this process leads."""
         if not self.desk.core.is_leader(time.monotonic()):
             self.refuse(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'control.E001',
                 'This process does not lead.',
             )
-            return
+
+
+class StateHandler(_LeaderHandler):
+    """Show the state, as the leader has it."""
+
+    def get(self) -> None:
+        """Give the state, or the leader to ask."""
         self.finish(describe_state(self.desk.core.state))
 
 
+class DiffHandler(_LeaderHandler):
+    """Show what differs between two versions of the document."""
+
+    def get(self, before: str, after: str) -> None:
+        """Give the fields that differ."""
+        changes = diff_versions(
+            self.desk.core.state,
+            int(before),
+            int(after),
+        )
+        if changes is None:
+            self.refuse(
+                HTTPStatus.NOT_FOUND,
+                'fleet.E007',
+                'One of the versions is not kept.',
+            )
+            return
+        self.finish({'changes': _list_records(changes)})
+
+
 class TimelineHandler(RequestHandler):
     """Show the events of this process."""
 
@@ -151,6 +189,7 @@
         [
             ('/v1/commands', CommandHandler, options),
             ('/v1/state', StateHandler, options),
+            (r'/v1/diff/(\d{1,9})/(\d{1,9})', DiffHandler, options),
             ('/-/timeline', TimelineHandler, {'identity': desk.identity}),
         ],
         log_function=_skip_log,
@@ -160,5 +199,9 @@
     return server
 
 
+def _list_records(records: tuple[Any, ...]) -> list[dict[str, Any]]:
+    return [record._asdict() for record in records]
+
+
 def _skip_log(handler: RequestHandler) -> None:
     """Leave the access log to the time line."""
