Send requests to upstreams over kept connections

Cause: the entry opened a connection per request and took two turns of the event loop more than needed for each event; it was slower than a bare forwarder. Weighed: AsyncHTTPClient as it stands, HTTP1Connection over pools of our own; pycurl is not installed and is declined.

Change: pools of connections that showed life within 2 s, each read one byte ahead while idle; callers' requests without the framework's handlers; a core steps in the turn in which its event comes. Bodies over the pool's limit are refused by the head or at the byte that passes it.

--- /dev/null
+++ b/bench/_load.py
@@ -0,0 +1,124 @@
+"""Send requests over kept connections and measure each, as a program.
+
+``python -m bench._load PORT CONNECTIONS SECONDS KEY`` prints one line of
+JSON. It is a process of its own, so that the measured one shares its core
+with nobody.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from functools import partial
+
+from hdrh.histogram import HdrHistogram
+
+_LONGEST_US = 60_000_000
+_DIGITS = 3
+_US_PER_S = 1_000_000
+_US_PER_MS = 1000
+_BODY = b'x' * 200
+_WARM_UP_S = 0.3
+
+
+class _Caller(asyncio.Protocol):
+    """Send one request after the other on a connection."""
+
+    def __init__(self, request: bytes, note: 'Totals') -> None:
+        self._request = request
+        self._totals = note
+        self._sent_s: float = 0
+        self._buffer = b''
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._send()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._buffer += chunk
+        head, end, body = self._buffer.partition(b'\r\n\r\n')
+        if not end:
+            return
+        length_at = head.lower().index(b'content-length:') + 15
+        length = int(head[length_at:].split(b'\r', 1)[0])
+        if len(body) < length:
+            return
+        self._buffer = body[length:]
+        self._totals.note(head[9:12] == b'200', self._sent_s)
+        self._send()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._totals.lost += 1
+
+    def _send(self) -> None:
+        self._sent_s = time.perf_counter()
+        self._transport.write(self._request)
+
+
+class Totals:
+    """Count answers and their latencies."""
+
+    def __init__(self) -> None:
+        self.answered = 0
+        self.refused = 0
+        self.lost = 0
+        self.is_counting = False
+        self._histogram = HdrHistogram(1, _LONGEST_US, _DIGITS)
+
+    def note(self, is_good: bool, sent_s: float) -> None:
+        """Note one answer."""
+        if not self.is_counting:
+            return
+        if is_good:
+            self.answered += 1
+        else:
+            self.refused += 1
+        taken_us = int((time.perf_counter() - sent_s) * _US_PER_S)
+        self._histogram.record_value(taken_us)
+
+    def get_ms(self, percentile: float) -> float:
+        """Give a percentile of the latency."""
+        value_us: int = self._histogram.get_value_at_percentile(percentile)
+        return value_us / _US_PER_MS
+
+
+async def _run(port: int, connections: int, seconds: float, key: str) -> None:
+    totals = Totals()
+    request = (
+        b'POST /enrolment/bench HTTP/1.1\r\nHost: bench\r\n'
+        + f'Authorization: Bearer {key}\r\n'.encode()
+        + f'Content-Length: {len(_BODY)}\r\n\r\n'.encode()
+        + _BODY
+    )
+    loop = asyncio.get_running_loop()
+    await asyncio.gather(
+        *(
+            loop.create_connection(
+                partial(_Caller, request, totals), '127.0.0.1', port
+            )
+            for _ in range(connections)
+        )
+    )
+    await asyncio.sleep(_WARM_UP_S)
+    totals.is_counting = True
+    started_s = time.perf_counter()
+    await asyncio.sleep(seconds)
+    taken_s = time.perf_counter() - started_s
+    totals.is_counting = False
+    report = {
+        'per_s': totals.answered / taken_s,
+        'refused': totals.refused,
+        'lost': totals.lost,
+        'median_ms': totals.get_ms(50),
+        'p99_ms': totals.get_ms(99),
+    }
+    sys.stdout.write(json.dumps(report))
+
+
+if __name__ == '__main__':
+    asyncio.run(
+        _run(
+            int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4]
+        )
+    )
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 from sardinemast.admission import (
+    Admitted,
+    Arrival,
     Dispatcher,
     Refusal,
     check_arrival,
@@ -24,7 +26,7 @@
     UpstreamAnnounced,
 )
 from sardinemast.entry._link import ControlLink
-from sardinemast.fleet import FleetState
+from sardinemast.fleet import FleetState, get_pool
 from sardinemast.membership import Announcement
 from sardinemast.protocol import (
     LeaseGranted,
@@ -64,6 +66,14 @@
         """Tell the balancer whether to send requests here."""
         return self._link.has_lease(now_s)
 
+    def check_head(self, arrival: Arrival, now_s: float) -> Refusal | int:
+        """Give the limit of the body in bytes, or refuse by the head."""
+        refusal = self._check(arrival, now_s)
+        if isinstance(refusal, Refusal):
+            return refusal
+        pool = get_pool(self.state, arrival.pool, self._settings.data_centre)
+        return pool.body_limit_bytes if pool else 0
+
     def step(self, event: EntryEvent, now_s: float) -> list[EntryOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs = []
@@ -92,17 +102,20 @@
             self._refuse(event.arrival.request_id, refusal)
 
     def _admit(self, event: RequestArrived, now_s: float) -> Refusal | None:
+        checked = self._check(event.arrival, now_s)
+        if isinstance(checked, Refusal):
+            return checked
+        return self._dispatcher.take(event.arrival, checked, now_s)
+
+    def _check(self, arrival: Arrival, now_s: float) -> Admitted | Refusal:
         if not self._link.has_lease(now_s):
             return refuse_without_lease()
-        checked = check_arrival(
+        return check_arrival(
             self.state,
             self._settings.data_centre,
-            event.arrival,
+            arrival,
             now_s,
         )
-        if isinstance(checked, Refusal):
-            return checked
-        return self._dispatcher.take(event.arrival, checked, now_s)
 
     @_handle.register
     def _handle_caller_left(self, event: CallerLeft, now_s: float) -> None:
--- a/src/sardinemast/routing/_attempts.py
+++ b/src/sardinemast/routing/_attempts.py
@@ -18,13 +18,19 @@
     """Tell how an attempt at an upstream ended.
 
     ``not_sent`` may be said only where no byte of the request can have left.
-    ``broken`` and ``timed_out`` mean that the upstream may still run it.
+    All others but ``answered`` mean that the upstream may still run it.
+    ``silent`` means that no answer came on a connection used before, which
+    something on the way may have lost track of.
     """
 
     answered = 'answered'
     not_sent = 'not sent'
     broken = 'broken'
     timed_out = 'timed out'
+    silent = 'silent'
+
+
+_LATE = frozenset((AttemptResult.timed_out, AttemptResult.silent))
 
 
 class StartAttempt(NamedTuple):
@@ -33,6 +39,8 @@
     request_id: int
     upstream: Announcement
     timeout_s: float
+    is_repeatable: bool
+    connection_limit: int
 
 
 class NextStep(StrEnum):
@@ -92,7 +100,13 @@
             now_s + pool.run_bound_s,
         )
         timeout_s = min(waiting.due_s - now_s, pool.run_bound_s)
-        return StartAttempt(waiting.request_id, upstream, timeout_s)
+        return StartAttempt(
+            waiting.request_id,
+            upstream,
+            timeout_s,
+            waiting.is_repeatable,
+            pool.connections,
+        )
 
     def end(self, request_id: int, attempt_result: AttemptResult) -> Ending:
         """Note how an attempt ended, and tell what follows."""
@@ -111,7 +125,7 @@
 
 
 def _describe_unknown(attempt_result: AttemptResult) -> Refusal:
-    if attempt_result is AttemptResult.timed_out:
+    if attempt_result in _LATE:
         return refuse_unknown(
             'routing.E001',
             HTTPStatus.GATEWAY_TIMEOUT,
--- /dev/null
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -0,0 +1,246 @@
+"""One request of a caller, from its head to the end of the answer."""
+
+import asyncio
+import json
+import math
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from sardinemast.admission import Arrival, Refusal, refuse_not_run
+from sardinemast.fleet import digest_key
+from sardinemast.shell._headers import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    filter_answer_headers,
+)
+from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
+
+_REPEATABLE = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+_BEARER = 'bearer '
+_WRITE_TIMEOUT_S = 30.0
+_BODYLESS_CODES = frozenset((204, 304))
+
+CallerAnswer = UpstreamAnswer | Refusal
+Answer = Callable[[CallerAnswer], None]
+
+
+class CallerDesk(Protocol):
+    """Say what an exchange needs of the entry."""
+
+    def is_stopping(self) -> bool:
+        """Tell whether callers should go elsewhere."""
+
+    def check_head(self, arrival: Arrival) -> Refusal | int:
+        """Give the limit of the body in bytes, or refuse by the head."""
+
+    def take_request(
+        self,
+        request: CallerRequest,
+        arrival: Arrival,
+        answer: Answer,
+    ) -> int:
+        """Run a request, and give its id."""
+
+    def forget_caller(self, request_id: int) -> None:
+        """Note that nobody waits for the answer any more."""
+
+
+class CallerExchange(HTTPMessageDelegate):
+    """Read a request, refuse it as early as can be, and write the answer."""
+
+    def __init__(
+        self,
+        desk: CallerDesk,
+        connection: HTTP1Connection,
+        remote_ip: str,
+    ) -> None:
+        self._desk = desk
+        self._connection = connection
+        self._remote_ip = remote_ip
+        self._start = RequestStartLine('', '', '')
+        self._headers = HTTPHeaders()
+        self._parts: list[bytes] = []
+        self._body_bytes = 0
+        self._limit_bytes = 0
+        self._request_id: int | None = None
+        self._is_answered = False
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Take the head; refuse before the body where that is possible."""
+        if not isinstance(start_line, RequestStartLine):
+            raise TypeError(start_line)
+        self._start = start_line
+        self._headers = headers
+        if not ('Content-Length' in headers or 'Transfer-Encoding' in headers):
+            return
+        checked = self._check_head()
+        if isinstance(checked, Refusal):
+            self._answer(checked)
+        else:
+            self._limit_bytes = checked
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body, up to the pool's limit."""
+        self._body_bytes += len(chunk)
+        if self._body_bytes > self._limit_bytes:
+            self._parts.clear()
+            self._answer(_refuse_body(self._limit_bytes))
+        elif not self._is_answered:
+            self._parts.append(chunk)
+
+    def finish(self) -> None:
+        """Hand the whole request over."""
+        if self._is_answered:
+            return
+        arrival = read_arrival(self._start, self._headers, self._body_bytes)
+        if isinstance(arrival, Refusal):
+            self._answer(arrival)
+            return
+        request = CallerRequest(
+            self._start.method,
+            self._start.path,
+            self._headers,
+            b''.join(self._parts),
+            self._remote_ip,
+        )
+        self._connection.set_close_callback(self.on_connection_close)
+        request_id = self._desk.take_request(request, arrival, self._answer)
+        if not self._is_answered:
+            self._request_id = request_id
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has left."""
+        self._is_answered = True
+        if self._request_id is not None:
+            self._desk.forget_caller(self._request_id)
+
+    def _check_head(self) -> Refusal | int:
+        declared = self._headers.get('Content-Length', '0')
+        body_bytes = int(declared) if declared.isdecimal() else 0
+        arrival = read_arrival(self._start, self._headers, body_bytes)
+        if isinstance(arrival, Refusal):
+            return arrival
+        return self._desk.check_head(arrival)
+
+    def _answer(self, answer: CallerAnswer) -> None:
+        if self._is_answered:
+            return
+        self._is_answered = True
+        if isinstance(answer, Refusal):
+            self._write_refusal(answer)
+        else:
+            self._write_answer(answer)
+
+    def _write_answer(self, answer: UpstreamAnswer) -> None:
+        headers = filter_answer_headers(answer.headers)
+        if self._start.method != 'HEAD' and answer.code not in _BODYLESS_CODES:
+            headers['Content-Length'] = str(len(answer.body))
+        self._write(answer.code, answer.reason, headers, answer.body)
+
+    def _write_refusal(self, refusal: Refusal) -> None:
+        encoded = json.dumps(refusal._asdict()).encode()
+        headers = HTTPHeaders(
+            {
+                'Content-Type': 'application/json',
+                'Content-Length': str(len(encoded)),
+                OUTCOME_HEADER: str(refusal.outcome),
+            },
+        )
+        if refusal.status == HTTPStatus.UNAUTHORIZED:
+            headers['WWW-Authenticate'] = 'Bearer'
+        if refusal.retry_after_s is not None:
+            headers['Retry-After'] = str(math.ceil(refusal.retry_after_s))
+        body = b'' if self._start.method == 'HEAD' else encoded
+        reason = HTTPStatus(refusal.status).phrase
+        self._write(refusal.status, reason, headers, body)
+
+    def _write(
+        self,
+        code: int,
+        reason: str,
+        headers: HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        if self._desk.is_stopping():
+            headers['Connection'] = 'close'
+        connection = self._connection
+        start_line = ResponseStartLine('HTTP/1.1', code, reason)
+        written = connection.write_headers(start_line, headers, body)
+        connection.finish()
+        if not written.done():
+            _close_when_late(written, connection)
+
+
+def read_arrival(
+    start_line: RequestStartLine,
+    headers: HTTPHeaders,
+    body_bytes: int,
+) -> Arrival | Refusal:
+    """Read what the entry needs to know of a request, or refuse it."""
+    deadline_text = headers.get(DEADLINE_HEADER)
+    deadline_s = None
+    if deadline_text is not None:
+        deadline_s = _read_seconds(deadline_text)
+        if deadline_s is None:
+            return refuse_not_run(
+                'admission.E009',
+                HTTPStatus.BAD_REQUEST,
+                f'{DEADLINE_HEADER} is the time left in seconds, such as 2.5.',
+            )
+    key = _read_key(headers.get(KEY_HEADER, ''))
+    path = start_line.path.partition('?')[0]
+    return Arrival(
+        request_id=0,
+        pool=path.lstrip('/').partition('/')[0],
+        key_digest=digest_key(key) if key else b'',
+        is_repeatable=start_line.method in _REPEATABLE,
+        deadline_s=deadline_s,
+        body_bytes=body_bytes,
+    )
+
+
+def _read_seconds(text: str) -> float | None:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) else None
+
+
+def _read_key(credentials: str) -> str:
+    is_bearer = credentials[: len(_BEARER)].lower() == _BEARER
+    return credentials[len(_BEARER) :].strip() if is_bearer else ''
+
+
+def _refuse_body(limit_bytes: int) -> Refusal:
+    return refuse_not_run(
+        'admission.E004',
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f'The body is over {limit_bytes} bytes. Send less.',
+    )
+
+
+def _close_when_late(
+    written: asyncio.Future[None],
+    connection: HTTP1Connection,
+) -> None:
+    # A caller that takes nothing would hold its answer in memory for good.
+    timer = asyncio.get_running_loop().call_later(
+        _WRITE_TIMEOUT_S,
+        connection.close,
+    )
+    written.add_done_callback(lambda _: timer.cancel())
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -1,83 +1,51 @@
 """Callers' and upstreams' HTTP at an entry."""
 
 import json
-from collections.abc import Awaitable
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from tornado.httpclient import HTTPResponse
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerRequest
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
 from tornado.web import Application, RequestHandler
 
 from sardinemast import entry
-from sardinemast.admission import Arrival, Refusal, refuse_not_run
 from sardinemast.conf import Address
-from sardinemast.fleet import digest_key
 from sardinemast.membership import Announcement
+from sardinemast.shell._caller_exchange import CallerDesk, CallerExchange
+from sardinemast.shell._connections import MAX_HEAD_BYTES
 from sardinemast.shell._identity import Identity
 from sardinemast.shell._operator_http import TimelineHandler
-from sardinemast.shell._upstream_client import filter_headers
 from sardinemast.wire import WireError, load_plain
 
-DEADLINE_HEADER = 'Sardinemast-Deadline-S'
-OUTCOME_HEADER = 'Sardinemast-Outcome'
-_REPEATABLE = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
-_BEARER = 'Bearer '
-_MIB_BYTES = 1024 * 1024
-_BODY_LIMIT_BYTES = 8 * _MIB_BYTES
-
-CallerAnswer = HTTPResponse | Refusal
-
-
-class _Shell(Protocol):
+_OWN_PATHS = '/-/'
+_IDLE_TIMEOUT_S = 60.0
+_BODY_TIMEOUT_S = 30.0
+_KIB_BYTES = 1024
+_LARGEST_BODY_BYTES = _KIB_BYTES**4
+_ANNOUNCEMENT_BYTES = _KIB_BYTES**2
+_ANNOUNCEMENT_ERRORS = (
+    ValueError,
+    AttributeError,
+    RecursionError,
+    WireError,
+)
+
+
+class _Shell(CallerDesk, Protocol):
     identity: Identity
     loop: Any
 
     def is_ready(self) -> bool:
         """Tell whether the entry may serve."""
 
-    def serve_request(
-        self,
-        request: HTTPServerRequest,
-        arrival: Arrival,
-    ) -> Awaitable[CallerAnswer]:
-        """Run a request."""
-
-
-class CallerHandler(RequestHandler):
-    """Take a caller's request and give the whole answer."""
-
-    def initialize(self, shell: _Shell) -> None:
-        """Take the entry's shell."""
-        self._shell = shell
-
-    async def prepare(self) -> None:
-        """Serve every method alike."""
-        arrival = _read_arrival(self.request)
-        if isinstance(arrival, Refusal):
-            self._write_refusal(arrival)
-            return
-        answer = await self._shell.serve_request(self.request, arrival)
-        if isinstance(answer, Refusal):
-            self._write_refusal(answer)
-        else:
-            self._write_response(answer)
-
-    def _write_response(self, response: HTTPResponse) -> None:
-        self.clear()
-        self.set_status(response.code, response.reason)
-        for name, header in filter_headers(response.headers).get_all():
-            self.add_header(name, header)
-        self.finish(response.body)
-
-    def _write_refusal(self, refusal: Refusal) -> None:
-        self.set_status(refusal.status)
-        self.set_header(OUTCOME_HEADER, str(refusal.outcome))
-        if refusal.retry_after_s is not None:
-            self.set_header('Retry-After', f'{refusal.retry_after_s:.0f}')
-        self.finish(refusal._asdict())
-
 
 class AnnounceHandler(RequestHandler):
     """Take an upstream's announcement."""
@@ -89,13 +57,8 @@
     def post(self) -> None:
         """Pass the announcement on."""
         try:
-            plain = json.loads(self.request.body)
-            fields = [
-                plain.get(name, 'serving' if name == 'status' else None)
-                for name in Announcement._fields
-            ]
-            announcement = load_plain(Announcement, fields)
-        except (ValueError, AttributeError, WireError):
+            announcement = _read_announcement(self.request.body)
+        except _ANNOUNCEMENT_ERRORS:
             self.set_status(HTTPStatus.BAD_REQUEST)
             self.finish(
                 {
@@ -124,44 +87,108 @@
         self.finish({'is_ready': is_ready})
 
 
+class _CallerServer(HTTPServerConnectionDelegate):
+    """Give each request to the entry's own pages or to the way upstream.
+
+    The framework's handlers would cost a request more than all decisions
+    about it; docs/design/upstream-client.md has the figures.
+    """
+
+    def __init__(self, shell: _Shell, pages: Application) -> None:
+        self._shell = shell
+        self._pages = pages
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Take the next request of a connection."""
+        return _Switch(self._shell, self._pages, server_conn, request_conn)
+
+
+class _Switch(HTTPMessageDelegate):
+    def __init__(
+        self,
+        shell: _Shell,
+        pages: Application,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> None:
+        self._shell = shell
+        self._pages = pages
+        self._server_conn = server_conn
+        self._request_conn = request_conn
+        self._chosen: HTTPMessageDelegate | None = None
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Any:
+        self._chosen = self._choose(start_line)
+        return self._chosen.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Any:
+        if self._chosen is not None:
+            return self._chosen.data_received(chunk)
+        return None
+
+    def finish(self) -> None:
+        if self._chosen is not None:
+            self._chosen.finish()
+
+    def on_connection_close(self) -> None:
+        if self._chosen is not None:
+            self._chosen.on_connection_close()
+
+    def _choose(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+    ) -> HTTPMessageDelegate:
+        connection = self._request_conn
+        if not isinstance(connection, HTTP1Connection):
+            raise TypeError(connection)
+        if isinstance(
+            start_line, RequestStartLine
+        ) and start_line.path.startswith(_OWN_PATHS):
+            connection.set_max_body_size(_ANNOUNCEMENT_BYTES)
+            return self._pages.start_request(self._server_conn, connection)
+        remote_ip = getattr(connection.context, 'remote_ip', '')
+        return CallerExchange(self._shell, connection, remote_ip)
+
+
 def listen_for_callers(shell: _Shell, address: Address) -> HTTPServer:
     """Open the callers' port."""
     options = {'shell': shell}
-    application = Application(
+    pages = Application(
         [
             ('/-/announce', AnnounceHandler, options),
             ('/-/health', HealthHandler, options),
             ('/-/timeline', TimelineHandler, {'identity': shell.identity}),
-            ('/.*', CallerHandler, options),
         ],
         log_function=_skip_log,
     )
-    server = HTTPServer(application, max_body_size=_BODY_LIMIT_BYTES)
+    server = HTTPServer(
+        _CallerServer(shell, pages),
+        max_header_size=MAX_HEAD_BYTES,
+        # Each pool's own limit holds instead; see CallerExchange.
+        max_body_size=_LARGEST_BODY_BYTES,
+        idle_connection_timeout=_IDLE_TIMEOUT_S,
+        body_timeout=_BODY_TIMEOUT_S,
+    )
     server.listen(address.port, address.host)
     return server
 
 
-def _read_arrival(request: HTTPServerRequest) -> Arrival | Refusal:
-    deadline_text = request.headers.get(DEADLINE_HEADER)
-    try:
-        deadline_s = None if deadline_text is None else float(deadline_text)
-    except ValueError:
-        return refuse_not_run(
-            'admission.E009',
-            HTTPStatus.BAD_REQUEST,
-            f'{DEADLINE_HEADER} is the time left in seconds, such as 2.5.',
-        )
-    pool = request.path.lstrip('/').partition('/')[0]
-    credentials = request.headers.get('Authorization', '')
-    key = credentials.removeprefix(_BEARER).strip()
-    return Arrival(
-        request_id=0,
-        pool=pool,
-        key_digest=digest_key(key) if key else b'',
-        is_repeatable=request.method in _REPEATABLE,
-        deadline_s=deadline_s,
-        body_bytes=len(request.body),
-    )
+def _read_announcement(body: bytes) -> Announcement:
+    plain = json.loads(body)
+    fields = [
+        plain.get(name, 'serving' if name == 'status' else None)
+        for name in Announcement._fields
+    ]
+    announcement: Announcement = load_plain(Announcement, fields)
+    return announcement
 
 
 def _skip_log(handler: RequestHandler) -> None:
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -6,26 +6,28 @@
 from itertools import count
 
 from logbook import Logger
-from tornado.httpclient import AsyncHTTPClient
-from tornado.httputil import HTTPServerRequest
 from websockets.asyncio.client import ClientConnection
 
 from sardinemast import entry
-from sardinemast.admission import Arrival
+from sardinemast.admission import Arrival, Refusal
 from sardinemast.conf import ControlAddress, ProcessSettings
 from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
-from sardinemast.shell._caller_http import CallerAnswer, listen_for_callers
+from sardinemast.shell._caller_exchange import Answer, CallerAnswer
+from sardinemast.shell._caller_http import listen_for_callers
 from sardinemast.shell._identity import Identity, seal, unseal
 from sardinemast.shell._links import LINK_ERRORS, Outbox, open_link
 from sardinemast.shell._loop import CoreLoop
-from sardinemast.shell._upstream_client import Attempt, send_request
+from sardinemast.shell._upstream_client import (
+    Attempt,
+    CallerRequest,
+    UpstreamClient,
+)
 from sardinemast.wire import WireError
 
 _log = Logger('entry')
 _STREAM_ERRORS = (*LINK_ERRORS, WireError)
 _RECONNECT_S = 0.1
 _SILENCE_S = 1.0
-_MAX_CLIENTS = 512
 
 
 class EntryShell:
@@ -47,36 +49,44 @@
         self.identity = identity
         self._controls = list(settings.controls)
         self._request_ids = count(1)
-        self._requests: dict[int, HTTPServerRequest] = {}
-        self._callers: dict[int, asyncio.Future[CallerAnswer]] = {}
+        self._requests: dict[int, CallerRequest] = {}
+        self._callers: dict[int, Answer] = {}
         self._attempts: dict[int, Attempt] = {}
         self._sending: set[asyncio.Task[None]] = set()
         self._outbox: Outbox | None = None
-        self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CLIENTS
-        )
+        self.client = UpstreamClient()
 
     def is_ready(self) -> bool:
         """Tell the balancer whether to send requests here."""
         return self.core.is_ready(time.monotonic())
 
-    async def serve_request(
+    def is_stopping(self) -> bool:
+        """Tell whether callers should go elsewhere."""
+        return False
+
+    def check_head(self, arrival: Arrival) -> Refusal | int:
+        """Give the limit of the body in bytes, or refuse by the head."""
+        return self.core.check_head(arrival, time.monotonic())
+
+    def take_request(
         self,
-        request: HTTPServerRequest,
+        request: CallerRequest,
         arrival: Arrival,
-    ) -> CallerAnswer:
-        """Run a caller's request and give the final answer."""
+        answer: Answer,
+    ) -> int:
+        """Run a caller's request, and give its id."""
         request_id = next(self._request_ids)
-        arrival = arrival._replace(request_id=request_id)
-        loop = asyncio.get_running_loop()
-        answer: asyncio.Future[CallerAnswer] = loop.create_future()
         self._requests[request_id] = request
         self._callers[request_id] = answer
+        arrival = arrival._replace(request_id=request_id)
         self.loop.put(entry.RequestArrived(arrival))
-        try:
-            return await answer
-        finally:
-            self._forget_caller(request_id)
+        return request_id
+
+    def forget_caller(self, request_id: int) -> None:
+        """Note that nobody waits for the answer any more."""
+        if self._callers.pop(request_id, None) is not None:
+            self._requests.pop(request_id, None)
+            self.loop.put(entry.CallerLeft(request_id))
 
     async def hold_control_link(self) -> None:
         """Keep a stream to the leader until cancelled."""
@@ -113,12 +123,6 @@
                 return
             self.loop.put(entry.ControlReceived(message))
 
-    def _forget_caller(self, request_id: int) -> None:
-        self._requests.pop(request_id, None)
-        caller = self._callers.pop(request_id, None)
-        if caller is not None and caller.cancelled():
-            self.loop.put(entry.CallerLeft(request_id))
-
     def _prefer(self, leader: str) -> None:
         # The list is turned by one after each stream, so the leader is put
         # second to be first next time.
@@ -149,8 +153,8 @@
             'answer passed',
             request=output.request_id,
         )
-        if attempt.response is not None:
-            self._answer(output.request_id, attempt.response)
+        if attempt.answer is not None:
+            self._answer(output.request_id, attempt.answer)
 
     @_execute.register
     def _execute_refuse(self, output: entry.RefuseRequest) -> None:
@@ -169,20 +173,16 @@
             self._outbox.put(ENTRY_MESSAGES.pack(output.message))
 
     def _answer(self, request_id: int, answer: CallerAnswer) -> None:
-        caller = self._callers.get(request_id)
-        if caller is not None and not caller.done():
-            caller.set_result(answer)
+        self._requests.pop(request_id, None)
+        give_answer = self._callers.pop(request_id, None)
+        if give_answer is not None:
+            give_answer(answer)
 
     async def _attempt(self, output: entry.StartAttempt) -> None:
         request = self._requests.get(output.request_id)
         attempt = Attempt(entry.AttemptResult.not_sent)
         if request is not None:
-            attempt = await send_request(
-                self._client,
-                request,
-                output.upstream,
-                output.timeout_s,
-            )
+            attempt = await self.client.send(output, request)
         self._attempts[output.request_id] = attempt
         self.loop.put(
             entry.AttemptEnded(output.request_id, attempt.attempt_result),
@@ -196,6 +196,7 @@
     try:
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(shell.loop.run())
+            tasks.create_task(shell.client.run())
             tasks.create_task(shell.hold_control_link())
             _log.info('Entry {} listens.', settings.name)
     finally:
