Refuse ambiguous requests and prove the client to upstreams

Cause: a request refused by its head left what had been read behind it in the buffer, and the parser handed a hidden second request over on the closed connection.

Each rule of the client has a test against an upstream that plays bytes.

--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -85,6 +85,14 @@
             raise TypeError(start_line)
         self._start = start_line
         self._headers = headers
+        # What was read before the connection was closed is still parsed. A
+        # request hidden behind a refused one would run, with no answer.
+        if self._connection.stream.closed():
+            self._is_answered = True
+            return
+        if not _is_unambiguous(start_line, headers):
+            self._answer(refuse_malformed())
+            return
         if not ('Content-Length' in headers or 'Transfer-Encoding' in headers):
             return
         checked = self._check_head()
@@ -152,7 +160,7 @@
         self._write(answer.code, answer.reason, headers, answer.body)
 
     def _write_refusal(self, refusal: Refusal) -> None:
-        encoded = json.dumps(refusal._asdict()).encode()
+        encoded = encode_refusal(refusal)
         headers = HTTPHeaders(
             {
                 'Content-Type': 'application/json',
@@ -226,6 +234,29 @@
     return credentials[len(_BEARER) :].strip() if is_bearer else ''
 
 
+def refuse_malformed() -> Refusal:
+    """Refuse what has no one meaning as an HTTP request."""
+    return refuse_not_run(
+        'shell.E001',
+        HTTPStatus.BAD_REQUEST,
+        'This is no valid HTTP/1.1 request. Send one Host, and one length: '
+        'either Content-Length or Transfer-Encoding: chunked.',
+    )
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Give the body of a refusal."""
+    return json.dumps(refusal._asdict()).encode()
+
+
+def _is_unambiguous(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
+    # Two processes that understand a request differently let a caller hide
+    # a second request in the first one's body; it would run with no key.
+    if start_line.version != 'HTTP/1.1':
+        return 'Transfer-Encoding' not in headers
+    return len(headers.get_list('Host')) == 1
+
+
 def _refuse_body(limit_bytes: int) -> Refusal:
     return refuse_not_run(
         'admission.E004',
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -14,13 +14,20 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from sardinemast import entry
 from sardinemast.conf import Address
 from sardinemast.membership import Announcement
-from sardinemast.shell._caller_exchange import CallerDesk, CallerExchange
+from sardinemast.shell._caller_exchange import (
+    CallerDesk,
+    CallerExchange,
+    encode_refusal,
+    refuse_malformed,
+)
 from sardinemast.shell._connections import MAX_HEAD_BYTES
+from sardinemast.shell._headers import OUTCOME_HEADER
 from sardinemast.shell._identity import Identity
 from sardinemast.shell._operator_http import TimelineHandler
 from sardinemast.wire import WireError, load_plain
@@ -31,6 +38,15 @@
 _KIB_BYTES = 1024
 _LARGEST_BODY_BYTES = _KIB_BYTES**4
 _ANNOUNCEMENT_BYTES = _KIB_BYTES**2
+_READ_CHUNK_BYTES = 16384
+_BARE_REFUSAL = b'HTTP/1.1 400 Bad Request\r\n\r\n'
+_MALFORMED_HEAD = (
+    'HTTP/1.1 400 Bad Request\r\n'
+    'Content-Type: application/json\r\n'
+    f'{OUTCOME_HEADER}: not run\r\n'
+    'Connection: close\r\n'
+    'Content-Length: {length}\r\n\r\n'
+)
 _ANNOUNCEMENT_ERRORS = (
     ValueError,
     AttributeError,
@@ -158,6 +174,23 @@
         return CallerExchange(self._shell, connection, remote_ip)
 
 
+class _CallerStream(IOStream):
+    """Give the framework's bare answer to a malformed request a body."""
+
+    def write(self, data: bytes | memoryview) -> Any:
+        if data == _BARE_REFUSAL:
+            encoded = encode_refusal(refuse_malformed())
+            head = _MALFORMED_HEAD.format(length=len(encoded))
+            data = head.encode() + encoded
+        return super().write(data)
+
+
+class _CallerHttpServer(HTTPServer):
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        own = _CallerStream(stream.socket, read_chunk_size=_READ_CHUNK_BYTES)
+        super().handle_stream(own, address)
+
+
 def listen_for_callers(shell: _Shell, address: Address) -> HTTPServer:
     """Open the callers' port."""
     options = {'shell': shell}
@@ -169,7 +202,7 @@
         ],
         log_function=_skip_log,
     )
-    server = HTTPServer(
+    server = _CallerHttpServer(
         _CallerServer(shell, pages),
         max_header_size=MAX_HEAD_BYTES,
         # Each pool's own limit holds instead; see CallerExchange.
--- a/src/sardinemast/shell/_headers.py
+++ b/src/sardinemast/shell/_headers.py
@@ -61,6 +61,12 @@
         lowered = name.lower()
         if lowered in dropped or lowered in of_hop:
             continue
-        if not lowered.startswith(_OWN_PREFIX):
+        if lowered.startswith(_OWN_PREFIX):
+            continue
+        if name in kept:
             kept.add(name, header)
+        else:
+            # The parser has checked the value; checking it again would cost
+            # as much as the rest of this function.
+            kept[name] = header
     return kept
--- /dev/null
+++ b/tests/shell/test_upstream_client.py
@@ -0,0 +1,329 @@
+"""The client to upstreams against upstreams that misbehave."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from builders.upstreams import (
+    WHOLE,
+    Play,
+    answer_with,
+    make_request,
+    make_start,
+    read_request,
+    run_script,
+)
+from sardinemast.routing import AttemptResult
+from sardinemast.shell import _connections
+from sardinemast.shell._upstream_client import (
+    MAX_ANSWER_BYTES,
+    Attempt,
+    UpstreamClient,
+)
+
+_HEAD = b'HTTP/1.1 200 OK\r\n'
+
+
+def _run(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    return asyncio.run(coroutine)
+
+
+def _send_once(play: Play, method: str = 'POST', **options: Any) -> Attempt:
+    async def run() -> Attempt:
+        client = UpstreamClient()
+        async with run_script(play) as upstream:
+            start = make_start(upstream, **options)
+            return await client.send(start, make_request(method))
+
+    attempt: Attempt = _run(run())
+    return attempt
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        _HEAD + b'Content-Length: 9\r\n\r\ncut',
+        _HEAD + b'Transfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n',
+        _HEAD + b'Transfer-Encoding: chunked\r\n\r\nzz\r\ncut\r\n',
+        _HEAD + b'Content-Length: 2\r\nContent-Length: 3\r\n\r\nokk',
+        _HEAD
+        + b'Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        _HEAD + b'\r\nends with the connection',
+        _HEAD + b'X: ' + b'x' * 70_000 + b'\r\nContent-Length: 0\r\n\r\n',
+        _HEAD + f'Content-Length: {MAX_ANSWER_BYTES + 1}\r\n\r\n'.encode(),
+        b'HTTP/1.1 100 Continue\r\n\r\n' * 50 + WHOLE,
+        b'HTTP/1.1 101 Switching Protocols\r\n\r\nhello',
+        b'no HTTP at all\r\n\r\n',
+        b'',
+    ],
+)
+def test_answer_that_is_not_whole_is_no_answer(answer: bytes) -> None:
+    """Never pass on an answer that was cut or that contradicts itself.
+
+    An upstream dies in the middle of its answer, or declares another length
+    than it sends. Passed on, a caller would take half a roster for the whole.
+    """
+    attempt = _send_once(answer_with(answer))
+    assert attempt == Attempt(AttemptResult.broken)
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer', 'body'),
+    [
+        ('POST', WHOLE, b'ok'),
+        ('POST', b'HTTP/1.1 100 Continue\r\n\r\n' + WHOLE, b'ok'),
+        ('HEAD', _HEAD + b'Content-Length: 7\r\n\r\n', b''),
+        ('GET', b'HTTP/1.1 204 No Content\r\n\r\n', b''),
+        ('GET', b'HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n', b''),
+        (
+            'GET',
+            _HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+            b'ok',
+        ),
+    ],
+)
+def test_whole_answer_is_passed(
+    method: str,
+    answer: bytes,
+    body: bytes,
+) -> None:
+    """Each way in which HTTP ends an answer is understood."""
+    attempt = _send_once(answer_with(answer), method)
+    assert attempt.answer is not None
+    assert attempt.answer.body == body
+
+
+def _send_twice(play: Play, *, pause_s: float = 0.05) -> list[Attempt]:
+    async def run() -> list[Attempt]:
+        client = UpstreamClient()
+        async with run_script(play) as upstream:
+            first = await client.send(make_start(upstream), make_request())
+            await asyncio.sleep(pause_s)
+            second = await client.send(make_start(upstream), make_request())
+            return [first, second]
+
+    attempts: list[Attempt] = _run(run())
+    return attempts
+
+
+def _numbered(tail: bytes = b'', *, closes: bool = False) -> Play:
+    """Answer with the connection's number, then with a tail."""
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> None:
+        while True:
+            await read_request(reader)
+            body = str(number).encode()
+            writer.write(_HEAD + b'Content-Length: 1\r\n\r\n' + body + tail)
+            if closes:
+                return
+
+    return play
+
+
+def _get_bodies(attempts: list[Attempt]) -> list[bytes]:
+    return [one.answer.body if one.answer else b'' for one in attempts]
+
+
+def test_connection_is_used_again() -> None:
+    """A connection whose exchange was whole serves the next request."""
+    assert _get_bodies(_send_twice(_numbered())) == [b'1', b'1']
+
+
+def test_stray_answer_reaches_nobody() -> None:
+    """Drop a connection on which bytes came that nobody asked for.
+
+    An upstream answers twice, or late. On a connection used again the second
+    answer would go to the next caller, who sees somebody else's roster.
+    """
+    stray = _HEAD + b'Content-Length: 1\r\n\r\nX'
+    assert _get_bodies(_send_twice(_numbered(stray))) == [b'1', b'2']
+
+
+def test_connection_closed_by_upstream_is_not_used() -> None:
+    """An upstream closes an idle connection; the next request is unharmed."""
+    closing = _send_twice(_numbered(closes=True))
+    assert _get_bodies(closing) == [b'1', b'2']
+
+
+def test_long_idle_connection_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Replace a connection that has shown no life for long.
+
+    Something between loses track of an idle connection. A booking sent on it
+    would be answered by nobody and end as "unknown".
+    """
+    monkeypatch.setattr(_connections, 'FRESH_S', 0.01)
+    assert _get_bodies(_send_twice(_numbered())) == [b'1', b'2']
+
+
+async def _fall_silent(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    number: int,
+) -> None:
+    await read_request(reader)
+    writer.write(_HEAD + b'Content-Length: 1\r\n\r\n1')
+    if number == 1:
+        await reader.read()
+    await read_request(reader)
+
+
+def test_silent_connection_is_told_apart() -> None:
+    """Blame a connection that fell silent, and try a fresh one in time.
+
+    The way lost track of a connection that was used a moment ago. Half of
+    the time to the deadline is left for a fresh connection.
+    """
+
+    async def run() -> list[Attempt]:
+        client = UpstreamClient()
+        async with run_script(_fall_silent) as upstream:
+            start = make_start(upstream, 0.3, is_repeatable=True)
+            return [
+                await client.send(start, make_request('GET', b''))
+                for _ in range(3)
+            ]
+
+    results = [attempt.attempt_result for attempt in _run(run())]
+    assert results == [
+        AttemptResult.answered,
+        AttemptResult.silent,
+        AttemptResult.answered,
+    ]
+
+
+def test_late_answer_reaches_nobody() -> None:
+    """Never use a connection again whose exchange was given up.
+
+    The upstream answers after the deadline. The answer must not be read as
+    that of the next request.
+    """
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> None:
+        await read_request(reader)
+        await asyncio.sleep(0.1 if number == 1 else 0)
+        writer.write(_HEAD + b'Content-Length: 1\r\n\r\n%d' % number)
+
+    async def run() -> list[Attempt]:
+        client = UpstreamClient()
+        async with run_script(play) as upstream:
+            late = await client.send(make_start(upstream, 0.05), make_request())
+            await asyncio.sleep(0.1)
+            return [
+                late,
+                await client.send(make_start(upstream), make_request()),
+            ]
+
+    late, second = _run(run())
+    assert late == Attempt(AttemptResult.timed_out)
+    assert _get_bodies([second]) == [b'2']
+
+
+def test_early_answer_to_an_unfinished_upload_is_no_answer() -> None:
+    """An upstream answers before it has the whole booking."""
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(WHOLE)
+        await asyncio.sleep(5)
+
+    async def run() -> Attempt:
+        client = UpstreamClient()
+        async with run_script(play) as upstream:
+            request = make_request(body=b'x' * 30_000_000)
+            return await client.send(make_start(upstream), request)
+
+    assert _run(run()) == Attempt(AttemptResult.broken)
+
+
+def test_refused_connection_is_not_sent() -> None:
+    """No byte has left where no connection was made."""
+
+    async def run() -> Attempt:
+        client = UpstreamClient()
+        async with run_script(answer_with(WHOLE)) as upstream:
+            start = make_start(upstream)
+        return await client.send(start, make_request())
+
+    assert _run(run()) == Attempt(AttemptResult.not_sent)
+
+
+def test_connections_are_bounded() -> None:
+    """No more connections than the pool allows are opened."""
+
+    async def run() -> list[Attempt]:
+        client = UpstreamClient()
+        async with run_script(_numbered()) as upstream:
+            start = make_start(upstream, connection_limit=1)
+            return list(
+                await asyncio.gather(
+                    client.send(start, make_request()),
+                    client.send(start, make_request()),
+                )
+            )
+
+    results = [attempt.attempt_result for attempt in _run(run())]
+    assert results == [AttemptResult.answered, AttemptResult.not_sent]
+
+
+def test_new_incarnation_gets_new_connections() -> None:
+    """Connections to a former start of the upstream are dropped."""
+
+    async def run() -> list[Attempt]:
+        client = UpstreamClient()
+        async with run_script(_numbered()) as upstream:
+            fresh = upstream._replace(incarnation=2)
+            return [
+                await client.send(make_start(one), make_request())
+                for one in (upstream, fresh)
+            ]
+
+    assert _get_bodies(_run(run())) == [b'1', b'2']
+
+
+def test_key_and_hop_headers_stay_here() -> None:
+    """The upstream sees no key and nothing of the caller's connection."""
+    seen: list[bytes] = []
+
+    async def play(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> None:
+        seen.append(await read_request(reader))
+        writer.write(WHOLE)
+
+    async def run() -> None:
+        headers = {
+            'Authorization': 'Bearer secret',
+            'Connection': 'X-Hop',
+            'X-Hop': 'hidden',
+            'Transfer-Encoding': 'chunked',
+            'X-Kept': 'kept',
+        }
+        async with run_script(play) as upstream:
+            await UpstreamClient().send(
+                make_start(upstream), make_request(headers=headers)
+            )
+
+    _run(run())
+    assert b'secret' not in seen[0]
+    assert b'hidden' not in seen[0]
+    assert b'chunked' not in seen[0]
+    assert b'X-Kept: kept\r\n' in seen[0]
+    assert b'X-Forwarded-For: 192.0.2.7\r\n' in seen[0]
