Wait until each entry serves before asking what it refuses

Cause: test_withdrawn_key_stops_everywhere failed once, on a busy machine, with admission.E006 where admission.E002 was expected: an entry that has no lease refuses everything, which is right. The fixture did not wait for the first lease of each entry. Not ruled out: that the entry had a lease and lost it; the run left no time line to tell. Change: the fixture waits for the health check of each entry; the expectation stays as it was.

--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
+from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -96,6 +98,11 @@
                 stderr=log,
             )
 
+    def wait_until_serving(self) -> None:
+        """Wait until each entry has a lease."""
+        for name in self.entry_names:
+            wait_for(partial(_is_serving, self.get_entry(name)))
+
     def kill(self, name: str) -> None:
         """Kill a process with no chance to tidy up."""
         process = self.processes.pop(name)
@@ -159,6 +166,10 @@
         client.close()
 
 
+def _is_serving(address: str) -> bool:
+    return call(address, '/-/health').code == HTTPStatus.OK
+
+
 def _find_ports(count: int) -> list[int]:
     # All sockets stay open until the last port is known, so that the system
     # gives no port twice.
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -26,6 +26,7 @@
         running.start_upstream('enrol-1')
         running.start_upstream('enrol-2')
         _apply(running, folder)
+        running.wait_until_serving()
         yield running
 
 
