Let only certified processes join and only operators command

Change: peers', entries' and operators' ports use mutual TLS where the settings name certificates; the common name must be the sender's name and the unit process or operator; changed files are used without a restart.

Found by the test of a process that commands: the handler of queries replaced the check of its base class, so that any certificate of the authority could read the state. Also found: asking an entry's plain port by TLS waits 15 s for the handshake, so the time line tries plain HTTP first.

Ruled out: comparing host names in TLS, since processes are reached by IP numbers. Open: /-/timeline of an entry is on the callers' port.

--- a/src/sardinemast/cli/_client.py
+++ b/src/sardinemast/cli/_client.py
@@ -1,16 +1,22 @@
 """Operators' HTTP from the side of the command line."""
 
 import json
+import os
+import ssl
 from collections.abc import Sequence
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any
 
 from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
 
-from sardinemast.cli.exceptions import CliError, UnreachableError
+from sardinemast.cli.exceptions import CliError, UnreachableError, UsageError
+from sardinemast.conf import Security
 from sardinemast.fleet import COMMANDS, Command
+from sardinemast.shell import create_client_context
 
 _TIMEOUT_S = 15.0
+CREDENTIALS_VARIABLE = 'SARDINEMAST_CREDENTIALS'
 _NO_ANSWER = 599
 _COMMANDS_PATH = '/v1/commands'
 _NOT_LEADER = 'control.E001'
@@ -46,7 +52,7 @@
     problems = []
     for address in controls:
         try:
-            answer = fetch(f'http://{address}{path}', body)
+            answer = fetch(f'{get_scheme()}://{address}{path}', body)
         except OSError as error:
             problems.append(f'{address}: {error}')
             continue
@@ -60,6 +66,21 @@
     )
 
 
+def fetch_from_any(address: str, path: str) -> dict[str, Any]:
+    """Ask a control process, or an entry at its callers' address.
+
+    Callers' addresses take plain HTTP behind the balancer also where control
+    processes want certificates. Plain HTTP is tried first: a control process
+    breaks it off at once, while an entry would wait for a handshake to end.
+    """
+    try:
+        return fetch(f'http://{address}{path}')
+    except OSError:
+        if get_scheme() == 'http':
+            raise
+        return fetch(f'https://{address}{path}')
+
+
 def fetch(url: str, body: bytes | None = None) -> dict[str, Any]:
     """Send one request, and give the JSON map of the answer.
 
@@ -82,6 +103,33 @@
     return dict(answer)
 
 
+def get_scheme() -> str:
+    """Give the scheme of operators' addresses."""
+    return 'https' if os.environ.get(CREDENTIALS_VARIABLE) else 'http'
+
+
+def _create_context() -> ssl.SSLContext | None:
+    folder = os.environ.get(CREDENTIALS_VARIABLE)
+    if not folder:
+        return None
+    place = Path(folder)
+    try:
+        return create_client_context(
+            Security(
+                place / 'authority.pem',
+                place / 'certificate.pem',
+                place / 'private-key.pem',
+            ),
+        )
+    except OSError as error:
+        raise UsageError(
+            'cli.E009',
+            f'No credentials in {folder}: {error}.',
+            f'{CREDENTIALS_VARIABLE} names a folder with authority.pem, '
+            'certificate.pem and private-key.pem.',
+        ) from error
+
+
 def _fetch_raw(url: str, body: bytes | None) -> HTTPResponse:
     client = HTTPClient()
     request = HTTPRequest(
@@ -89,6 +137,7 @@
         method='GET' if body is None else 'POST',
         body=body,
         request_timeout=_TIMEOUT_S,
+        ssl_options=_create_context(),
     )
     try:
         return client.fetch(request, raise_error=False)
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from itertools import count
 from random import Random
+from typing import Any
 
 from logbook import Logger
 from websockets.asyncio.server import ServerConnection, serve
@@ -17,8 +18,9 @@
 from sardinemast.shell._links import LINK_OPTIONS, Outbox, PeerLink
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._operator_http import OperatorDesk, listen_for_operators
+from sardinemast.shell._security import Access, Unit
 from sardinemast.storage import LogStore, open_log_store
-from sardinemast.wire import WireError
+from sardinemast.wire import Envelope, WireError
 
 _log = Logger('control')
 
@@ -36,7 +38,8 @@
             loaded.entries,
             Random(),
         )
-        self.desk = OperatorDesk(self.core, identity)
+        self._access = Access(settings.security)
+        self.desk = OperatorDesk(self.core, identity, self._access)
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
             self.core.step,
             self._execute,
@@ -47,7 +50,7 @@
         self._stream_ids = count(1)
         self._outboxes: dict[int, Outbox] = {}
         self._peers = {
-            one.name: PeerLink(identity, one.peer)
+            one.name: PeerLink(identity, one.peer, self._access)
             for one in settings.controls
             if one.name != settings.name
         }
@@ -62,6 +65,7 @@
                     self._accept,
                     own.peer.host,
                     own.peer.port,
+                    ssl=self._access.server_context,
                     **LINK_OPTIONS,
                 ),
                 asyncio.TaskGroup() as tasks,
@@ -69,6 +73,7 @@
                 for peer in self._peers.values():
                     tasks.create_task(peer.run())
                 tasks.create_task(self.loop.run())
+                tasks.create_task(self._access.follow_files())
                 _log.info('Control {} listens.', own.name)
         finally:
             operator_server.stop()
@@ -84,12 +89,12 @@
 
     async def _read_peer(self, link: ServerConnection) -> None:
         async for frame in link:
-            envelope = unseal(self._identity, frame)
+            envelope = self._unseal(link, frame)
             message = consensus.MESSAGES.unpack(envelope.body)
             self.loop.put(control.PeerReceived(envelope.sender, message))
 
     async def _read_entry(self, link: ServerConnection) -> None:
-        first = unseal(self._identity, await link.recv())
+        first = self._unseal(link, await link.recv())
         stream_id = next(self._stream_ids)
         outbox = Outbox(link.send, self._identity)
         sending = asyncio.create_task(outbox.run())
@@ -114,6 +119,16 @@
         self._outboxes.pop(stream_id)
         self.loop.put(control.EntryDisconnected(stream_id))
 
+    def _unseal(self, link: ServerConnection, frame: Any) -> Envelope:
+        envelope = unseal(self._identity, frame)
+        tls = link.transport.get_extra_info('ssl_object')
+        if not self._access.is_allowed(tls, Unit.process, envelope.sender):
+            raise WireError(
+                'wire.E006',
+                f'The certificate is not that of {envelope.sender!r}.',
+            )
+        return envelope
+
     @singledispatchmethod
     def _execute(self, output: control.ControlOutput) -> None:
         raise TypeError(output)
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -17,6 +17,7 @@
 from sardinemast.shell._identity import Identity, seal, unseal
 from sardinemast.shell._links import LINK_ERRORS, Outbox, open_link
 from sardinemast.shell._loop import CoreLoop
+from sardinemast.shell._security import Access
 from sardinemast.shell._upstream_client import (
     Attempt,
     CallerRequest,
@@ -48,6 +49,7 @@
         )
         self.identity = identity
         self._controls = list(settings.controls)
+        self._access = Access(settings.security)
         self._request_ids = count(1)
         self._requests: dict[int, CallerRequest] = {}
         self._callers: dict[int, Answer] = {}
@@ -95,14 +97,14 @@
             try:
                 await self._read_control(address)
             except _STREAM_ERRORS as error:
-                _log.debug('No stream to {}: {}.', address.name, error)
+                _log.warning('No stream to {}: {}.', address.name, error)
             self._outbox = None
             self.loop.put(entry.ControlLost())
             self._controls.append(self._controls.pop(0))
             await asyncio.sleep(_RECONNECT_S)
 
     async def _read_control(self, address: ControlAddress) -> None:
-        async with open_link(address.peer, '/entry') as link:
+        async with open_link(address.peer, '/entry', self._access) as link:
             await link.send(seal(self.identity, None))
             outbox = Outbox(link.send, self.identity)
             sending = asyncio.create_task(outbox.run())
--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -12,6 +12,7 @@
 
 from sardinemast.conf import Address
 from sardinemast.shell._identity import Identity, seal
+from sardinemast.shell._security import Access
 from sardinemast.wire import MAX_FRAME_BYTES
 
 _log = Logger('link')
@@ -35,13 +36,17 @@
 async def open_link(
     address: Address,
     path: str,
+    access: Access,
 ) -> AsyncIterator[ClientConnection]:
     """Connect to another process."""
-    url = f'ws://{address.host}:{address.port}{path}'
+    context = access.create_client_context()
+    scheme = 'wss' if context else 'ws'
+    url = f'{scheme}://{address.host}:{address.port}{path}'
     async with connect(
         url,
         open_timeout=_HEARTBEAT_S,
         proxy=None,
+        ssl=context,
         **LINK_OPTIONS,
     ) as link:
         yield link
@@ -54,9 +59,15 @@
     matters, and old heartbeats would only delay new ones.
     """
 
-    def __init__(self, identity: Identity, address: Address) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        address: Address,
+        access: Access,
+    ) -> None:
         self._identity = identity
         self._address = address
+        self._access = access
         self._outbox: asyncio.Queue[Any] = asyncio.Queue(_QUEUE_FRAMES)
 
     def send(self, body: Any) -> None:
@@ -75,7 +86,7 @@
             await asyncio.sleep(_RECONNECT_S)
 
     async def _send_all(self) -> None:
-        async with open_link(self._address, '/peer') as link:
+        async with open_link(self._address, '/peer', self._access) as link:
             while True:
                 body = await self._outbox.get()
                 await link.send(seal(self._identity, body))
--- a/src/sardinemast/shell/_operator_http.py
+++ b/src/sardinemast/shell/_operator_http.py
@@ -18,6 +18,7 @@
     diff_versions,
 )
 from sardinemast.shell._identity import Identity
+from sardinemast.shell._security import Access, Unit
 from sardinemast.wire import WireError, dump_plain
 
 _BODY_LIMIT_BYTES = 8 * 1024 * 1024
@@ -31,9 +32,11 @@
         self,
         core: control.ControlCore,
         identity: Identity,
+        access: Access,
     ) -> None:
         self.core = core
         self.identity = identity
+        self.access = access
         self._put: Callable[[control.ControlEvent], None] | None = None
         self._request_ids = count(1)
         self._waiting: dict[int, asyncio.Future[control.OperatorAnswer]] = {}
@@ -73,6 +76,17 @@
     def initialize(self, desk: OperatorDesk) -> None:
         self.desk = desk
 
+    def prepare(self) -> None:
+        """Refuse whoever is no operator."""
+        connection: Any = self.request.connection
+        tls = connection.stream.socket
+        if not self.desk.access.is_allowed(tls, Unit.operator):
+            self.refuse(
+                HTTPStatus.FORBIDDEN,
+                'control.E003',
+                "The certificate is not an operator's.",
+            )
+
     def refuse(self, status: HTTPStatus, code: str, text: str) -> None:
         """Answer with a code, and with the leader to ask instead."""
         self.set_status(status)
@@ -132,8 +146,11 @@
 
 class _LeaderHandler(_DeskHandler):
     def prepare(self) -> None:
-        """Answer only while this process leads."""
-        if not self.desk.core.is_leader(time.monotonic()):
+        """Answer operators only, and only while this process leads."""
+        super().prepare()
+        if not self._finished and not self.desk.core.is_leader(
+            time.monotonic()
+        ):
             self.refuse(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'control.E001',
@@ -194,7 +211,11 @@
         ],
         log_function=_skip_log,
     )
-    server = HTTPServer(application, max_body_size=_BODY_LIMIT_BYTES)
+    server = HTTPServer(
+        application,
+        max_body_size=_BODY_LIMIT_BYTES,
+        ssl_options=desk.access.server_context,
+    )
     server.listen(address.port, address.host)
     return server
 
--- a/src/sardinemast/shell/_security.py
+++ b/src/sardinemast/shell/_security.py
@@ -1,13 +1,18 @@
 """Credentials of processes and operators: mutual TLS."""
 
+import asyncio
 import ssl
 from enum import StrEnum
 from itertools import chain
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from logbook import Logger
+
 from sardinemast.conf import Security
 
+_log = Logger('security')
+_FOLLOW_S = 10.0
 _UNIT_FIELD = 'organizationalUnitName'
 _NAME_FIELD = 'commonName'
 
@@ -53,6 +58,63 @@
         return True
 
 
+class Access:
+    """Decide who may connect to this process, and as whom it connects.
+
+    Without settings for security everybody may; the check of settings allows
+    that on loopback addresses only.
+    """
+
+    def __init__(self, security: Security | None) -> None:
+        self._security = security
+        self._credentials: ServerCredentials | None = None
+        if security is not None:
+            self._credentials = ServerCredentials(security)
+
+    @property
+    def server_context(self) -> ssl.SSLContext | None:
+        """Give the context that this process's servers use."""
+        return self._credentials.context if self._credentials else None
+
+    def create_client_context(self) -> ssl.SSLContext | None:
+        """Make the context for one connection to another process."""
+        if self._security is None:
+            return None
+        return create_client_context(self._security)
+
+    def is_allowed(self, tls: Any, unit: Unit, name: str = '') -> bool:
+        """Tell whether the other end may act as the unit, and as the name.
+
+        ``tls`` is the connection's ``ssl_object``. Comparing the name keeps
+        an entry's certificate from speaking for a control process.
+        """
+        if self._security is None:
+            return True
+        if tls is None:
+            return False
+        identity = get_peer_identity(tls.getpeercert())
+        return identity.unit == unit and name in {'', identity.name}
+
+    async def follow_files(self) -> None:
+        """Use changed files for new connections, until cancelled."""
+        while True:
+            await asyncio.sleep(_FOLLOW_S)
+            self._refresh()
+
+    def _refresh(self) -> None:
+        if self._credentials is None:
+            return
+        # A file that is half written must not stop the process; it is read
+        # again at the next turn, and open connections go on meanwhile.
+        try:
+            is_changed = self._credentials.refresh()
+        except OSError as error:
+            _log.warning('New credentials cannot be used: {}.', error)
+            return
+        if is_changed:
+            _log.info('New credentials are in use.')
+
+
 def create_client_context(security: Security) -> ssl.SSLContext:
     """Make the context for one connection, from the files as they are."""
     context = _create_context(ssl.PROTOCOL_TLS_CLIENT, security)
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -12,9 +12,11 @@
 from pathlib import Path
 from typing import Any
 
+import trustme
 import yaml
 from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
 
+from builders.certificates import write_certificate
 from sardinemast.exceptions import CodedError
 
 _PATIENCE_S = 30.0
@@ -26,6 +28,7 @@
 
     def __init__(self, folder: Path, control_count: int, entry_count: int):
         self.folder = folder
+        self.authority: trustme.CA | None = None
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.control_names = [
             f'control-{number}' for number in range(1, control_count + 1)
@@ -60,6 +63,10 @@
         """Give the callers' address of an entry."""
         return f'127.0.0.1:{self._entry_ports[name]}'
 
+    def add_entry(self, name: str) -> None:
+        """Find a port for one more entry."""
+        self._entry_ports[name] = _find_ports(1)[0]
+
     def start(self, name: str) -> None:
         """Start a control process or an entry."""
         role = name.partition('-')[0]
@@ -72,10 +79,18 @@
         }
         if role == 'entry':
             settings['callers'] = {'port': self._entry_ports[name]}
+        if self.authority is not None:
+            settings['security'] = self.write_security(name, 'process')
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
         self.run(name, 'sardinemast.daemon', str(path))
 
+    def write_security(self, name: str, unit: str) -> dict[str, str]:
+        """Write a certificate, and give the settings that name it."""
+        assert self.authority is not None
+        security = write_certificate(self.folder, self.authority, name, unit)
+        return {field: str(path) for field, path in security._asdict().items()}
+
     def start_upstream(self, name: str, *options: str) -> None:
         """Start an upstream that announces itself to all entries."""
         self.run(
@@ -119,9 +134,11 @@
     folder: Path,
     control_count: int = 3,
     entry_count: int = 3,
+    authority: trustme.CA | None = None,
 ) -> Iterator[Fleet]:
     """Start control processes and entries, and stop all at the end."""
     fleet = Fleet(folder, control_count, entry_count)
+    fleet.authority = authority
     for name in (*fleet.control_names, *fleet.entry_names):
         fleet.start(name)
     try:
