Retry within a budget, and set aside upstreams that fail or are slow

A request that may be repeated is tried again in another rack, at most three times sent, after a back-off with jitter, and only while recent successes pay for it. One that may not be repeated goes out again only where no byte left. A place stays held for what the former attempt may have left running. A request that was sent and then waited until its deadline is no longer called not run.

--- a/src/sardinemast/admission/_dispatcher.py
+++ b/src/sardinemast/admission/_dispatcher.py
@@ -42,8 +42,15 @@
             _COME_BACK_S,
         )
 
-    def take_again(self, waiting: Waiting, now_s: float) -> Refusal | None:
-        """Queue a request whose attempt left no byte."""
+    def take_again(
+        self,
+        waiting: Waiting,
+        now_s: float,
+        held_until_s: float | None = None,
+    ) -> Refusal | None:
+        """Queue a request once more; what it left running keeps a place."""
+        if held_until_s is not None:
+            self._usage.leave_held(waiting.request_id, held_until_s)
         self._usage.end(waiting.request_id)
         if now_s < waiting.due_s and self._queue.add(waiting):
             return None
--- a/src/sardinemast/admission/_usage.py
+++ b/src/sardinemast/admission/_usage.py
@@ -1,5 +1,7 @@
 """What each team has running through this entry."""
 
+from itertools import count
+
 
 class TeamUsage:
     """Count running requests by team.
@@ -13,6 +15,8 @@
     def __init__(self) -> None:
         self._running: dict[int, str] = {}
         self._held_until_s: dict[int, float] = {}
+        # Ids of requests count up from 1.
+        self._former_ids = count(-1, -1)
 
     def start(self, request_id: int, team: str) -> None:
         """Count a request as running."""
@@ -28,6 +32,18 @@
         if request_id in self._running:
             self._held_until_s[request_id] = until_s
 
+    def leave_held(self, request_id: int, until_s: float) -> None:
+        """Hold a second place, for a former attempt of a request.
+
+        It may still run at one upstream while another one gets it; counted
+        once, the team would pass its limit.
+        """
+        team = self._running.get(request_id)
+        if team is not None:
+            place = next(self._former_ids)
+            self._running[place] = team
+            self._held_until_s[place] = until_s
+
     def release_held(self, now_s: float) -> None:
         """Free the places whose longest permitted run has passed."""
         ended = [
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -1,6 +1,7 @@
 """Decide what an entry does with requests, without input or output."""
 
 from functools import singledispatchmethod
+from random import Random
 from typing import NamedTuple
 
 from sardinemast.admission import (
@@ -53,7 +54,10 @@
         self._settings = settings
         self._link = ControlLink(settings.name, settings.incarnation)
         self._dispatcher = Dispatcher()
-        self._attempts = AttemptTable(settings.data_centre)
+        self._attempts = AttemptTable(
+            settings.data_centre,
+            Random(settings.incarnation),
+        )
         self._heard: dict[str, Announcement] = {}
         self._outputs: list[EntryOutput] = []
 
@@ -121,12 +125,21 @@
     def _handle_caller_left(self, event: CallerLeft, now_s: float) -> None:
         # What runs goes on and keeps its place; only what waits is dropped.
         self._dispatcher.drop(event.request_id)
+        self._attempts.leave(event.request_id)
 
     @_handle.register
     def _handle_ended(self, event: AttemptEnded, now_s: float) -> None:
-        ending = self._attempts.end(event.request_id, event.attempt_result)
+        ending = self._attempts.end(
+            event.request_id,
+            event.attempt_result,
+            now_s,
+        )
         if ending.next_step is NextStep.retry:
-            refusal = self._dispatcher.take_again(ending.waiting, now_s)
+            refusal = self._dispatcher.take_again(
+                ending.waiting,
+                now_s,
+                ending.held_until_s,
+            )
         else:
             self._dispatcher.end(event.request_id, ending.held_until_s)
             refusal = ending.refusal
@@ -157,7 +170,7 @@
         elif isinstance(message, StateChanged):
             self._link.take_commands(message)
         elif isinstance(message, RosterChanged):
-            self._attempts.replace_roster(message.announcements)
+            self._attempts.replace_roster(message.announcements, now_s)
 
     def _dispatch(self, now_s: float) -> None:
         if not self._link.has_lease(now_s):
@@ -186,4 +199,5 @@
             self._outputs.append(SendToControl(renewal))
 
     def _refuse(self, request_id: int, refusal: Refusal) -> None:
+        refusal = self._attempts.conclude(request_id, refusal)
         self._outputs.append(RefuseRequest(request_id, refusal))
--- a/src/sardinemast/routing/_attempts.py
+++ b/src/sardinemast/routing/_attempts.py
@@ -2,34 +2,47 @@
 
 from enum import StrEnum
 from http import HTTPStatus
+from random import Random
 from typing import NamedTuple
 
 from sardinemast.admission import (
     Refusal,
+    RunOutcome,
     Waiting,
     refuse_unknown,
 )
 from sardinemast.fleet import FleetState, get_pool
 from sardinemast.membership import Announcement
-from sardinemast.routing._picker import UpstreamPicker
+from sardinemast.routing._budget import RetryBudget
+from sardinemast.routing._picker import UpstreamPicker, Wish
+
+_MAX_SENT = 3
+_FIRST_BACK_OFF_S = 0.01
+_LONGEST_BACK_OFF_S = 0.5
 
 
 class AttemptResult(StrEnum):
     """Tell how an attempt at an upstream ended.
 
     ``not_sent`` may be said only where no byte of the request can have left.
-    All others but ``answered`` mean that the upstream may still run it.
-    ``silent`` means that no answer came on a connection used before, which
-    something on the way may have lost track of.
+    ``failed`` is a whole answer that reports an error of the server. After
+    the others the upstream may still run the request. ``silent`` means that
+    no answer came on a connection used before, which something on the way
+    may have lost track of.
     """
 
     answered = 'answered'
+    failed = 'failed'
     not_sent = 'not sent'
     broken = 'broken'
     timed_out = 'timed out'
     silent = 'silent'
 
 
+_ENDED = frozenset(
+    (AttemptResult.answered, AttemptResult.failed, AttemptResult.not_sent),
+)
+_WITH_ANSWER = frozenset((AttemptResult.answered, AttemptResult.failed))
 _LATE = frozenset((AttemptResult.timed_out, AttemptResult.silent))
 
 
@@ -55,7 +68,7 @@
     """Hold what follows the end of an attempt.
 
     ``held_until_s`` is set where the upstream may still run the request;
-    until then it counts as running.
+    until then it counts as running, also while it is tried elsewhere.
     """
 
     waiting: Waiting
@@ -67,20 +80,41 @@
 class _Running(NamedTuple):
     waiting: Waiting
     upstream: Announcement
+    started_s: float
     bound_until_s: float
 
 
+class _History(NamedTuple):
+    """Hold what former attempts of a request came to."""
+
+    avoided: tuple[Announcement, ...] = ()
+    sent_count: int = 0
+    try_count: int = 0
+    not_before_s: float = float('-inf')
+
+
+_NO_HISTORY = _History()
+
+
 class AttemptTable:
     """Hold this entry's attempts and the upstreams they run at."""
 
-    def __init__(self, site: str) -> None:
+    def __init__(self, site: str, random: Random) -> None:
         self._site = site
-        self._picker = UpstreamPicker(site)
+        self._random = random
+        self._picker = UpstreamPicker(site, random)
         self._running: dict[int, _Running] = {}
+        self._histories: dict[int, _History] = {}
+        self._left: set[int] = set()
+        self._budgets: dict[str, RetryBudget] = {}
 
-    def replace_roster(self, announcements: tuple[Announcement, ...]) -> None:
+    def replace_roster(
+        self,
+        announcements: tuple[Announcement, ...],
+        now_s: float,
+    ) -> None:
         """Take the upstreams that are there now."""
-        self._picker.replace_roster(announcements)
+        self._picker.replace_roster(announcements, now_s)
 
     def start(
         self,
@@ -88,15 +122,20 @@
         waiting: Waiting,
         now_s: float,
     ) -> StartAttempt | None:
-        """Choose an upstream, or give nothing where no slot is free."""
-        upstream = self._picker.choose(state, waiting.pool)
+        """Choose an upstream, or give nothing where none is to be had yet."""
+        history = self._histories.get(waiting.request_id, _NO_HISTORY)
         pool = get_pool(state, waiting.pool, self._site)
-        if upstream is None or pool is None:
+        if pool is None or now_s < history.not_before_s:
             return None
-        self._picker.start(upstream.instance)
+        wish = Wish(waiting.pool, waiting.is_repeatable, history.avoided)
+        upstream = self._picker.choose(state, wish, now_s)
+        if upstream is None:
+            return None
+        self._picker.start(upstream)
         self._running[waiting.request_id] = _Running(
             waiting,
             upstream,
+            now_s,
             now_s + pool.run_bound_s,
         )
         timeout_s = min(waiting.due_s - now_s, pool.run_bound_s)
@@ -108,21 +147,113 @@
             pool.connections,
         )
 
-    def end(self, request_id: int, attempt_result: AttemptResult) -> Ending:
+    def end(
+        self,
+        request_id: int,
+        attempt_result: AttemptResult,
+        now_s: float,
+    ) -> Ending:
         """Note how an attempt ended, and tell what follows."""
         running = self._running.pop(request_id)
-        self._picker.end(running.upstream.instance)
-        if attempt_result is AttemptResult.answered:
-            return Ending(running.waiting, NextStep.pass_answer)
-        if attempt_result is AttemptResult.not_sent:
-            return Ending(running.waiting, NextStep.retry)
+        waiting = running.waiting
+        self._picker.end(running.upstream)
+        self._note(running, attempt_result, now_s)
+        held_until_s = None
+        if attempt_result not in _ENDED:
+            held_until_s = running.bound_until_s
+        if self._may_retry(running, attempt_result, now_s):
+            self._back_off(running, attempt_result, now_s)
+            return Ending(waiting, NextStep.retry, None, held_until_s)
+        self._histories.pop(request_id, None)
+        self._left.discard(request_id)
+        if attempt_result in _WITH_ANSWER:
+            return Ending(waiting, NextStep.pass_answer)
         return Ending(
-            running.waiting,
+            waiting,
             NextStep.refuse,
             _describe_unknown(attempt_result),
-            running.bound_until_s,
+            held_until_s,
         )
 
+    def conclude(self, request_id: int, refusal: Refusal) -> Refusal:
+        """Give the refusal, made true for what was sent before.
+
+        A request that was sent once and then waited for another try until
+        its deadline may have run, whatever the queue says.
+        """
+        history = self._histories.pop(request_id, _NO_HISTORY)
+        if history.sent_count and refusal.outcome is RunOutcome.not_run:
+            return _describe_unknown(AttemptResult.timed_out)
+        return refusal
+
+    def leave(self, request_id: int) -> None:
+        """Note that nobody waits for the answer, so that no retry follows."""
+        self._histories.pop(request_id, None)
+        if request_id in self._running:
+            self._left.add(request_id)
+
+    def _note(
+        self,
+        running: _Running,
+        attempt_result: AttemptResult,
+        now_s: float,
+    ) -> None:
+        upstream = running.upstream
+        started_s = running.started_s
+        if attempt_result is AttemptResult.answered:
+            self._picker.note_answer(upstream, started_s, now_s)
+            self._get_budget(upstream.pool).note_success()
+        elif attempt_result is AttemptResult.timed_out:
+            if self._picker.is_late(upstream, now_s - started_s):
+                self._picker.note_failure(upstream, started_s, now_s)
+        elif attempt_result is not AttemptResult.silent:
+            self._picker.note_failure(upstream, started_s, now_s)
+
+    def _may_retry(
+        self,
+        running: _Running,
+        attempt_result: AttemptResult,
+        now_s: float,
+    ) -> bool:
+        waiting = running.waiting
+        if (
+            attempt_result is AttemptResult.answered
+            or waiting.request_id in self._left
+        ):
+            return False
+        if attempt_result is AttemptResult.not_sent:
+            return True
+        history = self._histories.get(waiting.request_id, _NO_HISTORY)
+        return (
+            waiting.is_repeatable
+            and now_s < waiting.due_s
+            and history.sent_count + 1 < _MAX_SENT
+            and self._get_budget(waiting.pool).take()
+        )
+
+    def _back_off(
+        self,
+        running: _Running,
+        attempt_result: AttemptResult,
+        now_s: float,
+    ) -> None:
+        request_id = running.waiting.request_id
+        history = self._histories.get(request_id, _NO_HISTORY)
+        longest_s = min(
+            _FIRST_BACK_OFF_S * 2**history.try_count, _LONGEST_BACK_OFF_S
+        )
+        # A connection's silence says nothing about the upstream behind it.
+        is_blamed = attempt_result is not AttemptResult.silent
+        self._histories[request_id] = _History(
+            history.avoided + (running.upstream,) * is_blamed,
+            history.sent_count + (attempt_result is not AttemptResult.not_sent),
+            history.try_count + 1,
+            now_s + self._random.uniform(0, longest_s),
+        )
+
+    def _get_budget(self, pool: str) -> RetryBudget:
+        return self._budgets.setdefault(pool, RetryBudget())
+
 
 def _describe_unknown(attempt_result: AttemptResult) -> Refusal:
     if attempt_result in _LATE:
--- a/src/sardinemast/shell/_upstream_client.py
+++ b/src/sardinemast/shell/_upstream_client.py
@@ -30,6 +30,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 _BODYLESS_CODES = frozenset((204, 304))
+_FAILURE_CODES = frozenset((500, 502, 503, 504))
 _FIRST_FINAL_CODE = 200
 _PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=MAX_HEAD_BYTES,
@@ -229,6 +230,8 @@
         return Attempt(AttemptResult.broken)
     if reader.answer is None:
         return Attempt(AttemptResult.broken)
+    if reader.answer.code in _FAILURE_CODES:
+        return Attempt(AttemptResult.failed, reader.answer)
     return Attempt(AttemptResult.answered, reader.answer)
 
 
