--- a/src/sardinemast/routing/_attempts.py
+++ b/src/sardinemast/routing/_attempts.py
@@ -19,6 +19,8 @@
 _MAX_SENT = 3
 _FIRST_BACK_OFF_S = 0.01
 _LONGEST_BACK_OFF_S = 0.5
+_MOST_DOUBLINGS = 6
+_MOST_AVOIDED = 4
 
 
 class AttemptResult(StrEnum):
@@ -245,9 +247,11 @@
         # A connection's silence says nothing about the upstream behind it.
         is_blamed = attempt_result is not AttemptResult.silent
         self._histories[request_id] = _History(
-            history.avoided + (running.upstream,) * is_blamed,
+            (history.avoided + (running.upstream,) * is_blamed)[
+                -_MOST_AVOIDED:
+            ],
             history.sent_count + (attempt_result is not AttemptResult.not_sent),
-            history.try_count + 1,
+            min(history.try_count + 1, _MOST_DOUBLINGS),
             now_s + self._random.uniform(0, longest_s),
         )
 
--- a/src/sardinemast/routing/_health.py
+++ b/src/sardinemast/routing/_health.py
@@ -13,6 +13,7 @@
 _SHORTEST_S = 0.0001
 _FIRST_ASIDE_S = 1.0
 _LONGEST_ASIDE_S = 30.0
+_MOST_DOUBLINGS = 5
 _JITTER = 0.2
 # A request that may not be repeated is used as a probe only after this time,
 # so that one that may be repeated goes first where there is any.
@@ -109,13 +110,15 @@
         jitter = 1 + random.uniform(-_JITTER, _JITTER)
         self._aside_since_s = now_s
         self._aside_until_s = now_s + aside_s * jitter
-        self._aside_count += 1
+        # The bound keeps the power within what a float holds, in a pool that
+        # fails for hours.
+        self._aside_count = min(self._aside_count + 1, _MOST_DOUBLINGS)
 
     def _is_before_aside(self, started_s: float) -> bool:
         # What was under way when the upstream was set aside tells nothing
         # new: late answers would bring it back, and a burst of failures
         # would each make the time longer.
-        return self.is_aside and started_s < self._aside_since_s
+        return self.is_aside and started_s <= self._aside_since_s
 
     def _note_duration(self, duration_s: float) -> None:
         fresh = math.log(max(duration_s, _SHORTEST_S))
