--- /dev/null
+++ b/tests/builders/waves.py
@@ -0,0 +1,405 @@
+"""Fleets for waves, and the truth that the cores can't see."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from builders.golden import Session
+from sardinemast import maintenance
+
+LEASE_S = 3.0
+WORK_BOUND_S = 4.0
+WALL_S = 1_000_000.0
+SETTINGS = maintenance.MaintenanceSettings(
+    suspect_after_s=2.5,
+    down_after_s=3,
+    replace_after_s=8,
+    drain_bound_s=10,
+    drain_retry_s=15,
+    return_bound_s=20,
+    proof_s=2,
+    ask_again_s=2,
+)
+BUDGETS = maintenance.Budgets(
+    (
+        maintenance.PoolBudget('orders', 2, 1, maintenance.DomainKind.rack),
+        maintenance.PoolBudget('billing', 2, 1),
+        maintenance.PoolBudget('spare', 1),
+    ),
+    (maintenance.DomainBudget(maintenance.DomainKind.data_centre, 3),),
+    'spare',
+)
+PLACES = (
+    ('orders-1', 'nord', 'r1', 'orders'),
+    ('orders-2', 'nord', 'r2', 'orders'),
+    ('orders-3', 'sud', 'r1', 'orders'),
+    ('orders-4', 'sud', 'r2', 'orders'),
+    ('billing-1', 'nord', 'r1', 'billing'),
+    ('billing-2', 'sud', 'r1', 'billing'),
+    ('spare-1', 'nord', 'r2', 'spare'),
+    ('spare-2', 'sud', 'r2', 'spare'),
+)
+PLAN = maintenance.WavePlan('kernel', ('orders', 'billing', 'spare'), at_once=3)
+
+
+class Work(NamedTuple):
+    """Hold work that runs at an instance until its end is known."""
+
+    run: maintenance.EntryRun
+    pool: str
+    end_s: float
+
+
+class TrueInstance:
+    """Hold what an instance truly is."""
+
+    def __init__(self, name: str, pool: str) -> None:
+        self.name = name
+        self.pool = pool
+        self.incarnation = 1
+        self.is_up = True
+        self.returns = True
+        self.work: list[Work] = []
+        self.fence = 0
+        self.is_draining = False
+        self.done: set[str] = set()
+        self.rebooted_by: dict[int, int] = {}
+
+    def get_work(self, now_s: float) -> list[Work]:
+        """Give the work that still runs."""
+        self.work = [one for one in self.work if one.end_s > now_s]
+        return self.work
+
+    def restart(self) -> None:
+        """Lose all work and come back, or not."""
+        self.work.clear()
+        self.incarnation += 1
+        self.is_up = self.returns
+        self.is_draining = False
+
+    def tell(self) -> maintenance.InstanceReported:
+        """Say what the instance says of itself."""
+        return maintenance.InstanceReported(
+            self.name,
+            self.incarnation,
+            self.pool,
+            is_draining=self.is_draining,
+        )
+
+    def carry_out(self, request: maintenance.AskPlatform) -> None:
+        """Do what the platform is asked, once for each request id."""
+        if request.request_id in self.done or request.fence < self.fence:
+            return
+        self.done.add(request.request_id)
+        self.fence = request.fence
+        if request.action is maintenance.PlatformAction.reboot:
+            self.rebooted_by[request.fence] = self.incarnation
+            self.restart()
+        else:
+            self.is_draining = (
+                request.action is maintenance.PlatformAction.drain
+            )
+
+
+class TrueEntry:
+    """Hold an entry: the state it has applied and its lease."""
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        self.run = maintenance.EntryRun(name, incarnation)
+        self.state = maintenance.MaintenanceState()
+        self.applied = 0
+        self.lease_until_s: float = 0
+        self.is_alive = True
+
+    def may_send(self, name: str, now_s: float) -> bool:
+        """Tell whether the entry would send work to the instance."""
+        known = self.state.instances.get(name)
+        if known is None or not self.is_alive or now_s >= self.lease_until_s:
+            return False
+        return known.condition in {
+            maintenance.Condition.serving,
+            maintenance.Condition.suspected,
+        }
+
+
+class Record:
+    """Hold what went between the leader and the rest."""
+
+    def __init__(self) -> None:
+        self.requests: list[maintenance.AskPlatform] = []
+        self.events: list[maintenance.Event] = []
+        self.reports: list[maintenance.Report] = []
+
+
+class World:
+    """Hold the log, a leader and the truth about instances and entries."""
+
+    def __init__(self) -> None:
+        self.now_s: float = 0
+        self.log: list[maintenance.Command] = []
+        self.state = maintenance.MaintenanceState()
+        self.core = _make_core(self.state)
+        self.old_core = self.core
+        self.instances = {
+            name: TrueInstance(name, pool) for name, _, _, pool in PLACES
+        }
+        self.entries = [TrueEntry('entry-1', 1), TrueEntry('entry-2', 1)]
+        self.gone: list[TrueEntry] = []
+        self.proposals: list[maintenance.Command] = []
+        self.asked: list[maintenance.AskPlatform] = []
+        self.record = Record()
+        self.session: Session | None = None
+        self.commit(maintenance.commands.SetBudgets('b', BUDGETS))
+        for name, data_centre, rack, pool in PLACES:
+            self.commit(
+                maintenance.commands.EnrolInstance(
+                    name, 'ouest', data_centre, rack, pool, WALL_S
+                )
+            )
+        self.core.step(maintenance.TermStarted(), self.now_s)
+
+    def commit(
+        self, command: maintenance.Command
+    ) -> maintenance.Refusal | None:
+        """Put a command into the log and check what it did."""
+        before = dict(self.state.instances)
+        self.log.append(command)
+        refusal = maintenance.apply_command(self.state, command, len(self.log))
+        for name, after in self.state.instances.items():
+            if name in before and before[name] != after:
+                self._check_change(before[name], after)
+        return refusal
+
+    def commit_all(self) -> None:
+        """Commit what was proposed."""
+        proposals = tuple(self.proposals)
+        self.proposals.clear()
+        for command in proposals:
+            self.commit(command)
+
+    def feed(self, *events: maintenance.Event) -> None:
+        """Hand events to the leader, and keep what it wants."""
+        for event in events:
+            if not isinstance(event, maintenance.Tick):
+                self.record.events.append(event)
+            for output in self._step(event):
+                if isinstance(output, maintenance.Propose):
+                    self.proposals.append(output.command)
+                elif isinstance(output, maintenance.AskPlatform):
+                    self.asked.append(output)
+                else:
+                    self.record.reports.append(output)
+
+    def change_leader(self, is_committed: bool) -> None:
+        """Start a leader from the image; the old one's proposals go or stay."""
+        if is_committed:
+            self.commit_all()
+        self.proposals.clear()
+        self.old_core = self.core
+        self.state = maintenance.load_state(maintenance.dump_state(self.state))
+        self.core = _make_core(self.state)
+        self.core.step(maintenance.TermStarted(), self.now_s)
+
+    def wake_old_leader(self) -> None:
+        """Let a leader that missed its end act; it can commit nothing."""
+        wall_s = WALL_S + self.now_s
+        for output in self.old_core.step(maintenance.Tick(wall_s), self.now_s):
+            if isinstance(output, maintenance.AskPlatform):
+                self.carry_out(output)
+
+    def live(
+        self,
+        silent: Iterable[str] = (),
+        lagging: Iterable[str] = (),
+        *,
+        is_platform_lost: bool = False,
+        is_answer_lost: bool = False,
+        is_commit_late: bool = False,
+    ) -> None:
+        """Let one second pass, in which some are silent and some lag."""
+        self.now_s += 1
+        self._report_instances(set(silent))
+        for entry in self.entries:
+            if entry.run.entry not in set(lagging):
+                self.renew(entry)
+        self._end_leases()
+        if is_commit_late:
+            self.commit_all()
+        self.feed(maintenance.Tick(WALL_S + self.now_s))
+        if not is_commit_late:
+            self.commit_all()
+        requests = tuple(self.asked)
+        self.asked.clear()
+        for request in requests:
+            if not is_platform_lost:
+                self.carry_out(request)
+                if not is_answer_lost:
+                    self.feed(maintenance.PlatformAnswered(request.request_id))
+
+    def carry_out(self, request: maintenance.AskPlatform) -> None:
+        """Let the platform act, and check that it cuts nothing."""
+        self.record.requests.append(request)
+        instance = self.instances[request.instance]
+        is_reboot = request.action is maintenance.PlatformAction.reboot
+        is_fresh = request.request_id not in instance.done
+        if is_reboot and is_fresh and request.fence >= instance.fence:
+            assert not instance.get_work(self.now_s), 'A reboot cuts work.'
+            for entry in self.entries:
+                assert not entry.may_send(instance.name, self.now_s)
+        instance.carry_out(request)
+
+    def renew(self, entry: TrueEntry) -> None:
+        """Let an entry catch up, renew its lease and report."""
+        if not entry.is_alive:
+            return
+        if not self.core.may_lease(entry.run):
+            self.commit(maintenance.commands.NoteEntry(entry.run))
+        # The log's order: the entry has applied what stood before its lease.
+        fresh = self.log[entry.applied :]
+        for index, command in enumerate(fresh, start=entry.applied + 1):
+            maintenance.apply_command(entry.state, command, index)
+        entry.applied = len(self.log)
+        self.report(entry)
+        if self.core.may_lease(entry.run):
+            entry.lease_until_s = self.now_s + LEASE_S
+
+    def report(self, entry: TrueEntry) -> None:
+        """Let an entry report by the state that it has."""
+        busy = frozenset(
+            one.name
+            for one in self.instances.values()
+            if any(work.run == entry.run for work in one.get_work(self.now_s))
+        )
+        self.feed(maintenance.DrainsReported(entry.run, entry.applied, busy))
+
+    def send(self, entry: TrueEntry, name: str, duration_s: float) -> None:
+        """Let an entry start work where its state lets it."""
+        if not entry.may_send(name, self.now_s):
+            return
+        instance = self.instances[name]
+        pool = entry.state.instances[name].pool
+        running = instance.get_work(self.now_s)
+        assert all(work.pool == pool for work in running), 'Two pools.'
+        if instance.is_up:
+            end_s = self.now_s + min(duration_s, WORK_BOUND_S)
+            instance.work.append(Work(entry.run, pool, end_s))
+
+    def start_wave(self, plan: maintenance.WavePlan = PLAN) -> None:
+        """Start a wave."""
+        self.commit(
+            maintenance.commands.StartWave('s', plan, WALL_S + self.now_s)
+        )
+
+    def restart_entry(self, number: int) -> None:
+        """Kill an entry; its work runs on, and a new run takes its place."""
+        old = self.entries[number]
+        old.is_alive = False
+        self.gone.append(old)
+        run = old.run
+        self.entries[number] = TrueEntry(run.entry, run.incarnation + 1)
+
+    def _step(self, event: maintenance.Event) -> list[maintenance.Output]:
+        if self.session is not None and isinstance(event, maintenance.Tick):
+            self._note_conditions()
+            return self.session.step(event, self.now_s)
+        return self.core.step(event, self.now_s)
+
+    def _note_conditions(self) -> None:
+        shown = ', '.join(
+            f'{one.name} in {one.pool}: {one.condition}'
+            for one in self.state.instances.values()
+            if one.condition is not maintenance.Condition.serving
+        )
+        waves = ', '.join(
+            f'{wave.plan.name} is {wave.status} {wave.reason}'.strip()
+            for wave in self.state.waves.values()
+        )
+        if self.session is not None:
+            self.session.note(f'{waves}; {shown or "all serve"}')
+
+    def _report_instances(self, silent: set[str]) -> None:
+        told = []
+        for one in self.instances.values():
+            if one.is_up and one.name not in silent:
+                one.pool = self.state.instances[one.name].pool
+                told.append(one.tell())
+        self.feed(maintenance.InstancesReported(tuple(told)))
+
+    def _end_leases(self) -> None:
+        for entry in (*self.gone, *self.entries):
+            if self.now_s >= entry.lease_until_s + WORK_BOUND_S:
+                self.feed(maintenance.LeaseSurelyEnded(entry.run))
+
+    def _check_change(
+        self, before: maintenance.Instance, after: maintenance.Instance
+    ) -> None:
+        if (
+            after.step is not None
+            and after.step.kind is maintenance.StepKind.readmit
+        ):
+            return
+        if before.pool != after.pool and before.step:
+            self._check_move(before)
+        is_start = before.condition is maintenance.Condition.serving and (
+            after.condition
+            in {maintenance.Condition.draining, maintenance.Condition.moving}
+        )
+        if is_start or after.condition is maintenance.Condition.rebooting:
+            check_budgets(self.state, after)
+        if before.step and after.condition is maintenance.Condition.proving:
+            self._check_return(before, after)
+
+    def _check_move(self, before: maintenance.Instance) -> None:
+        one = self.instances[before.name]
+        assert not one.get_work(self.now_s), 'A move leaves work behind.'
+        for entry in self.entries:
+            assert not entry.may_send(one.name, self.now_s)
+
+    def _check_return(
+        self, before: maintenance.Instance, after: maintenance.Instance
+    ) -> None:
+        if before.condition is maintenance.Condition.returning and before.step:
+            one = self.instances[before.name]
+            rebooted = one.rebooted_by.get(before.step.log_index)
+            assert rebooted is not None, 'Returned before the reboot.'
+            assert after.incarnation > rebooted, 'Proved by an old run.'
+
+
+def _make_core(
+    state: maintenance.MaintenanceState,
+) -> maintenance.MaintenanceCore:
+    return maintenance.MaintenanceCore(lambda: state, SETTINGS)
+
+
+def check_budgets(
+    state: maintenance.MaintenanceState, taken: maintenance.Instance
+) -> None:
+    """Count the whole fleet by hand after a planned step on an instance."""
+    of_pool = [
+        one for one in state.instances.values() if one.pool == taken.pool
+    ]
+    up = [
+        one for one in of_pool if one.condition is maintenance.Condition.serving
+    ]
+    down = [
+        one
+        for one in of_pool
+        if one not in up
+        and (one.pool, one.condition)
+        != ('spare', maintenance.Condition.set_aside)
+    ]
+    budget = next(one for one in BUDGETS.pools if one.pool == taken.pool)
+    racks = [(one.data_centre, one.rack) for one in up]
+    reserve = max(map(racks.count, racks), default=0)
+    if budget.reserve is None:
+        reserve = 0
+    assert len(down) + reserve <= budget.down_max, 'Pool budget passed.'
+    assert len(up) - reserve >= budget.serving_min, 'Too few serve.'
+    near = [
+        one
+        for one in state.instances.values()
+        if one.data_centre == taken.data_centre
+        and one.condition is not maintenance.Condition.serving
+        and (one.pool, one.condition)
+        != ('spare', maintenance.Condition.set_aside)
+    ]
+    assert len(near) <= BUDGETS.domains[0].down_max, 'Domain budget passed.'
--- /dev/null
+++ b/tests/maintenance/test_fuzz.py
@@ -0,0 +1,182 @@
+"""Histories of waves against the truth about instances and entries."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+
+from builders.waves import PLACES, PLAN, WALL_S, World
+from sardinemast import maintenance
+
+NAMES = tuple(place[0] for place in PLACES)
+_names = st.sampled_from(NAMES)
+_entries = st.integers(0, 1)
+_positions = st.integers(1, 20)
+
+
+class Waves(RuleBasedStateMachine):
+    """Break everything while waves go over a small fleet."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+        for _ in range(7):
+            self.world.live()
+        self.world.start_wave()
+
+    @rule(
+        seconds=st.integers(1, 4),
+        silent=st.sets(_names, max_size=2),
+        lagging=st.sets(st.sampled_from(['entry-1', 'entry-2']), max_size=1),
+        losses=st.tuples(st.booleans(), st.booleans(), st.booleans()),
+    )
+    def live(
+        self,
+        seconds: int,
+        silent: set[str],
+        lagging: set[str],
+        losses: tuple[bool, bool, bool],
+    ) -> None:
+        """Let time pass with silent instances and lost answers."""
+        for _ in range(seconds):
+            self.world.live(
+                silent,
+                lagging,
+                is_platform_lost=losses[0],
+                is_answer_lost=losses[1],
+                is_commit_late=losses[2],
+            )
+
+    @rule(seconds=st.integers(3, 9))
+    def live_well(self, seconds: int) -> None:
+        """Let time pass with nothing going wrong."""
+        for _ in range(seconds):
+            self.world.live()
+
+    @rule(name=_names, returns=st.booleans())
+    def crash(self, name: str, returns: bool) -> None:
+        """Restart an instance unasked, or for good; so may the platform."""
+        instance = self.world.instances[name]
+        instance.returns = returns
+        instance.restart()
+
+    @rule(name=_names)
+    def heal(self, name: str) -> None:
+        """Repair an instance."""
+        instance = self.world.instances[name]
+        instance.returns = True
+        if not instance.is_up:
+            instance.restart()
+
+    @rule(
+        sends=st.lists(
+            st.tuples(_entries, _names, st.integers(1, 9)),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    def send(self, sends: list[tuple[int, str, int]]) -> None:
+        """Let entries start work by the state that they have."""
+        for number, name, duration_s in sends:
+            entry = self.world.entries[number]
+            self.world.send(entry, name, duration_s)
+
+    @rule(number=_entries, duration_s=st.integers(1, 9))
+    def send_everywhere(self, number: int, duration_s: int) -> None:
+        """Let an entry start work at each instance that it may use."""
+        entry = self.world.entries[number]
+        for name in NAMES:
+            self.world.send(entry, name, duration_s)
+
+    @rule(number=_entries)
+    def report(self, number: int) -> None:
+        """Let an entry report, whatever it has applied."""
+        self.world.report(self.world.entries[number])
+
+    @rule(number=_entries, seconds=st.integers(7, 10))
+    def cut_off_entry(self, number: int, seconds: int) -> None:
+        """Cut an entry off until its lease and work bound have passed."""
+        lagging = [self.world.entries[number].run.entry]
+        for _ in range(seconds):
+            self.world.live(lagging=lagging, is_commit_late=True)
+
+    @rule(number=_entries)
+    def restart_entry(self, number: int) -> None:
+        """Kill an entry and start it again."""
+        self.world.restart_entry(number)
+
+    @rule(is_committed=st.booleans())
+    def change_leader(self, is_committed: bool) -> None:
+        """Let another process lead."""
+        self.world.change_leader(is_committed)
+
+    @rule()
+    def wake_old_leader(self) -> None:
+        """Let the former leader act on what it knew."""
+        self.world.wake_old_leader()
+
+    @rule(back=_positions)
+    def repeat_request(self, back: int) -> None:
+        """Carry an old request to the platform once more."""
+        if back <= len(self.world.record.requests):
+            self.world.carry_out(self.world.record.requests[-back])
+
+    @rule(back=st.integers(1, 200))
+    def repeat_event(self, back: int) -> None:
+        """Tell the leader again what was told long ago."""
+        if back <= len(self.world.record.events):
+            self.world.feed(self.world.record.events[-back])
+
+    @rule(choice=st.sampled_from(['start', 'pause', 'resume', 'abort']))
+    def operate(self, choice: str) -> None:
+        """Let an operator change the wave."""
+        name, wall_s = PLAN.name, WALL_S + self.world.now_s
+        choices: dict[str, maintenance.Command] = {
+            'start': maintenance.commands.StartWave('x', PLAN, wall_s),
+            'pause': maintenance.commands.PauseWave('x', name, wall_s),
+            'resume': maintenance.commands.ResumeWave('x', name),
+            'abort': maintenance.commands.AbortWave('x', name),
+        }
+        self.world.commit(choices[choice])
+
+    @rule(name=_names)
+    def readmit(self, name: str) -> None:
+        """Take back what was set aside."""
+        self.world.commit(maintenance.commands.ReadmitInstance('x', name))
+
+    @invariant()
+    def replicas_agree(self) -> None:
+        """Find the same state in each replica of the same index."""
+        image = maintenance.dump_state(self.world.state)
+        for entry in self.world.entries:
+            if entry.applied == len(self.world.log):
+                assert maintenance.dump_state(entry.state) == image
+
+    @invariant()
+    def no_step_survives_its_wave(self) -> None:
+        """Leave no step that has not cut in a wave that does not run."""
+        for instance in self.world.state.get_stepping():
+            wave = instance.step and self.world.state.waves.get(
+                instance.step.wave
+            )
+            if wave and instance.condition in maintenance.UNCUT:
+                assert wave.status is maintenance.WaveStatus.running
+
+
+@pytest.mark.fuzz
+def test_waves_keep_all_promises() -> None:
+    """Keep budgets, pools and running work through 2,000 histories.
+
+    Instances, entries, leaders and the platform fail in any order. If the
+    account is wrong, a pool falls under its budget; if a drain is believed
+    too early, a reboot cuts a request.
+    """
+    Waves.TestCase.settings = settings(
+        max_examples=2000,
+        stateful_step_count=35,
+    )
+    Waves.TestCase('runTest').runTest()
--- /dev/null
+++ b/tests/maintenance/test_sessions.py
@@ -0,0 +1,210 @@
+"""Golden sessions of whole waves."""
+
+from builders import Session, check_golden
+from builders.waves import BUDGETS, PLAN, WALL_S, World
+from sardinemast import maintenance
+
+
+def _make_world() -> tuple[World, Session]:
+    world = World()
+    for _ in range(7):
+        world.live()
+    session = Session(lambda event, now_s: world.core.step(event, now_s))
+    world.session = session
+    return world, session
+
+
+def _live(world: World, seconds: int) -> None:
+    for _ in range(seconds):
+        world.live()
+
+
+def test_whole_wave() -> None:
+    """A wave goes over three pools and each instance proves itself."""
+    world, session = _make_world()
+    world.start_wave()
+    _live(world, 42)
+    check_golden('wave_whole', session.transcript)
+
+
+def test_failure_pauses_the_wave() -> None:
+    """Pause the wave, undo what has not cut, and replace the lost instance.
+
+    An instance dies for good while others drain. If the wave went on, the
+    pool would lose more than its budget and callers would wait.
+    """
+    world, session = _make_world()
+    world.start_wave(PLAN._replace(resume_after_s=20))
+    _live(world, 2)
+    lost = world.instances['orders-3']
+    lost.returns = False
+    lost.restart()
+    session.note('orders-3 is lost for good while the first three drain.')
+    _live(world, 50)
+    session.note('orders-3 was repaired, and an operator readmits it.')
+    lost.returns = True
+    lost.restart()
+    world.commit(maintenance.commands.ReadmitInstance('r', 'orders-3'))
+    _live(world, 12)
+    check_golden('wave_failure', session.transcript)
+
+
+def test_leader_changes_in_the_middle() -> None:
+    """Let a new leader take up steps that the former left half done.
+
+    The leader is lost after the log holds that a reboot is asked for, but
+    before the platform was asked. A new leader that didn't ask again would
+    leave the instance out for good; one with a new id would reboot it twice.
+    """
+    world, session = _make_world()
+    world.start_wave()
+    _live(world, 2)
+    world.live(is_platform_lost=True)
+    session.note('The leader is lost; its requests never left.')
+    world.change_leader(is_committed=False)
+    _live(world, 12)
+    check_golden('wave_leader_change', session.transcript)
+    reboots = [one.incarnation for one in world.instances.values()]
+    assert max(reboots) == 2
+
+
+def test_operator_aborts_in_the_middle() -> None:
+    """Undo the drains of an aborted wave, and finish what has cut."""
+    world, session = _make_world()
+    world.start_wave(PLAN._replace(pace_s=3))
+    _live(world, 6)
+    session.note('An operator aborts the wave.')
+    world.commit(maintenance.commands.AbortWave('a', PLAN.name))
+    _live(world, 12)
+    check_golden('wave_abort', session.transcript)
+
+
+def test_stuck_drain_is_reported_and_passed_over() -> None:
+    """Give up a drain that one entry never confirms, and go on.
+
+    A request never ends at one instance. If the wave waited for it, the
+    pool's other instances would miss their six weeks.
+    """
+    world, _ = _make_world()
+    world.start_wave()
+    world.live()
+    stuck = [one.name for one in world.state.get_stepping()]
+    for _ in range(14):
+        world.live(lagging=['entry-2'])
+        world.entries[1].lease_until_s = world.now_s + 3
+    texts = [one.text for one in world.record.reports]
+    assert 'drain got stuck, not confirmed by entry-2/1' in texts
+    stepping = {one.name for one in world.state.get_stepping()}
+    assert stepping and not stepping & set(stuck)
+
+
+def test_failure_counts_before_a_cut_of_the_same_moment() -> None:
+    """Undo a step when the leader learns of a failure as it would cut.
+
+    The leader finds one instance silent and another one empty in the same
+    moment. Cutting first would leave too few serving, though it was known.
+    """
+    world, _ = _make_world()
+    world.start_wave()
+    for _ in range(3):
+        world.live(silent=['orders-2'])
+    assert world.state.instances['orders-2'].condition == 'suspected'
+    assert world.state.instances['orders-1'].condition == 'serving'
+
+
+def test_preview_explains_starts_and_refusals() -> None:
+    """The preview tells when each instance starts and why others wait."""
+    world, session = _make_world()
+    plan = PLAN._replace(pools=('orders',))
+    preview = maintenance.preview_wave(
+        world.state,
+        plan,
+        WALL_S + world.now_s,
+        step_s=60,
+    )
+    for line in preview:
+        session.note(str(line))
+    check_golden('wave_preview', session.transcript)
+
+
+def test_step_starts_only_where_its_window_has_room() -> None:
+    """Start nothing that would outlast the window."""
+    world, _ = _make_world()
+    window = maintenance.Window('nord', 86400, 0, 3600)
+    plan = PLAN._replace(windows=(window,))
+    midnight_s = WALL_S - WALL_S % 86400 + 86400
+    texts = [
+        {
+            line.code
+            for line in maintenance.preview_wave(world.state, plan, at_s, 600)
+            if line.instance == 'orders-1'
+        }
+        for at_s in (midnight_s + 60, midnight_s + 3550)
+    ]
+    assert texts == [{''}, {'maintenance.E009'}]
+
+
+def test_oldest_is_maintained_first_within_the_cadence() -> None:
+    """A standing wave takes each instance before its six weeks are over."""
+    world, _ = _make_world()
+    cadence_s = 300
+    world.start_wave(PLAN._replace(cadence_s=cadence_s, at_once=1))
+    worst_s: float = 0
+    for _ in range(900):
+        world.live()
+        wall_s = WALL_S + world.now_s
+        ages = [
+            wall_s - one.maintained_at_s
+            for one in world.state.instances.values()
+        ]
+        worst_s = max(worst_s, *ages)
+    assert worst_s <= cadence_s
+
+
+def test_replica_from_an_image_undoes_the_same_steps() -> None:
+    """Choose the same steps to undo, whether from the log or an image.
+
+    A replica was started from an image, another one read the whole log. If
+    they undo different drains after a failure, one of them later takes an
+    instance as serving that the other has rebooted.
+    """
+    world, _ = _make_world()
+    names = ('orders-4', 'billing-1', 'orders-1')
+    steps = tuple(
+        maintenance.commands.StepStart(
+            name,
+            world.state.instances[name].changed_index,
+            maintenance.StepKind.reboot,
+        )
+        for name in names
+    )
+    roomy = maintenance.Budgets(
+        tuple(
+            one._replace(down_max=9, serving_min=0, reserve=None)
+            for one in BUDGETS.pools
+        ),
+        (maintenance.DomainBudget(maintenance.DomainKind.region, 3),),
+    )
+    copied = maintenance.load_state(maintenance.dump_state(world.state))
+    for index, command in enumerate(
+        (
+            maintenance.commands.SetBudgets('w', roomy),
+            maintenance.commands.StartSteps(steps, WALL_S),
+            _suspect(world.state.instances['spare-1']),
+        ),
+        start=len(world.log) + 1,
+    ):
+        maintenance.apply_command(copied, command, index)
+        image = maintenance.dump_state(world.state)
+        world.state = maintenance.load_state(image)
+        maintenance.apply_command(world.state, command, index)
+    assert maintenance.dump_state(copied) == maintenance.dump_state(world.state)
+
+
+def _suspect(instance: maintenance.Instance) -> maintenance.Command:
+    change = maintenance.commands.ConditionChange(
+        instance.name,
+        instance.changed_index,
+        maintenance.Condition.suspected,
+    )
+    return maintenance.commands.ChangeConditions((change,), WALL_S)
