Spend the leader's effort on what changes

Cause: each plan looked at every instance through a record of its own, and each refused instance of a wave got its sentence written. Change: an instance that serves and is well is passed by one look; pools whose budget is full are left out before sorting; open steps have an index.

--- a/src/sardinemast/maintenance/_changes.py
+++ b/src/sardinemast/maintenance/_changes.py
@@ -125,9 +125,9 @@
     reason: str,
 ) -> None:
     """Undo all steps of a wave that have not cut."""
-    for instance in state.get_stepping():
+    for instance in state.get_uncut():
         step = instance.step
-        if step is not None and step.wave == wave and is_uncut(instance):
+        if step is not None and step.wave == wave:
             cancel_step(state, instance, index, reason)
 
 
@@ -229,7 +229,7 @@
     an image holds its instances in another order than one that read the log;
     if they undid different steps, their states would part.
     """
-    uncut = [one for one in state.get_stepping() if is_uncut(one)]
+    uncut = state.get_uncut()
     for instance in sorted(uncut, key=_get_step_order, reverse=True):
         if _is_cut_refused(state, instance):
             cancel_step(state, instance, index, reason)
--- a/src/sardinemast/maintenance/_choice.py
+++ b/src/sardinemast/maintenance/_choice.py
@@ -1,6 +1,6 @@
 """Choice of the next steps of waves."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from sardinemast.maintenance._records import (
@@ -43,9 +43,10 @@
     state: MaintenanceState,
     wave: Wave,
     wall_s: float,
+    full_pools: Container[str] = (),
 ) -> list[Instance]:
     """Give what the wave still has to maintain, in its order."""
-    pools = set(wave.plan.pools)
+    pools = {pool for pool in wave.plan.pools if pool not in full_pools}
     due = [
         instance
         for instance in state.instances.values()
@@ -166,7 +167,8 @@
     """
     refused: set[tuple[str, ...]] = set()
     room = wave.plan.at_once - count_active(state, wave.plan.name)
-    for instance in get_due(state, wave, wall_s):
+    full_pools = set(filter(state.ledger.is_full, wave.plan.pools))
+    for instance in get_due(state, wave, wall_s, full_pools):
         place = (instance.pool, *get_domain(instance, DomainKind.rack))
         if instance.condition is not Condition.serving or place in refused:
             continue
--- a/src/sardinemast/maintenance/_core.py
+++ b/src/sardinemast/maintenance/_core.py
@@ -116,7 +116,7 @@
         event: events.DrainsReported,
         now_s: float,
     ) -> Iterable[events.Output]:
-        self._drains.take_report(event, self._get_state().get_stepping())
+        self._drains.take_report(event, self._get_state().get_uncut())
         return ()
 
     @_handle.register
@@ -151,7 +151,7 @@
             return
         self._planned_s = now_s
         self._forget_proposals(now_s)
-        self._drains.keep_only(self._get_state().stepping)
+        self._drains.keep_only(self._get_state().uncut)
         yield from self._plan_changes(now_s)
         yield from self._plan_waves(now_s)
         yield from self._plan_starts(now_s)
--- a/src/sardinemast/maintenance/_drains.py
+++ b/src/sardinemast/maintenance/_drains.py
@@ -19,14 +19,14 @@
     def take_report(
         self,
         report: DrainsReported,
-        stepping: Iterable[Instance],
+        uncut: Iterable[Instance],
     ) -> None:
         """Note the steps that the run knows of and has no work for.
 
         A run that has applied a step sends the instance nothing more, so that
         what it confirms once stays true until the step ends.
         """
-        for instance in stepping:
+        for instance in uncut:
             step = instance.step
             if step is None or instance.name in report.busy:
                 continue
@@ -46,8 +46,8 @@
         index = instance.step.log_index
         return [run for run in runs if by_run.get(run) != index]
 
-    def keep_only(self, stepping: Container[str]) -> None:
+    def keep_only(self, uncut: Container[str]) -> None:
         """Drop what was confirmed for instances whose step has ended."""
         for name in tuple(self._confirmed):
-            if name not in stepping:
+            if name not in uncut:
                 self._confirmed.pop(name)
--- a/src/sardinemast/maintenance/_ledger.py
+++ b/src/sardinemast/maintenance/_ledger.py
@@ -13,6 +13,7 @@
     Instance,
     PoolBudget,
     Refusal,
+    get_depth,
     get_domain,
 )
 
@@ -68,6 +69,23 @@
         self.add(instance, -1)
         self.add(instance._replace(condition=Condition.draining))
 
+    def is_full(self, pool: str) -> bool:
+        """Tell whether the pool's budget surely refuses each instance.
+
+        Taking an instance down lowers the reserve by one at most, so that
+        what is down and in reserve never gets less by a planned step.
+        """
+        budget = self._pools.get(pool)
+        if budget is None:
+            return True
+        down = self._counts.down[pool]
+        if down >= budget.down_max or budget.reserve is None:
+            return down >= budget.down_max
+        depth = get_depth(budget.reserve)
+        by_domain = self._counts.serving_in.get(pool, Counter())
+        reserve = _get_largest(by_domain, depth)
+        return down + reserve > budget.down_max
+
     def explain_refusal(self, instance: Instance) -> Refusal | None:
         """Tell why the instance may not be down too, or nothing.
 
@@ -128,17 +146,13 @@
     ) -> int:
         if kind is None:
             return 0
-        depth = len(get_domain(instance, kind))
-        own = get_domain(instance, kind)
         by_domain = self._counts.serving_in.get(instance.pool, Counter())
-        return max(
-            (
-                count - more * int(domain == own)
-                for domain, count in by_domain.items()
-                if len(domain) == depth
-            ),
-            default=0,
-        )
+        own = get_domain(instance, kind)
+        by_domain[own] -= more
+        try:
+            return _get_largest(by_domain, len(own))
+        finally:
+            by_domain[own] += more
 
     def _is_counted(self, instance: Instance) -> bool:
         # What waits for repair in the spare pool is nobody's capacity. If it
@@ -152,3 +166,11 @@
 def _get_domains(instance: Instance) -> tuple[Domain, ...]:
     path = (instance.region, instance.data_centre, instance.rack)
     return (path[:1], path[:2], path)
+
+
+def _get_largest(by_domain: Counter[Domain], depth: int) -> int:
+    largest = 0
+    for domain, count in by_domain.items():
+        if count > largest and len(domain) == depth:
+            largest = count
+    return largest
--- a/src/sardinemast/maintenance/_records.py
+++ b/src/sardinemast/maintenance/_records.py
@@ -1,6 +1,8 @@
 """Typed records of instances, budgets and waves."""
 
+from collections.abc import Mapping
 from enum import StrEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
 Domain = tuple[str, ...]
@@ -176,10 +178,20 @@
     text: str
 
 
+_DEPTHS: Mapping[DomainKind, int] = MappingProxyType(
+    {kind: depth for depth, kind in enumerate(DomainKind, start=1)},
+)
+
+
+def get_depth(kind: DomainKind) -> int:
+    """Give how many names a domain of the kind has."""
+    return _DEPTHS[kind]
+
+
 def get_domain(instance: Instance, kind: DomainKind) -> Domain:
     """Give the instance's domain with the wider ones it lies in."""
     path = (instance.region, instance.data_centre, instance.rack)
-    return path[: list(DomainKind).index(kind) + 1]
+    return path[: _DEPTHS[kind]]
 
 
 UNCUT = frozenset((Condition.draining, Condition.empty, Condition.moving))
--- a/src/sardinemast/maintenance/_state.py
+++ b/src/sardinemast/maintenance/_state.py
@@ -10,6 +10,7 @@
     Instance,
     NotedRun,
     Wave,
+    is_uncut,
 )
 
 
@@ -25,12 +26,14 @@
 class MaintenanceState:
     """Hold instances, budgets and waves at one log index.
 
-    ``stepping`` names the instances with a planned step.
+    ``stepping`` names the instances with a planned step, and ``uncut`` those
+    of them whose step can still be undone.
     """
 
     def __init__(self, budgets: Budgets | None = None) -> None:
         self.instances: dict[str, Instance] = {}
         self.stepping: dict[str, None] = {}
+        self.uncut: dict[str, None] = {}
         self.waves: dict[str, Wave] = {}
         self.entry_runs: dict[EntryRun, int] = {}
         self.ledger = Ledger(budgets or Budgets())
@@ -54,13 +57,20 @@
         self.ledger.add(fresh)
         self.instances[fresh.name] = fresh
         self.stepping.pop(fresh.name, None)
+        self.uncut.pop(fresh.name, None)
         if fresh.step is not None:
             self.stepping[fresh.name] = None
+        if is_uncut(fresh):
+            self.uncut[fresh.name] = None
 
     def get_stepping(self) -> Iterator[Instance]:
         """Give all instances with a planned step."""
         return map(self.instances.__getitem__, tuple(self.stepping))
 
+    def get_uncut(self) -> Iterator[Instance]:
+        """Give all instances whose planned step can still be undone."""
+        return map(self.instances.__getitem__, tuple(self.uncut))
+
 
 def dump_state(state: MaintenanceState) -> MaintenanceImage:
     """Give the whole state as one record."""
