--- a/bench/retries.py
+++ b/bench/retries.py
@@ -17,7 +17,7 @@
     AttemptTable,
     NextStep,
 )
-from sardinemast.routing import _attempts as attempts_module
+from sardinemast.routing._budget import RetryBudget
 
 _UPSTREAMS = 20
 _REQUESTS = 10_000
@@ -63,7 +63,7 @@
 
 
 def _run(case: _Case) -> tuple[int, int]:
-    budget = attempts_module.RetryBudget
+    budget = RetryBudget
     aside = 'sardinemast.routing._health._SET_ASIDE_ABOVE'
     with (
         patch.object(
@@ -111,7 +111,8 @@
             if kind == 'try':
                 self._try(subject, now_s)
             else:
-                self._end(*subject, now_s)
+                request_id, attempt_result = subject
+                self._end(request_id, attempt_result, now_s)
         return self._sent, self._good
 
     def _put(self, at_s: float, kind: str, subject: Any) -> None:
