--- a/src/sardinemast/control/_entry_desk.py
+++ b/src/sardinemast/control/_entry_desk.py
@@ -47,7 +47,7 @@
         session = Session(event.stream_id, event.entry, event.incarnation)
         self._sessions.open(session)
         self._register(session, now_s)
-        self.streams.send_whole(session)
+        self.streams.send_whole(session, now_s)
         self._context.send(
             event.stream_id,
             RosterChanged(self._roster.announcements),
@@ -65,13 +65,14 @@
         nobody who serves. Neither does one that lags.
         """
         if renewal.applied_index == NEEDS_STATE:
-            self.streams.send_whole(session)
+            self.streams.send_whole(session, now_s)
             return False
         self._sessions.note_renewal(session.holder, renewal.applied_index)
         if not self._is_registered(session):
             self._register(session, now_s)
             return False
         if self._sessions.is_lagging(renewal.applied_index, now_s):
+            self.streams.send_whole_again(session, now_s)
             return False
         self._sessions.grant_lease(session.holder, now_s)
         self._context.send(
--- a/src/sardinemast/control/_state_streams.py
+++ b/src/sardinemast/control/_state_streams.py
@@ -6,6 +6,7 @@
 from sardinemast.protocol import AppliedCommand, StateChanged, StateReplaced
 
 _EMPTY_INTERVAL_S = 0.1
+_WHOLE_INTERVAL_S = 2.0
 
 
 class StateStreams:
@@ -20,14 +21,25 @@
         self._sessions = sessions
         self._sent_index: dict[int, int] = {}
         self._sent_s: dict[int, float] = {}
+        self._whole_s: dict[int, float] = {}
         self._fresh: list[EntryCommand] = []
 
-    def send_whole(self, session: Session) -> None:
+    def send_whole(self, session: Session, now_s: float) -> None:
         """Send the state as it is now."""
         state = self._context.state
         image = dump_for_entry(state, session.entry, session.incarnation)
         self._context.send(session.stream_id, StateReplaced(image))
         self._sent_index[session.stream_id] = state.log_index
+        self._whole_s[session.stream_id] = now_s
+
+    def send_whole_again(self, session: Session, now_s: float) -> None:
+        """Send the state to an entry that stays behind, now and then.
+
+        Should a message have been lost after which none came, the entry
+        cannot know, and would have no lease until the next change.
+        """
+        if now_s >= self._whole_s[session.stream_id] + _WHOLE_INTERVAL_S:
+            self.send_whole(session, now_s)
 
     def note_applied(self, applied: EntryCommand) -> None:
         """Note a command for the entries."""
@@ -44,6 +56,7 @@
         """Drop what is known of streams that have ended."""
         for stream_id in self._sent_index.keys() - self._sessions.sessions:
             self._sent_index.pop(stream_id)
+            self._whole_s.pop(stream_id)
             self._sent_s.pop(stream_id, None)
 
     def _send_fresh(self, session: Session, now_s: float) -> None:
--- /dev/null
+++ b/tests/builders/operators.py
@@ -0,0 +1,212 @@
+"""Control processes and entries that talk over streams in virtual time."""
+
+from collections import deque
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from sardinemast import consensus, control, entry
+from sardinemast.fleet import Command
+from sardinemast.protocol import ControlMessage, EntryMessage, NotLeader
+
+TICK_S = 0.1
+
+
+class Process:
+    """Hold one start of an entry, its clock and its stream."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        clock_rate: float = 1.0,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.core = entry.EntryCore(
+            entry.EntrySettings(name, incarnation, 'rennes'),
+        )
+        self.highest_index = 0
+        self.stream_id: int | None = None
+        self.is_frozen = False
+        self.is_cut = False
+        self.is_slow = False
+        self.down: deque[ControlMessage] = deque()
+        self.up: deque[EntryMessage] = deque()
+        self.taken: list[ControlMessage] = []
+        self._clock_rate = clock_rate
+
+    def get_time_s(self, now_s: float) -> float:
+        """Give this process's own clock."""
+        return now_s * self._clock_rate
+
+    def is_serving(self, now_s: float) -> bool:
+        """Tell whether a request would be taken now."""
+        return self.core.is_ready(self.get_time_s(now_s))
+
+    def step(self, event: entry.EntryEvent, now_s: float) -> None:
+        """Feed the core, and queue what it sends."""
+        outputs = self.core.step(event, self.get_time_s(now_s))
+        if self.stream_id is not None:
+            self.up.extend(
+                output.message
+                for output in outputs
+                if isinstance(output, entry.SendToControl)
+            )
+
+    def take_next(self, now_s: float) -> None:
+        """Take the next message of the stream."""
+        message = self.down.popleft()
+        self.taken.append(message)
+        self.step(entry.ControlReceived(message), now_s)
+
+
+class Leader:
+    """Hold a single voter and its log; the next one starts from the log."""
+
+    def __init__(self) -> None:
+        self.log: list[consensus.LogEntry] = []
+        self.hard_state = consensus.HardState()
+        self.answers: list[control.AnswerOperator] = []
+        self._keys_at: dict[int, set[str]] = {0: set()}
+        self.start()
+
+    def start(self) -> None:
+        """Start a process that knows the log and nothing else."""
+        self.core = control.ControlCore(
+            control.ControlSettings(
+                consensus.ReplicaSettings(
+                    'control-1',
+                    ('control-1',),
+                    election_timeout_s=0.2,
+                    lease_s=0.15,
+                ),
+            ),
+            self.hard_state,
+            tuple(self.log),
+            Random(1),
+        )
+
+    def step(
+        self,
+        event: control.ControlEvent,
+        now_s: float,
+    ) -> Iterable[control.SendToEntry]:
+        """Feed the core, keep its log, and give what it sends."""
+        sent = []
+        for output in self.core.step(event, now_s):
+            if isinstance(output, control.SendToEntry):
+                sent.append(output)
+            elif isinstance(output, control.AnswerOperator):
+                self.answers.append(output)
+            elif isinstance(output, consensus.AppendToLog):
+                first = output.entries[0].log_index
+                self.log = [*self.log[: first - 1], *output.entries]
+            elif isinstance(output, consensus.SaveHardState):
+                self.hard_state = output.hard_state
+        state = self.core.state
+        self._keys_at.setdefault(state.log_index, set(state.keys_by_id))
+        return sent
+
+    def get_keys(self, log_index: int) -> set[str]:
+        """Give the ids of the keys that the log grants at an index."""
+        while log_index not in self._keys_at:
+            log_index -= 1
+        return self._keys_at[log_index]
+
+
+class Cluster:
+    """Join a leader and entries by streams that tests cut and delay."""
+
+    def __init__(self) -> None:
+        self.now_s: float = 0
+        self.leader = Leader()
+        self.processes: list[Process] = []
+        self._stream_count = 0
+
+    def add(self, process: Process) -> Process:
+        """Start an entry."""
+        self.processes.append(process)
+        return process
+
+    def step_leader(self, event: control.ControlEvent) -> None:
+        """Feed the leader, and queue what it sends on the streams."""
+        for output in self.leader.step(event, self.now_s):
+            for process in self.processes:
+                if process.stream_id == output.stream_id:
+                    process.down.append(output.message)
+
+    def ask(self, request_id: int, command: Command, wall_s: float = 0) -> None:
+        """Send an operator's command."""
+        self.step_leader(control.OperatorAsked(request_id, command, wall_s))
+
+    def advance(self, duration_s: float, tick_s: float = TICK_S) -> None:
+        """Let time pass, with all that is not held up."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.now_s = min(end_s, self.now_s + tick_s)
+            self.step_leader(control.Tick())
+            for process in list(self.processes):
+                self._run(process)
+
+    def cut(self, process: Process, keep: int = 0) -> None:
+        """End a stream; ``keep`` messages down were already taken in."""
+        while process.down and keep > 0:
+            process.take_next(self.now_s)
+            keep -= 1
+        process.down.clear()
+        process.up.clear()
+        if process.stream_id is not None:
+            stream_id = process.stream_id
+            process.stream_id = None
+            process.step(entry.ControlLost(), self.now_s)
+            self.step_leader(control.EntryDisconnected(stream_id))
+
+    def replace_leader(self) -> None:
+        """Let the leader die, and another start from the log."""
+        for process in self.processes:
+            process.stream_id = None
+            process.up.clear()
+        self.leader.start()
+
+    def _run(self, process: Process) -> None:
+        self._deliver_up(process)
+        if process.is_frozen:
+            return
+        if process.stream_id is None and not process.is_cut:
+            self._connect(process)
+        while process.down and not process.is_slow:
+            if isinstance(process.down[0], NotLeader):
+                self.cut(process)
+                return
+            process.take_next(self.now_s)
+        process.step(entry.Tick(), self.now_s)
+        self._deliver_up(process)
+
+    def _deliver_up(self, process: Process) -> None:
+        while process.up and process.stream_id and not process.is_cut:
+            event = control.EntryReceived(
+                process.stream_id,
+                process.up.popleft(),
+            )
+            self.step_leader(event)
+
+    def _connect(self, process: Process) -> None:
+        process.down.clear()
+        self._stream_count += 1
+        process.stream_id = self._stream_count
+        self.step_leader(
+            control.EntryConnected(
+                process.stream_id,
+                process.name,
+                process.incarnation,
+            ),
+        )
+
+
+def get_answer(cluster: Cluster, request_id: int) -> Any:
+    """Give the answer to an operator's request, or nothing so far."""
+    for one in cluster.leader.answers:
+        if one.request_id == request_id:
+            return one.answer
+    return None
