Report upstreams by change and handle, and never bring one back

Entries sent each announcement in full and got the whole roster with each change. Now a change goes at once and a repeated announcement as a handle of one or two bytes; entries get what changed. Announcements carry a sequence besides the incarnation, and the newest of each instance is remembered at the leader and at each entry after it is gone, so that a late one changes nothing. A new leader begins an empty roster that entries merge until it is complete. Silence is suspicion first, except where most of a pool is silent at once; an instance that starts more than three times in a minute is held back; whoever announces an address last has it. Unknown instances are registered in batches by a command that moves nothing, and their number is bounded: the former command could undo an operator's assignment that it crossed.

The process test asked entries that had not come up yet; it now waits until all serve before it looks at what they refuse.

--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -34,7 +34,7 @@
     is_known_command,
     make_entry_command,
 )
-from sardinemast.protocol import NotLeader, RenewLease
+from sardinemast.protocol import HeardUpstreams, NotLeader, ReportUpstreams
 
 _TIME_STEP_S = 60.0
 
@@ -97,7 +97,7 @@
     def _handle_tick(self, event: Tick, now_s: float) -> None:
         self._step_replica(consensus.Tick(), now_s)
         if self.is_leader(now_s):
-            self._entry_desk.expire_upstreams(now_s)
+            self._entry_desk.rosters.check(now_s)
             self._entry_desk.retire_ended(now_s)
             self._grant_desk.release_dead(now_s)
 
@@ -134,8 +134,10 @@
         if session is None or not self.is_leader(now_s):
             self._sessions.close(event.stream_id)
             self._send_elsewhere(event.stream_id)
-        elif not isinstance(event.message, RenewLease):
-            self._entry_desk.take_report(event.message, now_s)
+        elif isinstance(event.message, ReportUpstreams):
+            self._entry_desk.rosters.take_report(event.message, now_s)
+        elif isinstance(event.message, HeardUpstreams):
+            self._entry_desk.rosters.take_digest(event.message, now_s)
         elif self._entry_desk.renew(session, event.message, now_s):
             self._grant_desk.take_wish(session, event.message, now_s)
 
@@ -200,7 +202,7 @@
         self._is_ready = False
         self._grant_desk.start_term()
         if changed.role is consensus.Role.leader:
-            self._entry_desk.start_term(now_s)
+            self._entry_desk.start_term(changed.term, now_s)
             return
         self._outputs.extend(
             self._pending.give_up(self.state, self._sessions, now_s),
--- a/src/sardinemast/control/_entry_desk.py
+++ b/src/sardinemast/control/_entry_desk.py
@@ -3,18 +3,15 @@
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import EntryConnected
 from sardinemast.control._proposal_times import ProposalTimes
+from sardinemast.control._roster_desk import RosterDesk
 from sardinemast.control._sessions import EntrySessions, Session
 from sardinemast.control._state_streams import StateStreams
-from sardinemast.fleet import AssignInstance, RegisterEntry, RetireEntry
-from sardinemast.membership import Announcement, Roster
+from sardinemast.fleet import RegisterEntry, RetireEntry
 from sardinemast.protocol import (
     NEEDS_STATE,
-    ControlMessage,
     LeaseGranted,
     NotLeader,
     RenewLease,
-    ReportUpstreams,
-    RosterChanged,
 )
 
 
@@ -26,14 +23,15 @@
     ) -> None:
         self._context = context
         self._sessions = sessions
-        self._roster = Roster()
         self._registering = ProposalTimes()
         self._retiring = ProposalTimes()
         self.streams = StateStreams(context, sessions)
+        self.rosters = RosterDesk(context, sessions)
 
-    def start_term(self, now_s: float) -> None:
+    def start_term(self, term: int, now_s: float) -> None:
         """Forget what was known and under way in a former term."""
         self._sessions.start_term(now_s)
+        self.rosters.start_term(term, now_s)
         self._registering.clear()
         self._retiring.clear()
 
@@ -48,10 +46,7 @@
         self._sessions.open(session)
         self._register(session, now_s)
         self.streams.send_whole(session, now_s)
-        self._context.send(
-            event.stream_id,
-            RosterChanged(self._roster.announcements),
-        )
+        self.rosters.send_whole(session.stream_id, now_s)
 
     def renew(
         self,
@@ -92,20 +87,6 @@
             if self._retiring.take_turn(holder, now_s):
                 self._propose(RetireEntry(*holder), now_s)
 
-    def take_report(self, report: ReportUpstreams, now_s: float) -> None:
-        """Take what upstreams announced to an entry."""
-        is_changed = False
-        for announcement in report.announcements:
-            is_changed |= self._roster.take_announcement(announcement, now_s)
-            self._place(announcement, now_s)
-        if is_changed:
-            self._send_roster()
-
-    def expire_upstreams(self, now_s: float) -> None:
-        """Drop upstreams that have gone silent."""
-        if self._roster.expire(now_s):
-            self._send_roster()
-
     def note_retired(self, command: RetireEntry) -> None:
         """Let the incarnation be registered anew."""
         self._retiring.forget((command.name, command.incarnation))
@@ -146,24 +127,3 @@
         now_s: float,
     ) -> None:
         self._context.propose(command, INTERNAL_REQUEST, now_s)
-
-    def _place(self, announcement: Announcement, now_s: float) -> None:
-        # An instance that the log does not know goes into the pool that it
-        # announces; from then on only an operator or a move changes that.
-        state = self._context.state
-        if (
-            announcement.instance not in state.instances
-            and announcement.pool in state.document.pools
-        ):
-            self._context.propose(
-                AssignInstance('', announcement.instance, announcement.pool),
-                INTERNAL_REQUEST,
-                now_s,
-            )
-
-    def _send_roster(self) -> None:
-        self._send_all(RosterChanged(self._roster.announcements))
-
-    def _send_all(self, message: ControlMessage) -> None:
-        for stream_id in self._sessions.sessions:
-            self._context.send(stream_id, message)
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -24,11 +24,11 @@
     UpstreamAnnounced,
 )
 from sardinemast.entry._link import ControlLink
+from sardinemast.entry._reports import UpstreamReports
 from sardinemast.fleet import FleetState
-from sardinemast.membership import Announcement
+from sardinemast.membership import RosterUpstream, RosterView
 from sardinemast.protocol import (
     LeaseGranted,
-    ReportUpstreams,
     RosterChanged,
     StateChanged,
     StateReplaced,
@@ -52,7 +52,8 @@
         self._link = ControlLink(settings.name, settings.incarnation)
         self._dispatcher = Dispatcher()
         self._attempts = AttemptTable(settings.data_centre)
-        self._heard: dict[str, Announcement] = {}
+        self._view = RosterView()
+        self._reports = UpstreamReports(self._view)
         self._outputs: list[EntryOutput] = []
 
     @property
@@ -80,10 +81,9 @@
 
     @_handle.register
     def _handle_tick(self, event: Tick, now_s: float) -> None:
-        if self._heard:
-            heard = tuple(self._heard.values())
-            self._outputs.append(SendToControl(ReportUpstreams(heard)))
-            self._heard.clear()
+        self._outputs.extend(
+            SendToControl(message) for message in self._reports.take_due(now_s)
+        )
 
     @_handle.register
     def _handle_arrival(self, event: RequestArrived, now_s: float) -> None:
@@ -128,11 +128,14 @@
         event: UpstreamAnnounced,
         now_s: float,
     ) -> None:
-        self._heard[event.announcement.instance] = event.announcement
+        self._reports.hear(event.announcement, now_s)
+        if self._view.take_leaving(event.announcement, now_s):
+            self._attempts.replace_roster(self._view.announcements)
 
     @_handle.register
     def _handle_lost(self, event: ControlLost, now_s: float) -> None:
-        """Let the lease run out by itself."""
+        """Let the lease run out by itself; the handles are the leader's."""
+        self._view.forget_handles()
 
     @_handle.register
     def _handle_control(self, event: ControlReceived, now_s: float) -> None:
@@ -144,7 +147,23 @@
         elif isinstance(message, StateChanged):
             self._link.take_commands(message)
         elif isinstance(message, RosterChanged):
-            self._attempts.replace_roster(message.announcements)
+            self._take_roster(message, now_s)
+
+    def _take_roster(self, message: RosterChanged, now_s: float) -> None:
+        handles = message.handles or (0,) * len(message.announcements)
+        upstreams = tuple(
+            map(RosterUpstream, handles, message.announcements),
+        )
+        if message.is_whole:
+            self._view.replace(
+                upstreams,
+                now_s,
+                is_complete=message.is_complete,
+            )
+            self._reports.start_epoch(message.epoch)
+        else:
+            self._view.change(upstreams, message.gone, now_s)
+        self._attempts.replace_roster(self._view.announcements)
 
     def _dispatch(self, now_s: float) -> None:
         if not self._link.has_lease(now_s):
--- a/src/sardinemast/membership/__init__.py
+++ b/src/sardinemast/membership/__init__.py
@@ -1,10 +1,28 @@
 """Who is there: announcements, leases, suspicion and leaving."""
 
-from sardinemast.membership._roster import (
+from sardinemast.membership._announcements import (
     Announcement,
-    Roster,
-    Upstream,
     UpstreamStatus,
+    is_sound,
+)
+from sardinemast.membership._handles import decode_handles, encode_handles
+from sardinemast.membership._roster import (
+    LEASE_S,
+    Roster,
+    RosterChanges,
+    RosterUpstream,
 )
+from sardinemast.membership._view import RosterView
 
-__all__ = ('Announcement', 'Roster', 'Upstream', 'UpstreamStatus')
+__all__ = (
+    'LEASE_S',
+    'Announcement',
+    'Roster',
+    'RosterChanges',
+    'RosterUpstream',
+    'RosterView',
+    'UpstreamStatus',
+    'decode_handles',
+    'encode_handles',
+    'is_sound',
+)
--- a/src/sardinemast/membership/_roster.py
+++ b/src/sardinemast/membership/_roster.py
@@ -1,72 +1,209 @@
-"""List of upstreams made from their announcements."""
+"""Leader's list of upstreams, made from their announcements."""
 
-from enum import StrEnum
+from collections import Counter
+from itertools import count
 from typing import NamedTuple
 
-LEASE_S = 3.0
+from sardinemast.membership._announcements import Announcement, UpstreamStatus
+from sardinemast.membership._flapping import FlapCounter
+from sardinemast.membership._marks import Marks
 
+LEASE_S = 3.0
+SUSPECT_S = 1.5
+MAX_UPSTREAMS = 5000
 
-class UpstreamStatus(StrEnum):
-    """What an upstream says of itself."""
 
-    serving = 'serving'
-    draining = 'draining'
+class Upstream(NamedTuple):
+    """Hold the newest announcement of an upstream and when it was heard."""
 
+    handle: int
+    announcement: Announcement
+    heard_s: float
+    held_until_s: float
 
-class Announcement(NamedTuple):
-    """Say that an upstream is there.
 
-    ``incarnation`` grows with each start of the upstream, so that a late
-    announcement of an earlier start is known as such.
-    """
+class RosterUpstream(NamedTuple):
+    """Hold what entries are told of an upstream."""
 
-    instance: str
-    incarnation: int
-    pool: str
-    host: str
-    port: int
-    data_centre: str
-    rack: str
-    status: UpstreamStatus = UpstreamStatus.serving
+    handle: int
+    announcement: Announcement
 
 
-class Upstream(NamedTuple):
-    """Hold the newest announcement and until when it counts."""
+class RosterChanges(NamedTuple):
+    """Hold what changed since the last time, and the handles that ended."""
 
-    announcement: Announcement
-    lease_until_s: float
+    changed: tuple[RosterUpstream, ...]
+    gone: tuple[int, ...]
 
 
 class Roster:
-    """Hold the upstreams that announced themselves."""
+    """Hold the upstreams that announced themselves to any entry."""
 
     def __init__(self, lease_s: float = LEASE_S) -> None:
         self._lease_s = lease_s
+        self._handles = count(1)
         self._upstreams: dict[str, Upstream] = {}
+        self._instances: dict[int, str] = {}
+        self._at_address: dict[tuple[str, int], str] = {}
+        self._told: dict[str, RosterUpstream] = {}
+        self._marks = Marks()
+        self._flaps = FlapCounter()
+        self._started_s: float = 0
 
     @property
-    def announcements(self) -> tuple[Announcement, ...]:
+    def upstreams(self) -> tuple[Announcement, ...]:
         """Give the newest announcement of each upstream."""
         return tuple(one.announcement for one in self._upstreams.values())
 
-    def take_announcement(self, fresh: Announcement, now_s: float) -> bool:
-        """Renew a lease, and tell whether anything else changed."""
+    def start_term(self, now_s: float) -> None:
+        """Begin anew; until all were heard, nobody is missed."""
+        self._started_s = now_s
+        self._upstreams.clear()
+        self._instances.clear()
+        self._at_address.clear()
+        self._told.clear()
+
+    def is_complete(self, now_s: float) -> bool:
+        """Tell whether whoever is there must have been heard by now."""
+        return now_s >= self._started_s + self._lease_s
+
+    def take_announcement(
+        self,
+        fresh: Announcement,
+        now_s: float,
+        age_s: float = 0,
+    ) -> bool:
+        """Take an announcement that an entry heard ``age_s`` ago.
+
+        Gives whether it was taken; a late one and one too many are not.
+        """
         known = self._upstreams.get(fresh.instance)
-        if known and known.announcement.incarnation > fresh.incarnation:
+        if self._marks.is_late(fresh) or age_s >= self._lease_s:
             return False
-        self._upstreams[fresh.instance] = Upstream(
-            fresh,
-            now_s + self._lease_s,
-        )
-        return known is None or known.announcement != fresh
-
-    def expire(self, now_s: float) -> tuple[Announcement, ...]:
-        """Drop the upstreams whose lease has ended, and give them."""
+        if known is None and len(self._upstreams) >= MAX_UPSTREAMS:
+            return False
+        self._marks.note(fresh, now_s)
+        if fresh.status is UpstreamStatus.stopped:
+            self._remove(fresh.instance)
+        else:
+            self._put(fresh, known, now_s - age_s, now_s)
+        return True
+
+    def renew(self, handle: int, now_s: float) -> None:
+        """Take an unchanged announcement by its handle."""
+        instance = self._instances.get(handle)
+        if instance is not None:
+            known = self._upstreams[instance]
+            self._upstreams[instance] = known._replace(heard_s=now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drop the upstreams whose lease has ended."""
+        if not self.is_complete(now_s):
+            return
+        ended_s = now_s - self._lease_s
+        for upstream in tuple(self._upstreams.values()):
+            if upstream.heard_s <= ended_s:
+                self._remove(upstream.announcement.instance)
+        self._flaps.forget_old(now_s)
+
+    def get_told(self) -> tuple[RosterUpstream, ...]:
+        """Give all that entries have been told."""
+        return tuple(self._told.values())
+
+    def take_changes(self, now_s: float) -> RosterChanges:
+        """Give what entries are to be told now."""
+        current = self._describe(now_s)
         gone = tuple(
+            told.handle
+            for name, told in self._told.items()
+            if name not in current or current[name].handle != told.handle
+        )
+        changed = tuple(
+            upstream
+            for name, upstream in current.items()
+            if self._told.get(name) != upstream
+        )
+        self._told = current
+        return RosterChanges(changed, gone)
+
+    def _put(
+        self,
+        fresh: Announcement,
+        known: Upstream | None,
+        heard_s: float,
+        now_s: float,
+    ) -> None:
+        if known is not None and known.announcement == fresh:
+            heard_s = max(heard_s, known.heard_s)
+            self._upstreams[fresh.instance] = known._replace(heard_s=heard_s)
+            return
+        held_until_s = known.held_until_s if known else now_s
+        is_start = known is None or (
+            known.announcement.incarnation != fresh.incarnation
+        )
+        if is_start and self.is_complete(now_s):
+            held_until_s = self._flaps.note_start(fresh.instance, now_s)
+        self._remove(fresh.instance)
+        self._free_address(fresh)
+        upstream = Upstream(next(self._handles), fresh, heard_s, held_until_s)
+        self._upstreams[fresh.instance] = upstream
+        self._instances[upstream.handle] = fresh.instance
+        self._at_address[fresh.address] = fresh.instance
+
+    def _free_address(self, fresh: Announcement) -> None:
+        # Whoever listens at the address now is the one that announced last.
+        # Under the former name it would be counted, and sent work, twice.
+        other = self._at_address.get(fresh.address)
+        if other is not None:
+            self._remove(other)
+
+    def _remove(self, instance: str) -> None:
+        known = self._upstreams.pop(instance, None)
+        if known is not None:
+            self._instances.pop(known.handle)
+            self._at_address.pop(known.announcement.address, None)
+
+    def _describe(self, now_s: float) -> dict[str, RosterUpstream]:
+        silent = self._find_silent(now_s)
+        return {
+            name: RosterUpstream(
+                upstream.handle,
+                _describe(upstream, is_silent=name in silent, now_s=now_s),
+            )
+            for name, upstream in self._upstreams.items()
+        }
+
+    def _find_silent(self, now_s: float) -> set[str]:
+        # When most of a pool seems silent, it is likelier that the way to the
+        # leader is broken than that they all died at once. To suspect them
+        # all would stop a pool that works.
+        if not self.is_complete(now_s):
+            return set()
+        of_pool = Counter(one.pool for one in self.upstreams)
+        silent = [
             one.announcement
             for one in self._upstreams.values()
-            if one.lease_until_s <= now_s
-        )
-        for announcement in gone:
-            self._upstreams.pop(announcement.instance)
-        return gone
+            if one.heard_s <= now_s - SUSPECT_S
+        ]
+        silent_of_pool = Counter(one.pool for one in silent)
+        return {
+            one.instance
+            for one in silent
+            if 2 * silent_of_pool[one.pool] <= of_pool[one.pool]
+        }
+
+
+def _describe(
+    upstream: Upstream,
+    *,
+    is_silent: bool,
+    now_s: float,
+) -> Announcement:
+    announcement = upstream.announcement
+    if announcement.status is not UpstreamStatus.serving:
+        return announcement
+    if now_s < upstream.held_until_s:
+        return announcement._replace(status=UpstreamStatus.joining)
+    if is_silent:
+        return announcement._replace(status=UpstreamStatus.suspected)
+    return announcement
--- a/src/sardinemast/protocol/_messages.py
+++ b/src/sardinemast/protocol/_messages.py
@@ -42,9 +42,21 @@
 
 
 class ReportUpstreams(NamedTuple):
-    """Pass on what upstreams announced to this entry."""
+    """Pass on what upstreams announced, each ``ages_s`` before the sending."""
 
     announcements: tuple[Announcement, ...]
+    ages_s: tuple[float, ...] = ()
+
+
+class HeardUpstreams(NamedTuple):
+    """Renew the leases of upstreams that repeated what the leader knows.
+
+    ``handles`` is made by ``encode_handles`` and belongs to the ``epoch`` of
+    the roster that gave them.
+    """
+
+    epoch: int
+    handles: bytes
 
 
 class LeaseGranted(NamedTuple):
@@ -90,9 +102,19 @@
 
 
 class RosterChanged(NamedTuple):
-    """Send all upstreams that are there."""
+    """Send all upstreams that are there, or what has changed of them.
+
+    ``handles`` stand for the announcements in their order, ``gone`` for those
+    that ended. A list that is not complete lacks upstreams which a new
+    leader has not heard yet.
+    """
 
     announcements: tuple[Announcement, ...]
+    handles: tuple[int, ...] = ()
+    gone: tuple[int, ...] = ()
+    epoch: int = 0
+    is_whole: bool = True
+    is_complete: bool = True
 
 
 class NotLeader(NamedTuple):
@@ -101,11 +123,11 @@
     leader: str
 
 
-EntryMessage = RenewLease | ReportUpstreams
+EntryMessage = RenewLease | ReportUpstreams | HeardUpstreams
 ControlMessage = (
     LeaseGranted | StateReplaced | StateChanged | RosterChanged | NotLeader
 )
-ENTRY_MESSAGES = MessageSet(RenewLease, ReportUpstreams)
+ENTRY_MESSAGES = MessageSet(RenewLease, ReportUpstreams, HeardUpstreams)
 CONTROL_MESSAGES = MessageSet(
     LeaseGranted,
     StateReplaced,
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -14,7 +14,7 @@
 from sardinemast.admission import Arrival, Refusal, refuse_not_run
 from sardinemast.conf import Address
 from sardinemast.fleet import digest_key
-from sardinemast.membership import Announcement
+from sardinemast.membership import Announcement, is_sound
 from sardinemast.shell._identity import Identity
 from sardinemast.shell._operator_http import TimelineHandler
 from sardinemast.shell._upstream_client import filter_headers
@@ -89,12 +89,7 @@
     def post(self) -> None:
         """Pass the announcement on."""
         try:
-            plain = json.loads(self.request.body)
-            fields = [
-                plain.get(name, 'serving' if name == 'status' else None)
-                for name in Announcement._fields
-            ]
-            announcement = load_plain(Announcement, fields)
+            announcement = _read_announcement(self.request.body)
         except (ValueError, AttributeError, WireError):
             self.set_status(HTTPStatus.BAD_REQUEST)
             self.finish(
@@ -141,6 +136,18 @@
     return server
 
 
+def _read_announcement(body: bytes) -> Announcement:
+    plain = json.loads(body)
+    fields = [
+        plain.get(name, Announcement._field_defaults.get(name))
+        for name in Announcement._fields
+    ]
+    announcement: Announcement = load_plain(Announcement, fields)
+    if not is_sound(announcement):
+        raise WireError('membership.E001', 'A field is out of range.')
+    return announcement
+
+
 def _read_arrival(request: HTTPServerRequest) -> Arrival | Refusal:
     deadline_text = request.headers.get(DEADLINE_HEADER)
     try:
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -33,6 +33,12 @@
     base = folder / 'base.yaml'
     base.write_text(_BASE)
     wait_for(lambda: commands.apply(str(base), controls=fleet.controls))
+    for name in fleet.entry_names:
+        wait_for(partial(_is_ready, fleet.get_entry(name)))
+
+
+def _is_ready(address: str) -> bool:
+    return call(address, '/-/health').code == 200
 
 
 def _grant(fleet: Fleet, key_id: str) -> str:
