--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -19,7 +19,7 @@
 
 from sardinemast import entry
 from sardinemast.conf import Address
-from sardinemast.membership import Announcement
+from sardinemast.membership import Announcement, is_sound
 from sardinemast.shell._caller_exchange import (
     CallerDesk,
     CallerExchange,
@@ -217,10 +217,12 @@
 def _read_announcement(body: bytes) -> Announcement:
     plain = json.loads(body)
     fields = [
-        plain.get(name, 'serving' if name == 'status' else None)
+        plain.get(name, Announcement._field_defaults.get(name))
         for name in Announcement._fields
     ]
     announcement: Announcement = load_plain(Announcement, fields)
+    if not is_sound(announcement):
+        raise WireError('membership.E001', 'A field is out of range.')
     return announcement
 
 
