Recognise a caller's resend over all entries

A request with an Idempotency-Key runs only after a majority of the key's three holders, chosen by rendezvous hashing over the registered entries, has noted the claim in one epoch of the log's registrations. An entry that starts votes only on keys of which it has heard from the other holders. A resend gets the stored answer, in progress, or outcome unknown, never a second run.

Entries register the address at which others reach them.

Process tests: resends through three entries run once; an entry killed between sent and answer leaves its key in progress, then unknown, at every entry; a frozen entry stops no key; eight misbehaviours of upstreams. Fuzz: 2000 histories of 40 steps.

--- a/src/sardinemast/control/_entry_desk.py
+++ b/src/sardinemast/control/_entry_desk.py
@@ -35,7 +35,12 @@
         known = self._context.state.entries.get(event.entry)
         if known is None or known.incarnation != event.incarnation:
             self._context.propose(
-                RegisterEntry(event.entry, event.incarnation),
+                RegisterEntry(
+                    event.entry,
+                    event.incarnation,
+                    event.host,
+                    event.port,
+                ),
                 INTERNAL_REQUEST,
                 now_s,
             )
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -19,11 +19,13 @@
 
 
 class EntryConnected(NamedTuple):
-    """Tell that an entry opened a stream."""
+    """Tell that an entry opened a stream, and where others reach it."""
 
     stream_id: int
     entry: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
 
 class EntryReceived(NamedTuple):
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -21,10 +21,17 @@
 
 
 class EntryProcess(NamedTuple):
-    """Hold an entry process that may hold grants."""
+    """Hold an entry process that may hold grants.
+
+    Other entries reach it at ``host`` and ``port``. ``log_index`` is where
+    this start was registered.
+    """
 
     name: str
     incarnation: int
+    host: str = ''
+    port: int = 0
+    log_index: int = 0
 
 
 class Grant(NamedTuple):
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -55,6 +55,8 @@
 
     name: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
 
 class GrantChange(NamedTuple):
@@ -164,6 +166,9 @@
     state.entries[command.name] = EntryProcess(
         command.name,
         command.incarnation,
+        command.host,
+        command.port,
+        state.log_index,
     )
     return _accept(state)
 
--- /dev/null
+++ b/src/sardinemast/idempotency/_core.py
@@ -0,0 +1,284 @@
+"""Decide whether a request with an idempotency key may run."""
+
+from functools import singledispatchmethod
+from itertools import count
+from types import MappingProxyType
+from typing import NamedTuple
+
+from sardinemast.idempotency._events import (
+    ClaimDecided,
+    ClaimVerdict,
+    ClaimWanted,
+    IdempotencyEvent,
+    IdempotencyOutput,
+    OutcomeKnown,
+    PeerReceived,
+    SendToPeer,
+    Tick,
+    ViewChanged,
+)
+from sardinemast.idempotency._holder import Holder
+from sardinemast.idempotency._messages import (
+    Claim,
+    ClaimAsked,
+    ClaimEnded,
+    ClaimGranted,
+    ClaimId,
+    ClaimKnown,
+    ClaimOutcome,
+    Member,
+    PeerMessage,
+    SyncAnswered,
+    SyncAsked,
+    View,
+)
+from sardinemast.idempotency._records import RETAIN_S
+from sardinemast.idempotency._ring import get_holders, get_quorum
+
+CLAIM_TIMEOUT_S = 1.0
+_REPEAT_S = 0.1
+_VERDICTS = MappingProxyType(
+    {
+        ClaimOutcome.started: ClaimVerdict.in_progress,
+        ClaimOutcome.answered: ClaimVerdict.answered,
+        ClaimOutcome.unknown: ClaimVerdict.unknown,
+    }
+)
+
+
+class _Pending(NamedTuple):
+    """Hold a claim that holders have been asked for."""
+
+    request_id: int
+    claim: Claim
+    until_s: float
+    asked_s: float
+    granted: frozenset[str] = frozenset()
+    known: tuple[ClaimKnown, ...] = ()
+    known_by: frozenset[str] = frozenset()
+
+
+class IdempotencyCore:
+    """Claim keys for this entry's requests, and hold keys for all entries.
+
+    A request runs only after a majority of its key's holders has noted the
+    claim in one epoch of the view. Any two majorities share a holder, and
+    that one tells the later claim of the earlier one.
+    """
+
+    def __init__(self, own: Member, now_s: float) -> None:
+        self._own = own
+        self._view = View(0, ())
+        self._holder = Holder(own, now_s)
+        self._numbers = count(1)
+        self._pending: dict[ClaimId, _Pending] = {}
+        self._granted: dict[int, tuple[Claim, float]] = {}
+        self._synced_s = float('-inf')
+        self._outputs: list[IdempotencyOutput] = []
+
+    def step(
+        self,
+        event: IdempotencyEvent,
+        now_s: float,
+    ) -> list[IdempotencyOutput]:
+        """Take an event and give the outputs, to be carried out in order."""
+        self._outputs = []
+        # Grants that waited while this process was frozen are too old to
+        # count: the holders may have forgotten the claim.
+        self._give_up_late(now_s)
+        self._handle(event, now_s)
+        return self._outputs
+
+    @singledispatchmethod
+    def _handle(self, event: IdempotencyEvent, now_s: float) -> None:
+        raise TypeError(event)
+
+    @_handle.register
+    def _handle_tick(self, event: Tick, now_s: float) -> None:
+        self._holder.expire(now_s)
+        self._forget_granted(now_s)
+        if now_s >= self._synced_s + _REPEAT_S:
+            self._synced_s = now_s
+            for entry in self._holder.get_missing(now_s):
+                self._send(entry, SyncAsked(self._view.epoch), now_s)
+        for pending in tuple(self._pending.values()):
+            if now_s >= pending.asked_s + _REPEAT_S:
+                self._ask(pending, now_s)
+
+    @_handle.register
+    def _handle_view(self, event: ViewChanged, now_s: float) -> None:
+        if event.view.epoch <= self._view.epoch:
+            return
+        self._view = event.view
+        self._holder.take_view(event.view)
+        for claim_id, pending in tuple(self._pending.items()):
+            # A grant of an older epoch may be of a holder that has since
+            # lost its memory.
+            cleared = pending._replace(
+                granted=frozenset(), known=(), known_by=frozenset()
+            )
+            self._pending[claim_id] = cleared
+            self._ask(cleared, now_s)
+
+    @_handle.register
+    def _handle_wanted(self, event: ClaimWanted, now_s: float) -> None:
+        claim = Claim(
+            ClaimId(*self._own, next(self._numbers)),
+            event.key,
+            event.content,
+            event.bound_s,
+        )
+        pending = _Pending(
+            event.request_id, claim, now_s + CLAIM_TIMEOUT_S, now_s
+        )
+        self._pending[claim.claim_id] = pending
+        self._ask(pending, now_s)
+
+    @_handle.register
+    def _handle_outcome(self, event: OutcomeKnown, now_s: float) -> None:
+        granted = self._granted.pop(event.request_id, None)
+        if granted is not None:
+            self._end(granted[0], event.outcome, event, now_s)
+
+    @_handle.register
+    def _handle_peer(self, event: PeerReceived, now_s: float) -> None:
+        self._take(event.sender, event.message, now_s)
+
+    def _take(
+        self,
+        sender: Member,
+        message: PeerMessage,
+        now_s: float,
+    ) -> None:
+        if isinstance(message, ClaimGranted):
+            self._take_grant(sender, message, now_s)
+        elif isinstance(message, ClaimKnown):
+            self._take_known(sender, message, now_s)
+        elif isinstance(message, ClaimAsked):
+            reply = self._holder.take_claim(message, now_s)
+            if reply is not None:
+                self._send(sender.entry, reply, now_s)
+        elif isinstance(message, ClaimEnded):
+            self._holder.take_end(message)
+        elif isinstance(message, SyncAsked):
+            copies = self._holder.take_sync(sender, message, now_s)
+            if copies is not None:
+                self._send(sender.entry, copies, now_s)
+        elif isinstance(message, SyncAnswered):
+            self._holder.take_copies(sender, message, now_s)
+
+    def _ask(self, pending: _Pending, now_s: float) -> None:
+        claim_id = pending.claim.claim_id
+        self._pending[claim_id] = pending._replace(asked_s=now_s)
+        message = ClaimAsked(self._view.epoch, pending.claim)
+        for entry in self._get_holders(pending.claim.key):
+            if entry not in pending.granted:
+                self._send(entry, message, now_s)
+
+    def _take_grant(
+        self,
+        sender: Member,
+        message: ClaimGranted,
+        now_s: float,
+    ) -> None:
+        pending = self._pending.get(message.claim_id)
+        if (
+            pending is None
+            or message.epoch != self._view.epoch
+            or sender not in self._view.members
+        ):
+            return
+        pending = pending._replace(granted=pending.granted | {sender.entry})
+        self._pending[message.claim_id] = pending
+        holders = self._get_holders(pending.claim.key)
+        if len(pending.granted & set(holders)) >= get_quorum(holders):
+            self._pending.pop(message.claim_id)
+            self._granted[pending.request_id] = (pending.claim, now_s)
+            self._decide(pending, ClaimVerdict.granted)
+        else:
+            self._weigh_known(pending, now_s)
+
+    def _take_known(
+        self,
+        sender: Member,
+        message: ClaimKnown,
+        now_s: float,
+    ) -> None:
+        pending = self._pending.get(message.claim_id)
+        if pending is None:
+            return
+        pending = pending._replace(
+            known=(*pending.known, message),
+            known_by=pending.known_by | {sender.entry},
+        )
+        self._pending[message.claim_id] = pending
+        self._weigh_known(pending, now_s)
+
+    def _weigh_known(self, pending: _Pending, now_s: float) -> None:
+        ended = [
+            one
+            for one in pending.known
+            if one.outcome is not ClaimOutcome.started
+        ]
+        # A holder that missed the end still says that the request runs, so
+        # a second one is heard before that is believed.
+        heard = len(pending.granted | pending.known_by)
+        holders = self._get_holders(pending.claim.key)
+        if not ended and (not pending.known or heard < get_quorum(holders)):
+            return
+        best = min(
+            ended or pending.known,
+            key=lambda one: (
+                one.outcome is not ClaimOutcome.answered,
+                one.answer is None,
+            ),
+        )
+        self._withdraw(pending, now_s)
+        if best.content != pending.claim.content:
+            self._decide(pending, ClaimVerdict.mismatch)
+            return
+        self._outputs.append(
+            ClaimDecided(
+                pending.request_id, _VERDICTS[best.outcome], best.answer
+            )
+        )
+
+    def _give_up_late(self, now_s: float) -> None:
+        for pending in tuple(self._pending.values()):
+            if now_s >= pending.until_s:
+                self._withdraw(pending, now_s)
+                self._decide(pending, ClaimVerdict.unavailable)
+
+    def _forget_granted(self, now_s: float) -> None:
+        for request_id, (_, granted_s) in tuple(self._granted.items()):
+            if granted_s > now_s - RETAIN_S:
+                return
+            self._granted.pop(request_id)
+
+    def _withdraw(self, pending: _Pending, now_s: float) -> None:
+        self._pending.pop(pending.claim.claim_id, None)
+        released = OutcomeKnown(pending.request_id, ClaimOutcome.released)
+        self._end(pending.claim, ClaimOutcome.released, released, now_s)
+
+    def _end(
+        self,
+        claim: Claim,
+        outcome: ClaimOutcome,
+        event: OutcomeKnown,
+        now_s: float,
+    ) -> None:
+        message = ClaimEnded(claim.claim_id, claim.key, outcome, event.answer)
+        for entry in self._get_holders(claim.key):
+            self._send(entry, message, now_s)
+
+    def _decide(self, pending: _Pending, verdict: ClaimVerdict) -> None:
+        self._outputs.append(ClaimDecided(pending.request_id, verdict))
+
+    def _get_holders(self, key: bytes) -> tuple[str, ...]:
+        return get_holders(key, (one.entry for one in self._view.members))
+
+    def _send(self, entry: str, message: PeerMessage, now_s: float) -> None:
+        if entry == self._own.entry:
+            self._take(self._own, message, now_s)
+        else:
+            self._outputs.append(SendToPeer(entry, message))
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -11,14 +11,14 @@
 from websockets.exceptions import ConnectionClosed
 
 from sardinemast import consensus, control
-from sardinemast.conf import ControlAddress, ProcessSettings
+from sardinemast.conf import Address, ControlAddress, ProcessSettings
 from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
 from sardinemast.shell._identity import Identity, unseal
 from sardinemast.shell._links import LINK_OPTIONS, Outbox, PeerLink
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._operator_http import OperatorDesk, listen_for_operators
 from sardinemast.storage import LogStore, open_log_store
-from sardinemast.wire import WireError
+from sardinemast.wire import WireError, load_plain
 
 _log = Logger('control')
 
@@ -99,6 +99,7 @@
                 stream_id,
                 first.sender,
                 first.incarnation,
+                *load_plain(Address, first.body),
             ),
         )
         try:
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -2,19 +2,31 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from functools import singledispatchmethod
 from itertools import count
 
 from logbook import Logger
 from websockets.asyncio.client import ClientConnection
 
-from sardinemast import entry
+from sardinemast import entry, idempotency
 from sardinemast.admission import Arrival, Refusal
-from sardinemast.conf import ControlAddress, ProcessSettings
+from sardinemast.conf import Address, ControlAddress, ProcessSettings
+from sardinemast.fleet import find_team_by_key, get_pool
 from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
 from sardinemast.shell._caller_exchange import Answer, CallerAnswer
 from sardinemast.shell._caller_http import listen_for_callers
+from sardinemast.shell._entry_peers import EntryPeers
+from sardinemast.shell._headers import IDEMPOTENCY_HEADER
 from sardinemast.shell._identity import Identity, seal, unseal
+from sardinemast.shell._keyed_desk import KeyedDesk
+from sardinemast.shell._keyed_requests import (
+    check_key,
+    digest_content,
+    digest_parts,
+    limit_deadline,
+)
 from sardinemast.shell._links import LINK_ERRORS, Outbox, open_link
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._upstream_client import (
@@ -22,7 +34,7 @@
     CallerRequest,
     UpstreamClient,
 )
-from sardinemast.wire import WireError
+from sardinemast.wire import WireError, dump_plain
 
 _log = Logger('entry')
 _STREAM_ERRORS = (*LINK_ERRORS, WireError)
@@ -48,13 +60,18 @@
         )
         self.identity = identity
         self._controls = list(settings.controls)
+        self._data_centre = settings.data_centre
         self._request_ids = count(1)
+        self._arrivals: dict[int, Arrival] = {}
         self._requests: dict[int, CallerRequest] = {}
         self._callers: dict[int, Answer] = {}
         self._attempts: dict[int, Attempt] = {}
         self._sending: set[asyncio.Task[None]] = set()
         self._outbox: Outbox | None = None
         self.client = UpstreamClient()
+        self.peers = EntryPeers(identity)
+        self._peer_address = Address('', 0)
+        self._keys = KeyedDesk(self.peers, self._admit, self._answer)
 
     def is_ready(self) -> bool:
         """Tell the balancer whether to send requests here."""
@@ -78,15 +95,30 @@
         request_id = next(self._request_ids)
         self._requests[request_id] = request
         self._callers[request_id] = answer
-        arrival = arrival._replace(request_id=request_id)
-        self.loop.put(entry.RequestArrived(arrival))
+        self._arrivals[request_id] = arrival._replace(request_id=request_id)
+        key = check_key(request.headers, IDEMPOTENCY_HEADER)
+        if isinstance(key, Refusal):
+            self._answer(request_id, key)
+        elif key is None:
+            self._admit(request_id)
+        else:
+            self._claim(request_id, key)
         return request_id
 
     def forget_caller(self, request_id: int) -> None:
         """Note that nobody waits for the answer any more."""
         if self._callers.pop(request_id, None) is not None:
             self._requests.pop(request_id, None)
+            self._arrivals.pop(request_id, None)
             self.loop.put(entry.CallerLeft(request_id))
+            self._keys.note_left(request_id)
+
+    @asynccontextmanager
+    async def listen_for_peers(self, host: str) -> AsyncIterator[None]:
+        """Keep a port for other entries open."""
+        async with self.peers.listen(host) as address:
+            self._peer_address = address
+            yield
 
     async def hold_control_link(self) -> None:
         """Keep a stream to the leader until cancelled."""
@@ -101,9 +133,35 @@
             self._controls.append(self._controls.pop(0))
             await asyncio.sleep(_RECONNECT_S)
 
+    def _claim(self, request_id: int, key: str) -> None:
+        arrival = self._arrivals[request_id]
+        state = self.core.state
+        pool = get_pool(state, arrival.pool, self._data_centre)
+        if pool is None or isinstance(self.check_head(arrival), Refusal):
+            self._admit(request_id)
+            return
+        left_s = limit_deadline(arrival.deadline_s, pool.deadline_s)
+        self._arrivals[request_id] = arrival._replace(deadline_s=left_s)
+        team = find_team_by_key(state, arrival.key_digest) or ''
+        self._keys.claim(
+            idempotency.ClaimWanted(
+                request_id,
+                digest_parts(team, arrival.pool, key),
+                digest_content(self._requests[request_id]),
+                left_s + idempotency.CLAIM_TIMEOUT_S,
+            ),
+        )
+
+    def _admit(self, request_id: int) -> bool:
+        arrival = self._arrivals.pop(request_id, None)
+        if arrival is None or request_id not in self._callers:
+            return False
+        self.loop.put(entry.RequestArrived(arrival))
+        return True
+
     async def _read_control(self, address: ControlAddress) -> None:
         async with open_link(address.peer, '/entry') as link:
-            await link.send(seal(self.identity, None))
+            await link.send(seal(self.identity, dump_plain(self._peer_address)))
             outbox = Outbox(link.send, self.identity)
             sending = asyncio.create_task(outbox.run())
             self._outbox = outbox
@@ -122,6 +180,7 @@
                 self._prefer(message.leader)
                 return
             self.loop.put(entry.ControlReceived(message))
+            self.peers.take_entries(self.core.state.entries.values())
 
     def _prefer(self, leader: str) -> None:
         # The list is turned by one after each stream, so the leader is put
@@ -142,6 +201,7 @@
             request=output.request_id,
             upstream=output.upstream.instance,
         )
+        self._keys.note_sent(output.request_id)
         task = asyncio.create_task(self._attempt(output))
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
@@ -173,6 +233,8 @@
             self._outbox.put(ENTRY_MESSAGES.pack(output.message))
 
     def _answer(self, request_id: int, answer: CallerAnswer) -> None:
+        self._keys.note_answer(request_id, answer)
+        self._arrivals.pop(request_id, None)
         self._requests.pop(request_id, None)
         give_answer = self._callers.pop(request_id, None)
         if give_answer is not None:
@@ -192,12 +254,14 @@
 async def run_entry(settings: ProcessSettings, identity: Identity) -> None:
     """Run the role entry until cancelled."""
     shell = EntryShell(settings, identity)
-    server = listen_for_callers(shell, settings.callers)
-    try:
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(shell.loop.run())
-            tasks.create_task(shell.client.run())
-            tasks.create_task(shell.hold_control_link())
-            _log.info('Entry {} listens.', settings.name)
-    finally:
-        server.stop()
+    async with shell.listen_for_peers(settings.callers.host):
+        server = listen_for_callers(shell, settings.callers)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(shell.loop.run())
+                tasks.create_task(shell.client.run())
+                tasks.create_task(shell.peers.loop.run())
+                tasks.create_task(shell.hold_control_link())
+                _log.info('Entry {} listens.', settings.name)
+        finally:
+            server.stop()
--- /dev/null
+++ b/src/sardinemast/shell/_entry_peers.py
@@ -0,0 +1,120 @@
+"""Streams between entries, over which they hold idempotency keys."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager, suppress
+from functools import singledispatchmethod
+
+from logbook import Logger
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed
+
+from sardinemast import idempotency
+from sardinemast.conf import Address
+from sardinemast.fleet import EntryProcess
+from sardinemast.shell._identity import Identity, unseal
+from sardinemast.shell._links import LINK_OPTIONS, PeerLink
+from sardinemast.shell._loop import CoreLoop
+from sardinemast.wire import WireError
+
+_log = Logger('keys')
+
+Decide = Callable[[idempotency.ClaimDecided], None]
+
+
+class EntryPeers:
+    """Own the core of idempotency keys and the streams to other entries."""
+
+    def __init__(self, identity: Identity) -> None:
+        own = idempotency.Member(identity.name, identity.incarnation)
+        core = idempotency.IdempotencyCore(own, time.monotonic())
+        self.loop = CoreLoop[
+            idempotency.IdempotencyEvent,
+            idempotency.IdempotencyOutput,
+        ](core.step, self._execute, idempotency.Tick())
+        self._identity = identity
+        self._epoch = 0
+        self._addresses: dict[str, Address] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._outboxes: dict[str, PeerLink] = {}
+        self._deciding: dict[int, Decide] = {}
+
+    @asynccontextmanager
+    async def listen(self, host: str) -> AsyncIterator[Address]:
+        """Keep a port for other entries open, and give its address."""
+        async with serve(self._read, host, 0, **LINK_OPTIONS) as server:
+            port = next(iter(server.sockets)).getsockname()[1]
+            try:
+                yield Address(host, port)
+            finally:
+                self._close()
+
+    def claim(
+        self,
+        wanted: idempotency.ClaimWanted,
+        decide: Decide,
+    ) -> None:
+        """Ask whether a request may run."""
+        self._deciding[wanted.request_id] = decide
+        self.loop.put(wanted)
+
+    def take_entries(self, entries: Iterable[EntryProcess]) -> None:
+        """Take the entries as the state has them."""
+        known = tuple(entries)
+        epoch = max((one.log_index for one in known), default=0)
+        if epoch <= self._epoch:
+            return
+        self._epoch = epoch
+        for other in known:
+            if other.name != self._identity.name:
+                self._connect(other.name, Address(other.host, other.port))
+        members = [
+            idempotency.Member(one.name, one.incarnation) for one in known
+        ]
+        view = idempotency.View(epoch, tuple(members))
+        self.loop.put(idempotency.ViewChanged(view))
+
+    def _close(self) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _connect(self, name: str, address: Address) -> None:
+        if self._addresses.get(name) == address:
+            return
+        former = self._tasks.get(name)
+        if former is not None:
+            former.cancel()
+        link = PeerLink(self._identity, address)
+        self._addresses[name] = address
+        self._outboxes[name] = link
+        self._tasks[name] = asyncio.create_task(link.run())
+
+    async def _read(self, link: ServerConnection) -> None:
+        with suppress(ConnectionClosed, WireError):
+            async for frame in link:
+                envelope = unseal(self._identity, frame)
+                sender = idempotency.Member(
+                    envelope.sender, envelope.incarnation
+                )
+                message = idempotency.PEER_MESSAGES.unpack(envelope.body)
+                self.loop.put(idempotency.PeerReceived(sender, message))
+
+    @singledispatchmethod
+    def _execute(self, output: idempotency.IdempotencyOutput) -> None:
+        raise TypeError(output)
+
+    @_execute.register
+    def _execute_send(self, output: idempotency.SendToPeer) -> None:
+        link = self._outboxes.get(output.entry)
+        if link is not None:
+            link.send(idempotency.PEER_MESSAGES.pack(output.message))
+
+    @_execute.register
+    def _execute_decision(self, output: idempotency.ClaimDecided) -> None:
+        self._identity.recorder.record(
+            'key decided',
+            request=output.request_id,
+            verdict=str(output.verdict),
+        )
+        self._deciding.pop(output.request_id)(output)
--- a/src/sardinemast/standins/upstream.py
+++ b/src/sardinemast/standins/upstream.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import time
+from collections import Counter
 from contextlib import suppress
 from typing import Any, NamedTuple
 
@@ -12,6 +13,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from sardinemast.standins._misbehaviour import MISBEHAVIOURS, RunsHandler
+
 _ANNOUNCE_S = 0.5
 _MS_PER_S = 1000
 _HOST = '127.0.0.1'
@@ -21,6 +24,8 @@
     name: str
     pool: str
     delay_s: float
+    behaviour: str
+    runs: Counter[str]
 
 
 class _EchoHandler(RequestHandler):
@@ -28,6 +33,11 @@
         self._options = options
 
     async def prepare(self) -> None:
+        self._options.runs[str(self.request.uri)] += 1
+        misbehave = MISBEHAVIOURS.get(self._options.behaviour)
+        if misbehave is not None:
+            await misbehave(self)
+            return
         if self._options.delay_s:
             await asyncio.sleep(self._options.delay_s)
         self.finish(
@@ -49,9 +59,10 @@
     data_centre: str = 'local',
     rack: str = 'rack-1',
     delay_s: float = 0,
+    behaviour: str = 'good',
 ) -> None:
     """Serve until SIGTERM; ``entries`` lists HOST:PORT with commas."""
-    options = _Options(name, pool, delay_s)
+    options = _Options(name, pool, delay_s, behaviour, Counter())
     asyncio.run(_serve(options, entries, port, (data_centre, rack)))
 
 
@@ -64,7 +75,10 @@
     sockets = bind_sockets(port, _HOST)
     server = HTTPServer(
         Application(
-            [('/.*', _EchoHandler, {'options': options})],
+            [
+                ('/-/runs', RunsHandler, {'runs': options.runs}),
+                ('/.*', _EchoHandler, {'options': options}),
+            ],
             log_function=_skip_log,
         ),
     )
--- /dev/null
+++ b/tests/builders/claims.py
@@ -0,0 +1,105 @@
+"""Entries that hold keys together, and the messages between them."""
+
+from typing import NamedTuple
+
+from sardinemast.idempotency import (
+    ClaimDecided,
+    ClaimWanted,
+    IdempotencyCore,
+    IdempotencyEvent,
+    Member,
+    OutcomeKnown,
+    PeerMessage,
+    PeerReceived,
+    SendToPeer,
+    Tick,
+    View,
+    ViewChanged,
+)
+
+NAMES = ('entry-1', 'entry-2', 'entry-3', 'entry-4')
+BOUND_S = 30.0
+
+
+class Envelope(NamedTuple):
+    """Hold a message under way."""
+
+    sender: Member
+    to: str
+    message: PeerMessage
+
+
+class Node:
+    """Hold one start of an entry."""
+
+    def __init__(self, own: Member, now_s: float) -> None:
+        self.own = own
+        self.core = IdempotencyCore(own, now_s)
+        self.applied = 0
+        self.held: dict[int, bytes] = {}
+
+
+class Entries:
+    """Hold some entries, their log of registrations and a bag of messages."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        self.log: list[Member] = []
+        self.nodes: dict[str, Node] = {}
+        self.bag: list[Envelope] = []
+        self.decided: dict[int, ClaimDecided] = {}
+        self.last_request = 0
+
+    def start(self, name: str, *, sees_log: bool = True) -> None:
+        """Start an entry, with no memory of a former start."""
+        own = Member(name, len(self.log) + 1)
+        self.log.append(own)
+        self.nodes[name] = Node(own, self.now_s)
+        if sees_log:
+            self.catch_up(name)
+
+    def catch_up(self, name: str) -> None:
+        """Let an entry apply the whole log."""
+        node = self.nodes[name]
+        node.applied = len(self.log)
+        newest = {one.entry: one for one in self.log}
+        view = View(node.applied, tuple(newest.values()))
+        self.feed(name, ViewChanged(view))
+
+    def feed(self, name: str, event: IdempotencyEvent) -> None:
+        """Feed an event to an entry, and take what it says."""
+        node = self.nodes[name]
+        for output in node.core.step(event, self.now_s):
+            if isinstance(output, SendToPeer):
+                self.bag.append(
+                    Envelope(node.own, output.entry, output.message)
+                )
+            else:
+                self.decided[output.request_id] = output
+
+    def claim(self, name: str, key: bytes, content: bytes = b'c') -> int:
+        """Let an entry claim a key, and give the request's id."""
+        self.last_request += 1
+        request_id = self.last_request
+        self.feed(name, ClaimWanted(request_id, key, content, BOUND_S))
+        return request_id
+
+    def end(self, name: str, known: OutcomeKnown) -> None:
+        """Tell how a granted request ended."""
+        self.feed(name, known)
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Deliver a message, where its receiver is up."""
+        if envelope.to in self.nodes:
+            self.feed(
+                envelope.to, PeerReceived(envelope.sender, envelope.message)
+            )
+
+    def settle(self) -> None:
+        """Deliver all, with some ticks between."""
+        for _ in range(5):
+            for name in tuple(self.nodes):
+                self.feed(name, Tick())
+            while self.bag:
+                self.deliver(self.bag.pop(0))
+            self.now_s += 0.11
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -31,7 +31,7 @@
         self.entry_names = [
             f'entry-{number}' for number in range(1, entry_count + 1)
         ]
-        ports = iter(_find_ports(2 * control_count + entry_count))
+        ports = iter(find_ports(2 * control_count + entry_count))
         self._controls: list[dict[str, Any]] = [
             {
                 'name': name,
@@ -159,7 +159,8 @@
         client.close()
 
 
-def _find_ports(count: int) -> list[int]:
+def find_ports(count: int) -> list[int]:
+    """Give free ports."""
     # All sockets stay open until the last port is known, so that the system
     # gives no port twice.
     with ExitStack() as stack:
--- /dev/null
+++ b/tests/idempotency/test_claims_fuzz.py
@@ -0,0 +1,155 @@
+"""Fuzz entries that hold keys together: at most one run of each key."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from builders.claims import NAMES, Entries
+from sardinemast.idempotency import (
+    CLAIM_TIMEOUT_S,
+    RETAIN_S,
+    ClaimDecided,
+    ClaimOutcome,
+    ClaimVerdict,
+    OutcomeKnown,
+    Tick,
+)
+
+_NAME = st.sampled_from(NAMES)
+_KEY = st.sampled_from((b'a', b'b'))
+_ANY = st.integers(min_value=0, max_value=999)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Hold four entries and the messages between them.
+
+    The oracle notes when a key was granted. A granted request counts as run,
+    unless its entry says that it was not sent.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._entries = Entries()
+        self._keys: dict[int, tuple[str, bytes]] = {}
+        self._granted: dict[int, tuple[str, bytes]] = {}
+        self._run_s: dict[bytes, float] = {}
+        for name in NAMES[:3]:
+            self._entries.start(name)
+            for other in self._entries.nodes:
+                self._entries.catch_up(other)
+            self._entries.settle()
+
+    @rule(name=_NAME, sees_log=st.booleans())
+    def start(self, name: str, sees_log: bool) -> None:
+        """Start an entry, or kill it and start it again."""
+        self._lose(name)
+        self._entries.start(name, sees_log=sees_log)
+        self._check()
+
+    @rule(name=_NAME)
+    def kill(self, name: str) -> None:
+        """Kill an entry."""
+        self._lose(name)
+        self._entries.nodes.pop(name, None)
+
+    @rule(name=_NAME)
+    def catch_up(self, name: str) -> None:
+        """Let an entry hear of the newest entries."""
+        if name in self._entries.nodes:
+            self._entries.catch_up(name)
+            self._check()
+
+    @rule(name=_NAME, key=_KEY)
+    def claim(self, name: str, key: bytes) -> None:
+        """Let a caller send or resend a request."""
+        if name in self._entries.nodes:
+            self._keys[self._entries.last_request + 1] = (name, key)
+            self._entries.claim(name, key)
+            self._check()
+
+    @rule(choice=_ANY, outcome=st.sampled_from(ClaimOutcome))
+    def end(self, choice: int, outcome: ClaimOutcome) -> None:
+        """End a request that was granted."""
+        if self._granted and outcome is not ClaimOutcome.started:
+            request_id = sorted(self._granted)[choice % len(self._granted)]
+            name, key = self._granted.pop(request_id)
+            if outcome is ClaimOutcome.released:
+                self._run_s.pop(key)
+            self._entries.end(name, OutcomeKnown(request_id, outcome))
+            self._check()
+
+    @rule(choices=st.lists(_ANY, min_size=1, max_size=12))
+    def deliver(self, choices: list[int]) -> None:
+        """Deliver messages in any order."""
+        bag = self._entries.bag
+        for choice in choices:
+            if bag:
+                self._entries.deliver(bag.pop(choice % len(bag)))
+                self._check()
+
+    @rule(choice=_ANY)
+    def repeat(self, choice: int) -> None:
+        """Deliver a message that will come again."""
+        bag = self._entries.bag
+        if bag:
+            self._entries.deliver(bag[choice % len(bag)])
+            self._check()
+
+    @rule(name=_NAME)
+    def cut(self, name: str) -> None:
+        """Lose all that is under way to an entry."""
+        kept = [one for one in self._entries.bag if one.to != name]
+        self._entries.bag = kept
+
+    @rule()
+    def settle(self) -> None:
+        """Let everything arrive."""
+        for name in tuple(self._entries.nodes):
+            self._entries.feed(name, Tick())
+            self._check()
+        while self._entries.bag:
+            self._entries.deliver(self._entries.bag.pop(0))
+            self._check()
+
+    @rule(
+        passed_s=st.sampled_from((0.11, 0.11, 1.0, 31.0, RETAIN_S)),
+        names=st.sets(_NAME),
+    )
+    def pass_time(self, passed_s: float, names: set[str]) -> None:
+        """Let time pass; entries that are not named are frozen."""
+        self._entries.now_s += passed_s
+        for name in sorted(names & self._entries.nodes.keys()):
+            self._entries.feed(name, Tick())
+            self._check()
+
+    def _lose(self, name: str) -> None:
+        # What the entry had sent may run on, so it still counts.
+        for request_id, (holder, _) in tuple(self._granted.items()):
+            if holder == name:
+                self._granted.pop(request_id)
+
+    def _check(self) -> None:
+        decided = self._entries.decided
+        while decided:
+            request_id, decision = decided.popitem()
+            self._check_decision(request_id, decision)
+
+    def _check_decision(self, request_id: int, decided: ClaimDecided) -> None:
+        name, key = self._keys.pop(request_id)
+        if decided.verdict is ClaimVerdict.granted:
+            earlier_s = self._run_s.get(key, float('-inf'))
+            retained_s = RETAIN_S - CLAIM_TIMEOUT_S
+            assert self._entries.now_s >= earlier_s + retained_s
+            self._run_s[key] = self._entries.now_s
+            self._granted[request_id] = (name, key)
+        elif decided.verdict is ClaimVerdict.answered:
+            assert key in self._run_s
+
+
+TestClaims = pytest.mark.fuzz(ClaimMachine.TestCase)
+TestClaims.settings = settings(
+    max_examples=2000,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/processes/test_requests.py
@@ -0,0 +1,193 @@
+"""Requests through real processes that are killed, frozen or misbehave."""
+
+import json
+import signal
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tornado.httpclient import HTTPResponse
+
+from builders import Fleet, run_fleet
+from builders.processes import call, find_ports, wait_for
+from sardinemast.cli import commands
+
+_POOLS = (
+    'enrolment',
+    'slow',
+    'silent',
+    'failing',
+    'reset',
+    'truncated',
+    'crossed',
+    'overlong',
+    'lengths',
+)
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    """Run one control process and three entries."""
+    with run_fleet(tmp_path, control_count=1) as running:
+        yield running
+
+
+def _declare(fleet: Fleet) -> str:
+    pools = ', '.join(f'{pool}: {{deadline_s: 4}}' for pool in _POOLS)
+    base = fleet.folder / 'base.yaml'
+    base.write_text(
+        'sites: {rennes: {region: brittany}}\n'
+        f'pools: {{{pools}}}\n'
+        'teams: {petits-pixels: {share: 1, limit: 60}}\n'
+    )
+    wait_for(lambda: commands.apply(str(base), controls=fleet.controls))
+    granted = commands.grant_key(
+        'petits-pixels', 'requests', controls=fleet.controls
+    )
+    return str(granted['key'])
+
+
+def _start(fleet: Fleet, pool: str, *options: str) -> str:
+    port = find_ports(1)[0]
+    fleet.start_upstream(
+        f'{pool}-1', f'--pool={pool}', f'--port={port}', *options
+    )
+    return f'127.0.0.1:{port}'
+
+
+def _wait_until_served(fleet: Fleet, key: str) -> None:
+    for name in fleet.entry_names:
+        address = fleet.get_entry(name)
+        wait_for(partial(_is_served, address, key))
+
+
+def _is_served(address: str, key: str) -> bool:
+    return call(address, '/enrolment/up', key).code == HTTPStatus.OK
+
+
+def _is_unknown(address: str, key: str) -> bool:
+    return bool(_get_code(_book(address, key)) == 'idempotency.E006')
+
+
+def _book(
+    address: str, key: str, path: str = '/enrolment/book'
+) -> HTTPResponse:
+    headers = {'Idempotency-Key': 'seat-7'}
+    return call(
+        address, path, key, method='POST', body=b'seat 7', headers=headers
+    )
+
+
+def _count_runs(upstream: str, path: str = '/enrolment/book') -> int:
+    return int(json.loads(call(upstream, '/-/runs').body).get(path, 0))
+
+
+def _get_code(response: HTTPResponse) -> Any:
+    return json.loads(response.body).get('code')
+
+
+def test_resend_through_any_entry_runs_once(fleet: Fleet) -> None:
+    """A caller sends a booking again through the other entries.
+
+    The answer was lost on the way. Run again, a family pays twice.
+    """
+    key = _declare(fleet)
+    upstream = _start(fleet, 'enrolment')
+    _wait_until_served(fleet, key)
+    answers = [
+        wait_for(partial(_get_served, fleet.get_entry(name), key))
+        for name in fleet.entry_names
+    ]
+    assert len({answer.body for answer in answers}) == 1
+    assert 'Idempotent-Replayed' in answers[1].headers
+    assert _count_runs(upstream) == 1
+
+
+def _get_served(address: str, key: str) -> HTTPResponse | None:
+    response = _book(address, key)
+    return response if response.code == 200 else None
+
+
+def test_entry_killed_between_sent_and_answer(fleet: Fleet) -> None:
+    """An entry is killed after it sent a booking and before the answer.
+
+    The caller sees its connection break and sends the booking again to
+    another entry. It must not run again.
+    """
+    key = _declare(fleet)
+    upstream = _start(fleet, 'enrolment', '--delay_s=1')
+    _wait_until_served(fleet, key)
+    with ThreadPoolExecutor() as threads:
+        first: Future[HTTPResponse] = threads.submit(
+            _book, fleet.get_entry('entry-1'), key
+        )
+        wait_for(lambda: _count_runs(upstream))
+        fleet.kill('entry-1')
+        resent = _book(fleet.get_entry('entry-2'), key)
+        assert _get_code(resent) == 'idempotency.E003'
+        assert first.exception()
+    fleet.start('entry-1')
+    for name in fleet.entry_names:
+        address = fleet.get_entry(name)
+        wait_for(partial(_is_unknown, address, key))
+    assert _count_runs(upstream) == 1
+
+
+def test_frozen_entry_stops_no_key(fleet: Fleet) -> None:
+    """An entry is frozen; the others go on to tell resends apart."""
+    key = _declare(fleet)
+    upstream = _start(fleet, 'enrolment')
+    _wait_until_served(fleet, key)
+    fleet.signal('entry-1', signal.SIGSTOP)
+    for name in ('entry-2', 'entry-3'):
+        address = fleet.get_entry(name)
+        wait_for(partial(_get_served, address, key))
+    fleet.signal('entry-1', signal.SIGCONT)
+    wait_for(lambda: _get_served(fleet.get_entry('entry-1'), key))
+    assert _count_runs(upstream) == 1
+
+
+def test_misbehaving_upstreams(fleet: Fleet) -> None:
+    """Upstreams break their answers in every way.
+
+    A caller gets the whole answer to its own request or is told what is
+    known, and the entry goes on.
+    """
+    key = _declare(fleet)
+    for pool in _POOLS:
+        _start(fleet, pool, f'--behaviour={pool}')
+    _wait_until_served(fleet, key)
+    address = fleet.get_entry('entry-1')
+    found = {
+        pool: wait_for(partial(_ask_known, address, pool, key))
+        for pool in _POOLS[1:]
+    }
+    broken = (502, 'routing.E002')
+    assert found == {
+        'slow': (200, b'slow'),
+        'silent': (504, 'routing.E001'),
+        'failing': (500, b'failed'),
+        'reset': broken,
+        'truncated': broken,
+        'crossed': (200, b'whole'),
+        'overlong': (200, b'whole'),
+        'lengths': broken,
+    }
+    assert _ask(address, 'crossed', key) == (200, b'whole')
+
+
+def _ask_known(address: str, pool: str, key: str) -> Any:
+    # Until its upstream is announced, a pool refuses for lack of a slot.
+    found = _ask(address, pool, key)
+    return None if found[1] == 'admission.E008' else found
+
+
+def _ask(address: str, pool: str, key: str) -> tuple[int, Any]:
+    response = call(address, f'/{pool}/x', key, method='POST', body=b'x')
+    if 'Sardinemast-Outcome' in response.headers:
+        return response.code, _get_code(response)
+    return response.code, response.body
