--- a/src/sardinemast/fleet/_entry_commands.py
+++ b/src/sardinemast/fleet/_entry_commands.py
@@ -15,6 +15,8 @@
 
     name: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
 
 class RetireEntry(NamedTuple):
@@ -38,6 +40,9 @@
         command.name,
         command.incarnation,
         former,
+        command.host,
+        command.port,
+        state.log_index,
     )
     return accept(state)
 
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -28,12 +28,17 @@
 class EntryProcess(NamedTuple):
     """Hold an entry process that may have a lease and hold grants.
 
-    ``former`` are earlier incarnations whose last lease may still run.
+    ``former`` are earlier incarnations whose last lease may still run. Other
+    entries reach it at ``host`` and ``port``. ``log_index`` is where this
+    start was registered.
     """
 
     name: str
     incarnation: int
     former: tuple[int, ...] = ()
+    host: str = ''
+    port: int = 0
+    log_index: int = 0
 
 
 class Grant(NamedTuple):
--- a/src/sardinemast/fleet/_streams.py
+++ b/src/sardinemast/fleet/_streams.py
@@ -38,7 +38,10 @@
     entry: str,
     incarnation: int,
 ) -> FleetImage:
-    """Give what an entry needs of the state."""
+    """Give what an entry needs of the state.
+
+    It needs the other entries too: they hold idempotency keys together.
+    """
     grants = tuple(
         grant
         for grant in state.grants.values()
@@ -46,7 +49,6 @@
     )
     return dump_state(state)._replace(
         grants=grants,
-        entries=(),
         remembered=(),
         history=(),
     )
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -5,22 +5,26 @@
 from functools import singledispatchmethod
 from itertools import count
 from random import Random
-from typing import Any
 
 from logbook import Logger
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed
 
 from sardinemast import consensus, control
-from sardinemast.conf import ControlAddress, ProcessSettings
+from sardinemast.conf import Address, ControlAddress, ProcessSettings
 from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
-from sardinemast.shell._identity import Identity, unseal
-from sardinemast.shell._links import LINK_OPTIONS, Outbox, PeerLink
+from sardinemast.shell._identity import Identity
+from sardinemast.shell._links import (
+    LINK_OPTIONS,
+    Outbox,
+    PeerLink,
+    unseal_from,
+)
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._operator_http import OperatorDesk, listen_for_operators
-from sardinemast.shell._security import Access, Unit
+from sardinemast.shell._security import Access
 from sardinemast.storage import LogStore, open_log_store
-from sardinemast.wire import Envelope, WireError
+from sardinemast.wire import WireError, load_plain
 
 _log = Logger('control')
 
@@ -89,12 +93,17 @@
 
     async def _read_peer(self, link: ServerConnection) -> None:
         async for frame in link:
-            envelope = self._unseal(link, frame)
+            envelope = unseal_from(link, frame, self._identity, self._access)
             message = consensus.MESSAGES.unpack(envelope.body)
             self.loop.put(control.PeerReceived(envelope.sender, message))
 
     async def _read_entry(self, link: ServerConnection) -> None:
-        first = self._unseal(link, await link.recv())
+        first = unseal_from(
+            link,
+            await link.recv(),
+            self._identity,
+            self._access,
+        )
         stream_id = next(self._stream_ids)
         outbox = Outbox(link.send, self._identity)
         sending = asyncio.create_task(outbox.run())
@@ -104,11 +113,14 @@
                 stream_id,
                 first.sender,
                 first.incarnation,
+                *load_plain(Address, first.body),
             ),
         )
         try:
             async for frame in link:
-                envelope = unseal(self._identity, frame)
+                envelope = unseal_from(
+                    link, frame, self._identity, self._access
+                )
                 message = ENTRY_MESSAGES.unpack(envelope.body)
                 self.loop.put(control.EntryReceived(stream_id, message))
         finally:
@@ -119,16 +131,6 @@
         self._outboxes.pop(stream_id)
         self.loop.put(control.EntryDisconnected(stream_id))
 
-    def _unseal(self, link: ServerConnection, frame: Any) -> Envelope:
-        envelope = unseal(self._identity, frame)
-        tls = link.transport.get_extra_info('ssl_object')
-        if not self._access.is_allowed(tls, Unit.process, envelope.sender):
-            raise WireError(
-                'wire.E006',
-                f'The certificate is not that of {envelope.sender!r}.',
-            )
-        return envelope
-
     @singledispatchmethod
     def _execute(self, output: control.ControlOutput) -> None:
         raise TypeError(output)
--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -8,12 +8,13 @@
 
 from logbook import Logger
 from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from sardinemast.conf import Address
-from sardinemast.shell._identity import Identity, seal
-from sardinemast.shell._security import Access
-from sardinemast.wire import MAX_FRAME_BYTES
+from sardinemast.shell._identity import Identity, seal, unseal
+from sardinemast.shell._security import Access, Unit
+from sardinemast.wire import MAX_FRAME_BYTES, Envelope, WireError
 
 _log = Logger('link')
 _QUEUE_FRAMES = 1024
@@ -52,6 +53,27 @@
         yield link
 
 
+def unseal_from(
+    link: ServerConnection,
+    frame: Any,
+    identity: Identity,
+    access: Access,
+) -> Envelope:
+    """Read a frame of a process that proved its name.
+
+    Raises ``WireError`` for what is no frame, and ``wire.E006`` where the
+    sender's name is not that of the certificate.
+    """
+    envelope = unseal(identity, frame)
+    tls = link.transport.get_extra_info('ssl_object')
+    if not access.is_allowed(tls, Unit.process, envelope.sender):
+        raise WireError(
+            'wire.E006',
+            f'The certificate is not that of {envelope.sender!r}.',
+        )
+    return envelope
+
+
 class PeerLink:
     """Send messages to one peer, in order, over a stream that comes back.
 
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -36,7 +36,7 @@
         self.entry_names = [
             f'entry-{number}' for number in range(1, entry_count + 1)
         ]
-        ports = iter(_find_ports(2 * control_count + entry_count))
+        ports = iter(find_ports(2 * control_count + entry_count))
         self._controls: list[dict[str, Any]] = [
             {
                 'name': name,
@@ -65,7 +65,7 @@
 
     def add_entry(self, name: str) -> None:
         """Find a port for one more entry."""
-        self._entry_ports[name] = _find_ports(1)[0]
+        self._entry_ports[name] = find_ports(1)[0]
 
     def start(self, name: str) -> None:
         """Start a control process or an entry."""
@@ -187,7 +187,8 @@
     return call(address, '/-/health').code == HTTPStatus.OK
 
 
-def _find_ports(count: int) -> list[int]:
+def find_ports(count: int) -> list[int]:
+    """Give free ports."""
     # All sockets stay open until the last port is known, so that the system
     # gives no port twice.
     with ExitStack() as stack:
