--- a/src/sardinemast/consensus/_events.py
+++ b/src/sardinemast/consensus/_events.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from sardinemast.consensus._messages import LogEntry, Message
+from sardinemast.consensus._messages import LogEntry, Message, Snapshot
 
 
 class Role(StrEnum):
@@ -25,11 +25,24 @@
     """Tell the replica that time has passed."""
 
 
+class Route(NamedTuple):
+    """Say from which folder to which a message goes.
+
+    An empty recipient is whoever runs under the name. All fields are empty
+    where replicas run without identities.
+    """
+
+    sender: str = ''
+    recipient: str = ''
+    cluster: str = ''
+
+
 class MessageReceived(NamedTuple):
-    """Hand over a message of another replica."""
+    """Hand over a message of another replica, by its name."""
 
     sender: str
     message: Message
+    route: Route = Route()
 
 
 class CommandProposed(NamedTuple):
@@ -39,11 +52,36 @@
     payload: bytes
 
 
+class ProposalsMade(NamedTuple):
+    """Ask the leader to replicate commands by one write and sync."""
+
+    proposals: tuple[CommandProposed, ...]
+
+
+class SnapshotTaken(NamedTuple):
+    """Hand over the image of the state after an applied entry."""
+
+    log_index: int
+    image: bytes
+
+
+class RepairAsked(NamedTuple):
+    """Ask the leader to have a replica's folder replaced.
+
+    The answer is ``ProposalAccepted`` with the commit index, or
+    ``ProposalRejected`` where this is no leader or would lose a majority.
+    """
+
+    proposal_id: int
+    name: str
+
+
 class SendMessage(NamedTuple):
     """Send a message once all earlier outputs are done."""
 
     to: str
     message: Message
+    route: Route = Route()
 
 
 class SaveHardState(NamedTuple):
@@ -58,6 +96,23 @@
     entries: tuple[LogEntry, ...]
 
 
+class SaveSnapshot(NamedTuple):
+    """Write and sync the snapshot and the entries behind it."""
+
+    snapshot: Snapshot
+    entries: tuple[LogEntry, ...]
+
+
+class RestoreSnapshot(NamedTuple):
+    """Replace the state by a snapshot; applying goes on behind it."""
+
+    snapshot: Snapshot
+
+
+class DiscardFolder(NamedTuple):
+    """Set the data folder aside and start again with an empty one."""
+
+
 class ApplyEntry(NamedTuple):
     """Apply a committed entry; entries come once each and in order."""
 
@@ -86,11 +141,21 @@
     term: int
 
 
-Event = Tick | MessageReceived | CommandProposed
+Event = (
+    Tick
+    | MessageReceived
+    | CommandProposed
+    | ProposalsMade
+    | SnapshotTaken
+    | RepairAsked
+)
 Output = (
     SendMessage
     | SaveHardState
     | AppendToLog
+    | SaveSnapshot
+    | RestoreSnapshot
+    | DiscardFolder
     | ApplyEntry
     | ProposalAccepted
     | ProposalRejected
--- a/src/sardinemast/consensus/_replica.py
+++ b/src/sardinemast/consensus/_replica.py
@@ -6,96 +6,153 @@
 
 from functools import singledispatchmethod
 from random import Random
-from typing import NamedTuple
 
+from sardinemast.consensus._commit import Commits
+from sardinemast.consensus._elections import Elections
 from sardinemast.consensus._events import (
-    AppendToLog,
-    ApplyEntry,
     CommandProposed,
+    DiscardFolder,
     Event,
     HardState,
     MessageReceived,
     Output,
     ProposalAccepted,
     ProposalRejected,
+    ProposalsMade,
+    RepairAsked,
     Role,
-    RoleChanged,
-    SaveHardState,
-    SendMessage,
+    SnapshotTaken,
     Tick,
 )
+from sardinemast.consensus._following import Following
+from sardinemast.consensus._founding import Founding
 from sardinemast.consensus._log import ReplicaLog
+from sardinemast.consensus._membership import Membership
 from sardinemast.consensus._messages import (
     AppendEntries,
     AppendReply,
+    Configuration,
+    FoundReply,
+    FoundRequest,
+    JoinRequest,
     LogEntry,
+    Member,
     Message,
+    RetireRequest,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
     VoteReply,
     VoteRequest,
 )
+from sardinemast.consensus._replication import Replication
+from sardinemast.consensus._settings import FolderIdentity, ReplicaSettings
+from sardinemast.consensus._state import ReplicaState
 
 
-class ReplicaSettings(NamedTuple):
-    """Name the replicas and set the times.
+class Replica:
+    """Decide elections, replication and commit for one replica.
 
-    ``lease_s`` is shorter than the shortest election timeout, so that a new
-    leader cannot be elected while the old one still trusts its lease.
+    Without a folder identity the members are the voters of the settings,
+    under their names, and never change.
     """
 
-    name: str
-    voters: tuple[str, ...]
-    heartbeat_s: float = 0.1
-    election_timeout_s: float = 0.6
-    lease_s: float = 0.5
-    batch_entries: int = 512
-
-
-class Replica:
-    """Decide elections, replication and commit for one replica."""
-
     def __init__(
         self,
         settings: ReplicaSettings,
         hard_state: HardState,
         entries: tuple[LogEntry, ...],
         random: Random,
+        *,
+        folder: FolderIdentity | None = None,
+        snapshot: Snapshot | None = None,
     ) -> None:
+        folder = folder or FolderIdentity(settings.name)
+        members: tuple[Member, ...] = ()
+        if folder.identity == settings.name:
+            members = tuple(
+                Member(name, name, is_voter=True) for name in settings.voters
+            )
+        log = ReplicaLog(Configuration('', members), snapshot, entries)
         self.settings = settings
-        self.role = Role.follower
-        self.leader = ''
-        self.commit_index = 0
-        self.log = ReplicaLog(entries)
-        self._hard_state = hard_state
-        self._random = random
-        self._outputs: list[Output] = []
-        self._applied_index = 0
-        self._election_due_s: float | None = None
-        self._heard_leader_s = float('-inf')
-        self._heartbeat_due_s: float = 0
-        self._votes: set[str] = set()
-        self._is_pre_vote = False
-        self._next_index: dict[str, int] = {}
-        self._match_index: dict[str, int] = {}
-        self._acknowledged_s: dict[str, float] = {}
+        self._is_started = False
+        self._is_retired = False
+        self._state = ReplicaState(
+            settings,
+            folder.identity,
+            hard_state,
+            log,
+            random,
+        )
+        self._commits = Commits(self._state)
+        self._elections = Elections(self._state)
+        self._following = Following(self._state, self._commits)
+        self._replication = Replication(self._state, self._commits)
+        self._founding = Founding(self._state, folder)
+        self._membership = Membership(
+            self._state,
+            self._commits,
+            self._replication,
+        )
 
     @property
     def term(self) -> int:
         """Give the current term."""
-        return self._hard_state.term
+        return self._state.term
+
+    @property
+    def role(self) -> Role:
+        """Give what this replica is in its term."""
+        return self._state.role
+
+    @property
+    def leader(self) -> str:
+        """Give the name of the leader, empty where none is known."""
+        return self._state.leader
+
+    @property
+    def commit_index(self) -> int:
+        """Give the index of the newest entry known to be committed."""
+        return self._commits.commit_index
+
+    @property
+    def log(self) -> ReplicaLog:
+        """Give the log, to be read only."""
+        return self._state.log
 
     def step(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and give the outputs, to be carried out in order."""
-        self._outputs = []
-        if self._election_due_s is None:
-            self._reset_election(now_s)
+        self._state.outputs = []
+        if self._is_retired:
+            return []
+        if not self._is_started:
+            self._start(now_s)
         self._handle(event, now_s)
-        return self._outputs
+        return self._state.outputs
+
+    def get_members(self, now_s: float) -> list[tuple[Member, bool]]:
+        """Give the members, at the leader with whether each is heard."""
+        heard = self._membership.get_heard(now_s)
+        return [
+            (member, member.identity in heard)
+            for member in self.log.configuration.members
+        ]
 
     def has_lease(self, now_s: float) -> bool:
         """Tell whether no other leader can have been elected yet."""
         if self.role is not Role.leader:
             return False
-        return now_s < self._get_quorum_heard_s(now_s) + self.settings.lease_s
+        heard_s = self._replication.get_heard_s(now_s)
+        return now_s < heard_s + self.settings.lease_s
+
+    def _start(self, now_s: float) -> None:
+        # Before the restart this replica may have promised a leader its
+        # lease by answering a heartbeat, and the promise was only in memory.
+        # A vote given at once would set up a second leader beside it.
+        self._is_started = True
+        self._state.reset_election(now_s)
+        if self.term > 0:
+            self._state.heard_leader_s = now_s
 
     @singledispatchmethod
     def _handle(self, event: Event, now_s: float) -> None:
@@ -103,31 +160,94 @@
 
     @_handle.register
     def _handle_tick(self, event: Tick, now_s: float) -> None:
+        self._founding.tick(now_s)
         if self.role is Role.leader:
-            self._tick_leader(now_s)
-        elif now_s >= (self._election_due_s or 0):
-            self._start_election(now_s, is_pre_vote=True)
+            self._replication.tick(now_s)
+            self._membership.tick(now_s)
+        elif self._founding.is_active:
+            self._lead_if(self._elections.tick(now_s), now_s)
 
     @_handle.register
     def _handle_proposal(self, event: CommandProposed, now_s: float) -> None:
-        if self.role is not Role.leader:
-            self._outputs.append(
-                ProposalRejected(event.proposal_id, self.leader)
+        self._propose((event,), now_s)
+
+    @_handle.register
+    def _handle_proposals(self, event: ProposalsMade, now_s: float) -> None:
+        self._propose(event.proposals, now_s)
+
+    @_handle.register
+    def _handle_snapshot(self, event: SnapshotTaken, now_s: float) -> None:
+        self._commits.take_snapshot(event)
+
+    @_handle.register
+    def _handle_repair(self, event: RepairAsked, now_s: float) -> None:
+        if self._membership.retire(event.name, now_s):
+            self._state.outputs.append(
+                ProposalAccepted(
+                    event.proposal_id,
+                    self.commit_index,
+                    self.term,
+                ),
             )
-            return
-        entry = self._append_own(event.payload)
-        self._outputs.append(
-            ProposalAccepted(event.proposal_id, entry.log_index, entry.term)
-        )
-        self._broadcast(now_s)
-        self._advance_commit()
+        else:
+            self._reject(event.proposal_id)
 
     @_handle.register
     def _handle_received(self, event: MessageReceived, now_s: float) -> None:
-        if event.sender not in self._get_peers():
+        # What was meant for a folder that is lost must not be answered by
+        # the one that took its place.
+        is_for_anyone = isinstance(event.message, JoinRequest)
+        is_for_us = event.route.recipient == self._get_address()
+        if not (is_for_us or is_for_anyone):
+            return
+        if self._take_founding(event, now_s):
+            return
+        sender = self._identify(event)
+        if sender is None:
+            return
+        if isinstance(event.message, VoteRequest) and self._state.is_settled(
+            now_s,
+        ):
+            self._elections.receive_request(event.message, sender, now_s)
             return
         self._observe_term(event.message, now_s)
-        self._receive(event.message, event.sender, now_s)
+        self._receive(event.message, sender, now_s)
+
+    def _take_founding(self, event: MessageReceived, now_s: float) -> bool:
+        message = event.message
+        if isinstance(message, JoinRequest):
+            self._founding.receive_join(event, message.may_found)
+            self._membership.receive_join(event, now_s)
+        elif isinstance(message, FoundRequest):
+            self._founding.receive_request(event, message.configuration)
+        elif isinstance(message, FoundReply):
+            self._founding.receive_reply(event)
+        else:
+            return False
+        return True
+
+    def _get_address(self) -> str:
+        return '' if self._state.has_fixed_members else self._state.identity
+
+    def _identify(self, event: MessageReceived) -> Member | None:
+        configuration = self.log.configuration
+        is_ours = event.route.cluster == configuration.cluster
+        if not (is_ours or self._founding.is_empty):
+            return None
+        identity = event.route.sender or event.sender
+        known = configuration.find(identity)
+        if known is None and isinstance(
+            event.message,
+            AppendEntries | SnapshotChunk | RetireRequest,
+        ):
+            # A leader may have come in by an entry that is not here yet.
+            known = Member(identity, event.sender, is_voter=True)
+            self._state.join_cluster(event.route.cluster)
+        if known is None:
+            self._membership.refuse(event)
+        elif is_ours:
+            self._founding.is_active = True
+        return known
 
     def _observe_term(self, message: Message, now_s: float) -> None:
         # A pre-vote must not raise the term of those who hear it: a replica
@@ -137,277 +257,105 @@
         is_probe_answer = isinstance(message, VoteReply) and (
             message.is_pre_vote and message.is_granted
         )
-        if message.term > self.term and not is_probe and not is_probe_answer:
-            self._save(HardState(message.term))
-            self._become_follower(now_s)
+        term = getattr(message, 'term', 0)
+        if term > self.term and not is_probe and not is_probe_answer:
+            self._state.save(HardState(term))
+            self._state.become_follower(now_s)
 
     @singledispatchmethod
-    def _receive(self, message: Message, sender: str, now_s: float) -> None:
+    def _receive(self, message: Message, sender: Member, now_s: float) -> None:
         raise TypeError(message)
 
     @_receive.register
     def _receive_vote_request(
         self,
         message: VoteRequest,
-        sender: str,
+        sender: Member,
         now_s: float,
     ) -> None:
-        is_granted = self._is_vote_due(message, sender, now_s)
-        if is_granted and not message.is_pre_vote:
-            self._save(HardState(self.term, sender))
-            self._reset_election(now_s)
-        term = message.term if is_granted else self.term
-        self._send(sender, VoteReply(term, is_granted, message.is_pre_vote))
-
-    def _is_vote_due(
-        self,
-        message: VoteRequest,
-        sender: str,
-        now_s: float,
-    ) -> bool:
-        # Whoever still hears a leader refuses to depose it, or a leader that
-        # trusts its lease could be replaced while it serves.
-        is_settled = (
-            self.role is Role.leader
-            or now_s < self._heard_leader_s + self.settings.election_timeout_s
-        )
-        is_newer_log = (message.last_term, message.last_index) >= (
-            self.log.last_term,
-            self.log.last_index,
-        )
-        if message.term < self.term or not is_newer_log or is_settled:
-            return False
-        return message.is_pre_vote or self._hard_state.voted_for in {
-            '',
-            sender,
-        }
+        self._elections.receive_request(message, sender, now_s)
 
     @_receive.register
     def _receive_vote_reply(
         self,
         message: VoteReply,
-        sender: str,
+        sender: Member,
         now_s: float,
     ) -> None:
-        asked_term = self.term + 1 if self._is_pre_vote else self.term
-        if (
-            self.role is not Role.candidate
-            or not message.is_granted
-            or message.is_pre_vote != self._is_pre_vote
-            or message.term != asked_term
-        ):
-            return
-        self._votes.add(sender)
-        self._count_votes(now_s)
+        is_won = self._elections.receive_reply(message, sender, now_s)
+        self._lead_if(is_won, now_s)
 
     @_receive.register
     def _receive_append(
         self,
         message: AppendEntries,
-        sender: str,
+        sender: Member,
         now_s: float,
     ) -> None:
-        if message.term < self.term:
-            self._send(sender, AppendReply(self.term, False, 0, 0))
-            return
-        if self.role is not Role.follower:
-            self._become_follower(now_s)
-        self.leader = sender
-        self._heard_leader_s = now_s
-        self._reset_election(now_s)
-        match_index = self._take_entries(message)
-        is_success = match_index is not None
-        self._send(
-            sender,
-            AppendReply(
-                self.term,
-                is_success,
-                self.log.last_index if match_index is None else match_index,
-                message.sent_at_s,
-            ),
-        )
+        self._following.receive_append(message, sender, now_s)
 
-    def _take_entries(self, message: AppendEntries) -> int | None:
-        known_term = self.log.get_term(message.previous_index)
-        if known_term != message.previous_term:
-            return None
-        fresh = self.log.put(message.entries)
-        if fresh:
-            self._outputs.append(AppendToLog(fresh))
-        match_index = message.previous_index + len(message.entries)
-        self._commit(min(message.commit_index, match_index))
-        return match_index
+    @_receive.register
+    def _receive_chunk(
+        self,
+        message: SnapshotChunk,
+        sender: Member,
+        now_s: float,
+    ) -> None:
+        self._following.receive_chunk(message, sender, now_s)
 
     @_receive.register
     def _receive_append_reply(
         self,
         message: AppendReply,
-        sender: str,
+        sender: Member,
         now_s: float,
     ) -> None:
-        if self.role is not Role.leader or message.term != self.term:
-            return
-        self._acknowledged_s[sender] = max(
-            message.sent_at_s,
-            self._acknowledged_s.get(sender, message.sent_at_s),
-        )
-        if not message.is_success:
-            backed_off = min(
-                self._next_index[sender] - 1,
-                message.match_index + 1,
-            )
-            self._next_index[sender] = max(1, backed_off)
-            self._replicate(sender, now_s)
-            return
-        self._match_index[sender] = max(
-            self._match_index[sender],
-            message.match_index,
-        )
-        self._next_index[sender] = max(
-            self._next_index[sender],
-            self._match_index[sender] + 1,
-        )
-        self._advance_commit()
-
-    def _start_election(self, now_s: float, *, is_pre_vote: bool) -> None:
-        self._become(Role.candidate)
-        self.leader = ''
-        self._is_pre_vote = is_pre_vote
-        self._votes = {self.settings.name}
-        self._reset_election(now_s)
-        if not is_pre_vote:
-            self._save(HardState(self.term + 1, self.settings.name))
-        term = self.term + 1 if is_pre_vote else self.term
-        for peer in self._get_peers():
-            self._send(
-                peer,
-                VoteRequest(
-                    term,
-                    self.log.last_index,
-                    self.log.last_term,
-                    is_pre_vote,
-                ),
-            )
-        self._count_votes(now_s)
+        self._replication.receive_reply(message, sender, now_s)
 
-    def _count_votes(self, now_s: float) -> None:
-        if len(self._votes) < self._get_quorum_size():
-            return
-        if self._is_pre_vote:
-            self._start_election(now_s, is_pre_vote=False)
-        else:
-            self._become_leader(now_s)
-
-    def _become_leader(self, now_s: float) -> None:
-        self._become(Role.leader)
-        self.leader = self.settings.name
-        following = self.log.last_index + 1
-        self._next_index = dict.fromkeys(self._get_peers(), following)
-        self._match_index = dict.fromkeys(self._get_peers(), 0)
-        self._acknowledged_s = {}
-        self._elected_s = now_s
-        self._append_own(b'')
-        self._broadcast(now_s)
-        self._advance_commit()
-
-    def _become_follower(self, now_s: float) -> None:
-        self._become(Role.follower)
-        self.leader = ''
-        self._reset_election(now_s)
-
-    def _become(self, role: Role) -> None:
-        if role is not self.role:
-            self.role = role
-            self._outputs.append(RoleChanged(role, self.term))
-
-    def _tick_leader(self, now_s: float) -> None:
-        # A leader that hears no majority steps down by itself, or it would
-        # go on answering operators from a state that has been replaced.
-        timeout_s = self.settings.election_timeout_s
-        quorum_heard_s = max(
-            self._get_quorum_heard_s(now_s),
-            self._elected_s,
-        )
-        if now_s >= quorum_heard_s + timeout_s:
-            self._become_follower(now_s)
-        elif now_s >= self._heartbeat_due_s:
-            self._broadcast(now_s)
-
-    def _broadcast(self, now_s: float) -> None:
-        self._heartbeat_due_s = now_s + self.settings.heartbeat_s
-        for peer in self._get_peers():
-            self._replicate(peer, now_s)
-
-    def _replicate(self, peer: str, now_s: float) -> None:
-        first = self._next_index[peer]
-        entries = self.log.get_range(first, self.settings.batch_entries)
-        # The next index moves on at once, so that proposals in flight are
-        # not sent again with every new one; a refusal moves it back.
-        self._next_index[peer] = first + len(entries)
-        self._send(
-            peer,
-            AppendEntries(
-                self.term,
-                first - 1,
-                self.log.get_term(first - 1) or 0,
-                entries,
-                self.commit_index,
-                now_s,
-            ),
-        )
+    @_receive.register
+    def _receive_snapshot_reply(
+        self,
+        message: SnapshotReply,
+        sender: Member,
+        now_s: float,
+    ) -> None:
+        self._replication.receive_snapshot_reply(message, sender, now_s)
+
+    @_receive.register
+    def _receive_retire(
+        self,
+        message: RetireRequest,
+        sender: Member,
+        now_s: float,
+    ) -> None:
+        if message.term == self.term:
+            self._state.become_follower(now_s)
+            self._state.outputs.append(DiscardFolder())
+            self._is_retired = True
 
-    def _append_own(self, payload: bytes) -> LogEntry:
-        entry = LogEntry(self.log.last_index + 1, self.term, payload)
-        self.log.put((entry,))
-        self._outputs.append(AppendToLog((entry,)))
-        return entry
+    def _lead_if(self, is_won: bool, now_s: float) -> None:
+        if is_won:
+            self._replication.start_term(now_s)
+            self._replication.count()
 
-    def _advance_commit(self) -> None:
-        indexes = sorted(
-            [self.log.last_index, *self._match_index.values()],
-            reverse=True,
+    def _propose(
+        self,
+        proposals: tuple[CommandProposed, ...],
+        now_s: float,
+    ) -> None:
+        if self.role is not Role.leader:
+            for rejected in proposals:
+                self._reject(rejected.proposal_id)
+            return
+        first = self._replication.propose(
+            tuple((one.payload, None) for one in proposals),
+            now_s,
         )
-        candidate = indexes[self._get_quorum_size() - 1]
-        # Only an entry of the own term is counted; an older one could still
-        # be replaced after a majority held it (Raft, section 5.4.2).
-        if self.log.get_term(candidate) == self.term:
-            self._commit(candidate)
-
-    def _commit(self, index: int) -> None:
-        self.commit_index = max(self.commit_index, index)
-        while self._applied_index < self.commit_index:
-            self._applied_index += 1
-            entry = self.log.get_entry(self._applied_index)
-            self._outputs.append(ApplyEntry(entry))
-
-    def _save(self, hard_state: HardState) -> None:
-        self._hard_state = hard_state
-        self._outputs.append(SaveHardState(hard_state))
-
-    def _send(self, peer: str, message: Message) -> None:
-        self._outputs.append(SendMessage(peer, message))
-
-    def _reset_election(self, now_s: float) -> None:
-        spread = 1 + self._random.random()
-        self._election_due_s = now_s + self.settings.election_timeout_s * spread
-
-    def _get_peers(self) -> list[str]:
-        own = self.settings.name
-        return [voter for voter in self.settings.voters if voter != own]
-
-    def _get_quorum_size(self) -> int:
-        return len(self.settings.voters) // 2 + 1
-
-    def _get_quorum_heard_s(self, now_s: float) -> float:
-        never = float('-inf')
-        heard = sorted(
-            [
-                now_s,
-                *(
-                    self._acknowledged_s.get(peer, never)
-                    for peer in self._get_peers()
-                ),
-            ],
-            reverse=True,
+        self._state.outputs.extend(
+            ProposalAccepted(one.proposal_id, first + place, self.term)
+            for place, one in enumerate(proposals)
         )
-        return heard[self._get_quorum_size() - 1]
+        self._replication.count()
+
+    def _reject(self, proposal_id: int) -> None:
+        self._state.outputs.append(ProposalRejected(proposal_id, self.leader))
--- /dev/null
+++ b/src/sardinemast/consensus/_settings.py
@@ -0,0 +1,34 @@
+"""Names and times of one replica."""
+
+from typing import NamedTuple
+
+_CHUNK_BYTES = 1024 * 1024 // 4
+
+
+class ReplicaSettings(NamedTuple):
+    """Name the replicas and set the times.
+
+    ``lease_s`` is shorter than the shortest election timeout, so that a new
+    leader cannot be elected while the old one still trusts its lease. The
+    quotient bounds how far the rates of two clocks may lie apart.
+    """
+
+    name: str
+    voters: tuple[str, ...]
+    heartbeat_s: float = 0.1
+    election_timeout_s: float = 0.6
+    lease_s: float = 0.5
+    batch_entries: int = 512
+    chunk_bytes: int = _CHUNK_BYTES
+    retained_entries: int = 1024
+
+
+class FolderIdentity(NamedTuple):
+    """Identify one data folder.
+
+    ``may_found`` is false for a folder that replaces a damaged one: three of
+    them must not found an empty cluster as if there had been nothing.
+    """
+
+    identity: str
+    may_found: bool = True
--- /dev/null
+++ b/tests/consensus/test_replica_fuzz.py
@@ -0,0 +1,158 @@
+"""Histories of replicas with crashes, lost messages, cuts and freezes."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from builders.replicas import ELECTION_STEPS, Cluster, Node, is_no_leader
+
+pytestmark = pytest.mark.fuzz
+_NODES = st.integers(0, 4)
+_PLACES = st.integers(0, 40)
+
+
+class ThreeReplicas(RuleBasedStateMachine):
+    """Three replicas whose clocks run at rates up to a tenth apart."""
+
+    count = 3
+    rates: tuple[float, ...] = (1.0, 1.1, 1.05)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster(self.count, self.rates)
+
+    @initialize(steps=st.sampled_from((ELECTION_STEPS, 0, 5)))
+    def found(self, steps: int) -> None:
+        """Found the cluster, in whole or in part."""
+        self.cluster.run(steps)
+        self.cluster.propose()
+
+    def pick(self, number: int) -> Node:
+        """Give the leader for 0, and the others in their order."""
+        nodes = sorted(self.cluster.nodes.values(), key=is_no_leader)
+        return nodes[number % self.count]
+
+    @rule(steps=st.integers(1, 20))
+    def run_undisturbed(self, steps: int) -> None:
+        """Let time pass."""
+        self.cluster.run(steps)
+
+    @rule()
+    def tick(self) -> None:
+        """Let time pass without delivery."""
+        self.cluster.tick()
+
+    @rule()
+    def propose(self) -> None:
+        """Propose a command."""
+        self.cluster.propose()
+
+    @precondition(lambda machine: machine.cluster.bag)
+    @rule(place=_PLACES)
+    def deliver(self, place: int) -> None:
+        """Deliver a message out of turn."""
+        self.cluster.deliver(place % len(self.cluster.bag))
+
+    @precondition(lambda machine: machine.cluster.bag)
+    @rule(place=_PLACES)
+    def duplicate(self, place: int) -> None:
+        """Deliver a message and keep it for later."""
+        bag = self.cluster.bag
+        bag.append(bag[place % len(bag)])
+        self.cluster.deliver(place % len(bag))
+
+    @precondition(lambda machine: machine.cluster.bag)
+    @rule(place=_PLACES)
+    def drop(self, place: int) -> None:
+        """Lose a message."""
+        del self.cluster.bag[place % len(self.cluster.bag)]
+
+    @rule(sender=_NODES, distance=st.integers(1, 2))
+    def cut(self, sender: int, distance: int) -> None:
+        """Drop all that one replica sends another, silently."""
+        pair = (self.pick(sender).name, self.pick(sender + distance).name)
+        self.cluster.cuts.add(pair)
+
+    @rule(number=_NODES)
+    def isolate(self, number: int) -> None:
+        """Drop all between one replica and the others."""
+        name = self.pick(number).name
+        for other in self.cluster.names:
+            self.cluster.cuts.update(((name, other), (other, name)))
+
+    @rule(number=_NODES)
+    def reboot(self, number: int) -> None:
+        """Restart a replica that then no longer hears the leader."""
+        node = self.pick(number)
+        self.cluster.cuts.add((self.pick(0).name, node.name))
+        node.crash()
+        node.start()
+
+    @rule()
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cluster.cuts.clear()
+
+    @rule(number=_NODES, steps=st.integers(1, 30))
+    def freeze(self, number: int, steps: int) -> None:
+        """Stop a process for up to longer than a lease."""
+        node = self.pick(number)
+        node.frozen_until_s = self.cluster.true_s + steps * 0.04
+
+    @rule(number=_NODES, outputs=st.integers(0, 12))
+    def kill(self, number: int, outputs: int) -> None:
+        """Kill a process between two outputs that are yet to come."""
+        node = self.pick(number)
+        node.kill_in = outputs
+
+    @rule(number=_NODES)
+    def restart(self, number: int) -> None:
+        """Start a process again, or crash and start it."""
+        node = self.pick(number)
+        node.crash()
+        node.start()
+
+    @rule(number=_NODES)
+    def take_snapshot(self, number: int) -> None:
+        """Replace what a replica has applied by a snapshot."""
+        self.cluster.snapshot(self.pick(number))
+
+    @rule(number=_NODES, is_copy=st.booleans())
+    def lose_folder(self, number: int, is_copy: bool) -> None:
+        """Delete a data folder, or put an old copy in its place."""
+        node = self.pick(number)
+        if not self.cluster.may_lose(node):
+            return
+        if is_copy:
+            node.put_backup_back()
+        else:
+            node.lose_folder(may_found=True)
+
+    @rule(number=_NODES)
+    def ask_repair(self, number: int) -> None:
+        """Let an operator ask for a repair."""
+        node = self.pick(number)
+        if self.cluster.may_lose(node):
+            self.cluster.ask_repair(node.name)
+
+    def teardown(self) -> None:
+        """Check that the replicas serve again once all is mended."""
+        self.cluster.settle()
+
+
+class FiveReplicas(ThreeReplicas):
+    """Five replicas."""
+
+    count = 5
+
+
+TestThreeReplicas = ThreeReplicas.TestCase
+TestThreeReplicas.settings = settings(max_examples=2000, stateful_step_count=30)
+TestFiveReplicas = FiveReplicas.TestCase
+TestFiveReplicas.settings = settings(max_examples=2000, stateful_step_count=30)
