Tell damage, copies and unsynced bytes apart in a data folder

Cause: a damaged length in the middle of the log pointed behind the end of the file and passed for a torn tail, so that synced records were cut off in silence. Bytes that were written but never synced came back from the page cache after a kill, and the replica answered for them. An old copy of a folder could not be told from the original.

All file steps can be replaced, and a fuzz kills at every one of them, fails with a full disk and loses the power.

--- /dev/null
+++ b/src/sardinemast/storage/_repair.py
@@ -0,0 +1,42 @@
+"""Go on with an empty folder where the old one cannot be trusted."""
+
+import os
+from itertools import count
+from pathlib import Path
+
+from logbook import Logger
+
+from sardinemast.storage._files import REAL_FILES, FileFunctions
+from sardinemast.storage._folder import ASIDE_SUFFIX
+from sardinemast.storage._log_store import LoadedLog, LogStore, open_log_store
+from sardinemast.storage.exceptions import StorageError
+
+_log = Logger('storage')
+_REPAIRABLE = frozenset(('storage.E001', 'storage.E003'))
+
+
+def open_or_replace_log_store(
+    folder: Path,
+    files: FileFunctions = REAL_FILES,
+) -> tuple[LogStore, LoadedLog]:
+    """Open the log, or an empty one in place of what cannot be trusted."""
+    try:
+        return open_log_store(folder, files)
+    except StorageError as error:
+        if error.code not in _REPAIRABLE:
+            raise
+        _log.warning('{}', error)
+    discard_folder(folder, files)
+    return open_log_store(folder, files)
+
+
+def discard_folder(folder: Path, files: FileFunctions = REAL_FILES) -> Path:
+    """Set the folder aside, so that the next one is made anew beside it."""
+    numbers = count(1)
+    aside = folder
+    while aside.exists():
+        name = f'{folder.name}{ASIDE_SUFFIX}{next(numbers)}'
+        aside = folder.with_name(name)
+    os.rename(folder, aside)
+    files.sync_folder(folder.parent)
+    return aside
--- /dev/null
+++ b/tests/builders/disks.py
@@ -0,0 +1,101 @@
+"""File functions that fail, kill the process or lose what is not synced."""
+
+import errno
+import os
+from pathlib import Path
+
+from sardinemast.storage import REAL_FILES, FileFunctions
+
+
+class KilledError(Exception):
+    """End the process in the middle of a step."""
+
+
+class FaultyFiles:
+    """Carry out file steps until one is due to fail.
+
+    ``power_loss`` takes back what was not synced: the end of files, and names
+    whose folder was not synced.
+    """
+
+    def __init__(self) -> None:
+        self.kill_in: int | None = None
+        self.fail_in: int | None = None
+        self._paths: dict[int, Path] = {}
+        self._synced_bytes: dict[Path, int] = {}
+        self._renames: list[tuple[Path, bytes | None]] = []
+
+    @property
+    def functions(self) -> FileFunctions:
+        """Give the functions to be handed to a store."""
+        return FileFunctions(
+            self._create,
+            self._reopen,
+            self._write,
+            self._sync,
+            REAL_FILES.close,
+            self._rename,
+            self._sync_folder,
+        )
+
+    def power_loss(self) -> None:
+        """Lose all that was not synced."""
+        for path, size in self._synced_bytes.items():
+            if path.exists() and path.stat().st_size > size:
+                os.truncate(path, size)
+        for path, content in reversed(self._renames):
+            if content is None:
+                path.unlink()
+            else:
+                path.write_bytes(content)
+        self._renames.clear()
+        self._synced_bytes.clear()
+
+    def _step(self) -> None:
+        if self.fail_in is not None:
+            self.fail_in -= 1
+            if self.fail_in < 0:
+                raise OSError(errno.ENOSPC, 'No space left on device')
+        if self.kill_in is not None:
+            self.kill_in -= 1
+            if self.kill_in < 0:
+                raise KilledError
+
+    def _create(self, path: Path) -> int:
+        self._step()
+        descriptor = REAL_FILES.create(path)
+        self._paths[descriptor] = path
+        self._synced_bytes[path] = 0
+        return descriptor
+
+    def _reopen(self, path: Path) -> int:
+        self._step()
+        descriptor = REAL_FILES.reopen(path)
+        self._paths[descriptor] = path
+        self._synced_bytes.setdefault(path, path.stat().st_size)
+        return descriptor
+
+    def _write(self, descriptor: int, content: bytes) -> int:
+        half = content[: len(content) // 2]
+        try:
+            self._step()
+        except (KilledError, OSError):
+            os.write(descriptor, half)
+            raise
+        return os.write(descriptor, half or content)
+
+    def _sync(self, descriptor: int) -> None:
+        self._step()
+        path = self._paths[descriptor]
+        self._synced_bytes[path] = path.stat().st_size
+
+    def _rename(self, source: Path, target: Path) -> None:
+        self._step()
+        old = target.read_bytes() if target.exists() else None
+        self._renames.append((target, old))
+        source.replace(target)
+        self._synced_bytes[target] = self._synced_bytes.pop(source)
+
+    def _sync_folder(self, folder: Path) -> None:
+        self._step()
+        self._renames.clear()
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -22,7 +22,8 @@
     """All that was synced is read at the next start."""
     _write(tmp_path)
     _, loaded = open_log_store(tmp_path)
-    assert loaded == (HardState(1, 'control-2'), _ENTRIES)
+    assert loaded.hard_state == HardState(1, 'control-2')
+    assert loaded.entries == _ENTRIES
 
 
 def test_torn_tail_is_cut(tmp_path: Path) -> None:
