Run control processes on replica folders with an identity

Cause: nothing bounded the log of a control process, a lost or restored data folder went on under its old name, and an error of core or files left a process that listened and decided nothing.

Operators see the replicas (`replicas`) and have one replaced (`repair-replica`).

Tests with real processes: kill -9 of the leader, SIGSTOP longer than a lease, a deleted folder and then a second one, an old copy put back, repair by an operator, an unusable folder.

--- a/src/sardinemast/cli/_main.py
+++ b/src/sardinemast/cli/_main.py
@@ -20,6 +20,8 @@
                 'apply': commands.apply,
                 'grant-key': commands.grant_key,
                 'withdraw-key': commands.withdraw_key,
+                'repair-replica': commands.repair_replica,
+                'replicas': queries.replicas,
                 'show': queries.show,
                 'timeline': queries.timeline,
             },
--- a/src/sardinemast/cli/commands.py
+++ b/src/sardinemast/cli/commands.py
@@ -67,6 +67,21 @@
     )
 
 
+def repair_replica(
+    name: str,
+    controls: str = _DEFAULT_CONTROLS,
+) -> dict[str, Any]:
+    """Have a replica set its data folder aside and join with a new one."""
+    answer = ask_leader(
+        split_addresses(controls),
+        f'/v1/replicas/{name}/repair',
+        b'',
+    )
+    if answer.get('is_accepted'):
+        return answer
+    raise CliError(str(answer['code']), str(answer['text']))
+
+
 def split_addresses(controls: Any) -> list[str]:
     """Give the addresses that stand in a text with commas."""
     if isinstance(controls, str):
--- a/src/sardinemast/cli/queries.py
+++ b/src/sardinemast/cli/queries.py
@@ -15,6 +15,11 @@
     return ask_leader(split_addresses(controls), '/v1/state')
 
 
+def replicas(controls: str = _DEFAULT_CONTROLS) -> dict[str, Any]:
+    """Show the replicas of the log as the leader has them."""
+    return ask_leader(split_addresses(controls), '/v1/replicas')
+
+
 def timeline(*processes: str) -> str:
     """Merge the events of processes, given as HOST:PORT."""
     streams = []
--- a/src/sardinemast/control/__init__.py
+++ b/src/sardinemast/control/__init__.py
@@ -3,6 +3,7 @@
 from sardinemast.control._core import ControlCore, ControlSettings
 from sardinemast.control._events import (
     AnswerOperator,
+    AnswerRepair,
     ControlEvent,
     ControlOutput,
     EntryConnected,
@@ -10,13 +11,16 @@
     EntryReceived,
     OperatorAnswer,
     OperatorAsked,
+    OperatorsAsked,
     PeerReceived,
+    RepairAsked,
     SendToEntry,
     Tick,
 )
 
 __all__ = (
     'AnswerOperator',
+    'AnswerRepair',
     'ControlCore',
     'ControlEvent',
     'ControlOutput',
@@ -26,7 +30,9 @@
     'EntryReceived',
     'OperatorAnswer',
     'OperatorAsked',
+    'OperatorsAsked',
     'PeerReceived',
+    'RepairAsked',
     'SendToEntry',
     'Tick',
 )
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -9,6 +9,7 @@
 from sardinemast.control._entry_desk import EntryDesk
 from sardinemast.control._events import (
     AnswerOperator,
+    AnswerRepair,
     ControlEvent,
     ControlOutput,
     EntryConnected,
@@ -16,10 +17,13 @@
     EntryReceived,
     OperatorAnswer,
     OperatorAsked,
+    OperatorsAsked,
     PeerReceived,
+    RepairAsked,
     Tick,
 )
 from sardinemast.control._grant_desk import GrantDesk
+from sardinemast.control._images import encode_state, replace_state
 from sardinemast.control._operators import PendingCommands
 from sardinemast.control._sessions import LEASE_S, EntrySessions
 from sardinemast.fleet import (
@@ -33,10 +37,14 @@
 
 
 class ControlSettings(NamedTuple):
-    """Name the process and its peers."""
+    """Name the process and its peers.
+
+    After ``snapshot_entries`` applied entries a snapshot replaces them.
+    """
 
     replica: consensus.ReplicaSettings
     lease_s: float = LEASE_S
+    snapshot_entries: int = 10_000
 
 
 class ControlCore:
@@ -48,6 +56,9 @@
         hard_state: consensus.HardState,
         entries: tuple[consensus.LogEntry, ...],
         random: Random,
+        *,
+        folder: consensus.FolderIdentity | None = None,
+        snapshot: consensus.Snapshot | None = None,
     ) -> None:
         self.state = FleetState()
         self.replica = consensus.Replica(
@@ -55,7 +66,13 @@
             hard_state,
             entries,
             random,
+            folder=folder,
+            snapshot=snapshot,
         )
+        if snapshot is not None:
+            replace_state(self.state, snapshot.image)
+        self._snapshot_entries = settings.snapshot_entries
+        self._collected: list[consensus.CommandProposed] | None = None
         self._outputs: list[ControlOutput] = []
         self._context = ControlContext(
             self.state,
@@ -79,6 +96,7 @@
         self._handle(event, now_s)
         self._entry_desk.send_fresh()
         self._answer_operators(now_s)
+        self._take_snapshot(now_s)
         return list(self._outputs)
 
     @singledispatchmethod
@@ -94,13 +112,35 @@
 
     @_handle.register
     def _handle_peer(self, event: PeerReceived, now_s: float) -> None:
-        received = consensus.MessageReceived(event.sender, event.message)
+        received = consensus.MessageReceived(*event)
         self._step_replica(received, now_s)
 
     @_handle.register
     def _handle_operator(self, event: OperatorAsked, now_s: float) -> None:
         self._propose(event.command, event.request_id, now_s)
 
+    @_handle.register
+    def _handle_operators(self, event: OperatorsAsked, now_s: float) -> None:
+        self._collected = []
+        for asked in event.asked:
+            self._handle_operator(asked, now_s)
+        proposals = consensus.ProposalsMade(tuple(self._collected))
+        self._collected = None
+        self._step_replica(proposals, now_s)
+
+    @_handle.register
+    def _handle_repair(self, event: RepairAsked, now_s: float) -> None:
+        asked = consensus.RepairAsked(INTERNAL_REQUEST, event.name)
+        outputs = self.replica.step(asked, now_s)
+        is_accepted = any(
+            isinstance(one, consensus.ProposalAccepted) for one in outputs
+        )
+        for output in outputs:
+            self._take_output(output, now_s)
+        self._outputs.append(
+            AnswerRepair(event.request_id, is_accepted, self.replica.leader),
+        )
+
     @_handle.register
     def _handle_connected(self, event: EntryConnected, now_s: float) -> None:
         if self.is_leader(now_s):
@@ -132,7 +172,17 @@
             request_id,
             COMMANDS.encode(command),
         )
-        self._step_replica(proposal, now_s)
+        if self._collected is None:
+            self._step_replica(proposal, now_s)
+        else:
+            self._collected.append(proposal)
+
+    def _take_snapshot(self, now_s: float) -> None:
+        index = self.state.log_index
+        covered = self.replica.log.snapshot.last_index
+        if index >= covered + self._snapshot_entries:
+            image = encode_state(self.state)
+            self._step_replica(consensus.SnapshotTaken(index, image), now_s)
 
     def _step_replica(self, event: consensus.Event, now_s: float) -> None:
         for output in self.replica.step(event, now_s):
@@ -141,6 +191,8 @@
     def _take_output(self, output: consensus.Output, now_s: float) -> None:
         if isinstance(output, consensus.ApplyEntry):
             self._apply(output.entry)
+        elif isinstance(output, consensus.RestoreSnapshot):
+            replace_state(self.state, output.snapshot.image)
         elif isinstance(output, consensus.ProposalAccepted):
             self._pending.note_proposal(output)
         elif isinstance(output, consensus.ProposalRejected):
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -16,6 +16,7 @@
 
     sender: str
     message: consensus.Message
+    route: consensus.Route = consensus.Route()
 
 
 class EntryConnected(NamedTuple):
@@ -46,6 +47,19 @@
     command: Command
 
 
+class OperatorsAsked(NamedTuple):
+    """Hand over commands to be written and synced together."""
+
+    asked: tuple[OperatorAsked, ...]
+
+
+class RepairAsked(NamedTuple):
+    """Hand over an operator's wish to replace a replica's folder."""
+
+    request_id: int
+    name: str
+
+
 class OperatorAnswer(NamedTuple):
     """Answer an operator truthfully.
 
@@ -68,6 +82,14 @@
     answer: OperatorAnswer
 
 
+class AnswerRepair(NamedTuple):
+    """Tell an operator whether the replica was told to join anew."""
+
+    request_id: int
+    is_accepted: bool
+    leader: str
+
+
 class SendToEntry(NamedTuple):
     """Send a message on an entry's stream."""
 
@@ -82,5 +104,7 @@
     | EntryReceived
     | EntryDisconnected
     | OperatorAsked
+    | OperatorsAsked
+    | RepairAsked
 )
-ControlOutput = consensus.Output | AnswerOperator | SendToEntry
+ControlOutput = consensus.Output | AnswerOperator | AnswerRepair | SendToEntry
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -12,22 +12,28 @@
 
 from sardinemast import consensus, control
 from sardinemast.conf import ControlAddress, ProcessSettings
+from sardinemast.exceptions import CodedError
 from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
 from sardinemast.shell._identity import Identity, unseal
 from sardinemast.shell._links import LINK_OPTIONS, Outbox, PeerLink
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._operator_http import OperatorDesk, listen_for_operators
-from sardinemast.storage import LogStore, open_log_store
+from sardinemast.shell._replica_http import ReplicaDesk
+from sardinemast.shell.exceptions import FolderDiscardedError, ShellError
+from sardinemast.storage import discard_folder, open_or_replace_log_store
 from sardinemast.wire import WireError
 
 _log = Logger('control')
+_FOLDER_NAME = 'replica'
 
 
 class ControlShell:
     """Carry out what the core of a control process decides."""
 
     def __init__(self, settings: ProcessSettings, identity: Identity) -> None:
-        store, loaded = open_log_store(settings.data_folder)
+        self._folder = settings.data_folder / _FOLDER_NAME
+        store, loaded = open_or_replace_log_store(self._folder)
+        self._store = store
         voters = tuple(one.name for one in settings.controls)
         replica = consensus.ReplicaSettings(settings.name, voters)
         self.core = control.ControlCore(
@@ -35,14 +41,17 @@
             loaded.hard_state,
             loaded.entries,
             Random(),
+            folder=loaded.folder,
+            snapshot=loaded.snapshot,
         )
         self.desk = OperatorDesk(self.core, identity)
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
-            self.core.step,
+            self._step,
             self._execute,
             control.Tick(),
         )
-        self._store: LogStore = store
+        self._replica_desk = ReplicaDesk(self.core, self.loop.put)
+        self._asked: list[control.OperatorAsked] = []
         self._identity = identity
         self._stream_ids = count(1)
         self._outboxes: dict[int, Outbox] = {}
@@ -54,8 +63,12 @@
 
     async def run(self, own: ControlAddress) -> None:
         """Serve peers, entries and operators until cancelled."""
-        self.desk.attach(self.loop.put)
-        operator_server = listen_for_operators(self.desk, own.operator)
+        self.desk.attach(self._put_asked)
+        operator_server = listen_for_operators(
+            self.desk,
+            own.operator,
+            self._replica_desk.get_routes(),
+        )
         try:
             async with (
                 serve(
@@ -74,6 +87,26 @@
             operator_server.stop()
             self._store.close()
 
+    def _put_asked(self, event: control.ControlEvent) -> None:
+        if isinstance(event, control.OperatorAsked):
+            self._asked.append(event)
+            event = control.OperatorsAsked(())
+        self.loop.put(event)
+
+    def _step(
+        self,
+        event: control.ControlEvent,
+        now_s: float,
+    ) -> list[control.ControlOutput]:
+        # While one write is synced, more commands come in. They are all
+        # taken with the first, so that one sync serves them together.
+        if isinstance(event, control.OperatorsAsked):
+            if not self._asked:
+                return []
+            event = control.OperatorsAsked(tuple(self._asked))
+            self._asked.clear()
+        return self.core.step(event, now_s)
+
     async def _accept(self, link: ServerConnection) -> None:
         path = link.request.path if link.request else ''
         with suppress(ConnectionClosed, WireError):
@@ -85,8 +118,8 @@
     async def _read_peer(self, link: ServerConnection) -> None:
         async for frame in link:
             envelope = unseal(self._identity, frame)
-            message = consensus.MESSAGES.unpack(envelope.body)
-            self.loop.put(control.PeerReceived(envelope.sender, message))
+            received = consensus.unpack_parcel(envelope.sender, envelope.body)
+            self.loop.put(control.PeerReceived(*received))
 
     async def _read_entry(self, link: ServerConnection) -> None:
         first = unseal(self._identity, await link.recv())
@@ -120,8 +153,9 @@
 
     @_execute.register
     def _execute_send(self, output: consensus.SendMessage) -> None:
-        packed = consensus.MESSAGES.pack(output.message)
-        self._peers[output.to].send(packed)
+        peer = self._peers.get(output.to)
+        if peer is not None:
+            peer.send(consensus.pack_parcel(output))
 
     @_execute.register
     def _execute_save(self, output: consensus.SaveHardState) -> None:
@@ -131,6 +165,23 @@
     def _execute_append(self, output: consensus.AppendToLog) -> None:
         self._store.append_entries(output.entries)
 
+    @_execute.register
+    def _execute_snapshot(self, output: consensus.SaveSnapshot) -> None:
+        self._store.save_snapshot(output.snapshot, output.entries)
+        _log.info('Snapshot to index {}.', output.snapshot.last_index)
+
+    @_execute.register
+    def _execute_discard(self, output: consensus.DiscardFolder) -> None:
+        self._store.close()
+        _log.warning(
+            'The folder is set aside: {}.', discard_folder(self._folder)
+        )
+        raise FolderDiscardedError
+
+    @_execute.register
+    def _execute_repair(self, output: control.AnswerRepair) -> None:
+        self._replica_desk.answer(output)
+
     @_execute.register
     def _execute_role(self, output: consensus.RoleChanged) -> None:
         _log.info('Term {}: {}.', output.term, output.role)
@@ -154,7 +205,27 @@
 
 
 async def run_control(settings: ProcessSettings, identity: Identity) -> None:
-    """Run the role control until cancelled."""
-    shell = ControlShell(settings, identity)
+    """Run the role control until cancelled.
+
+    An error of core or files ends it with a ``CodedError``: a process that
+    answers its peers but decides nothing would look alive for ever.
+    """
     own = next(one for one in settings.controls if one.name == settings.name)
-    await shell.run(own)
+    while True:
+        shell = ControlShell(settings, identity)
+        try:
+            await shell.run(own)
+        except ExceptionGroup as group:
+            _check_discarded(group)
+
+
+def _check_discarded(group: ExceptionGroup[Exception]) -> None:
+    for error in group.exceptions:
+        if isinstance(error, CodedError):
+            raise error
+        if not isinstance(error, FolderDiscardedError):
+            raise ShellError(
+                'control.E003',
+                f'The core failed: {type(error).__name__}: {error}.',
+                'Report it with the log; the others go on.',
+            ) from error
--- a/src/sardinemast/shell/_operator_http.py
+++ b/src/sardinemast/shell/_operator_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from itertools import count
 from typing import Any
@@ -144,13 +144,18 @@
         self.finish({'events': dump_plain(events)})
 
 
-def listen_for_operators(desk: OperatorDesk, address: Address) -> HTTPServer:
+def listen_for_operators(
+    desk: OperatorDesk,
+    address: Address,
+    more_routes: Sequence[Any] = (),
+) -> HTTPServer:
     """Open the operators' port."""
     options = {'desk': desk}
     application = Application(
         [
             ('/v1/commands', CommandHandler, options),
             ('/v1/state', StateHandler, options),
+            *more_routes,
             ('/-/timeline', TimelineHandler, {'identity': desk.identity}),
         ],
         log_function=_skip_log,
--- /dev/null
+++ b/src/sardinemast/shell/_replica_http.py
@@ -0,0 +1,110 @@
+"""Operators' HTTP for the replicas of the log."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from itertools import count
+from typing import Any
+
+from tornado.web import RequestHandler
+
+from sardinemast import control
+
+_ANSWER_TIMEOUT_S = 10.0
+
+
+class ReplicaDesk:
+    """Pair requests for repair with the answers of the core."""
+
+    def __init__(
+        self,
+        core: control.ControlCore,
+        put: Callable[[control.ControlEvent], None],
+    ) -> None:
+        self.core = core
+        self._put = put
+        self._request_ids = count(1)
+        self._waiting: dict[int, asyncio.Future[control.AnswerRepair]] = {}
+
+    def get_routes(self) -> list[Any]:
+        """Give the handlers by their paths."""
+        options = {'desk': self}
+        return [
+            ('/v1/replicas', ReplicasHandler, options),
+            ('/v1/replicas/([^/]+)/repair', RepairHandler, options),
+        ]
+
+    async def ask(self, name: str) -> control.AnswerRepair:
+        """Ask for a replica's folder to be replaced, and wait."""
+        request_id = next(self._request_ids)
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = answer
+        self._put(control.RepairAsked(request_id, name))
+        try:
+            return await asyncio.wait_for(answer, _ANSWER_TIMEOUT_S)
+        finally:
+            self._waiting.pop(request_id, None)
+
+    def answer(self, output: control.AnswerRepair) -> None:
+        """Pass the answer to whoever waits for it."""
+        waiting = self._waiting.get(output.request_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(output)
+
+
+class _ReplicaHandler(RequestHandler):
+    def initialize(self, desk: ReplicaDesk) -> None:
+        self.desk = desk
+
+    def prepare(self) -> None:
+        """Answer only while this process leads."""
+        if not self.desk.core.is_leader(time.monotonic()):
+            self.refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'control.E001',
+                'This process does not lead.',
+            )
+
+    def refuse(self, status: HTTPStatus, code: str, text: str) -> None:
+        """Answer with a code, and with the leader to ask instead."""
+        self.set_status(status)
+        leader = self.desk.core.replica.leader
+        self.finish({'code': code, 'text': text, 'leader': leader})
+
+
+class ReplicasHandler(_ReplicaHandler):
+    """Show the replicas as the leader has them."""
+
+    def get(self) -> None:
+        """Give each member with how far it is."""
+        replica = self.desk.core.replica
+        self.finish(
+            {
+                'commit_index': replica.commit_index,
+                'leader': replica.leader,
+                'replicas': [
+                    {**member._asdict(), 'is_heard': is_heard}
+                    for member, is_heard in replica.get_members(
+                        time.monotonic(),
+                    )
+                ],
+            },
+        )
+
+
+class RepairHandler(_ReplicaHandler):
+    """Have a replica's data folder replaced."""
+
+    async def post(self, name: str) -> None:
+        """Tell the replica to join anew, where the others are a majority."""
+        answer = await self.desk.ask(name)
+        if answer.is_accepted:
+            self.finish({'is_accepted': True, 'replica': name})
+        else:
+            self.refuse(
+                HTTPStatus.CONFLICT,
+                'control.E004',
+                'The others are no majority, or the name is the leader or '
+                'unknown, or a change is under way.',
+            )
