--- a/tests/builders/disks.py
+++ b/tests/builders/disks.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.kill_in: int | None = None
         self.fail_in: int | None = None
+        self.fails_sync = False
         self._paths: dict[int, Path] = {}
         self._synced_bytes: dict[Path, int] = {}
         self._renames: list[tuple[Path, bytes | None]] = []
@@ -86,6 +87,8 @@
 
     def _sync(self, descriptor: int) -> None:
         self._step()
+        if self.fails_sync:
+            raise OSError(errno.EIO, 'Input/output error')
         path = self._paths[descriptor]
         self._synced_bytes[path] = path.stat().st_size
 
