--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -123,9 +123,12 @@
     folder: Path,
     control_count: int = 3,
     entry_count: int = 3,
+    prepare: Callable[[Fleet], None] | None = None,
 ) -> Iterator[Fleet]:
     """Start control processes and entries, and stop all at the end."""
     fleet = Fleet(folder, control_count, entry_count)
+    if prepare is not None:
+        prepare(fleet)
     for name in (*fleet.control_names, *fleet.entry_names):
         fleet.start(name)
     try:
