Test that a full disk ends a control process

The size of files is limited while a follower runs; its next write fails, it ends with storage.E002 and exit code 1, and the others go on.

--- a/tests/processes/test_replicas.py
+++ b/tests/processes/test_replicas.py
@@ -1,5 +1,6 @@
 """Control processes whose process, disk or network fails."""
 
+import resource
 import shutil
 import signal
 from collections.abc import Iterator
@@ -184,3 +185,28 @@
     fleet.start(name)
     assert fleet.processes[name].wait() == 1
     assert 'storage.E002' in _get_log(fleet, name)
+
+
+def test_full_disk_ends_the_process(fleet: Fleet) -> None:
+    """End with a coded line once the log cannot grow any more.
+
+    The disk of a replica is full. What it could not write it must not answer
+    for, and a process that only listened would look alive for ever.
+    """
+    name = _get_follower(fleet)
+    process = fleet.processes[name]
+    size = (fleet.folder / name / 'replica' / 'log.wal').stat().st_size
+    limit = (2 * size, 2 * size)
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limit)
+
+    def has_ended() -> bool:
+        commands.apply(
+            str(fleet.folder / 'base.yaml'),
+            controls=_get_other_controls(fleet, name),
+        )
+        return process.poll() is not None
+
+    wait_for(has_ended)
+    assert process.poll() == 1
+    assert 'storage.E002' in _get_log(fleet, name)
+    assert _get_version(fleet) > 1
