--- a/src/sardinemast/consensus/_replica.py
+++ b/src/sardinemast/consensus/_replica.py
@@ -11,7 +11,6 @@
 from sardinemast.consensus._elections import Elections
 from sardinemast.consensus._events import (
     CommandProposed,
-    DiscardFolder,
     Event,
     HardState,
     MessageReceived,
@@ -29,22 +28,12 @@
 from sardinemast.consensus._log import ReplicaLog
 from sardinemast.consensus._membership import Membership
 from sardinemast.consensus._messages import (
-    AppendEntries,
-    AppendReply,
     Configuration,
-    FoundReply,
-    FoundRequest,
-    JoinRequest,
     LogEntry,
     Member,
-    Message,
-    RetireRequest,
     Snapshot,
-    SnapshotChunk,
-    SnapshotReply,
-    VoteReply,
-    VoteRequest,
 )
+from sardinemast.consensus._receiving import Parts, Receiving
 from sardinemast.consensus._replication import Replication
 from sardinemast.consensus._settings import FolderIdentity, ReplicaSettings
 from sardinemast.consensus._state import ReplicaState
@@ -76,7 +65,6 @@
         log = ReplicaLog(Configuration('', members), snapshot, entries)
         self.settings = settings
         self._is_started = False
-        self._is_retired = False
         self._state = ReplicaState(
             settings,
             folder.identity,
@@ -94,6 +82,16 @@
             self._commits,
             self._replication,
         )
+        self._receiving = Receiving(
+            self._state,
+            Parts(
+                self._elections,
+                self._following,
+                self._replication,
+                self._founding,
+                self._membership,
+            ),
+        )
 
     @property
     def term(self) -> int:
@@ -123,7 +121,7 @@
     def step(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and give the outputs, to be carried out in order."""
         self._state.outputs = []
-        if self._is_retired:
+        if self._state.is_retired:
             return []
         if not self._is_started:
             self._start(now_s)
@@ -165,7 +163,8 @@
             self._replication.tick(now_s)
             self._membership.tick(now_s)
         elif self._founding.is_active:
-            self._lead_if(self._elections.tick(now_s), now_s)
+            if self._elections.tick(now_s):
+                self._replication.start_term(now_s)
 
     @_handle.register
     def _handle_proposal(self, event: CommandProposed, now_s: float) -> None:
@@ -194,149 +193,7 @@
 
     @_handle.register
     def _handle_received(self, event: MessageReceived, now_s: float) -> None:
-        # What was meant for a folder that is lost must not be answered by
-        # the one that took its place.
-        is_for_anyone = isinstance(event.message, JoinRequest)
-        is_for_us = event.route.recipient == self._get_address()
-        if not (is_for_us or is_for_anyone):
-            return
-        if self._take_founding(event, now_s):
-            return
-        sender = self._identify(event)
-        if sender is None:
-            return
-        if isinstance(event.message, VoteRequest) and self._state.is_settled(
-            now_s,
-        ):
-            self._elections.receive_request(event.message, sender, now_s)
-            return
-        self._observe_term(event.message, now_s)
-        self._receive(event.message, sender, now_s)
-
-    def _take_founding(self, event: MessageReceived, now_s: float) -> bool:
-        message = event.message
-        if isinstance(message, JoinRequest):
-            self._founding.receive_join(event, message.may_found)
-            self._membership.receive_join(event, now_s)
-        elif isinstance(message, FoundRequest):
-            self._founding.receive_request(event, message.configuration)
-        elif isinstance(message, FoundReply):
-            self._founding.receive_reply(event)
-        else:
-            return False
-        return True
-
-    def _get_address(self) -> str:
-        return '' if self._state.has_fixed_members else self._state.identity
-
-    def _identify(self, event: MessageReceived) -> Member | None:
-        configuration = self.log.configuration
-        is_ours = event.route.cluster == configuration.cluster
-        if not (is_ours or self._founding.is_empty):
-            return None
-        identity = event.route.sender or event.sender
-        known = configuration.find(identity)
-        if known is None and isinstance(
-            event.message,
-            AppendEntries | SnapshotChunk | RetireRequest,
-        ):
-            # A leader may have come in by an entry that is not here yet.
-            known = Member(identity, event.sender, is_voter=True)
-            self._state.join_cluster(event.route.cluster)
-        if known is None:
-            self._membership.refuse(event)
-        elif is_ours:
-            self._founding.is_active = True
-        return known
-
-    def _observe_term(self, message: Message, now_s: float) -> None:
-        # A pre-vote must not raise the term of those who hear it: a replica
-        # that was cut off for an hour would depose a healthy leader when it
-        # returns, and callers would see a needless pause.
-        is_probe = isinstance(message, VoteRequest) and message.is_pre_vote
-        is_probe_answer = isinstance(message, VoteReply) and (
-            message.is_pre_vote and message.is_granted
-        )
-        term = getattr(message, 'term', 0)
-        if term > self.term and not is_probe and not is_probe_answer:
-            self._state.save(HardState(term))
-            self._state.become_follower(now_s)
-
-    @singledispatchmethod
-    def _receive(self, message: Message, sender: Member, now_s: float) -> None:
-        raise TypeError(message)
-
-    @_receive.register
-    def _receive_vote_request(
-        self,
-        message: VoteRequest,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        self._elections.receive_request(message, sender, now_s)
-
-    @_receive.register
-    def _receive_vote_reply(
-        self,
-        message: VoteReply,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        is_won = self._elections.receive_reply(message, sender, now_s)
-        self._lead_if(is_won, now_s)
-
-    @_receive.register
-    def _receive_append(
-        self,
-        message: AppendEntries,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        self._following.receive_append(message, sender, now_s)
-
-    @_receive.register
-    def _receive_chunk(
-        self,
-        message: SnapshotChunk,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        self._following.receive_chunk(message, sender, now_s)
-
-    @_receive.register
-    def _receive_append_reply(
-        self,
-        message: AppendReply,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        self._replication.receive_reply(message, sender, now_s)
-
-    @_receive.register
-    def _receive_snapshot_reply(
-        self,
-        message: SnapshotReply,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        self._replication.receive_snapshot_reply(message, sender, now_s)
-
-    @_receive.register
-    def _receive_retire(
-        self,
-        message: RetireRequest,
-        sender: Member,
-        now_s: float,
-    ) -> None:
-        if message.term == self.term:
-            self._state.become_follower(now_s)
-            self._state.outputs.append(DiscardFolder())
-            self._is_retired = True
-
-    def _lead_if(self, is_won: bool, now_s: float) -> None:
-        if is_won:
-            self._replication.start_term(now_s)
-            self._replication.count()
+        self._receiving.receive(event, now_s)
 
     def _propose(
         self,
--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -49,6 +49,7 @@
         self.progress = {}
         self._elected_s = now_s
         self.propose(((b'', None),), now_s)
+        self.count()
 
     def propose(
         self,
--- a/src/sardinemast/consensus/_state.py
+++ b/src/sardinemast/consensus/_state.py
@@ -34,6 +34,7 @@
         self.log = log
         self.role = Role.follower
         self.leader = ''
+        self.is_retired = False
         self.outputs: list[Output] = []
         self.election_due_s = float('inf')
         self.heard_leader_s = float('-inf')
