Bound the bytes of entries in one message

Cause: up to 512 entries went into one message, whatever their size. A frame above 8 MiB breaks the stream, and is sent again after the reconnect, so that a follower behind by a few large files would never come back. A command of 8 MiB did not fit into a frame at all.

Change: payloads in one message stay below 1 MiB, or one entry goes alone; operators' commands are bounded to 4 MiB. A follower that has taken a message gets the next at once.

test_large_entries_go_in_bounded_messages fails without the bound.

--- a/src/sardinemast/consensus/_log.py
+++ b/src/sardinemast/consensus/_log.py
@@ -60,10 +60,26 @@
         """Give the entry at the index."""
         return self._entries[index - self._base_index - 1]
 
-    def get_range(self, first: int, count: int) -> tuple[LogEntry, ...]:
-        """Give at most ``count`` entries from the first index on."""
+    def get_range(
+        self,
+        first: int,
+        count: int,
+        batch_bytes: int,
+    ) -> tuple[LogEntry, ...]:
+        """Give entries from the first index on, as one message takes them.
+
+        These are at most ``count``, and so many that their payloads stay
+        below the bound, but at least one.
+        """
         start = first - self._base_index - 1
-        return tuple(self._entries[start : start + count])
+        found: list[LogEntry] = []
+        size = 0
+        for entry in self._entries[start : start + count]:
+            size += len(entry.payload)
+            if found and size > batch_bytes:
+                break
+            found.append(entry)
+        return tuple(found)
 
     def get_configuration_at(self, index: int) -> Configuration:
         """Give the configuration that held at the index."""
--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -190,10 +190,12 @@
         # heartbeat would bring it one batch nearer each tenth of a second.
         known = self.get_progress(peer.identity)
         behind = self._state.log.last_index + 1 - known.next_index
-        is_far = behind >= self._state.settings.batch_entries
-        if is_far or (was_probing and behind > 0):
+        if behind > 0 and (was_probing or self._is_idle(known)):
             self._replicate(peer, now_s)
 
+    def _is_idle(self, known: Progress) -> bool:
+        return known.next_index == known.match_index + 1
+
     def _replicate(self, peer: Member, now_s: float) -> None:
         known = self.get_progress(peer.identity)
         log = self._state.log
@@ -203,6 +205,7 @@
         entries = log.get_range(
             known.next_index,
             self._state.settings.batch_entries,
+            self._state.settings.batch_bytes,
         )
         # The next index moves on at once, so that proposals in flight are
         # not sent again with every new one; a refusal moves it back.
--- a/src/sardinemast/consensus/_settings.py
+++ b/src/sardinemast/consensus/_settings.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-_CHUNK_BYTES = 1024 * 1024 // 4
+_BATCH_BYTES = 1024 * 1024
+_CHUNK_BYTES = _BATCH_BYTES // 4
 
 
 class ReplicaSettings(NamedTuple):
@@ -10,7 +11,9 @@
 
     ``lease_s`` is shorter than the shortest election timeout, so that a new
     leader cannot be elected while the old one still trusts its lease. The
-    quotient bounds how far the rates of two clocks may lie apart.
+    quotient bounds how far the rates of two clocks may lie apart. Entries and
+    chunks in one message are bounded, since a frame of more than
+    ``wire.MAX_FRAME_BYTES`` breaks the stream each time it is sent again.
     """
 
     name: str
@@ -19,6 +22,7 @@
     election_timeout_s: float = 0.6
     lease_s: float = 0.5
     batch_entries: int = 512
+    batch_bytes: int = _BATCH_BYTES
     chunk_bytes: int = _CHUNK_BYTES
     retained_entries: int = 1024
 
--- a/src/sardinemast/shell/_operator_http.py
+++ b/src/sardinemast/shell/_operator_http.py
@@ -16,7 +16,8 @@
 from sardinemast.shell._identity import Identity
 from sardinemast.wire import WireError, dump_plain
 
-_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+# A command must fit into one frame between control processes.
+_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 _ANSWER_TIMEOUT_S = 10.0
 
 
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -1,7 +1,11 @@
 """Followers whose log must be brought back to the leader's."""
 
-from builders.replicas import Cluster, is_no_leader
-from sardinemast.consensus import LogEntry, SnapshotTaken
+from builders.replicas import BATCH_BYTES, Cluster, is_no_leader
+from sardinemast.consensus import (
+    AppendEntries,
+    LogEntry,
+    SnapshotTaken,
+)
 
 
 def test_conflicting_entry_is_replaced() -> None:
@@ -46,3 +50,30 @@
     cluster.settle()
     assert follower.disk.snapshot == leader.disk.snapshot
     assert follower.image == leader.image
+
+
+def test_large_entries_go_in_bounded_messages() -> None:
+    """Bring a follower back with entries that fill more than a frame.
+
+    Large files were accepted while a replica was off. Sent at once they break
+    the stream each time, and the replica never comes back.
+    """
+    cluster = Cluster(3)
+    cluster.run(50)
+    follower = next(filter(is_no_leader, cluster.nodes.values()))
+    follower.crash()
+    for _ in range(12):
+        cluster.propose(padding=bytes(BATCH_BYTES // 2 - 8))
+        cluster.run(1)
+    follower.start()
+    largest = 0
+    while follower.replica and follower.replica.commit_index < 12:
+        cluster.run(1)
+        messages = [parcel.message for parcel in cluster.bag]
+        sizes = [
+            sum(len(entry.payload) for entry in message.entries)
+            for message in messages
+            if isinstance(message, AppendEntries)
+        ]
+        largest = max([largest, *sizes])
+    assert 0 < largest <= BATCH_BYTES
