--- /dev/null
+++ b/tests/control/test_images.py
@@ -0,0 +1,37 @@
+"""Control processes that go on from a snapshot."""
+
+from random import Random
+
+from builders import make_document
+from sardinemast import consensus, control
+from sardinemast.fleet import ApplyDocument, dump_state
+
+_NAME = 'control-1'
+_SETTINGS = control.ControlSettings(
+    consensus.ReplicaSettings(_NAME, (_NAME,)),
+    snapshot_entries=2,
+)
+
+
+def test_snapshot_brings_the_state_back() -> None:
+    """Show operators the same state after a restart from a snapshot.
+
+    The log that led to the state has been dropped. Whatever the snapshot
+    lacks is gone for good.
+    """
+    core = control.ControlCore(_SETTINGS, consensus.HardState(), (), Random(1))
+    command = ApplyDocument('c1', 0, make_document())
+    outputs = [
+        *core.step(control.Tick(), 0),
+        *core.step(control.Tick(), 10),
+        *core.step(control.OperatorAsked(1, command), 10),
+    ]
+    saved = [one for one in outputs if isinstance(one, consensus.SaveSnapshot)]
+    restarted = control.ControlCore(
+        _SETTINGS,
+        consensus.HardState(1, _NAME),
+        saved[-1].entries,
+        Random(1),
+        snapshot=saved[-1].snapshot,
+    )
+    assert dump_state(restarted.state) == dump_state(core.state)
