--- a/tests/consensus/test_replica_fuzz.py
+++ b/tests/consensus/test_replica_fuzz.py
@@ -169,7 +169,11 @@
     count = 5
 
 
-_SETTINGS = settings(max_examples=2000, stateful_step_count=30)
+# A soak asks for more histories by its profile.
+_SETTINGS = settings(
+    max_examples=max(2000, settings().max_examples),
+    stateful_step_count=30,
+)
 TestElections = Elections.TestCase
 TestElections.settings = _SETTINGS
 TestFolders = Folders.TestCase
--- a/tests/storage/test_log_store_fuzz.py
+++ b/tests/storage/test_log_store_fuzz.py
@@ -165,4 +165,8 @@
 
 
 TestStore = StoreMachine.TestCase
-TestStore.settings = settings(max_examples=2000, stateful_step_count=15)
+# A soak asks for more histories by its profile.
+TestStore.settings = settings(
+    max_examples=max(2000, settings().max_examples),
+    stateful_step_count=15,
+)
