--- a/src/sardinemast/cli/commands.py
+++ b/src/sardinemast/cli/commands.py
@@ -7,6 +7,7 @@
 
 from sardinemast.cli._addresses import get_controls
 from sardinemast.cli._client import ask_leader, send_command
+from sardinemast.cli.exceptions import CliError
 from sardinemast.conf import load_fleet_files
 from sardinemast.fleet import (
     ApplyDocument,
@@ -104,6 +105,24 @@
     return send_command(get_controls(controls), command)
 
 
+def repair_replica(name: str, controls: str = '') -> dict[str, Any]:
+    """Have a replica set its data folder aside and join with a new one.
+
+    Args:
+        name: The control process whose data folder is lost or damaged.
+        controls: Operators' addresses of the control processes.
+
+    """
+    answer = ask_leader(
+        get_controls(controls),
+        f'/v1/replicas/{name}/repair',
+        b'',
+    )
+    if answer.get('is_accepted'):
+        return answer
+    raise CliError(str(answer['code']), str(answer['text']))
+
+
 def make_id(given: str = '') -> str:
     """Give the id that was given, or one that no other command has."""
     return str(given) or uuid.uuid4().hex
--- a/src/sardinemast/shell/_operator_http.py
+++ b/src/sardinemast/shell/_operator_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from itertools import count
 from typing import Any
@@ -18,10 +18,12 @@
     diff_versions,
 )
 from sardinemast.shell._identity import Identity
-from sardinemast.shell._security import Access, Unit
+from sardinemast.shell._leader_http import LeaderHandler, OperatorHandler
+from sardinemast.shell._security import Access
 from sardinemast.wire import WireError, dump_plain
 
-_BODY_LIMIT_BYTES = 8 * 1024 * 1024
+# A command must fit into one frame between control processes.
+_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 _ANSWER_TIMEOUT_S = 10.0
 
 
@@ -72,29 +74,7 @@
             )
 
 
-class _DeskHandler(RequestHandler):
-    def initialize(self, desk: OperatorDesk) -> None:
-        self.desk = desk
-
-    def prepare(self) -> None:
-        """Refuse whoever is no operator."""
-        connection: Any = self.request.connection
-        tls = connection.stream.socket
-        if not self.desk.access.is_allowed(tls, Unit.operator):
-            self.refuse(
-                HTTPStatus.FORBIDDEN,
-                'control.E003',
-                "The certificate is not an operator's.",
-            )
-
-    def refuse(self, status: HTTPStatus, code: str, text: str) -> None:
-        """Answer with a code, and with the leader to ask instead."""
-        self.set_status(status)
-        leader = self.desk.core.replica.leader
-        self.finish({'code': code, 'text': text, 'leader': leader})
-
-
-class CommandHandler(_DeskHandler):
+class CommandHandler(OperatorHandler):
     """Take one command as CBOR and answer when it is in force."""
 
     async def post(self) -> None:
@@ -144,21 +124,7 @@
         )
 
 
-class _LeaderHandler(_DeskHandler):
-    def prepare(self) -> None:
-        """Answer operators only, and only while this process leads."""
-        super().prepare()
-        if not self._finished and not self.desk.core.is_leader(
-            time.monotonic()
-        ):
-            self.refuse(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'control.E001',
-                'This process does not lead.',
-            )
-
-
-class StateHandler(_LeaderHandler):
+class StateHandler(LeaderHandler):
     """Show the state, as the leader has it."""
 
     def get(self) -> None:
@@ -166,7 +132,7 @@
         self.finish(describe_state(self.desk.core.state))
 
 
-class DiffHandler(_LeaderHandler):
+class DiffHandler(LeaderHandler):
     """Show what differs between two versions of the document."""
 
     def get(self, before: str, after: str) -> None:
@@ -199,7 +165,11 @@
         self.finish({'events': dump_plain(events)})
 
 
-def listen_for_operators(desk: OperatorDesk, address: Address) -> HTTPServer:
+def listen_for_operators(
+    desk: OperatorDesk,
+    address: Address,
+    more_routes: Sequence[Any] = (),
+) -> HTTPServer:
     """Open the operators' port."""
     options = {'desk': desk}
     application = Application(
@@ -207,6 +177,7 @@
             ('/v1/commands', CommandHandler, options),
             ('/v1/state', StateHandler, options),
             (r'/v1/diff/(\d{1,9})/(\d{1,9})', DiffHandler, options),
+            *more_routes,
             ('/-/timeline', TimelineHandler, {'identity': desk.identity}),
         ],
         log_function=_skip_log,
