--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -26,7 +26,7 @@
 from sardinemast.entry._link import ControlLink
 from sardinemast.entry._reports import UpstreamReports
 from sardinemast.fleet import FleetState
-from sardinemast.membership import RosterUpstream, RosterView
+from sardinemast.membership import Announcement, RosterUpstream, RosterView
 from sardinemast.protocol import (
     LeaseGranted,
     RosterChanged,
@@ -61,6 +61,11 @@
         """Give the state as this entry has it."""
         return self._link.state
 
+    @property
+    def upstreams(self) -> tuple[Announcement, ...]:
+        """Give the upstreams as this entry knows them."""
+        return self._view.announcements
+
     def is_ready(self, now_s: float) -> bool:
         """Tell the balancer whether to send requests here."""
         return self._link.has_lease(now_s)
--- a/src/sardinemast/membership/_roster.py
+++ b/src/sardinemast/membership/_roster.py
@@ -52,8 +52,12 @@
 
     @property
     def upstreams(self) -> tuple[Announcement, ...]:
-        """Give the newest announcement of each upstream."""
-        return tuple(one.announcement for one in self._upstreams.values())
+        """Give the newest announcement of each upstream that is there."""
+        return tuple(
+            one.announcement
+            for one in self._upstreams.values()
+            if one.announcement.status is not UpstreamStatus.stopped
+        )
 
     def start_term(self, now_s: float) -> None:
         """Begin anew; until all were heard, nobody is missed."""
@@ -83,10 +87,9 @@
         if known is None and len(self._upstreams) >= MAX_UPSTREAMS:
             return False
         self._marks.note(fresh, now_s)
-        if fresh.status is UpstreamStatus.stopped:
-            self._remove(fresh.instance)
-        else:
-            self._put(fresh, known, now_s - age_s, now_s)
+        # One that has stopped stays listed as such for a lease. An entry that
+        # knows it from a former leader would else keep it as serving.
+        self._put(fresh, known, now_s - age_s, now_s)
         return True
 
     def renew(self, handle: int, now_s: float) -> None:
@@ -184,6 +187,7 @@
             one.announcement
             for one in self._upstreams.values()
             if one.heard_s <= now_s - SUSPECT_S
+            and one.announcement.status is not UpstreamStatus.stopped
         ]
         silent_of_pool = Counter(one.pool for one in silent)
         return {
--- a/src/sardinemast/membership/_view.py
+++ b/src/sardinemast/membership/_view.py
@@ -64,7 +64,8 @@
         for name, announcement in former.items():
             listed = self._upstreams.get(name)
             is_newer = listed and announcement.version > listed.version
-            if is_newer or (listed is None and not is_complete):
+            is_missed = listed is None and not is_complete
+            if (is_newer or is_missed) and not self.is_late(announcement):
                 self._upstreams[name] = announcement
 
     def change(
--- a/src/sardinemast/standins/upstream.py
+++ b/src/sardinemast/standins/upstream.py
@@ -7,12 +7,13 @@
 from contextlib import suppress
 from typing import Any, NamedTuple
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPError
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 _ANNOUNCE_S = 0.5
+_LEAVE_S = 2.0
 _MS_PER_S = 1000
 _HOST = '127.0.0.1'
 
@@ -23,11 +24,27 @@
     delay_s: float
 
 
+class _Running:
+    """Count the requests that run."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.ended = asyncio.Event()
+
+    async def wait_until_empty(self) -> None:
+        """Return once nothing runs any more."""
+        while self.count:
+            self.ended.clear()
+            await self.ended.wait()
+
+
 class _EchoHandler(RequestHandler):
-    def initialize(self, options: _Options) -> None:
+    def initialize(self, options: _Options, running: _Running) -> None:
         self._options = options
+        self._running = running
 
     async def prepare(self) -> None:
+        self._running.count += 1
         if self._options.delay_s:
             await asyncio.sleep(self._options.delay_s)
         self.finish(
@@ -40,6 +57,44 @@
             },
         )
 
+    def on_finish(self) -> None:
+        self._running.count -= 1
+        self._running.ended.set()
+
+
+class _Announcer:
+    """Tell the entries of this upstream, one at a time or all at once."""
+
+    def __init__(self, fields: dict[str, Any], entries: tuple[str, ...]):
+        self._fields = {**fields, 'status': 'serving', 'sequence': 0}
+        self._entries = entries
+        self._client = AsyncHTTPClient(force_instance=True)
+
+    async def run(self) -> None:
+        """Announce to each entry in turn until cancelled."""
+        turn = 0
+        while True:
+            await self._announce(self._entries[turn % len(self._entries)])
+            turn += 1
+            await asyncio.sleep(_ANNOUNCE_S)
+
+    async def change(self, status: str) -> None:
+        """Announce another status to all entries at once."""
+        sequence = self._fields['sequence'] + 1
+        self._fields.update(status=status, sequence=sequence)
+        await asyncio.gather(*map(self._announce, self._entries))
+
+    async def _announce(self, address: str) -> None:
+        # An entry that is down must not stop the announcing to the others.
+        with suppress(OSError, HTTPError):
+            await self._client.fetch(
+                f'http://{address}/-/announce',
+                method='POST',
+                body=json.dumps(self._fields),
+                raise_error=False,
+                request_timeout=_ANNOUNCE_S,
+            )
+
 
 def run_upstream(
     name: str,
@@ -62,9 +117,10 @@
     place: tuple[str, str],
 ) -> None:
     sockets = bind_sockets(port, _HOST)
+    running = _Running()
     server = HTTPServer(
         Application(
-            [('/.*', _EchoHandler, {'options': options})],
+            [('/.*', _EchoHandler, {'options': options, 'running': running})],
             log_function=_skip_log,
         ),
     )
@@ -72,7 +128,7 @@
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    announcement = {
+    fields = {
         'instance': options.name,
         'incarnation': int(time.time() * _MS_PER_S),
         'pool': options.pool,
@@ -81,32 +137,21 @@
         'data_centre': place[0],
         'rack': place[1],
     }
-    addresses = tuple(str(entries).split(','))
-    announcing = asyncio.create_task(_announce(announcement, addresses))
+    announcer = _Announcer(fields, tuple(str(entries).split(',')))
+    announcing = asyncio.create_task(announcer.run())
     await stopping.wait()
+    await _leave(announcer, running)
     announcing.cancel()
     server.stop()
 
 
-async def _announce(
-    announcement: dict[str, Any],
-    addresses: tuple[str, ...],
-) -> None:
-    client = AsyncHTTPClient()
-    turn = 0
-    while True:
-        address = addresses[turn % len(addresses)]
-        turn += 1
-        # An entry that is down must not stop the announcing to the others.
-        with suppress(OSError):
-            await client.fetch(
-                f'http://{address}/-/announce',
-                method='POST',
-                body=json.dumps(announcement),
-                raise_error=False,
-                request_timeout=_ANNOUNCE_S,
-            )
-        await asyncio.sleep(_ANNOUNCE_S)
+async def _leave(announcer: _Announcer, running: _Running) -> None:
+    # A request may be on its way from an entry that has not heard yet. An
+    # upstream that closed its port at once would cut it.
+    await announcer.change('draining')
+    await asyncio.sleep(_LEAVE_S)
+    await running.wait_until_empty()
+    await announcer.change('stopped')
 
 
 def _skip_log(handler: RequestHandler) -> None:
--- a/tests/builders/fleets.py
+++ b/tests/builders/fleets.py
@@ -41,14 +41,17 @@
     return state
 
 
-def make_announcement(instance: str = 'enrol-1') -> Announcement:
+def make_announcement(
+    instance: str = 'enrol-1',
+    port: int = 9001,
+) -> Announcement:
     """Make the announcement of an upstream of the pool."""
     return Announcement(
         instance,
         1,
         'enrolment',
         '127.0.0.1',
-        9001,
+        port,
         'rennes',
         'rack-1',
     )
