Stop an entry without cutting a request, and hear all holders of a key

A holder that had missed the end of a request judged by its own clock that the outcome is unknown, and its word decided before the others gave the stored answer.

SIGTERM: health says no, new requests are refused not run with the connection closed, what was taken finishes, grants go back, the process ends with 0. test_planned_stop_cuts_no_request shows it with eight callers.

--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -70,6 +70,13 @@
         """Tell the balancer whether to send requests here."""
         return self._link.has_lease(now_s)
 
+    def holds_grants(self) -> bool:
+        """Tell whether the log has grants of this entry."""
+        return any(
+            self._link.get_amount(team)
+            for team in self._link.get_granted_teams()
+        )
+
     def check_head(self, arrival: Arrival, now_s: float) -> Refusal | int:
         """Give the limit of the body in bytes, or refuse by the head."""
         refusal = self._check(arrival, now_s)
--- a/src/sardinemast/idempotency/_core.py
+++ b/src/sardinemast/idempotency/_core.py
@@ -37,6 +37,8 @@
 
 CLAIM_TIMEOUT_S = 1.0
 _REPEAT_S = 0.1
+_HEAR_ALL_S = 0.3
+_RANKS = (ClaimOutcome.answered, ClaimOutcome.unknown, ClaimOutcome.started)
 _VERDICTS = MappingProxyType(
     {
         ClaimOutcome.started: ClaimVerdict.in_progress,
@@ -104,6 +106,8 @@
         for pending in tuple(self._pending.values()):
             if now_s >= pending.asked_s + _REPEAT_S:
                 self._ask(pending, now_s)
+        for waiting in tuple(self._pending.values()):
+            self._weigh_known(waiting, now_s)
 
     @_handle.register
     def _handle_view(self, event: ViewChanged, now_s: float) -> None:
@@ -215,21 +219,12 @@
         self._weigh_known(pending, now_s)
 
     def _weigh_known(self, pending: _Pending, now_s: float) -> None:
-        ended = [
-            one
-            for one in pending.known
-            if one.outcome is not ClaimOutcome.started
-        ]
-        # A holder that missed the end still says that the request runs, so
-        # a second one is heard before that is believed.
-        heard = len(pending.granted | pending.known_by)
-        holders = self._get_holders(pending.claim.key)
-        if not ended and (not pending.known or heard < get_quorum(holders)):
+        if not pending.known or not self._is_enough(pending, now_s):
             return
         best = min(
-            ended or pending.known,
+            pending.known,
             key=lambda one: (
-                one.outcome is not ClaimOutcome.answered,
+                _RANKS.index(one.outcome),
                 one.answer is None,
             ),
         )
@@ -243,6 +238,21 @@
             )
         )
 
+    def _is_enough(self, pending: _Pending, now_s: float) -> bool:
+        # A holder that missed the end says that the request runs, or that
+        # its time is over. Another one may have the answer.
+        if any(
+            one.outcome is ClaimOutcome.answered and one.answer is not None
+            for one in pending.known
+        ):
+            return True
+        heard = len(pending.granted | pending.known_by)
+        holders = self._get_holders(pending.claim.key)
+        needed = len(holders)
+        if now_s >= pending.until_s - CLAIM_TIMEOUT_S + _HEAR_ALL_S:
+            needed = get_quorum(holders)
+        return heard >= needed
+
     def _give_up_late(self, now_s: float) -> None:
         for pending in tuple(self._pending.values()):
             if now_s >= pending.until_s:
--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -40,6 +40,9 @@
     def is_stopping(self) -> bool:
         """Tell whether callers should go elsewhere."""
 
+    def note_writing(self, written: asyncio.Future[None]) -> None:
+        """Note an answer that is not all on its way yet."""
+
     def check_head(self, arrival: Arrival) -> Refusal | int:
         """Give the limit of the body in bytes, or refuse by the head."""
 
@@ -190,6 +193,7 @@
         written = connection.write_headers(start_line, headers, body)
         connection.finish()
         if not written.done():
+            self._desk.note_writing(written)
             _close_when_late(written, connection)
 
 
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -5,21 +5,22 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import singledispatchmethod
+from http import HTTPStatus
 from itertools import count
 
 from logbook import Logger
-from websockets.asyncio.client import ClientConnection
 
 from sardinemast import entry, idempotency
-from sardinemast.admission import Arrival, Refusal
-from sardinemast.conf import Address, ControlAddress, ProcessSettings
+from sardinemast.admission import Arrival, Refusal, refuse_not_run
+from sardinemast.conf import ProcessSettings
 from sardinemast.fleet import find_team_by_key, get_pool
-from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
 from sardinemast.shell._caller_exchange import Answer, CallerAnswer
 from sardinemast.shell._caller_http import listen_for_callers
+from sardinemast.shell._control_stream import ControlStream
+from sardinemast.shell._drain import drain
 from sardinemast.shell._entry_peers import EntryPeers
 from sardinemast.shell._headers import IDEMPOTENCY_HEADER
-from sardinemast.shell._identity import Identity, seal, unseal
+from sardinemast.shell._identity import Identity
 from sardinemast.shell._keyed_desk import KeyedDesk
 from sardinemast.shell._keyed_requests import (
     check_key,
@@ -27,19 +28,15 @@
     digest_parts,
     limit_deadline,
 )
-from sardinemast.shell._links import LINK_ERRORS, Outbox, open_link
 from sardinemast.shell._loop import CoreLoop
 from sardinemast.shell._upstream_client import (
     Attempt,
     CallerRequest,
     UpstreamClient,
 )
-from sardinemast.wire import WireError, dump_plain
 
 _log = Logger('entry')
-_STREAM_ERRORS = (*LINK_ERRORS, WireError)
-_RECONNECT_S = 0.1
-_SILENCE_S = 1.0
+_COME_BACK_S = 1.0
 
 
 class EntryShell:
@@ -59,27 +56,46 @@
             entry.Tick(),
         )
         self.identity = identity
-        self._controls = list(settings.controls)
         self._data_centre = settings.data_centre
         self._request_ids = count(1)
         self._arrivals: dict[int, Arrival] = {}
         self._requests: dict[int, CallerRequest] = {}
         self._callers: dict[int, Answer] = {}
         self._attempts: dict[int, Attempt] = {}
+        self._is_stopping = False
+        self._writing: set[asyncio.Future[None]] = set()
         self._sending: set[asyncio.Task[None]] = set()
-        self._outbox: Outbox | None = None
         self.client = UpstreamClient()
         self.peers = EntryPeers(identity)
-        self._peer_address = Address('', 0)
+        self.control = ControlStream(
+            identity, settings.controls, self._take_control
+        )
         self._keys = KeyedDesk(self.peers, self._admit, self._answer)
 
     def is_ready(self) -> bool:
         """Tell the balancer whether to send requests here."""
-        return self.core.is_ready(time.monotonic())
+        return not self._is_stopping and self.core.is_ready(time.monotonic())
 
     def is_stopping(self) -> bool:
         """Tell whether callers should go elsewhere."""
-        return False
+        return self._is_stopping
+
+    def start_stopping(self) -> None:
+        """Refuse new requests from now on."""
+        self._is_stopping = True
+
+    def is_busy(self) -> bool:
+        """Tell whether a caller waits for an answer, or for a part of it."""
+        return bool(self._callers or self._writing or self._sending)
+
+    def holds_grants(self) -> bool:
+        """Tell whether the log still has grants of this entry."""
+        return self.core.holds_grants()
+
+    def note_writing(self, written: asyncio.Future[None]) -> None:
+        """Note an answer that is not all on its way yet."""
+        self._writing.add(written)
+        written.add_done_callback(self._writing.discard)
 
     def check_head(self, arrival: Arrival) -> Refusal | int:
         """Give the limit of the body in bytes, or refuse by the head."""
@@ -96,6 +112,9 @@
         self._requests[request_id] = request
         self._callers[request_id] = answer
         self._arrivals[request_id] = arrival._replace(request_id=request_id)
+        if self._is_stopping:
+            self._answer(request_id, refuse_while_stopping())
+            return request_id
         key = check_key(request.headers, IDEMPOTENCY_HEADER)
         if isinstance(key, Refusal):
             self._answer(request_id, key)
@@ -117,22 +136,9 @@
     async def listen_for_peers(self, host: str) -> AsyncIterator[None]:
         """Keep a port for other entries open."""
         async with self.peers.listen(host) as address:
-            self._peer_address = address
+            self.control.own_address = address
             yield
 
-    async def hold_control_link(self) -> None:
-        """Keep a stream to the leader until cancelled."""
-        while True:
-            address = self._controls[0]
-            try:
-                await self._read_control(address)
-            except _STREAM_ERRORS as error:
-                _log.debug('No stream to {}: {}.', address.name, error)
-            self._outbox = None
-            self.loop.put(entry.ControlLost())
-            self._controls.append(self._controls.pop(0))
-            await asyncio.sleep(_RECONNECT_S)
-
     def _claim(self, request_id: int, key: str) -> None:
         arrival = self._arrivals[request_id]
         state = self.core.state
@@ -159,36 +165,9 @@
         self.loop.put(entry.RequestArrived(arrival))
         return True
 
-    async def _read_control(self, address: ControlAddress) -> None:
-        async with open_link(address.peer, '/entry') as link:
-            await link.send(seal(self.identity, dump_plain(self._peer_address)))
-            outbox = Outbox(link.send, self.identity)
-            sending = asyncio.create_task(outbox.run())
-            self._outbox = outbox
-            try:
-                await self._take_messages(link)
-            finally:
-                sending.cancel()
-
-    async def _take_messages(self, link: ClientConnection) -> None:
-        while True:
-            async with asyncio.timeout(_SILENCE_S):
-                frame = await link.recv()
-            envelope = unseal(self.identity, frame)
-            message = CONTROL_MESSAGES.unpack(envelope.body)
-            if isinstance(message, NotLeader):
-                self._prefer(message.leader)
-                return
-            self.loop.put(entry.ControlReceived(message))
-            self.peers.take_entries(self.core.state.entries.values())
-
-    def _prefer(self, leader: str) -> None:
-        # The list is turned by one after each stream, so the leader is put
-        # second to be first next time.
-        for one in self._controls[1:]:
-            if one.name == leader:
-                self._controls.remove(one)
-                self._controls.insert(1, one)
+    def _take_control(self, event: entry.EntryEvent) -> None:
+        self.loop.put(event)
+        self.peers.take_entries(self.core.state.entries.values())
 
     @singledispatchmethod
     def _execute(self, output: entry.EntryOutput) -> None:
@@ -229,8 +208,7 @@
 
     @_execute.register
     def _execute_send(self, output: entry.SendToControl) -> None:
-        if self._outbox is not None:
-            self._outbox.put(ENTRY_MESSAGES.pack(output.message))
+        self.control.send(output.message)
 
     def _answer(self, request_id: int, answer: CallerAnswer) -> None:
         self._keys.note_answer(request_id, answer)
@@ -251,17 +229,36 @@
         )
 
 
+def refuse_while_stopping() -> Refusal:
+    """Refuse because this entry is about to stop."""
+    return refuse_not_run(
+        'shell.E002',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'This entry stops. Try again; the balancer picks another.',
+        _COME_BACK_S,
+    )
+
+
 async def run_entry(settings: ProcessSettings, identity: Identity) -> None:
-    """Run the role entry until cancelled."""
+    """Run the role entry until cancelled; then finish what was taken."""
     shell = EntryShell(settings, identity)
     async with shell.listen_for_peers(settings.callers.host):
         server = listen_for_callers(shell, settings.callers)
+        serving = asyncio.create_task(_serve(shell))
+        _log.info('Entry {} listens.', settings.name)
         try:
-            async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(shell.loop.run())
-                tasks.create_task(shell.client.run())
-                tasks.create_task(shell.peers.loop.run())
-                tasks.create_task(shell.hold_control_link())
-                _log.info('Entry {} listens.', settings.name)
+            await asyncio.shield(serving)
+        except asyncio.CancelledError:
+            await drain(shell, server)
+            raise
         finally:
             server.stop()
+            serving.cancel()
+
+
+async def _serve(shell: EntryShell) -> None:
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(shell.loop.run())
+        tasks.create_task(shell.client.run())
+        tasks.create_task(shell.peers.loop.run())
+        tasks.create_task(shell.control.run())
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -130,3 +130,24 @@
     entries.settle()
     verdict = entries.decided[request_id].verdict
     assert verdict is ClaimVerdict.unavailable
+
+
+@pytest.mark.parametrize('name', NAMES)
+@pytest.mark.parametrize('key', _KEYS)
+def test_holder_that_missed_the_end(
+    entries: Entries,
+    key: bytes,
+    name: str,
+) -> None:
+    """An entry is frozen while a booking ends, and its stream breaks.
+
+    It knows only that the booking started, long ago. A resend through it
+    must still get the answer that the others hold.
+    """
+    request_id = _grant(entries, 'entry-1', key)
+    known = OutcomeKnown(request_id, ClaimOutcome.answered, _ANSWER)
+    entries.end('entry-1', known)
+    entries.bag = [one for one in entries.bag if one.to != name]
+    entries.settle()
+    entries.now_s += BOUND_S
+    assert _ask(entries, name, key) is ClaimVerdict.answered
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -16,6 +16,8 @@
 from builders.processes import call, find_ports, wait_for
 from sardinemast.cli import commands
 
+_CALLERS = 8
+_PATIENCE_S = 30
 _POOLS = (
     'enrolment',
     'slow',
@@ -191,3 +193,34 @@
     if 'Sardinemast-Outcome' in response.headers:
         return response.code, _get_code(response)
     return response.code, response.body
+
+
+def test_planned_stop_cuts_no_request(fleet: Fleet) -> None:
+    """An entry is stopped under load, as in every maintenance wave.
+
+    Each request gets a whole answer or is told that it was not run and to
+    go elsewhere, and the process ends by itself with code 0.
+    """
+    key = _declare(fleet)
+    _start(fleet, 'enrolment', '--delay_s=0.3')
+    _wait_until_served(fleet, key)
+    address = fleet.get_entry('entry-1')
+    with ThreadPoolExecutor(_CALLERS) as threads:
+        callers = [
+            threads.submit(_call_until_refused, address, key)
+            for _ in range(_CALLERS)
+        ]
+        wait_for(lambda: sum(one.running() for one in callers) == _CALLERS)
+        wait_for(partial(_is_served, address, key))
+        fleet.signal('entry-1', signal.SIGTERM)
+        refusals = {caller.result() for caller in callers}
+    assert refusals == {('shell.E002', 'not run')}
+    assert fleet.processes['entry-1'].wait(_PATIENCE_S) == 0
+
+
+def _call_until_refused(address: str, key: str) -> tuple[str, str]:
+    while True:
+        response = call(address, '/enrolment/x', key, method='POST', body=b'x')
+        if response.code != HTTPStatus.OK:
+            outcome = response.headers['Sardinemast-Outcome']
+            return _get_code(response), outcome
--- a/tests/shell/test_caller_http.py
+++ b/tests/shell/test_caller_http.py
@@ -35,6 +35,9 @@
     def is_stopping(self) -> bool:
         return False
 
+    def note_writing(self, written: asyncio.Future[None]) -> None:
+        raise AssertionError(written)
+
     def check_head(self, arrival: Arrival) -> Refusal | int:
         if arrival.body_bytes > _LIMIT_BYTES:
             return refuse_not_run(
