--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -59,20 +59,15 @@
 def start_fleet(
     stack: ExitStack,
     folder: Path,
+    entry_count: int = 1,
 ) -> tuple[dict[str, int], str]:
-    """Start a control process, an entry and an upstream.
+    """Start a control process, entries and an upstream.
 
-    Give the ports of upstream and entry, and a key.
+    Give the ports of upstream and first entry, and a key.
     """
-    peer, operator, callers, upstream = find_ports(4)
-    addresses = {'peer': {'port': peer}, 'operator': {'port': operator}}
-    shared: dict[str, Any] = {
-        'data_centre': 'rennes',
-        'callers': {'port': callers},
-        'controls': [{'name': 'control', **addresses}],
-    }
-    for name in ('control', 'entry'):
-        stack.enter_context(_run_daemon(folder, name, shared))
+    upstream, *entry_ports = find_ports(1 + entry_count)
+    controls = _start_daemons(stack, folder, entry_ports)
+    entry = entry_ports[0]
     stack.enter_context(
         run_module(
             folder,
@@ -81,21 +76,42 @@
             'upstream',
             '--name=enrol-1',
             '--pool=enrolment',
-            f'--entries=127.0.0.1:{callers}',
+            f'--entries=127.0.0.1:{entry}',
             '--data_centre=rennes',
             f'--port={upstream}',
         )
     )
-    key = _declare(folder, f'127.0.0.1:{operator}')
-    _wait_until_served(callers, key)
-    return {'upstream': upstream, 'entry': callers}, key
+    key = _declare(folder, controls)
+    _wait_until_served(entry, key)
+    return {'upstream': upstream, 'entry': entry}, key
+
+
+def _start_daemons(
+    stack: ExitStack,
+    folder: Path,
+    entry_ports: list[int],
+) -> str:
+    peer, operator = find_ports(2)
+    addresses = {'peer': {'port': peer}, 'operator': {'port': operator}}
+    shared: dict[str, Any] = {
+        'data_centre': 'rennes',
+        'controls': [{'name': 'control', **addresses}],
+    }
+    stack.enter_context(_run_daemon(folder, 'control', 'control', shared))
+    for number, port in enumerate(entry_ports, start=1):
+        own = {**shared, 'callers': {'port': port}}
+        name = f'entry-{number}'
+        stack.enter_context(_run_daemon(folder, name, 'entry', own))
+    return f'127.0.0.1:{operator}'
 
 
-def _run_daemon(folder: Path, name: str, shared: dict[str, Any]) -> Any:
+def _run_daemon(
+    folder: Path, name: str, role: str, shared: dict[str, Any]
+) -> Any:
     path = folder / f'{name}.yaml'
     settings = {
         'name': name,
-        'roles': [name],
+        'roles': [role],
         'data_folder': str(folder / name),
         **shared,
     }
--- a/bench/_load.py
+++ b/bench/_load.py
@@ -1,8 +1,8 @@
 """Send requests over kept connections and measure each, as a program.
 
-``python -m bench._load PORT CONNECTIONS SECONDS KEY`` prints one line of
-JSON. It is a process of its own, so that the measured one shares its core
-with nobody.
+``python -m bench._load PORT CONNECTIONS SECONDS KEY [keyed]`` prints one line
+of JSON; ``keyed`` gives each request an idempotency key of its own. It is a
+process of its own, so that the measured one shares its core with nobody.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 import sys
 import time
 from functools import partial
+from secrets import token_hex
 
 from hdrh.histogram import HdrHistogram
 
@@ -18,6 +19,8 @@
 _US_PER_S = 1_000_000
 _US_PER_MS = 1000
 _BODY = b'x' * 200
+_KEY_MARK = b'KEYMARK'
+_KEY_HEADER = b'Idempotency-Key: %s\r\n' % _KEY_MARK
 _WARM_UP_S = 0.3
 
 
@@ -26,6 +29,8 @@
 
     def __init__(self, request: bytes, note: 'Totals') -> None:
         self._request = request
+        self._name = token_hex(8).encode()
+        self._number = 0
         self._totals = note
         self._sent_s: float = 0
         self._buffer = b''
@@ -53,7 +58,9 @@
 
     def _send(self) -> None:
         self._sent_s = time.perf_counter()
-        self._transport.write(self._request)
+        self._number += 1
+        key = b'%s-%d' % (self._name, self._number)
+        self._transport.write(self._request.replace(_KEY_MARK, key))
 
 
 class Totals:
@@ -83,11 +90,19 @@
         return value_us / _US_PER_MS
 
 
-async def _run(port: int, connections: int, seconds: float, key: str) -> None:
+async def _run(
+    port: int,
+    connections: int,
+    seconds: float,
+    key: str,
+    keyed: str = '',
+) -> None:
     totals = Totals()
+    key_header = _KEY_HEADER if keyed else b''
     request = (
         b'POST /enrolment/bench HTTP/1.1\r\nHost: bench\r\n'
         + f'Authorization: Bearer {key}\r\n'.encode()
+        + key_header
         + f'Content-Length: {len(_BODY)}\r\n\r\n'.encode()
         + _BODY
     )
@@ -119,6 +134,9 @@
 if __name__ == '__main__':
     asyncio.run(
         _run(
-            int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4]
+            int(sys.argv[1]),
+            int(sys.argv[2]),
+            float(sys.argv[3]),
+            *sys.argv[4:],
         )
     )
--- a/src/sardinemast/idempotency/_core.py
+++ b/src/sardinemast/idempotency/_core.py
@@ -285,7 +285,7 @@
         self._outputs.append(ClaimDecided(pending.request_id, verdict))
 
     def _get_holders(self, key: bytes) -> tuple[str, ...]:
-        return get_holders(key, (one.entry for one in self._view.members))
+        return get_holders(key, self._view.entries)
 
     def _send(self, entry: str, message: PeerMessage, now_s: float) -> None:
         if entry == self._own.entry:
--- a/src/sardinemast/idempotency/_holder.py
+++ b/src/sardinemast/idempotency/_holder.py
@@ -183,4 +183,4 @@
         )
 
     def _get_holders(self, key: bytes) -> tuple[str, ...]:
-        return get_holders(key, (one.entry for one in self._view.members))
+        return get_holders(key, self._view.entries)
--- a/src/sardinemast/idempotency/_messages.py
+++ b/src/sardinemast/idempotency/_messages.py
@@ -19,6 +19,11 @@
     epoch: int
     members: tuple[Member, ...]
 
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """Give the names of the entries."""
+        return tuple(one.entry for one in self.members)
+
 
 class ClaimId(NamedTuple):
     """Name one claim; no other start of any entry makes the same."""
--- a/src/sardinemast/idempotency/_ring.py
+++ b/src/sardinemast/idempotency/_ring.py
@@ -1,12 +1,14 @@
 """Which entries hold a key, by rendezvous hashing (Thaler, Ravishankar)."""
 
 import hashlib
-from collections.abc import Iterable
+from functools import lru_cache
 
 HOLDERS = 3
+_CACHED_KEYS = 4096
 
 
-def get_holders(key: bytes, entries: Iterable[str]) -> tuple[str, ...]:
+@lru_cache(maxsize=_CACHED_KEYS)
+def get_holders(key: bytes, entries: tuple[str, ...]) -> tuple[str, ...]:
     """Give the entries that hold a key.
 
     An entry that is added takes the place of one holder of some keys, and
