--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -8,7 +8,7 @@
 
 from logbook import Logger
 from websockets.asyncio.client import ClientConnection, connect
-from websockets.asyncio.server import ServerConnection
+from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from sardinemast.conf import Address
@@ -54,7 +54,7 @@
 
 
 def unseal_from(
-    link: ServerConnection,
+    link: Connection,
     frame: Any,
     identity: Identity,
     access: Access,
