Bind returned grants, recall idle ones, rotate what is contended

Cause: an entry returned idle grants by its own word and went on using the old amount until the return was applied, so the units could run twice. A limit smaller than the number of entries stuck to whoever asked first. A lowered limit was never taken back. A lease was renewed while a release of the same holder's grants was on its way into the log. A shorter longest run released grants of runs that went on under the longer one.

Change: GrantHolder binds itself from the moment a return is sent and starts nothing while the log shows more granted than the limit. Queues are sorted lines by pool and team; a request that can hardly end before its deadline is refused before it starts, because a timeout holds its place for the longest permitted run.

Ruled out: returning everything idle at once (a return and a raise in the log for each request).

--- a/src/sardinemast/admission/__init__.py
+++ b/src/sardinemast/admission/__init__.py
@@ -14,6 +14,7 @@
     refuse_not_run,
     refuse_unknown,
 )
+from sardinemast.admission._slots import SlotParts
 
 __all__ = (
     'Admitted',
@@ -21,6 +22,7 @@
     'Dispatcher',
     'Refusal',
     'RunOutcome',
+    'SlotParts',
     'Waiting',
     'check_arrival',
     'refuse_not_run',
--- a/src/sardinemast/admission/_dispatcher.py
+++ b/src/sardinemast/admission/_dispatcher.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 
+from sardinemast.admission._fair_order import FairOrder
 from sardinemast.admission._gate import Admitted, Arrival
-from sardinemast.admission._queue import Waiting, WaitingQueue
+from sardinemast.admission._queue import Line, Waiting, WaitingQueue
 from sardinemast.admission._refusals import Refusal, refuse_not_run
+from sardinemast.admission._service_times import ServiceTimes
 from sardinemast.admission._usage import TeamUsage
-from sardinemast.protocol import TeamDemand
+from sardinemast.protocol import PoolPart, TeamDemand, TeamUse
 
 _COME_BACK_S = 1.0
+_MIN_COME_BACK_S = 0.1
+_MAX_COME_BACK_S = 30.0
 
 
 class Dispatcher:
@@ -18,6 +22,8 @@
     def __init__(self) -> None:
         self._queue = WaitingQueue()
         self._usage = TeamUsage()
+        self._order = FairOrder(self._usage)
+        self._times = ServiceTimes()
 
     def take(
         self,
@@ -32,8 +38,13 @@
             arrival.pool,
             admitted.due_s,
             arrival.is_repeatable,
+            arrival.is_urgent,
+            self._get_start_by_s(arrival.pool, admitted.due_s, now_s),
         )
-        if self._queue.add(waiting):
+        late_s = self._estimate_lateness_s(waiting, now_s)
+        if late_s > 0:
+            return _describe_hopeless(late_s)
+        if self._add(waiting, now_s):
             return None
         return refuse_not_run(
             'admission.E007',
@@ -44,8 +55,8 @@
 
     def take_again(self, waiting: Waiting, now_s: float) -> Refusal | None:
         """Queue a request whose attempt left no byte."""
-        self._usage.end(waiting.request_id)
-        if now_s < waiting.due_s and self._queue.add(waiting):
+        self._usage.end(waiting.request_id, now_s)
+        if now_s < waiting.due_s and self._add(waiting, now_s):
             return None
         return _describe_late()
 
@@ -55,50 +66,155 @@
 
     def get_ready(
         self,
-        get_amount: Callable[[str], int],
+        get_usable: Callable[[str], int],
+        get_slots: Callable[[str], int],
         now_s: float,
     ) -> Iterator[Waiting]:
-        """Give what may start by the grants, the most urgent first.
+        """Give what may start by grants and slots, by the teams' shares.
 
-        The caller starts a request, or leaves it, before asking for the next.
+        The caller starts a request, or leaves it, before asking for the next;
+        after one that is left nothing more of its pool is given.
         """
-        for waiting in self._queue.get_ordered():
-            if self._usage.count(waiting.team) < get_amount(waiting.team):
-                yield waiting
-
-    def start(self, waiting: Waiting) -> None:
+        open_lines = [
+            line
+            for line in self._queue.get_lines()
+            if self._usage.count(line[1]) < get_usable(line[1])
+        ]
+        pools = sorted({line[0] for line in open_lines})
+        for pool in pools:
+            lines = [line for line in open_lines if line[0] == pool]
+            free_slots = get_slots(pool) - self._usage.count_pool(pool)
+            yield from self._get_ready_of(lines, free_slots, get_usable, now_s)
+
+    def start(self, waiting: Waiting, now_s: float) -> None:
         """Count a request as running."""
         self._queue.remove(waiting.request_id)
-        self._usage.start(waiting.request_id, waiting.team)
+        self._usage.start(waiting, now_s)
+        self._order.note_start(waiting.line)
 
-    def end(self, request_id: int, held_until_s: float | None) -> None:
+    def end(
+        self,
+        waiting: Waiting,
+        held_until_s: float | None,
+        now_s: float,
+    ) -> None:
         """Free the place of a request, or hold it while it may still run."""
-        if held_until_s is None:
-            self._usage.end(request_id)
-        else:
-            self._usage.hold(request_id, held_until_s)
+        if held_until_s is not None:
+            self._usage.hold(waiting.request_id, held_until_s)
+            return
+        service_s = self._usage.end(waiting.request_id, now_s)
+        if service_s is not None:
+            self._times.note(waiting.pool, service_s, now_s)
 
     def expire(self, now_s: float) -> Iterator[tuple[int, Refusal]]:
         """Give the requests whose deadline has passed, and forget them."""
         self._usage.release_held(now_s)
-        for waiting in self._queue.get_ordered():
-            if waiting.due_s > now_s:
-                return
-            self._queue.remove(waiting.request_id)
+        for waiting in self._queue.take_due(now_s):
             yield waiting.request_id, _describe_late()
 
+    def replace_parts(self, pools: tuple[PoolPart, ...]) -> None:
+        """Take the teams' fair parts that the leader computed."""
+        self._order.replace_parts(pools)
+
+    def count_running(self, team: str) -> int:
+        """Count what runs, or may still run, for a team."""
+        return self._usage.count(team)
+
+    def count_wanted(self, team: str) -> int:
+        """Count what runs and what waits for a team."""
+        return self._usage.count(team) + self._queue.count(team)
+
+    def get_waiting_teams(self) -> set[str]:
+        """Give the teams that have something waiting."""
+        return self._queue.get_teams()
+
     def get_demands(self) -> tuple[TeamDemand, ...]:
         """Tell how much each team wants to run here."""
-        waiting_teams = {one.team for one in self._queue.get_ordered()}
+        teams = self._queue.get_teams() | self._usage.get_teams()
         return tuple(
             TeamDemand(
                 team,
-                self._usage.count(team) + self._queue.count(team),
+                self.count_wanted(team),
                 self._usage.count(team),
             )
-            for team in sorted(waiting_teams | self._usage.get_teams())
+            for team in sorted(teams)
         )
 
+    def get_uses(self, now_s: float) -> dict[str, tuple[TeamUse, ...]]:
+        """Tell by pool what each team waits for, runs and has used."""
+        uses: dict[str, tuple[TeamUse, ...]] = {}
+        lines = {*self._queue.get_lines(), *self._usage.get_lines()}
+        for pool, team in sorted(lines):
+            use = TeamUse(
+                team,
+                self._queue.count_line((pool, team)),
+                self._usage.count_line((pool, team)),
+                self._usage.get_used_s((pool, team), now_s),
+            )
+            uses[pool] = (*uses.get(pool, ()), use)
+        return uses
+
+    def _add(self, waiting: Waiting, now_s: float) -> bool:
+        if not self._queue.count_line(waiting.line):
+            self._order.activate(waiting.line, now_s)
+        return self._queue.add(waiting)
+
+    def _get_ready_of(
+        self,
+        lines: list[Line],
+        free_slots: int,
+        get_usable: Callable[[str], int],
+        now_s: float,
+    ) -> Iterator[Waiting]:
+        while lines and free_slots > 0:
+            line = self._choose(lines, now_s)
+            waiting = self._queue.get_first(line)
+            if waiting is None or (
+                self._usage.count(waiting.team) >= get_usable(waiting.team)
+            ):
+                lines.remove(line)
+                continue
+            yield waiting
+            if self._queue.get_first(line) == waiting:
+                return
+            free_slots -= 1
+
+    def _choose(self, lines: list[Line], now_s: float) -> Line:
+        if len(lines) == 1:
+            self._order.rank(lines[0], 0, now_s)
+            return lines[0]
+        known = self._times.get(lines[0][0], now_s)
+        mean_s = known.mean_s if known else 0
+        return min(
+            lines,
+            key=lambda line: self._order.rank(line, mean_s, now_s),
+        )
+
+    def _estimate_lateness_s(self, waiting: Waiting, now_s: float) -> float:
+        known = self._times.get(waiting.pool, now_s)
+        if known is None:
+            return 0
+        ahead = self._queue.count_ahead(waiting)
+        parallel = max(
+            self._usage.count_line(waiting.line),
+            self._order.get_part(waiting.line),
+        )
+        wait_s = ahead * known.mean_s / parallel
+        return now_s + wait_s - waiting.start_by_s
+
+    def _get_start_by_s(self, pool: str, due_s: float, now_s: float) -> float:
+        # A request that starts too late times out, and its place is held for
+        # the longest permitted run since the upstream may go on. A few of
+        # these stop a team with a small limit, so nearly all runs must fit.
+        # A deadline that is short from the start gets its half, or else no
+        # request with such a deadline would ever run; so does one of which
+        # nothing has been measured.
+        known = self._times.get(pool, now_s)
+        half_s = (due_s - now_s) / 2
+        if known is None:
+            return due_s - half_s
+        return due_s - min(known.slow_s, max(known.median_s, half_s))
+
 
 def _describe_late() -> Refusal:
     return refuse_not_run(
@@ -107,3 +223,12 @@
         'No slot or no part of the limit came free before the deadline.',
         _COME_BACK_S,
     )
+
+
+def _describe_hopeless(late_s: float) -> Refusal:
+    return refuse_not_run(
+        'admission.E010',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'By the measured service times this would end after its deadline.',
+        min(max(late_s, _MIN_COME_BACK_S), _MAX_COME_BACK_S),
+    )
--- a/src/sardinemast/admission/_gate.py
+++ b/src/sardinemast/admission/_gate.py
@@ -15,7 +15,8 @@
     The key itself stays outside the core, so that no event, log or dump of
     state can hold it; an empty digest means that no key was sent.
     ``deadline_s`` is the time left in seconds as the caller asks, or nothing
-    for the pool's default.
+    for the pool's default. An urgent request goes ahead of its own team's other
+    requests, and of no other team's.
     """
 
     request_id: int
@@ -24,6 +25,7 @@
     is_repeatable: bool
     deadline_s: float | None
     body_bytes: int
+    is_urgent: bool = False
 
 
 class Admitted(NamedTuple):
--- a/src/sardinemast/admission/_queue.py
+++ b/src/sardinemast/admission/_queue.py
@@ -1,41 +1,120 @@
 """Requests that wait for a grant and a slot."""
 
+import heapq
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Iterator
 from typing import NamedTuple
 
 MAX_WAITING_PER_TEAM = 256
+_MIN_COMPACTED = 64
+
+Line = tuple[str, str]
 
 
 class Waiting(NamedTuple):
-    """Hold a request that has not left yet."""
+    """Hold a request that has not left yet.
+
+    Once ``start_by_s`` has passed it would hardly end before its deadline.
+    """
 
     request_id: int
     team: str
     pool: str
     due_s: float
     is_repeatable: bool
+    is_urgent: bool = False
+    start_by_s: float = float('inf')
+
+    @property
+    def line(self) -> Line:
+        """Give the pool and the team, whose requests stand in one line."""
+        return (self.pool, self.team)
+
+
+class _Ranked(NamedTuple):
+    is_usual: bool
+    due_s: float
+    request_id: int
 
 
 class WaitingQueue:
-    """Hold waiting requests by pool and team, earliest deadline first."""
+    """Hold a line for each pool and team: urgent first, then by deadline.
+
+    A line is a sorted list: its bound keeps it short, its order tells at once
+    how many stand ahead, and a leaving caller is found by bisection.
+    """
 
     def __init__(self) -> None:
         self._waiting: dict[int, Waiting] = {}
+        self._lines: dict[Line, list[_Ranked]] = {}
+        self._due: list[tuple[float, int]] = []
+        self._team_counts: Counter[str] = Counter()
 
     def add(self, waiting: Waiting) -> bool:
         """Add a request, or tell that the team's queue is full."""
-        if self.count(waiting.team) >= MAX_WAITING_PER_TEAM:
+        if self._team_counts[waiting.team] >= MAX_WAITING_PER_TEAM:
             return False
         self._waiting[waiting.request_id] = waiting
+        insort(self._lines.setdefault(waiting.line, []), _rank(waiting))
+        start_by_s = min(waiting.start_by_s, waiting.due_s)
+        heapq.heappush(self._due, (start_by_s, waiting.request_id))
+        self._team_counts[waiting.team] += 1
         return True
 
     def remove(self, request_id: int) -> Waiting | None:
         """Take a request out, where it still waits."""
-        return self._waiting.pop(request_id, None)
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
+            return None
+        ranks = self._lines[waiting.line]
+        del ranks[bisect_left(ranks, _rank(waiting))]
+        if not ranks:
+            del self._lines[waiting.line]
+        self._team_counts[waiting.team] -= 1
+        self._compact()
+        return waiting
 
     def count(self, team: str) -> int:
         """Count what waits for a team."""
-        return sum(one.team == team for one in self._waiting.values())
+        return self._team_counts[team]
+
+    def count_line(self, line: Line) -> int:
+        """Count what waits in a line."""
+        return len(self._lines.get(line, ()))
+
+    def count_ahead(self, waiting: Waiting) -> int:
+        """Count what stands, or would stand, ahead of a request."""
+        return bisect_left(self._lines.get(waiting.line, []), _rank(waiting))
+
+    def get_teams(self) -> set[str]:
+        """Give the teams that have something waiting."""
+        return {line[1] for line in self._lines}
+
+    def get_lines(self) -> list[Line]:
+        """Give the lines that hold something."""
+        return list(self._lines)
+
+    def get_first(self, line: Line) -> Waiting | None:
+        """Give the request at the front of a line."""
+        ranks = self._lines.get(line)
+        return self._waiting[ranks[0].request_id] if ranks else None
+
+    def take_due(self, until_s: float) -> Iterator[Waiting]:
+        """Take out the requests that are too late to start at a moment."""
+        while self._due and self._due[0][0] <= until_s:
+            _, request_id = heapq.heappop(self._due)
+            waiting = self.remove(request_id)
+            if waiting is not None:
+                yield waiting
+
+    def _compact(self) -> None:
+        # A removed request stays in the heap of deadlines until that moment,
+        # so a wave of leaving callers with long deadlines would fill memory.
+        if len(self._due) > _MIN_COMPACTED + 2 * len(self._waiting):
+            self._due = [one for one in self._due if one[1] in self._waiting]
+            heapq.heapify(self._due)
+
 
-    def get_ordered(self) -> tuple[Waiting, ...]:
-        """Give all that waits, earliest deadline first."""
-        return tuple(sorted(self._waiting.values(), key=lambda one: one.due_s))
+def _rank(waiting: Waiting) -> _Ranked:
+    return _Ranked(not waiting.is_urgent, waiting.due_s, waiting.request_id)
--- a/src/sardinemast/admission/_usage.py
+++ b/src/sardinemast/admission/_usage.py
@@ -1,8 +1,19 @@
 """What each team has running through this entry."""
 
+import heapq
+from collections import Counter
+from typing import NamedTuple
+
+from sardinemast.admission._queue import Line, Waiting
+
+
+class _Run(NamedTuple):
+    line: Line
+    started_s: float
+
 
 class TeamUsage:
-    """Count running requests by team.
+    """Count running requests by team and pool, and the time they used.
 
     A request counts as running until its end at the upstream is known. After
     a timeout the upstream may go on, so the place is held until the longest
@@ -11,37 +22,73 @@
     """
 
     def __init__(self) -> None:
-        self._running: dict[int, str] = {}
-        self._held_until_s: dict[int, float] = {}
+        self._running: dict[int, _Run] = {}
+        self._held: list[tuple[float, int]] = []
+        self._team_counts: Counter[str] = Counter()
+        self._pool_counts: Counter[str] = Counter()
+        self._line_counts: Counter[Line] = Counter()
+        self._used_s: dict[Line, float] = {}
+        self._counted_s: dict[Line, float] = {}
 
-    def start(self, request_id: int, team: str) -> None:
+    def start(self, waiting: Waiting, now_s: float) -> None:
         """Count a request as running."""
-        self._running[request_id] = team
+        self._note_use(waiting.line, now_s)
+        self._running[waiting.request_id] = _Run(waiting.line, now_s)
+        self._count(waiting.line, 1)
 
-    def end(self, request_id: int) -> None:
-        """Free the place of a request whose end is known."""
-        self._running.pop(request_id, None)
-        self._held_until_s.pop(request_id, None)
+    def end(self, request_id: int, now_s: float) -> float | None:
+        """Free the place of a request whose end is known, and give its time."""
+        run = self._running.pop(request_id, None)
+        if run is None:
+            return None
+        self._note_use(run.line, now_s)
+        self._count(run.line, -1)
+        return now_s - run.started_s
 
     def hold(self, request_id: int, until_s: float) -> None:
         """Keep the place of a request whose end is not known."""
         if request_id in self._running:
-            self._held_until_s[request_id] = until_s
+            heapq.heappush(self._held, (until_s, request_id))
 
     def release_held(self, now_s: float) -> None:
         """Free the places whose longest permitted run has passed."""
-        ended = [
-            request_id
-            for request_id, until_s in self._held_until_s.items()
-            if until_s <= now_s
-        ]
-        for request_id in ended:
-            self.end(request_id)
+        while self._held and self._held[0][0] <= now_s:
+            _, request_id = heapq.heappop(self._held)
+            self.end(request_id, now_s)
 
     def count(self, team: str) -> int:
         """Count what runs for a team."""
-        return sum(one == team for one in self._running.values())
+        return self._team_counts[team]
+
+    def count_pool(self, pool: str) -> int:
+        """Count what runs in a pool."""
+        return self._pool_counts[pool]
+
+    def count_line(self, line: Line) -> int:
+        """Count what runs for a team in a pool."""
+        return self._line_counts[line]
+
+    def get_used_s(self, line: Line, now_s: float) -> float:
+        """Give the service time used so far, also by what runs now."""
+        self._note_use(line, now_s)
+        return self._used_s[line]
+
+    def get_lines(self) -> list[Line]:
+        """Give the pools and teams that have something running."""
+        return [line for line, count in self._line_counts.items() if count]
 
     def get_teams(self) -> set[str]:
         """Give the teams that have something running."""
-        return set(self._running.values())
+        return {team for team, count in self._team_counts.items() if count}
+
+    def _note_use(self, line: Line, now_s: float) -> None:
+        since_s = now_s - self._counted_s.get(line, now_s)
+        self._counted_s[line] = now_s
+        fresh_s = since_s * self._line_counts[line]
+        self._used_s[line] = self._used_s.get(line, 0) + fresh_s
+
+    def _count(self, line: Line, step: int) -> None:
+        pool, team = line
+        self._pool_counts[pool] += step
+        self._team_counts[team] += step
+        self._line_counts[line] += step
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -24,12 +24,17 @@
 from sardinemast.control._sessions import LEASE_S, EntrySessions
 from sardinemast.fleet import (
     COMMANDS,
-    ChangeGrants,
     Command,
     FleetState,
     apply_command,
 )
-from sardinemast.protocol import AppliedCommand, NotLeader, RenewLease
+from sardinemast.protocol import (
+    AppliedCommand,
+    NotLeader,
+    RenewLease,
+    ReportDemand,
+    ReportUpstreams,
+)
 
 
 class ControlSettings(NamedTuple):
@@ -90,7 +95,7 @@
         self._step_replica(consensus.Tick(), now_s)
         if self.is_leader(now_s):
             self._entry_desk.expire_upstreams(now_s)
-            self._grant_desk.release_dead(now_s)
+            self._grant_desk.tick(now_s)
 
     @_handle.register
     def _handle_peer(self, event: PeerReceived, now_s: float) -> None:
@@ -122,9 +127,14 @@
         if session is None or not self.is_leader(now_s):
             self._sessions.close(event.stream_id)
             self._send_elsewhere(event.stream_id)
-        elif not isinstance(event.message, RenewLease):
+        elif isinstance(event.message, ReportUpstreams):
             self._entry_desk.take_report(event.message, now_s)
-        elif self._entry_desk.renew(session, event.message, now_s):
+        elif self._grant_desk.is_releasing(session):
+            return
+        elif isinstance(event.message, RenewLease):
+            if self._entry_desk.renew(session, event.message, now_s):
+                self._grant_desk.take_wish(session, event.message, now_s)
+        elif isinstance(event.message, ReportDemand):
             self._grant_desk.take_wish(session, event.message, now_s)
 
     def _propose(self, command: Command, request_id: int, now_s: float) -> None:
@@ -155,8 +165,7 @@
             command = COMMANDS.decode(entry.payload)
             outcome = apply_command(self.state, command, entry.log_index)
             self._pending.note_applied(entry, outcome)
-            if isinstance(command, ChangeGrants):
-                self._grant_desk.note_applied(command)
+            self._grant_desk.note_applied(command, self.state)
         self.state.log_index = entry.log_index
         # The first entry of the own term shows that all entries of former
         # terms are applied; before that a leader may lack acknowledged ones.
@@ -172,7 +181,7 @@
         now_s: float,
     ) -> None:
         self._is_ready = False
-        self._grant_desk.start_term()
+        self._grant_desk.start_term(now_s)
         if changed.role is consensus.Role.leader:
             self._sessions.start_term(now_s)
             return
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -1,11 +1,13 @@
 """Decide what an entry does with requests, without input or output."""
 
-from functools import singledispatchmethod
-from typing import NamedTuple
+from collections.abc import Callable
+from functools import partial
+from typing import Any, NamedTuple
 
 from sardinemast.admission import (
     Dispatcher,
     Refusal,
+    SlotParts,
     check_arrival,
     refuse_without_lease,
 )
@@ -24,10 +26,14 @@
     UpstreamAnnounced,
 )
 from sardinemast.entry._link import ControlLink
+from sardinemast.entry._reports import DemandReports
 from sardinemast.fleet import FleetState
+from sardinemast.grants import GrantHolder
 from sardinemast.membership import Announcement
 from sardinemast.protocol import (
+    AllotSlots,
     LeaseGranted,
+    RecallGrants,
     ReportUpstreams,
     RosterChanged,
     StateChanged,
@@ -49,9 +55,28 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
-        self._link = ControlLink(settings.name, settings.incarnation)
+        self._link = ControlLink()
+        self._holder = GrantHolder(settings.name, settings.incarnation)
         self._dispatcher = Dispatcher()
+        self._slots = SlotParts(settings.data_centre)
+        self._reports = DemandReports(
+            self._link,
+            self._holder,
+            self._dispatcher,
+            self._slots,
+        )
         self._attempts = AttemptTable(settings.data_centre)
+        # A plain table: the method of functools builds a closure on each call,
+        # which costs more than the rest of a step.
+        self._handlers: dict[type, Callable[[Any, float], None]] = {
+            Tick: self._handle_tick,
+            RequestArrived: self._handle_arrival,
+            CallerLeft: self._handle_caller_left,
+            AttemptEnded: self._handle_ended,
+            UpstreamAnnounced: self._handle_announced,
+            ControlReceived: self._handle_control,
+            ControlLost: self._handle_lost,
+        }
         self._heard: dict[str, Announcement] = {}
         self._outputs: list[EntryOutput] = []
 
@@ -67,25 +92,20 @@
     def step(self, event: EntryEvent, now_s: float) -> list[EntryOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs = []
-        self._handle(event, now_s)
+        self._handlers[type(event)](event, now_s)
         for request_id, refusal in self._dispatcher.expire(now_s):
             self._refuse(request_id, refusal)
         self._dispatch(now_s)
-        self._renew(now_s)
+        for message in self._reports.make(now_s):
+            self._outputs.append(SendToControl(message))
         return self._outputs
 
-    @singledispatchmethod
-    def _handle(self, event: EntryEvent, now_s: float) -> None:
-        raise TypeError(event)
-
-    @_handle.register
     def _handle_tick(self, event: Tick, now_s: float) -> None:
         if self._heard:
             heard = tuple(self._heard.values())
             self._outputs.append(SendToControl(ReportUpstreams(heard)))
             self._heard.clear()
 
-    @_handle.register
     def _handle_arrival(self, event: RequestArrived, now_s: float) -> None:
         refusal = self._admit(event, now_s)
         if refusal is not None:
@@ -104,25 +124,26 @@
             return checked
         return self._dispatcher.take(event.arrival, checked, now_s)
 
-    @_handle.register
     def _handle_caller_left(self, event: CallerLeft, now_s: float) -> None:
         # What runs goes on and keeps its place; only what waits is dropped.
         self._dispatcher.drop(event.request_id)
 
-    @_handle.register
     def _handle_ended(self, event: AttemptEnded, now_s: float) -> None:
         ending = self._attempts.end(event.request_id, event.attempt_result)
         if ending.next_step is NextStep.retry:
             refusal = self._dispatcher.take_again(ending.waiting, now_s)
         else:
-            self._dispatcher.end(event.request_id, ending.held_until_s)
+            self._dispatcher.end(
+                ending.waiting,
+                ending.held_until_s,
+                now_s,
+            )
             refusal = ending.refusal
         if refusal is not None:
             self._refuse(event.request_id, refusal)
         elif ending.next_step is NextStep.pass_answer:
             self._outputs.append(PassAnswer(event.request_id))
 
-    @_handle.register
     def _handle_announced(
         self,
         event: UpstreamAnnounced,
@@ -130,11 +151,10 @@
     ) -> None:
         self._heard[event.announcement.instance] = event.announcement
 
-    @_handle.register
     def _handle_lost(self, event: ControlLost, now_s: float) -> None:
-        """Let the lease run out by itself."""
+        """Let the lease run out by itself, and tell all to the next leader."""
+        self._reports.reset()
 
-    @_handle.register
     def _handle_control(self, event: ControlReceived, now_s: float) -> None:
         message = event.message
         if isinstance(message, LeaseGranted):
@@ -145,32 +165,25 @@
             self._link.take_commands(message)
         elif isinstance(message, RosterChanged):
             self._attempts.replace_roster(message.announcements)
+            self._slots.replace_roster(message.announcements)
+        elif isinstance(message, RecallGrants):
+            self._holder.take_recalls(message.recalls)
+        elif isinstance(message, AllotSlots):
+            self._slots.replace_parts(message.pools)
+            self._dispatcher.replace_parts(message.pools)
 
     def _dispatch(self, now_s: float) -> None:
         if not self._link.has_lease(now_s):
             return
         for waiting in self._dispatcher.get_ready(
-            self._link.get_amount,
+            partial(self._holder.get_usable, self.state),
+            partial(self._slots.get_slots, self.state),
             now_s,
         ):
             attempt = self._attempts.start(self.state, waiting, now_s)
             if attempt is not None:
-                self._dispatcher.start(waiting)
+                self._dispatcher.start(waiting, now_s)
                 self._outputs.append(attempt)
 
-    def _renew(self, now_s: float) -> None:
-        demands = self._dispatcher.get_demands()
-        is_urgent = any(
-            demand.wanted > self._link.get_amount(demand.team)
-            for demand in demands
-        )
-        renewal = self._link.get_renewal(
-            now_s,
-            demands,
-            is_urgent=is_urgent,
-        )
-        if renewal is not None:
-            self._outputs.append(SendToControl(renewal))
-
     def _refuse(self, request_id: int, refusal: Refusal) -> None:
         self._outputs.append(RefuseRequest(request_id, refusal))
--- a/src/sardinemast/entry/_link.py
+++ b/src/sardinemast/entry/_link.py
@@ -17,10 +17,8 @@
 class ControlLink:
     """Hold the state as the log has it, and the lease."""
 
-    def __init__(self, name: str, incarnation: int) -> None:
+    def __init__(self) -> None:
         self.state = FleetState()
-        self._name = name
-        self._incarnation = incarnation
         self._lease_until_s = float('-inf')
         self._renewed_s = float('-inf')
 
@@ -28,20 +26,6 @@
         """Tell whether the leader surely still counts on this entry."""
         return now_s < self._lease_until_s
 
-    def get_amount(self, team: str) -> int:
-        """Give what this entry may have running for the team."""
-        grant = self.state.grants.get((self._name, self._incarnation, team))
-        return grant.amount if grant else 0
-
-    def get_granted_teams(self) -> set[str]:
-        """Give the teams that this entry holds a grant for."""
-        return {
-            grant.team
-            for grant in self.state.grants.values()
-            if (grant.entry, grant.incarnation)
-            == (self._name, self._incarnation)
-        }
-
     def take_lease(self, granted: LeaseGranted) -> None:
         """Renew the lease; an older answer never shortens it."""
         self._lease_until_s = max(
@@ -68,6 +52,7 @@
         self,
         now_s: float,
         demands: tuple[TeamDemand, ...],
+        returns: tuple[GrantReturn, ...],
         *,
         is_urgent: bool,
     ) -> RenewLease | None:
@@ -80,23 +65,10 @@
             now_s,
             self.state.log_index,
             demands,
-            self._get_returns(demands),
+            returns,
         )
 
     def _apply(self, payload: bytes, index: int) -> None:
         if payload:
             apply_command(self.state, COMMANDS.decode(payload), index)
         self.state.log_index = index
-
-    def _get_returns(
-        self,
-        demands: tuple[TeamDemand, ...],
-    ) -> tuple[GrantReturn, ...]:
-        wanted = {demand.team: demand.wanted for demand in demands}
-        return tuple(
-            GrantReturn(grant.team, wanted.get(grant.team, 0), grant.log_index)
-            for grant in self.state.grants.values()
-            if (grant.entry, grant.incarnation)
-            == (self._name, self._incarnation)
-            and wanted.get(grant.team, 0) < grant.amount
-        )
--- /dev/null
+++ b/src/sardinemast/entry/_reports.py
@@ -0,0 +1,103 @@
+"""What an entry tells the leader of its demand, and when."""
+
+from collections.abc import Iterator
+
+from sardinemast.admission import Dispatcher, SlotParts
+from sardinemast.entry._link import URGENT_INTERVAL_S, ControlLink
+from sardinemast.grants import GrantHolder
+from sardinemast.protocol import (
+    EntryMessage,
+    GrantReturn,
+    PoolUse,
+    RenewLease,
+    ReportDemand,
+    ReportPools,
+)
+
+_POOL_INTERVAL_S = 0.05
+
+
+class DemandReports:
+    """Send renewals and, where it cannot wait for one, demand and returns."""
+
+    def __init__(
+        self,
+        link: ControlLink,
+        holder: GrantHolder,
+        dispatcher: Dispatcher,
+        slots: SlotParts,
+    ) -> None:
+        self._link = link
+        self._holder = holder
+        self._dispatcher = dispatcher
+        self._slots = slots
+        self._short_teams: set[str] = set()
+        self._returns: tuple[GrantReturn, ...] = ()
+        self._looked_s = float('-inf')
+        self._pools_told_s = float('-inf')
+        self._has_told_pools = False
+
+    def reset(self) -> None:
+        """Tell all again; the leader may be another one."""
+        self._short_teams = set()
+        self._returns = ()
+        self._looked_s = float('-inf')
+
+    def make(self, now_s: float) -> Iterator[EntryMessage]:
+        """Give what is to be sent now."""
+        short_teams = self._get_short_teams()
+        returns = self._holder.make_returns(
+            self._link.state,
+            self._dispatcher.count_running,
+        )
+        renewal = self._make_renewal(now_s, bool(short_teams), returns)
+        is_fresh = bool(short_teams - self._short_teams)
+        if renewal is not None:
+            yield renewal
+        elif is_fresh or returns != self._returns:
+            yield ReportDemand(self._dispatcher.get_demands(), returns)
+        self._short_teams = short_teams
+        self._returns = returns
+        yield from self._make_pools(now_s)
+
+    def _get_short_teams(self) -> set[str]:
+        return {
+            team
+            for team in self._dispatcher.get_waiting_teams()
+            if self._dispatcher.count_wanted(team)
+            > self._holder.get_usable(self._link.state, team)
+        }
+
+    def _make_renewal(
+        self,
+        now_s: float,
+        is_urgent: bool,
+        returns: tuple[GrantReturn, ...],
+    ) -> RenewLease | None:
+        if now_s < self._looked_s + URGENT_INTERVAL_S:
+            return None
+        self._looked_s = now_s
+        return self._link.get_renewal(
+            now_s,
+            self._dispatcher.get_demands(),
+            returns,
+            is_urgent=is_urgent,
+        )
+
+    def _make_pools(self, now_s: float) -> Iterator[ReportPools]:
+        if now_s < self._pools_told_s + _POOL_INTERVAL_S:
+            return
+        self._pools_told_s = now_s
+        uses = self._dispatcher.get_uses(now_s)
+        if uses or self._has_told_pools:
+            self._has_told_pools = bool(uses)
+            yield ReportPools(
+                tuple(
+                    PoolUse(
+                        pool,
+                        self._slots.count_capacity(self._link.state, pool),
+                        teams,
+                    )
+                    for pool, teams in uses.items()
+                )
+            )
--- a/src/sardinemast/protocol/_messages.py
+++ b/src/sardinemast/protocol/_messages.py
@@ -27,6 +27,54 @@
     based_on_index: int
 
 
+class GrantRecall(NamedTuple):
+    """Ask a holder to go down to an amount as its work ends.
+
+    ``based_on_index`` is the log index of the grant that is meant; a recall
+    of an older amount changes nothing.
+    """
+
+    team: str
+    amount: int
+    based_on_index: int
+
+
+class TeamUse(NamedTuple):
+    """Say what a team has waiting and running in a pool at this entry.
+
+    ``used_s`` is all service time used since the entry started; what runs
+    now counts up to the moment of the report.
+    """
+
+    team: str
+    waiting: int
+    running: int
+    used_s: float
+
+
+class PoolUse(NamedTuple):
+    """Say what this entry does in a pool, and how many slots it sees."""
+
+    pool: str
+    capacity_slots: int
+    teams: tuple[TeamUse, ...]
+
+
+class TeamPart(NamedTuple):
+    """Give a team's fair part of an entry's slots; it may be a fraction."""
+
+    team: str
+    slots: float
+
+
+class PoolPart(NamedTuple):
+    """Give an entry its part of a pool's slots."""
+
+    pool: str
+    slots: int
+    teams: tuple[TeamPart, ...]
+
+
 class RenewLease(NamedTuple):
     """Ask for the lease to go on; ``sent_at_s`` is the entry's clock."""
 
@@ -36,6 +84,19 @@
     returns: tuple[GrantReturn, ...]
 
 
+class ReportDemand(NamedTuple):
+    """Tell demand and returns at once, between two renewals."""
+
+    demands: tuple[TeamDemand, ...]
+    returns: tuple[GrantReturn, ...]
+
+
+class ReportPools(NamedTuple):
+    """Tell what this entry does in each pool that it uses."""
+
+    pools: tuple[PoolUse, ...]
+
+
 class ReportUpstreams(NamedTuple):
     """Pass on what upstreams announced to this entry."""
 
@@ -74,21 +135,46 @@
     announcements: tuple[Announcement, ...]
 
 
+class RecallGrants(NamedTuple):
+    """Ask for grants that other entries wait for."""
+
+    recalls: tuple[GrantRecall, ...]
+
+
+class AllotSlots(NamedTuple):
+    """Give an entry its parts of the pools that it uses."""
+
+    pools: tuple[PoolPart, ...]
+
+
 class NotLeader(NamedTuple):
     """Tell the entry to go to another control process."""
 
     leader: str
 
 
-EntryMessage = RenewLease | ReportUpstreams
+EntryMessage = RenewLease | ReportDemand | ReportPools | ReportUpstreams
 ControlMessage = (
-    LeaseGranted | StateReplaced | StateChanged | RosterChanged | NotLeader
+    LeaseGranted
+    | StateReplaced
+    | StateChanged
+    | RosterChanged
+    | RecallGrants
+    | AllotSlots
+    | NotLeader
+)
+ENTRY_MESSAGES = MessageSet(
+    RenewLease,
+    ReportDemand,
+    ReportPools,
+    ReportUpstreams,
 )
-ENTRY_MESSAGES = MessageSet(RenewLease, ReportUpstreams)
 CONTROL_MESSAGES = MessageSet(
     LeaseGranted,
     StateReplaced,
     StateChanged,
     RosterChanged,
+    RecallGrants,
+    AllotSlots,
     NotLeader,
 )
--- /dev/null
+++ b/tests/builders/teams.py
@@ -0,0 +1,159 @@
+"""Control processes and entries that share one team's limit."""
+
+from collections import deque
+from random import Random
+from typing import Any, NamedTuple
+
+from builders.fleets import KEY_DIGEST
+from sardinemast import consensus, control, entry
+from sardinemast.fleet import (
+    ApplyDocument,
+    AssignInstance,
+    FleetDocument,
+    GrantKey,
+    Pool,
+    Site,
+    Team,
+)
+from sardinemast.membership import Announcement
+from sardinemast.protocol import NotLeader
+
+TEAM = 'petits-pixels'
+POOL = 'enrolment'
+_NAMES = ('control-1', 'control-2', 'control-3')
+
+
+def make_limit_document(limit: int, run_bound_s: float = 5) -> FleetDocument:
+    """Make a document whose only team has the limit."""
+    return FleetDocument(
+        sites={'rennes': Site('rennes', 'brittany')},
+        pools={POOL: Pool(POOL, slots=8, run_bound_s=run_bound_s)},
+        teams={TEAM: Team(TEAM, 1, limit)},
+        site_pools={},
+    )
+
+
+class Controls:
+    """Hold three control cores; messages between them flow unless held.
+
+    Their times are long, so that a test may advance in steps of a second.
+    """
+
+    def __init__(self) -> None:
+        self.cores = {
+            name: control.ControlCore(
+                control.ControlSettings(
+                    consensus.ReplicaSettings(name, _NAMES, 1, 6, 5),
+                ),
+                consensus.HardState(),
+                (),
+                Random(number),
+            )
+            for number, name in enumerate(_NAMES)
+        }
+        self.frozen: set[str] = set()
+        self.is_held = False
+        self.to_entries: list[control.SendToEntry] = []
+        self.answers: list[control.AnswerOperator] = []
+        self._mail: deque[tuple[str, control.PeerReceived]] = deque()
+
+    def get_leader(self, now_s: float) -> str:
+        """Give the process that answers now, or an empty name."""
+        for name, core in self.cores.items():
+            if name not in self.frozen and core.is_leader(now_s):
+                return name
+        return ''
+
+    def step(self, name: str, event: Any, now_s: float) -> None:
+        """Feed one core, and deliver what the cores tell each other."""
+        if name in self.frozen:
+            return
+        self._take(name, self.cores[name].step(event, now_s))
+        self.deliver(now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Let time pass at all that are not frozen."""
+        for name in _NAMES:
+            self.step(name, control.Tick(), now_s)
+
+    def deliver(self, now_s: float) -> None:
+        """Deliver messages between the cores until none is left."""
+        while self._mail and not self.is_held:
+            name, event = self._mail.popleft()
+            if name not in self.frozen:
+                self._take(name, self.cores[name].step(event, now_s))
+
+    def _take(self, name: str, outputs: list[control.ControlOutput]) -> None:
+        for output in outputs:
+            if isinstance(output, consensus.SendMessage):
+                event = control.PeerReceived(name, output.message)
+                self._mail.append((output.to, event))
+            elif isinstance(output, control.SendToEntry):
+                self.to_entries.append(output)
+            elif isinstance(output, control.AnswerOperator):
+                self.answers.append(output)
+
+
+class Stream:
+    """Hold what is on its way between an entry and a control process."""
+
+    def __init__(self, stream_id: int, control_name: str) -> None:
+        self.stream_id = stream_id
+        self.control_name = control_name
+        self.up: deque[Any] = deque()
+        self.down: deque[Any] = deque()
+
+
+class Work(NamedTuple):
+    """Hold a request that an upstream truly runs."""
+
+    node: 'Node'
+    request_id: int
+    until_s: float
+    timeout_at_s: float
+
+
+class Node:
+    """Hold one incarnation of an entry and its stream."""
+
+    def __init__(self, name: str, incarnation: int) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.core = entry.EntryCore(
+            entry.EntrySettings(name, incarnation, 'rennes'),
+        )
+        self.stream: Stream | None = None
+        self.is_frozen = False
+
+    def step(self, event: Any, now_s: float) -> list[entry.EntryOutput]:
+        """Feed the core, and put its messages on the stream."""
+        outputs = self.core.step(event, now_s)
+        for output in outputs:
+            if isinstance(output, entry.SendToControl) and self.stream:
+                self.stream.up.append(output.message)
+        return outputs
+
+    def take_down(self, now_s: float) -> list[entry.EntryOutput]:
+        """Take one message of the control process."""
+        assert self.stream is not None
+        message = self.stream.down.popleft()
+        if isinstance(message, NotLeader):
+            self.stream = None
+            return self.step(entry.ControlLost(), now_s)
+        return self.step(entry.ControlReceived(message), now_s)
+
+
+def make_setup_commands(limit: int) -> tuple[Any, ...]:
+    """Make the commands that put the document, a key and an instance in."""
+    return (
+        ApplyDocument('c1', 0, make_limit_document(limit)),
+        GrantKey('c2', 'k1', TEAM, KEY_DIGEST),
+        AssignInstance('', 'enrol-1', POOL),
+    )
+
+
+def make_serving_upstream() -> Announcement:
+    """Make the announcement of the upstream that runs all work."""
+    return Announcement(
+        'enrol-1', 1, POOL, '127.0.0.1', 9001, 'rennes', 'rack-1'
+    )
--- /dev/null
+++ b/tests/grants/test_releases.py
@@ -0,0 +1,66 @@
+"""Release of grants whose holder is gone."""
+
+from builders.teams import (
+    TEAM,
+    Controls,
+    make_limit_document,
+    make_setup_commands,
+)
+from sardinemast import control
+from sardinemast.grants import RunBounds
+from sardinemast.protocol import LeaseGranted, RenewLease, TeamDemand
+
+_WISH = (TeamDemand(TEAM, 1, 0),)
+
+
+def test_waking_entry_gets_no_lease_while_its_grant_is_released() -> None:
+    """No lease is given between the plan of a release and its commit.
+
+    An entry is frozen until its lease and the longest run have passed, and
+    wakes up just when its grants are being released. With a lease it would
+    start work on a grant that the next moment belongs to another entry, and
+    the team would have more running than its limit.
+    """
+    controls = Controls()
+    now_s: float = 0
+    while not controls.get_leader(now_s):
+        now_s += 1
+        controls.tick(now_s)
+    leader = controls.get_leader(now_s)
+    for command in make_setup_commands(1):
+        controls.step(leader, control.OperatorAsked(0, command), now_s)
+    connected = control.EntryConnected(1, 'entry-1', 1)
+    controls.step(leader, connected, now_s)
+    renewal = control.EntryReceived(1, RenewLease(now_s, 0, _WISH, ()))
+    controls.step(leader, renewal, now_s)
+    controls.step(leader, renewal, now_s)
+    assert controls.cores[leader].state.grants
+    for _ in range(7):
+        now_s += 1
+        controls.tick(now_s)
+    controls.is_held = True
+    controls.tick(now_s + 1)
+    controls.to_entries.clear()
+    controls.step(leader, renewal, now_s + 1.1)
+    messages = [sent.message for sent in controls.to_entries]
+    assert not any(isinstance(one, LeaseGranted) for one in messages)
+    controls.is_held = False
+    controls.deliver(now_s + 1.2)
+    controls.tick(now_s + 2.2)
+    assert not controls.cores[leader].state.grants
+
+
+def test_longest_run_outlives_its_document() -> None:
+    """A shorter bound counts only when runs under the longer one are over.
+
+    An operator lowers the longest run of a pool while an entry is dead.
+    What it had started runs on by the former bound; a release by the new
+    one would let other entries start the team's work beside it.
+    """
+    bounds = RunBounds(lease_s=3)
+    bounds.note_document(make_limit_document(1, run_bound_s=30))
+    bounds.get_longest_s(0)
+    bounds.note_document(make_limit_document(1, run_bound_s=2))
+    assert bounds.get_longest_s(10) == 30
+    assert bounds.get_longest_s(42) == 30
+    assert bounds.get_longest_s(43.1) == 2
