Share a full pool's slots over teams by what they really used

Cause: the slots of an upstream were counted by each entry alone, so nine entries could put nine times its slots on it, and a team whose callers came to one entry got only what that entry had.

Change: entries report by pool what each team has waiting, running and used; the leader computes weighted max-min parts, adds what a team is owed, and allots each entry slots and parts (memory only, every 40 ms). An entry orders its lines by weighted used time within its parts. A request must start early enough for nearly every run to fit (twice the 99th percentile).

tests/processes/test_whole_path.py::test_withdrawn_key_stops_everywhere failed once beside two busy runs and passed when run again; its cause is not found.

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,99 @@
+"""Goodput and share on time from half to five times the pool's capacity.
+
+Compared with a first-come queue without early refusal on the same arrivals,
+in which a request whose caller has given up still takes its slot.
+"""
+
+import heapq
+import sys
+import time
+from random import Random
+
+from bench._load import Call, Load
+from sardinemast.fleet import FleetDocument, Pool, Team
+
+ENTRIES = 9
+SLOTS = 64
+SERVICE_S = 0.4
+DEADLINE_S = 4.0
+START_S = 3.0
+END_S = 33.0
+MEASURED_FROM_S = 8.0
+POOL = 'pool'
+TEAMS = ('team-1', 'team-2', 'team-3')
+URGENT_PART = 0.02
+
+
+def main() -> None:
+    """Print what is served in time, and the work of the entries' cores."""
+    sys.stdout.write(
+        'load  goodput/s  on time  urgent p99 s  refused at once  us/request  '
+        'first come: goodput/s  on time\n',
+    )
+    for load in (0.5, 1, 2, 5):
+        _compare(load)
+
+
+def _compare(load: float) -> None:
+    calls = _declare(load)
+    teams = {name: Team(name, 1, 2 * SLOTS) for name in TEAMS}
+    document = FleetDocument({}, {POOL: Pool(POOL)}, teams, {})
+    driven = Load(document, ENTRIES, upstreams=8)
+    began_s = time.process_time()
+    driven.run(calls, END_S + DEADLINE_S)
+    spent_us = (time.process_time() - began_s) * 1e6 / len(calls)
+    measured = [call for call in calls if call.at_s >= MEASURED_FROM_S]
+    good = sum(
+        run.is_answered and run.call.at_s >= MEASURED_FROM_S
+        for run in driven.runs
+    )
+    at_once = sum(at_s == call.at_s for call, at_s, _ in driven.refusals)
+    refused = at_once / max(1, len(driven.refusals))
+    first = _serve_first_come(calls)
+    seconds = END_S - MEASURED_FROM_S
+    sys.stdout.write(
+        f'{load:4} {good / seconds:10.1f} {good / len(measured):8.1%} '
+        f'{_get_urgent_wait_s(driven):13.2f} {refused:16.1%} '
+        f'{spent_us:11.0f} {first / seconds:22.1f} '
+        f'{first / len(measured):8.1%}\n',
+    )
+
+
+def _declare(load: float) -> list[Call]:
+    random = Random(3)
+    calls: list[Call] = []
+    at_s = START_S
+    while at_s < END_S:
+        at_s += random.expovariate(load * SLOTS / SERVICE_S)
+        calls.append(
+            Call(
+                at_s,
+                random.randrange(ENTRIES),
+                random.choice(TEAMS),
+                POOL,
+                random.expovariate(1 / SERVICE_S),
+                DEADLINE_S,
+                random.random() < URGENT_PART,
+            ),
+        )
+    return calls
+
+
+def _get_urgent_wait_s(driven: Load) -> float:
+    waits = sorted(
+        run.started_s - run.call.at_s
+        for run in driven.runs
+        if run.call.is_urgent and run.call.at_s >= MEASURED_FROM_S
+    )
+    return waits[len(waits) * 99 // 100] if waits else 0
+
+
+def _serve_first_come(calls: list[Call]) -> int:
+    free_s: list[float] = [0 for _ in range(SLOTS)]
+    good = 0
+    for call in calls:
+        ended_s = max(call.at_s, free_s[0]) + call.service_s
+        heapq.heapreplace(free_s, ended_s)
+        is_good = ended_s <= call.at_s + call.deadline_s
+        good += is_good and call.at_s >= MEASURED_FROM_S
+    return good
--- a/src/sardinemast/admission/_service_times.py
+++ b/src/sardinemast/admission/_service_times.py
@@ -20,7 +20,7 @@
 
 
 class ServiceTime(NamedTuple):
-    """Hold the mean, the median and the 99th percentile of a pool."""
+    """Hold a pool's mean, median and what nearly no run takes longer than."""
 
     mean_s: float
     median_s: float
@@ -70,9 +70,9 @@
 
 
 def _describe(histogram: HdrHistogram) -> ServiceTime:
-    # The slowest of a few runs says little of the slowest of a hundred, so it
-    # is taken as longer until more are known.
-    margin = 1 + 1 / math.sqrt(histogram.total_count)
+    # Nearly all runs must fit, not 99 of 100, and the slowest of a few runs
+    # says little of the slowest of a thousand.
+    margin = 2 + 1 / math.sqrt(histogram.total_count)
     slow_ms = margin * histogram.get_value_at_percentile(_SLOW)
     return ServiceTime(
         histogram.get_mean_value() / _MS_PER_S,
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -22,6 +22,7 @@
 from sardinemast.control._grant_desk import GrantDesk
 from sardinemast.control._operators import PendingCommands
 from sardinemast.control._sessions import LEASE_S, EntrySessions
+from sardinemast.control._slot_desk import SlotDesk
 from sardinemast.fleet import (
     COMMANDS,
     Command,
@@ -33,6 +34,7 @@
     NotLeader,
     RenewLease,
     ReportDemand,
+    ReportPools,
     ReportUpstreams,
 )
 
@@ -71,6 +73,7 @@
         self._sessions = EntrySessions()
         self._entry_desk = EntryDesk(self._context, self._sessions)
         self._grant_desk = GrantDesk(self._context, self._sessions)
+        self._slot_desk = SlotDesk(self._context, self._sessions)
         self._pending = PendingCommands()
         self._is_ready = False
 
@@ -96,6 +99,7 @@
         if self.is_leader(now_s):
             self._entry_desk.expire_upstreams(now_s)
             self._grant_desk.tick(now_s)
+            self._slot_desk.tick(now_s)
 
     @_handle.register
     def _handle_peer(self, event: PeerReceived, now_s: float) -> None:
@@ -134,6 +138,8 @@
         elif isinstance(event.message, RenewLease):
             if self._entry_desk.renew(session, event.message, now_s):
                 self._grant_desk.take_wish(session, event.message, now_s)
+        elif isinstance(event.message, ReportPools):
+            self._slot_desk.take_report(session, event.message)
         elif isinstance(event.message, ReportDemand):
             self._grant_desk.take_wish(session, event.message, now_s)
 
@@ -182,6 +188,7 @@
     ) -> None:
         self._is_ready = False
         self._grant_desk.start_term(now_s)
+        self._slot_desk.start_term()
         if changed.role is consensus.Role.leader:
             self._sessions.start_term(now_s)
             return
--- a/src/sardinemast/entry/_reports.py
+++ b/src/sardinemast/entry/_reports.py
@@ -14,7 +14,7 @@
     ReportPools,
 )
 
-_POOL_INTERVAL_S = 0.05
+_POOL_INTERVAL_S = 0.04
 
 
 class DemandReports:
--- /dev/null
+++ b/tests/admission/test_dispatcher.py
@@ -0,0 +1,95 @@
+"""What waits and what may start at one entry."""
+
+from sardinemast.admission import Admitted, Arrival, Dispatcher, Waiting
+from sardinemast.protocol import PoolPart, TeamPart
+
+_DEADLINE_S = 100
+
+
+def test_urgent_goes_first_and_then_the_earliest_deadline() -> None:
+    """Within a team, urgent work goes ahead of an earlier deadline."""
+    dispatcher = Dispatcher()
+    _take(dispatcher, 1, due_s=50)
+    _take(dispatcher, 2, due_s=40)
+    _take(dispatcher, 3, due_s=90, is_urgent=True)
+    assert _start_all(dispatcher, slots=3) == [3, 2, 1]
+
+
+def test_slots_go_to_teams_by_their_parts() -> None:
+    """A team with three times the part gets three times the slots."""
+    dispatcher = Dispatcher()
+    parts = (TeamPart('large', 6), TeamPart('small', 2))
+    dispatcher.replace_parts((PoolPart('pool', 8, parts),))
+    for number in range(4):
+        _take(dispatcher, number, team='other')
+        dispatcher.end(_start(dispatcher, slots=1), None, number + 1)
+    for number in range(20, 40):
+        _take(dispatcher, number, team='large' if number % 2 else 'small')
+    started = _start_all(dispatcher, slots=8, now_s=5)
+    assert sum(number % 2 for number in started) == 6
+
+
+def test_hopeless_request_is_refused_at_once() -> None:
+    """A request behind a long line is told so when it comes.
+
+    A peak brings far more than can run in time. Callers who wait for an
+    answer that cannot come resend, and the line never ends; told at once
+    and told when to come back, they do not.
+    """
+    dispatcher = Dispatcher()
+    for number in range(3):
+        _take(dispatcher, number)
+        dispatcher.end(_start(dispatcher, slots=1), None, number + 1)
+    refusals = [
+        dispatcher.take(
+            Arrival(number, 'pool', b'', False, None, 1),
+            Admitted('team', 3 + 5),
+            3,
+        )
+        for number in range(10, 30)
+    ]
+    assert refusals[0] is None
+    assert refusals[-1] is not None
+    assert refusals[-1].code == 'admission.E010'
+    assert refusals[-1].retry_after_s is not None
+
+
+def test_leaving_callers_leave_nothing() -> None:
+    """A wave of leaving callers empties the line."""
+    dispatcher = Dispatcher()
+    for number in range(200):
+        _take(dispatcher, number)
+    for number in range(200):
+        dispatcher.drop(number)
+    assert dispatcher.get_demands() == ()
+    assert not list(dispatcher.expire(_DEADLINE_S))
+
+
+def _take(
+    dispatcher: Dispatcher,
+    request_id: int,
+    team: str = 'team',
+    due_s: float = _DEADLINE_S,
+    *,
+    is_urgent: bool = False,
+) -> None:
+    arrival = Arrival(request_id, 'pool', b'', False, None, 1, is_urgent)
+    assert dispatcher.take(arrival, Admitted(team, due_s), 0) is None
+
+
+def _start(dispatcher: Dispatcher, slots: int, now_s: float = 0) -> Waiting:
+    ready = dispatcher.get_ready(lambda _: 99, lambda _: slots, now_s)
+    waiting = next(ready)
+    dispatcher.start(waiting, now_s)
+    return waiting
+
+
+def _start_all(
+    dispatcher: Dispatcher, slots: int, now_s: float = 0
+) -> list[int]:
+    started: list[int] = []
+    ready = dispatcher.get_ready(lambda _: 99, lambda _: slots, now_s)
+    for waiting in ready:
+        dispatcher.start(waiting, now_s)
+        started.append(waiting.request_id)
+    return started
