--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -26,10 +26,10 @@
 from sardinemast.control._images import encode_state, replace_state
 from sardinemast.control._operators import PendingCommands
 from sardinemast.control._sessions import LEASE_S, EntrySessions
+from sardinemast.control._slot_desk import SlotDesk
 from sardinemast.fleet import (
     COMMANDS,
     AdvanceTime,
-    ChangeGrants,
     Command,
     EntryCommand,
     FleetState,
@@ -38,7 +38,14 @@
     is_known_command,
     make_entry_command,
 )
-from sardinemast.protocol import HeardUpstreams, NotLeader, ReportUpstreams
+from sardinemast.protocol import (
+    HeardUpstreams,
+    NotLeader,
+    RenewLease,
+    ReportDemand,
+    ReportPools,
+    ReportUpstreams,
+)
 
 _TIME_STEP_S = 60.0
 
@@ -90,6 +97,7 @@
         self._sessions = EntrySessions(settings.lease_s)
         self._entry_desk = EntryDesk(self._context, self._sessions)
         self._grant_desk = GrantDesk(self._context, self._sessions)
+        self._slot_desk = SlotDesk(self._context, self._sessions)
         self._pending = PendingCommands()
         self._is_ready = False
 
@@ -117,7 +125,8 @@
         if self.is_leader(now_s):
             self._entry_desk.rosters.check(now_s)
             self._entry_desk.retire_ended(now_s)
-            self._grant_desk.release_dead(now_s)
+            self._grant_desk.tick(now_s)
+            self._slot_desk.tick(now_s)
 
     @_handle.register
     def _handle_peer(self, event: PeerReceived, now_s: float) -> None:
@@ -178,7 +187,14 @@
             self._entry_desk.rosters.take_report(event.message, now_s)
         elif isinstance(event.message, HeardUpstreams):
             self._entry_desk.rosters.take_digest(event.message, now_s)
-        elif self._entry_desk.renew(session, event.message, now_s):
+        elif self._grant_desk.is_releasing(session):
+            return
+        elif isinstance(event.message, RenewLease):
+            if self._entry_desk.renew(session, event.message, now_s):
+                self._grant_desk.take_wish(session, event.message, now_s)
+        elif isinstance(event.message, ReportPools):
+            self._slot_desk.take_report(session, event.message)
+        elif isinstance(event.message, ReportDemand):
             self._grant_desk.take_wish(session, event.message, now_s)
 
     def _propose(self, command: Command, request_id: int, now_s: float) -> None:
@@ -236,9 +252,8 @@
         is_known = is_known_command(self.state, command)
         outcome = apply_command(self.state, command, entry.log_index)
         self._pending.note_applied(entry, outcome, now_s)
-        if isinstance(command, ChangeGrants):
-            self._grant_desk.note_applied(command)
-        elif isinstance(command, RetireEntry):
+        self._grant_desk.note_applied(command, self.state)
+        if isinstance(command, RetireEntry):
             self._entry_desk.note_retired(command)
         # A resend and a refusal change nothing. An entry does not remember
         # commands, and would carry out the resend once more.
@@ -252,7 +267,8 @@
         now_s: float,
     ) -> None:
         self._is_ready = False
-        self._grant_desk.start_term()
+        self._grant_desk.start_term(now_s)
+        self._slot_desk.start_term()
         if changed.role is consensus.Role.leader:
             self._entry_desk.start_term(changed.term, now_s)
             return
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -1,17 +1,20 @@
 """Decide what an entry does with requests, without input or output."""
 
-from functools import singledispatchmethod
+from collections.abc import Callable
+from functools import partial
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from sardinemast.admission import (
     Admitted,
     Arrival,
     Dispatcher,
     Refusal,
+    SlotParts,
     check_arrival,
     refuse_without_lease,
 )
+from sardinemast.entry._demand import DemandReports
 from sardinemast.entry._events import (
     AttemptEnded,
     CallerLeft,
@@ -29,9 +32,12 @@
 from sardinemast.entry._link import ControlLink
 from sardinemast.entry._reports import UpstreamReports
 from sardinemast.fleet import FleetState, get_pool
+from sardinemast.grants import GrantHolder
 from sardinemast.membership import Announcement, RosterUpstream, RosterView
 from sardinemast.protocol import (
+    AllotSlots,
     LeaseGranted,
+    RecallGrants,
     RosterChanged,
     StateChanged,
     StateReplaced,
@@ -52,14 +58,33 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
-        self._link = ControlLink(settings.name, settings.incarnation)
+        self._link = ControlLink()
+        self._holder = GrantHolder(settings.name, settings.incarnation)
         self._dispatcher = Dispatcher()
+        self._slots = SlotParts(settings.data_centre)
+        self._demand = DemandReports(
+            self._link,
+            self._holder,
+            self._dispatcher,
+            self._slots,
+        )
         self._attempts = AttemptTable(
             settings.data_centre,
             Random(settings.incarnation),
         )
         self._view = RosterView()
         self._reports = UpstreamReports(self._view)
+        # A plain table: the method of functools builds a closure on each call,
+        # which costs more than the rest of a step.
+        self._handlers: dict[type, Callable[[Any, float], None]] = {
+            Tick: self._handle_tick,
+            RequestArrived: self._handle_arrival,
+            CallerLeft: self._handle_caller_left,
+            AttemptEnded: self._handle_ended,
+            UpstreamAnnounced: self._handle_announced,
+            ControlReceived: self._handle_control,
+            ControlLost: self._handle_lost,
+        }
         self._outputs: list[EntryOutput] = []
 
     @property
@@ -78,10 +103,7 @@
 
     def holds_grants(self) -> bool:
         """Tell whether the log has grants of this entry."""
-        return any(
-            self._link.get_amount(team)
-            for team in self._link.get_granted_teams()
-        )
+        return self._holder.holds_any(self.state)
 
     def check_head(self, arrival: Arrival, now_s: float) -> Refusal | int:
         """Give the limit of the body in bytes, or refuse by the head."""
@@ -94,24 +116,19 @@
     def step(self, event: EntryEvent, now_s: float) -> list[EntryOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs = []
-        self._handle(event, now_s)
+        self._handlers[type(event)](event, now_s)
         for request_id, refusal in self._dispatcher.expire(now_s):
             self._refuse(request_id, refusal)
         self._dispatch(now_s)
-        self._renew(now_s)
+        for message in self._demand.make(now_s):
+            self._outputs.append(SendToControl(message))
         return self._outputs
 
-    @singledispatchmethod
-    def _handle(self, event: EntryEvent, now_s: float) -> None:
-        raise TypeError(event)
-
-    @_handle.register
     def _handle_tick(self, event: Tick, now_s: float) -> None:
         self._outputs.extend(
             SendToControl(message) for message in self._reports.take_due(now_s)
         )
 
-    @_handle.register
     def _handle_arrival(self, event: RequestArrived, now_s: float) -> None:
         refusal = self._admit(event, now_s)
         if refusal is not None:
@@ -133,13 +150,11 @@
             now_s,
         )
 
-    @_handle.register
     def _handle_caller_left(self, event: CallerLeft, now_s: float) -> None:
         # What runs goes on and keeps its place; only what waits is dropped.
         self._dispatcher.drop(event.request_id)
         self._attempts.leave(event.request_id)
 
-    @_handle.register
     def _handle_ended(self, event: AttemptEnded, now_s: float) -> None:
         ending = self._attempts.end(
             event.request_id,
@@ -151,16 +166,20 @@
                 ending.waiting,
                 now_s,
                 ending.held_until_s,
+                ending.not_before_s,
             )
         else:
-            self._dispatcher.end(event.request_id, ending.held_until_s)
+            self._dispatcher.end(
+                ending.waiting,
+                ending.held_until_s,
+                now_s,
+            )
             refusal = ending.refusal
         if refusal is not None:
             self._refuse(event.request_id, refusal)
         elif ending.next_step is NextStep.pass_answer:
             self._outputs.append(PassAnswer(event.request_id))
 
-    @_handle.register
     def _handle_announced(
         self,
         event: UpstreamAnnounced,
@@ -168,14 +187,13 @@
     ) -> None:
         self._reports.hear(event.announcement, now_s)
         if self._view.take_leaving(event.announcement, now_s):
-            self._attempts.replace_roster(self._view.announcements, now_s)
+            self._show_roster(now_s)
 
-    @_handle.register
     def _handle_lost(self, event: ControlLost, now_s: float) -> None:
-        """Let the lease run out by itself; the handles are the leader's."""
+        """Let the lease run out by itself, and tell all to the next leader."""
         self._view.forget_handles()
+        self._demand.reset()
 
-    @_handle.register
     def _handle_control(self, event: ControlReceived, now_s: float) -> None:
         message = event.message
         if isinstance(message, LeaseGranted):
@@ -186,6 +204,11 @@
             self._link.take_commands(message)
         elif isinstance(message, RosterChanged):
             self._take_roster(message, now_s)
+        elif isinstance(message, RecallGrants):
+            self._holder.take_recalls(message.recalls)
+        elif isinstance(message, AllotSlots):
+            self._slots.replace_parts(message.pools)
+            self._dispatcher.replace_parts(message.pools)
 
     def _take_roster(self, message: RosterChanged, now_s: float) -> None:
         handles = message.handles or (0,) * len(message.announcements)
@@ -201,34 +224,25 @@
             self._reports.start_epoch(message.epoch)
         else:
             self._view.change(upstreams, message.gone, now_s)
+        self._show_roster(now_s)
+
+    def _show_roster(self, now_s: float) -> None:
         self._attempts.replace_roster(self._view.announcements, now_s)
+        self._slots.replace_roster(self._view.announcements)
 
     def _dispatch(self, now_s: float) -> None:
         if not self._link.has_lease(now_s):
             return
         for waiting in self._dispatcher.get_ready(
-            self._link.get_amount,
+            partial(self._holder.get_usable, self.state),
+            partial(self._slots.get_slots, self.state),
             now_s,
         ):
             attempt = self._attempts.start(self.state, waiting, now_s)
             if attempt is not None:
-                self._dispatcher.start(waiting)
+                self._dispatcher.start(waiting, now_s)
                 self._outputs.append(attempt)
 
-    def _renew(self, now_s: float) -> None:
-        demands = self._dispatcher.get_demands()
-        is_urgent = any(
-            demand.wanted > self._link.get_amount(demand.team)
-            for demand in demands
-        )
-        renewal = self._link.get_renewal(
-            now_s,
-            demands,
-            is_urgent=is_urgent,
-        )
-        if renewal is not None:
-            self._outputs.append(SendToControl(renewal))
-
     def _refuse(self, request_id: int, refusal: Refusal) -> None:
         refusal = self._attempts.conclude(request_id, refusal)
         self._outputs.append(RefuseRequest(request_id, refusal))
--- a/src/sardinemast/fleet/_grant_commands.py
+++ b/src/sardinemast/fleet/_grant_commands.py
@@ -1,5 +1,6 @@
 """Commands about grants."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from sardinemast.fleet._dispatch import accept, execute_command
@@ -31,6 +32,23 @@
     grants: tuple[Grant, ...]
 
 
+class NoteTotals(NamedTuple):
+    """Tell all entries how much of teams' limits is granted in all.
+
+    Only the leader sends this, as the result of a change in the log. After a
+    limit went down, an entry whose own grants are within it must know that
+    others hold the rest, or together they start more than the limit.
+    """
+
+    totals: Mapping[str, int]
+
+
+@execute_command.register
+def _note_totals(command: NoteTotals, state: FleetState) -> Outcome:
+    state.granted_totals.update(command.totals)
+    return accept(state)
+
+
 @execute_command.register
 def _hold_grants(command: HoldGrants, state: FleetState) -> Outcome:
     for grant in command.grants:
@@ -62,3 +80,5 @@
         state.grants[place] = Grant(*place, amount, state.log_index)
     else:
         state.grants.pop(place, None)
+    total = state.granted_totals.get(change.team, 0) + max(amount, 0) - held
+    state.granted_totals[change.team] = total
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -1,5 +1,7 @@
 """State that the log's commands make."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from sardinemast.fleet._diff import DocumentChange, DocumentFinding
@@ -104,11 +106,15 @@
     remembered: tuple[RememberedCommand, ...]
     history: tuple[VersionRecord, ...] = ()
     wall_s: float = 0
+    granted_totals: Mapping[str, int] = MappingProxyType({})
 
 
 class FleetState:
     """Hold the state at one log index.
 
+    ``granted_totals`` holds, by team, the sum over all holders of grants; an
+    entry knows it too, though of grants it has only its own.
+
     ``wall_s`` is the wall time that the log's commands have told.
     """
 
@@ -122,6 +128,7 @@
         self.instances: dict[str, Instance] = {}
         self.entries: dict[str, EntryProcess] = {}
         self.grants: dict[tuple[str, int, str], Grant] = {}
+        self.granted_totals: dict[str, int] = {}
         self.remembered: dict[str, RememberedCommand] = {}
         self.history: dict[int, VersionRecord] = {}
 
@@ -139,6 +146,7 @@
         tuple(state.remembered.values()),
         tuple(state.history.values()),
         state.wall_s,
+        dict(state.granted_totals),
     )
 
 
@@ -159,4 +167,5 @@
     }
     state.remembered = {one.command_id: one for one in image.remembered}
     state.history = {one.version: one for one in image.history}
+    state.granted_totals = dict(image.granted_totals)
     return state
--- a/src/sardinemast/fleet/_streams.py
+++ b/src/sardinemast/fleet/_streams.py
@@ -17,6 +17,7 @@
     ChangeGrants,
     Command,
     HoldGrants,
+    NoteTotals,
     RestoreVersion,
 )
 
@@ -65,7 +66,13 @@
     entries' grants. A command that depends on them is sent as its result.
     """
     if isinstance(command, ChangeGrants):
-        return EntryCommand(index, b'', _split_grants(state, command))
+        teams = {change.team for change in command.changes}
+        totals = {team: state.granted_totals[team] for team in sorted(teams)}
+        return EntryCommand(
+            index,
+            COMMANDS.encode(NoteTotals(totals)),
+            _split_grants(state, command),
+        )
     if isinstance(command, AdvanceTime):
         return EntryCommand(index, b'', {})
     if isinstance(command, RestoreVersion):
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -10,6 +10,7 @@
     ChangeGrants,
     GrantChange,
     HoldGrants,
+    NoteTotals,
 )
 from sardinemast.fleet._instance_commands import RegisterInstances
 from sardinemast.fleet._operator_commands import (
@@ -32,6 +33,7 @@
     | RegisterInstances
     | ChangeGrants
     | HoldGrants
+    | NoteTotals
     | AdvanceTime
 )
 _OPERATOR_CLASSES = (
@@ -50,6 +52,7 @@
     RegisterInstances,
     ChangeGrants,
     HoldGrants,
+    NoteTotals,
     AdvanceTime,
 )
 
@@ -65,6 +68,7 @@
     'GrantChange',
     'GrantKey',
     'HoldGrants',
+    'NoteTotals',
     'OperatorCommand',
     'RegisterEntry',
     'RegisterInstances',
--- a/src/sardinemast/fleet/queries.py
+++ b/src/sardinemast/fleet/queries.py
@@ -35,7 +35,7 @@
     """Give what may still be granted; negative after a limit went down."""
     declared = state.document.teams.get(team)
     limit = declared.limit if declared else 0
-    return limit - sum(grant.amount for grant in get_grants(state, team))
+    return limit - state.granted_totals.get(team, 0)
 
 
 def describe_state(state: FleetState) -> dict[str, Any]:
--- a/src/sardinemast/routing/_attempts.py
+++ b/src/sardinemast/routing/_attempts.py
@@ -70,13 +70,15 @@
     """Hold what follows the end of an attempt.
 
     ``held_until_s`` is set where the upstream may still run the request;
-    until then it counts as running, also while it is tried elsewhere.
+    until then it counts as running, also while it is tried elsewhere. A retry
+    waits until ``not_before_s``.
     """
 
     waiting: Waiting
     next_step: NextStep
     refusal: Refusal | None = None
     held_until_s: float | None = None
+    not_before_s: float = float('-inf')
 
 
 class _Running(NamedTuple):
@@ -165,7 +167,13 @@
             held_until_s = running.bound_until_s
         if self._may_retry(running, attempt_result, now_s):
             self._back_off(running, attempt_result, now_s)
-            return Ending(waiting, NextStep.retry, None, held_until_s)
+            return Ending(
+                waiting,
+                NextStep.retry,
+                None,
+                held_until_s,
+                self._histories[request_id].not_before_s,
+            )
         self._histories.pop(request_id, None)
         self._left.discard(request_id)
         if attempt_result in _WITH_ANSWER:
