Let a learner vote; send a new leader's first entry at once

Cause of the first: found by the fuzz of three replicas after the second change moved its histories. A leader adds a voter and dies before the voter itself has the entry. The others need its vote for three of four, it took itself for a learner and refused, and nobody could ever lead again (test_learner_votes_when_asked, red before).

The next index was set after the first entry was appended, so that each election cost a refusal and a round trip.

Ruled out: promoting without a majority that has answered, which the leader checks before; here it died after that.

--- a/src/sardinemast/consensus/_elections.py
+++ b/src/sardinemast/consensus/_elections.py
@@ -95,7 +95,10 @@
         )
         if message.term < state.term or not is_newer_log:
             return False
-        if state.is_settled(now_s) or not state.is_voter:
+        # A learner votes as well: the entry that makes it a voter may be on
+        # its way, and then the others need its vote for their majority. Who
+        # counts it goes by the candidate's own configuration.
+        if state.is_settled(now_s):
             return False
         return message.is_pre_vote or state.hard_state.voted_for in {
             '',
--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -46,7 +46,8 @@
         state = self._state
         state.become(Role.leader)
         state.leader = state.settings.name
-        self.progress = {}
+        following = Progress(state.log.last_index + 1)
+        self.progress = {peer.identity: following for peer in state.get_peers()}
         self._elected_s = now_s
         self.propose(((b'', None),), now_s)
         self.count()
--- a/tests/consensus/test_elections.py
+++ b/tests/consensus/test_elections.py
@@ -4,10 +4,17 @@
 
 from sardinemast.consensus import (
     AppendEntries,
+    Configuration,
+    FolderIdentity,
     HardState,
+    LogEntry,
+    Member,
     MessageReceived,
     Replica,
     ReplicaSettings,
+    Route,
+    SaveHardState,
+    Tick,
     VoteRequest,
 )
 
@@ -28,3 +35,28 @@
     request = VoteRequest(5, 9, 4, is_pre_vote=False)
     replica.step(MessageReceived('control-3', request), 10.1)
     assert replica.term == 1
+
+
+def test_learner_votes_when_asked() -> None:
+    """Vote, though the entry that makes this replica a voter is not here.
+
+    A leader adds a voter and dies before the voter itself has the entry. The
+    others have it, so that they need this vote for their majority. Were it
+    refused, nobody could ever lead again.
+    """
+    members = (
+        Member('first', 'control-1', is_voter=False),
+        *(Member(name, name, is_voter=True) for name in _NAMES[1:]),
+    )
+    replica = Replica(
+        ReplicaSettings('control-1', _NAMES),
+        HardState(1),
+        (LogEntry(1, 1, b'', Configuration('c', members)),),
+        Random(1),
+        folder=FolderIdentity('first'),
+    )
+    request = VoteRequest(2, 2, 1, is_pre_vote=False)
+    route = Route('control-2', 'first', 'c')
+    replica.step(Tick(), 0)
+    outputs = replica.step(MessageReceived('control-2', request, route), 9)
+    assert SaveHardState(HardState(2, 'control-2')) in outputs
