Add the placement core: jobs under leases and fencing tokens

Cause: nothing placed jobs, and nothing kept one from running twice.

Sizes are whole numbers: sums of fractions would differ between a replica from an image and one from the log.

--- /dev/null
+++ b/src/sardinemast/placement/_state.py
@@ -0,0 +1,109 @@
+"""Replicated state of placement."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from sardinemast.placement._learned import LearnedKind, estimate_size
+from sardinemast.placement._records import (
+    Job,
+    JobStatus,
+    Run,
+    Size,
+    Team,
+    Worker,
+)
+
+
+class PlacementImage(NamedTuple):
+    """Hold the whole state as one record."""
+
+    teams: tuple[Team, ...]
+    workers: tuple[Worker, ...]
+    jobs: tuple[Job, ...]
+    runs: tuple[Run, ...]
+    learned: tuple[LearnedKind, ...]
+
+
+class PlacementState:
+    """Hold teams, workers, jobs and runs at one log index.
+
+    ``runs`` holds each run that may still go on, by its token.
+    """
+
+    def __init__(self) -> None:
+        self.teams: dict[str, Team] = {}
+        self.workers: dict[str, Worker] = {}
+        self.jobs: dict[str, Job] = {}
+        self.waiting: dict[str, None] = {}
+        self.runs: dict[int, Run] = {}
+        self.learned: dict[tuple[str, str], LearnedKind] = {}
+        self.free: dict[str, Size] = {}
+        self.by_worker: dict[str, dict[int, None]] = {}
+        self.by_job: dict[str, dict[int, None]] = {}
+        self.millicores_by_team: Counter[str] = Counter()
+
+    def put_worker(self, worker: Worker) -> None:
+        """Put a worker in place of what was known of it."""
+        known = self.workers.get(worker.name)
+        room = known.room if known else Size(0, 0)
+        free = self.free.get(worker.name, Size(0, 0))
+        self.free[worker.name] = free.plus(worker.room).plus(room, -1)
+        self.workers[worker.name] = worker
+        self.by_worker.setdefault(worker.name, {})
+
+    def put_job(self, job: Job) -> None:
+        """Put a job in place of what was known of it."""
+        self.jobs[job.name] = job
+        if job.status is JobStatus.waiting:
+            self.waiting.setdefault(job.name)
+        else:
+            self.waiting.pop(job.name, None)
+
+    def add_run(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.token] = run
+        self.free[run.worker] = self.free[run.worker].plus(run.size, -1)
+        self.by_worker[run.worker][run.token] = None
+        self.by_job.setdefault(run.job, {})[run.token] = None
+        team = self.jobs[run.job].team
+        self.millicores_by_team[team] += run.size.millicores
+
+    def remove_run(self, run: Run) -> None:
+        """Give the room of an ended run back."""
+        self.runs.pop(run.token)
+        self.free[run.worker] = self.free[run.worker].plus(run.size)
+        self.by_worker[run.worker].pop(run.token)
+        self.by_job[run.job].pop(run.token)
+        if not self.by_job[run.job]:
+            self.by_job.pop(run.job)
+        team = self.jobs[run.job].team
+        self.millicores_by_team[team] -= run.size.millicores
+
+    def estimate(self, job: Job) -> Size:
+        """Estimate what the job takes."""
+        return estimate_size(job, self.learned.get((job.team, job.kind)))
+
+
+def dump_state(state: PlacementState) -> PlacementImage:
+    """Give the whole state as one record."""
+    return PlacementImage(
+        tuple(sorted(state.teams.values())),
+        tuple(sorted(state.workers.values())),
+        tuple(sorted(state.jobs.values())),
+        tuple(sorted(state.runs.values())),
+        tuple(sorted(state.learned.values())),
+    )
+
+
+def load_state(image: PlacementImage) -> PlacementState:
+    """Make a state from its record."""
+    state = PlacementState()
+    state.teams = {team.name: team for team in image.teams}
+    state.learned = {(one.team, one.kind): one for one in image.learned}
+    for worker in image.workers:
+        state.put_worker(worker)
+    for job in image.jobs:
+        state.put_job(job)
+    for run in image.runs:
+        state.add_run(run)
+    return state
