--- a/src/sardinemast/placement/_core.py
+++ b/src/sardinemast/placement/_core.py
@@ -36,6 +36,7 @@
     """
 
     plan_period_s: float = 0.1
+    watch_period_s: float = 0.5
     lease_s: float = 3
     suspect_after_s: float = 1.5
     ask_again_s: float = 1
@@ -55,6 +56,7 @@
         self._is_leader = False
         self._start_s: float = 0
         self._planned_s = float('-inf')
+        self._watched_s = float('-inf')
         self._heard_s: dict[tuple[str, int], float] = {}
         self._ended: set[tuple[str, int]] = set()
         self._started: set[int] = set()
@@ -104,13 +106,17 @@
         if worker.is_lease_ended or holder in self._ended:
             return
         self._heard_s[holder] = now_s
-        yield from self._take_ends(event, now_s)
+        self._started.update(event.running)
+        settled: tuple[int, ...] = ()
+        if event.ends or event.throttled:
+            yield from self._take_ends(event, now_s)
+            settled = self._get_settled(event)
         yield events.GrantLease(
             event.worker,
             event.incarnation,
             event.sent_at_s,
             self._settings.lease_s,
-            self._get_settled(event),
+            settled,
         )
 
     @_handle.register
@@ -123,7 +129,9 @@
             return
         self._planned_s = now_s
         self._forget_old(now_s)
-        yield from self._watch_workers(now_s)
+        if now_s - self._watched_s >= self._settings.watch_period_s:
+            self._watched_s = now_s
+            yield from self._watch_workers(now_s)
         yield from self._plan_placements(now_s)
         yield from self._ask_runs(now_s)
 
@@ -131,6 +139,7 @@
         self._is_leader = True
         self._start_s = now_s
         self._planned_s = float('-inf')
+        self._watched_s = float('-inf')
         self._heard_s.clear()
         self._ended.clear()
         self._started.clear()
@@ -144,7 +153,6 @@
         now_s: float,
     ) -> Iterator[events.Output]:
         runs = self._get_state().runs
-        self._started.update(event.running)
         ends = tuple(end for end in event.ends if end.token in runs)
         if ends:
             yield from self._propose(commands.EndRuns(ends), now_s)
@@ -243,6 +251,8 @@
     def _ask_runs(self, now_s: float) -> Iterator[events.Output]:
         state = self._get_state()
         for run in state.runs.values():
+            if self._is_settled(run):
+                continue
             action = self._get_action(run, now_s)
             if action is not None:
                 ask = events.AskWorker(
@@ -258,6 +268,17 @@
                     self._asked_s[ask] = now_s
                     yield ask
 
+    def _is_settled(self, run: Run) -> bool:
+        # Nearly all runs go on as they should; this look at them is what a
+        # plan costs, so it comes before anything is made.
+        job = self._get_state().jobs[run.job]
+        return (
+            job.status is JobStatus.running
+            and job.token == run.token
+            and run.token in self._started
+            and run.token not in self._pressed
+        )
+
     def _get_action(self, run: Run, now_s: float) -> events.RunAction | None:
         job = self._get_state().jobs[run.job]
         if job.is_cancelled or job.status in FINAL or job.token != run.token:
