Move instances between pools by forecast and hysteresis

Cause: peaks come in turns, and a pool that asks five times its mean has fewer instances than it needs while others stand idle. Change: the leader smooths each pool's demand with its trend, and moves from the spare pool, then from whoever has had more than enough for a while. An instance stays for a time where it came to. A move is a planned step under all budgets. The highest level so far now bounds the need.

--- a/src/sardinemast/maintenance/__init__.py
+++ b/src/sardinemast/maintenance/__init__.py
@@ -10,6 +10,7 @@
 from sardinemast.maintenance._core import MaintenanceCore
 from sardinemast.maintenance._events import (
     AskPlatform,
+    DemandReported,
     DrainsReported,
     Event,
     InstanceReported,
@@ -18,12 +19,14 @@
     Output,
     PlatformAction,
     PlatformAnswered,
+    PoolDemand,
     Propose,
     Report,
     TermEnded,
     TermStarted,
     Tick,
 )
+from sardinemast.maintenance._moves import MovePlanner, MoveSettings
 from sardinemast.maintenance._preview import PreviewLine, preview_wave
 from sardinemast.maintenance._records import (
     UNCUT,
@@ -61,6 +64,7 @@
     'Condition',
     'DomainBudget',
     'DomainKind',
+    'DemandReported',
     'DrainsReported',
     'EntryRun',
     'Event',
@@ -76,7 +80,10 @@
     'Output',
     'PlatformAction',
     'PlatformAnswered',
+    'MovePlanner',
+    'MoveSettings',
     'PoolBudget',
+    'PoolDemand',
     'PreviewLine',
     'Propose',
     'Refusal',
--- a/src/sardinemast/maintenance/_core.py
+++ b/src/sardinemast/maintenance/_core.py
@@ -8,6 +8,7 @@
 from sardinemast.maintenance._choice import choose_steps, has_due
 from sardinemast.maintenance._drains import DrainProofs
 from sardinemast.maintenance._health import HealthWatch
+from sardinemast.maintenance._moves import MovePlanner, MoveSettings
 from sardinemast.maintenance._records import (
     Condition,
     EntryRun,
@@ -39,12 +40,14 @@
         self,
         get_state: Callable[[], MaintenanceState],
         settings: MaintenanceSettings | None = None,
+        moves: MoveSettings | None = None,
     ) -> None:
         self._get_state = get_state
         self._settings = settings or MaintenanceSettings()
         self._health = HealthWatch(self._settings.suspect_after_s)
         self._drains = DrainProofs()
         self._requests = PlatformRequests(self._settings.ask_again_s)
+        self._moves = MovePlanner(moves)
         self._is_leader = False
         self._planned_s = _NEVER_S
         self._wall_s: float = 0
@@ -85,6 +88,7 @@
         self._health.start_term(now_s)
         self._drains.clear()
         self._requests.clear()
+        self._moves.clear()
         self._seen.clear()
         self._proposed.clear()
         self._forgetting.clear()
@@ -119,6 +123,15 @@
         self._drains.take_report(event, self._get_state().get_uncut())
         return ()
 
+    @_handle.register
+    def _handle_demand(
+        self,
+        event: events.DemandReported,
+        now_s: float,
+    ) -> Iterable[events.Output]:
+        self._moves.take(event.demands, now_s)
+        return ()
+
     @_handle.register
     def _handle_lease(
         self,
@@ -231,9 +244,11 @@
 
     def _plan_starts(self, now_s: float) -> Iterator[events.Output]:
         state = self._get_state()
-        # Spares first: a lost instance is missing now, a wave can wait.
+        # Spares first: a lost instance is missing now; then peaks, as a wave
+        # can wait.
         chosen = (
             *choose_replacements(state),
+            *self._moves.choose(state, now_s),
             *choose_steps(state, self._wall_s),
         )
         fresh = tuple(one for one in chosen if self._is_new(one, now_s))
--- a/src/sardinemast/maintenance/_events.py
+++ b/src/sardinemast/maintenance/_events.py
@@ -50,6 +50,19 @@
     busy: frozenset[str]
 
 
+class PoolDemand(NamedTuple):
+    """Tell how many instances a pool would need now."""
+
+    pool: str
+    instances: float
+
+
+class DemandReported(NamedTuple):
+    """Pass on what pools need, as entries measure it."""
+
+    demands: tuple[PoolDemand, ...]
+
+
 class LeaseSurelyEnded(NamedTuple):
     """Tell that a run's lease, and after it its work bound, have passed."""
 
@@ -103,6 +116,7 @@
     | Tick
     | InstancesReported
     | DrainsReported
+    | DemandReported
     | LeaseSurelyEnded
     | PlatformAnswered
 )
