--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -1,12 +1,16 @@
 """Settings of one process."""
 
+from ipaddress import ip_address
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from sardinemast.checks import CheckError
 from sardinemast.conf._fields import (
     Field,
+    Source,
     choice,
+    get_defaults,
     list_of,
     number,
     record,
@@ -14,7 +18,8 @@
 )
 from sardinemast.conf._files import read_file
 
-_port = number(0, is_whole=True)
+_HIGHEST_PORT = 65535
+_port = number(0, _HIGHEST_PORT, is_whole=True)
 
 
 class Address(NamedTuple):
@@ -32,6 +37,24 @@
     operator: Address
 
 
+class LogSettings(NamedTuple):
+    """Say where logs go; without a file they go to stderr."""
+
+    level: str
+    format: str
+    file: str
+    max_bytes: int
+    backups: int
+
+
+class Security(NamedTuple):
+    """Name the PEM files by which processes and operators know each other."""
+
+    authority: Path
+    certificate: Path
+    private_key: Path
+
+
 class ProcessSettings(NamedTuple):
     """Hold everything a process is told when it starts."""
 
@@ -41,6 +64,8 @@
     data_folder: Path
     callers: Address
     controls: tuple[ControlAddress, ...]
+    logs: LogSettings
+    security: Security | None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -51,6 +76,26 @@
         'operator': Field(_ADDRESS),
     },
 )
+_DEFAULT_LOG_BYTES = 10_000_000
+_LOGS = MappingProxyType(
+    {
+        'level': Field(
+            choice('debug', 'info', 'warning', 'error'),
+            'info',
+        ),
+        'format': Field(choice('text', 'json'), 'text'),
+        'file': Field(text(), ''),
+        'max_bytes': Field(number(1, is_whole=True), _DEFAULT_LOG_BYTES),
+        'backups': Field(number(1, is_whole=True), 3),
+    },
+)
+_SECURITY = record(
+    {
+        'authority': Field(text()),
+        'certificate': Field(text()),
+        'private_key': Field(text()),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -59,6 +104,8 @@
         'data_folder': Field(text(), 'var'),
         'callers': Field(_ADDRESS, {'host': '127.0.0.1', 'port': 0}),
         'controls': Field(list_of(_CONTROL)),
+        'security': Field(_SECURITY, None),
+        'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
     },
 )
 
@@ -67,19 +114,52 @@
     """Read the settings, or raise ``CheckError`` with all findings."""
     found, source = read_file(path, _PROCESS)
     if not source.findings:
-        names = [control['name'] for control in found['controls']]
-        if 'control' in found['roles'] and found['name'] not in names:
-            source.report(
-                None,
-                'conf.E017',
-                f'{found["name"]!r} has role control and no address.',
-                'List it under controls.',
-            )
+        _check_controls(source, found)
     if source.findings:
         raise CheckError(source.findings)
     return _build(found)
 
 
+def _check_controls(source: Source, found: Any) -> None:
+    names = [control['name'] for control in found['controls']]
+    if 'control' in found['roles'] and found['name'] not in names:
+        source.report(
+            None,
+            'conf.E017',
+            f'{found["name"]!r} has role control and no address.',
+            'List it under controls.',
+        )
+    # Two replicas of one name would count as one voter here and as two
+    # there, and two majorities could form.
+    if len(set(names)) < len(names):
+        source.report(None, 'conf.E019', 'Two controls have the same name.')
+    if not names:
+        source.report(None, 'conf.E020', 'No control process is listed.')
+    if found['security'] is None:
+        _check_loopback(source, found)
+
+
+def _check_loopback(source: Source, found: Any) -> None:
+    # Without credentials anybody who reaches the port could command the
+    # fleet, so that is left open on the own machine only.
+    for control in found['controls']:
+        hosts = {control['peer']['host'], control['operator']['host']}
+        if not all(map(_is_loopback, hosts)):
+            source.report(
+                None,
+                'conf.E021',
+                f'{control["name"]!r} is reached from other machines.',
+                'Set security, or use a loopback address.',
+            )
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
+
+
 def _build(found: Any) -> ProcessSettings:
     return ProcessSettings(
         name=found['name'],
@@ -88,9 +168,17 @@
         data_folder=Path(found['data_folder']),
         callers=Address(**found['callers']),
         controls=tuple(_build_control(one) for one in found['controls']),
+        logs=LogSettings(**found['logs']),
+        security=_build_security(found['security']),
     )
 
 
+def _build_security(found: Any) -> Security | None:
+    if found is None:
+        return None
+    return Security(**{name: Path(path) for name, path in found.items()})
+
+
 def _build_control(found: Any) -> ControlAddress:
     return ControlAddress(
         found['name'],
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -1,9 +1,12 @@
 """Decide what an entry does with requests, without input or output."""
 
 from functools import singledispatchmethod
+from random import Random
 from typing import NamedTuple
 
 from sardinemast.admission import (
+    Admitted,
+    Arrival,
     Dispatcher,
     Refusal,
     check_arrival,
@@ -24,11 +27,11 @@
     UpstreamAnnounced,
 )
 from sardinemast.entry._link import ControlLink
-from sardinemast.fleet import FleetState
-from sardinemast.membership import Announcement
+from sardinemast.entry._reports import UpstreamReports
+from sardinemast.fleet import FleetState, get_pool
+from sardinemast.membership import RosterUpstream, RosterView
 from sardinemast.protocol import (
     LeaseGranted,
-    ReportUpstreams,
     RosterChanged,
     StateChanged,
     StateReplaced,
@@ -51,8 +54,12 @@
         self._settings = settings
         self._link = ControlLink(settings.name, settings.incarnation)
         self._dispatcher = Dispatcher()
-        self._attempts = AttemptTable(settings.data_centre)
-        self._heard: dict[str, Announcement] = {}
+        self._attempts = AttemptTable(
+            settings.data_centre,
+            Random(settings.incarnation),
+        )
+        self._view = RosterView()
+        self._reports = UpstreamReports(self._view)
         self._outputs: list[EntryOutput] = []
 
     @property
@@ -64,6 +71,14 @@
         """Tell the balancer whether to send requests here."""
         return self._link.has_lease(now_s)
 
+    def check_head(self, arrival: Arrival, now_s: float) -> Refusal | int:
+        """Give the limit of the body in bytes, or refuse by the head."""
+        refusal = self._check(arrival, now_s)
+        if isinstance(refusal, Refusal):
+            return refusal
+        pool = get_pool(self.state, arrival.pool, self._settings.data_centre)
+        return pool.body_limit_bytes if pool else 0
+
     def step(self, event: EntryEvent, now_s: float) -> list[EntryOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs = []
@@ -80,10 +95,9 @@
 
     @_handle.register
     def _handle_tick(self, event: Tick, now_s: float) -> None:
-        if self._heard:
-            heard = tuple(self._heard.values())
-            self._outputs.append(SendToControl(ReportUpstreams(heard)))
-            self._heard.clear()
+        self._outputs.extend(
+            SendToControl(message) for message in self._reports.take_due(now_s)
+        )
 
     @_handle.register
     def _handle_arrival(self, event: RequestArrived, now_s: float) -> None:
@@ -92,28 +106,40 @@
             self._refuse(event.arrival.request_id, refusal)
 
     def _admit(self, event: RequestArrived, now_s: float) -> Refusal | None:
+        checked = self._check(event.arrival, now_s)
+        if isinstance(checked, Refusal):
+            return checked
+        return self._dispatcher.take(event.arrival, checked, now_s)
+
+    def _check(self, arrival: Arrival, now_s: float) -> Admitted | Refusal:
         if not self._link.has_lease(now_s):
             return refuse_without_lease()
-        checked = check_arrival(
+        return check_arrival(
             self.state,
             self._settings.data_centre,
-            event.arrival,
+            arrival,
             now_s,
         )
-        if isinstance(checked, Refusal):
-            return checked
-        return self._dispatcher.take(event.arrival, checked, now_s)
 
     @_handle.register
     def _handle_caller_left(self, event: CallerLeft, now_s: float) -> None:
         # What runs goes on and keeps its place; only what waits is dropped.
         self._dispatcher.drop(event.request_id)
+        self._attempts.leave(event.request_id)
 
     @_handle.register
     def _handle_ended(self, event: AttemptEnded, now_s: float) -> None:
-        ending = self._attempts.end(event.request_id, event.attempt_result)
+        ending = self._attempts.end(
+            event.request_id,
+            event.attempt_result,
+            now_s,
+        )
         if ending.next_step is NextStep.retry:
-            refusal = self._dispatcher.take_again(ending.waiting, now_s)
+            refusal = self._dispatcher.take_again(
+                ending.waiting,
+                now_s,
+                ending.held_until_s,
+            )
         else:
             self._dispatcher.end(event.request_id, ending.held_until_s)
             refusal = ending.refusal
@@ -128,11 +154,14 @@
         event: UpstreamAnnounced,
         now_s: float,
     ) -> None:
-        self._heard[event.announcement.instance] = event.announcement
+        self._reports.hear(event.announcement, now_s)
+        if self._view.take_leaving(event.announcement, now_s):
+            self._attempts.replace_roster(self._view.announcements, now_s)
 
     @_handle.register
     def _handle_lost(self, event: ControlLost, now_s: float) -> None:
-        """Let the lease run out by itself."""
+        """Let the lease run out by itself; the handles are the leader's."""
+        self._view.forget_handles()
 
     @_handle.register
     def _handle_control(self, event: ControlReceived, now_s: float) -> None:
@@ -144,7 +173,23 @@
         elif isinstance(message, StateChanged):
             self._link.take_commands(message)
         elif isinstance(message, RosterChanged):
-            self._attempts.replace_roster(message.announcements)
+            self._take_roster(message, now_s)
+
+    def _take_roster(self, message: RosterChanged, now_s: float) -> None:
+        handles = message.handles or (0,) * len(message.announcements)
+        upstreams = tuple(
+            map(RosterUpstream, handles, message.announcements),
+        )
+        if message.is_whole:
+            self._view.replace(
+                upstreams,
+                now_s,
+                is_complete=message.is_complete,
+            )
+            self._reports.start_epoch(message.epoch)
+        else:
+            self._view.change(upstreams, message.gone, now_s)
+        self._attempts.replace_roster(self._view.announcements, now_s)
 
     def _dispatch(self, now_s: float) -> None:
         if not self._link.has_lease(now_s):
@@ -173,4 +218,5 @@
             self._outputs.append(SendToControl(renewal))
 
     def _refuse(self, request_id: int, refusal: Refusal) -> None:
+        refusal = self._attempts.conclude(request_id, refusal)
         self._outputs.append(RefuseRequest(request_id, refusal))
--- a/src/sardinemast/protocol/_messages.py
+++ b/src/sardinemast/protocol/_messages.py
@@ -6,6 +6,8 @@
 from sardinemast.membership import Announcement
 from sardinemast.wire import MessageSet
 
+NEEDS_STATE = -1
+
 
 class TeamDemand(NamedTuple):
     """Say how much a team wants to run at this entry, and runs now."""
@@ -28,7 +30,10 @@
 
 
 class RenewLease(NamedTuple):
-    """Ask for the lease to go on; ``sent_at_s`` is the entry's clock."""
+    """Ask for the lease to go on; ``sent_at_s`` is the entry's clock.
+
+    An ``applied_index`` of ``NEEDS_STATE`` asks for the whole state.
+    """
 
     sent_at_s: float
     applied_index: int
@@ -37,16 +42,33 @@
 
 
 class ReportUpstreams(NamedTuple):
-    """Pass on what upstreams announced to this entry."""
+    """Pass on what upstreams announced, each ``ages_s`` before the sending."""
 
     announcements: tuple[Announcement, ...]
+    ages_s: tuple[float, ...] = ()
+
+
+class HeardUpstreams(NamedTuple):
+    """Renew the leases of upstreams that repeated what the leader knows.
+
+    ``handles`` is made by ``encode_handles`` and belongs to the ``epoch`` of
+    the roster that gave them.
+    """
+
+    epoch: int
+    handles: bytes
 
 
 class LeaseGranted(NamedTuple):
-    """Renew the lease, counted from ``sent_at_s`` on the entry's clock."""
+    """Renew the lease, counted from ``sent_at_s`` on the entry's clock.
+
+    The lease holds only for an entry that has applied ``log_index``: what
+    was told to be in force before the grant is in force with it.
+    """
 
     sent_at_s: float
     duration_s: float
+    log_index: int = 0
 
 
 class StateReplaced(NamedTuple):
@@ -61,17 +83,38 @@
     log_index: int
     payload: bytes
 
+    def __repr__(self) -> str:
+        """Leave the payload out; it may hold a key's digest."""
+        size_bytes = len(self.payload)
+        return f'AppliedCommand({self.log_index}, {size_bytes} bytes)'
+
 
 class StateChanged(NamedTuple):
-    """Send the commands committed since the last message."""
+    """Send what was committed since the last message.
+
+    ``commands`` holds what changes the entry's state. It follows on
+    ``previous_index`` and brings the entry to ``log_index``.
+    """
 
     commands: tuple[AppliedCommand, ...]
+    previous_index: int = 0
+    log_index: int = 0
 
 
 class RosterChanged(NamedTuple):
-    """Send all upstreams that are there."""
+    """Send all upstreams that are there, or what has changed of them.
+
+    ``handles`` stand for the announcements in their order, ``gone`` for those
+    that ended. A list that is not complete lacks upstreams which a new
+    leader has not heard yet.
+    """
 
     announcements: tuple[Announcement, ...]
+    handles: tuple[int, ...] = ()
+    gone: tuple[int, ...] = ()
+    epoch: int = 0
+    is_whole: bool = True
+    is_complete: bool = True
 
 
 class NotLeader(NamedTuple):
@@ -80,11 +123,11 @@
     leader: str
 
 
-EntryMessage = RenewLease | ReportUpstreams
+EntryMessage = RenewLease | ReportUpstreams | HeardUpstreams
 ControlMessage = (
     LeaseGranted | StateReplaced | StateChanged | RosterChanged | NotLeader
 )
-ENTRY_MESSAGES = MessageSet(RenewLease, ReportUpstreams)
+ENTRY_MESSAGES = MessageSet(RenewLease, ReportUpstreams, HeardUpstreams)
 CONTROL_MESSAGES = MessageSet(
     LeaseGranted,
     StateReplaced,
