Put the plans of maintenance and placement into the fleet's log

Cause: both cores worked on states of their own that no log carried. Change: their commands are commands of the log, their states are part of the fleet's image. A join changes the pool that entries route by at the same index; an operator's assignment ends a step; an entry's registration makes it one of those asked before a reboot. Entries get what instances do, and nothing of jobs.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -198,7 +198,7 @@
         peak = int(self._now_s / _PEAK_S) % self._fleet.teams
         # All teams together ask for this part of the cores.
         mean = self._load * self._fleet.workers * _STEP_S * 8 / _MEAN_RUN_S
-        requests = []
+        requests: list[placement.commands.JobRequest] = []
         for position, team in enumerate(self._teams):
             factor = 5.0 if position == peak else 0.2
             count = mean * factor / self._fleet.teams
--- a/src/sardinemast/fleet/_entry_commands.py
+++ b/src/sardinemast/fleet/_entry_commands.py
@@ -4,6 +4,7 @@
 
 from sardinemast.fleet._dispatch import accept, execute_command
 from sardinemast.fleet._state import EntryProcess, FleetState, Outcome
+from sardinemast.maintenance import EntryRun
 
 
 class RegisterEntry(NamedTuple):
@@ -39,6 +40,9 @@
         command.incarnation,
         former,
     )
+    # A run whose lease nobody asks about before a reboot would lose its work.
+    run = EntryRun(command.name, command.incarnation)
+    state.plans.maintenance.entry_runs[run] = state.log_index
     return accept(state)
 
 
--- a/src/sardinemast/fleet/_operator_commands.py
+++ b/src/sardinemast/fleet/_operator_commands.py
@@ -12,6 +12,7 @@
 from sardinemast.fleet._documents import FleetDocument
 from sardinemast.fleet._state import FleetState, Instance, KeyRecord, Outcome
 from sardinemast.fleet._time_commands import get_version_document, keep_version
+from sardinemast.maintenance import forget_instance, reassign_instance
 
 MAX_KEYS = 50_000
 
@@ -162,6 +163,12 @@
     if command.pool not in state.document.pools:
         return refuse(state, 'fleet.E006', f'No pool {command.pool!r}.')
     state.instances[command.instance] = Instance(command.instance, command.pool)
+    reassign_instance(
+        state.plans.maintenance,
+        command.instance,
+        command.pool,
+        state.log_index,
+    )
     return accept(state)
 
 
@@ -173,4 +180,5 @@
             'fleet.E009',
             f'No instance {command.instance!r}.',
         )
+    forget_instance(state.plans.maintenance, command.instance)
     return accept(state)
--- /dev/null
+++ b/src/sardinemast/fleet/_plan_commands.py
@@ -0,0 +1,53 @@
+"""Commands of maintenance and placement on the fleet's state."""
+
+from sardinemast import maintenance, placement
+from sardinemast.fleet._dispatch import accept, execute_command, refuse
+from sardinemast.fleet._state import FleetState, Instance, Outcome
+
+PLAN_CLASSES = (*maintenance.COMMAND_CLASSES, *placement.COMMAND_CLASSES)
+
+
+def _execute_maintenance(
+    command: maintenance.Command,
+    state: FleetState,
+) -> Outcome:
+    refusal = maintenance.apply_command(
+        state.plans.maintenance,
+        command,
+        state.log_index,
+    )
+    if refusal is not None:
+        return refuse(state, refusal.code, refusal.text)
+    if isinstance(command, maintenance.commands.JoinPool):
+        _follow_pools(state)
+    return accept(state)
+
+
+def _execute_placement(
+    command: placement.Command,
+    state: FleetState,
+) -> Outcome:
+    placement.apply_command(state.plans.placement, command, state.log_index)
+    return accept(state)
+
+
+def _follow_pools(state: FleetState) -> None:
+    # Entries route by the fleet's instances. If a move changed only the
+    # maintenance state, an instance would stand in two pools.
+    for planned in state.plans.maintenance.instances.values():
+        known = state.instances.get(planned.name)
+        if known is not None and known.pool != planned.pool:
+            state.instances[planned.name] = Instance(
+                planned.name,
+                planned.pool,
+            )
+
+
+def _register() -> None:
+    for maintenance_class in maintenance.COMMAND_CLASSES:
+        execute_command.register(maintenance_class, _execute_maintenance)
+    for placement_class in placement.COMMAND_CLASSES:
+        execute_command.register(placement_class, _execute_placement)
+
+
+_register()
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -4,6 +4,14 @@
 
 from sardinemast.fleet._diff import DocumentChange, DocumentFinding
 from sardinemast.fleet._documents import EMPTY_DOCUMENT, FleetDocument
+from sardinemast.maintenance import EMPTY_IMAGE as EMPTY_MAINTENANCE
+from sardinemast.maintenance import MaintenanceImage, MaintenanceState
+from sardinemast.maintenance import dump_state as dump_maintenance
+from sardinemast.maintenance import load_state as load_maintenance
+from sardinemast.placement import EMPTY_IMAGE as EMPTY_PLACEMENT
+from sardinemast.placement import PlacementImage, PlacementState
+from sardinemast.placement import dump_state as dump_placement
+from sardinemast.placement import load_state as load_placement
 
 
 class KeyRecord(NamedTuple):
@@ -99,6 +107,15 @@
     remembered: tuple[RememberedCommand, ...]
     history: tuple[VersionRecord, ...] = ()
     wall_s: float = 0
+    maintenance: MaintenanceImage = EMPTY_MAINTENANCE
+    placement: PlacementImage = EMPTY_PLACEMENT
+
+
+class Plans(NamedTuple):
+    """Hold what is planned for instances and jobs."""
+
+    maintenance: MaintenanceState
+    placement: PlacementState
 
 
 class FleetState:
@@ -119,6 +136,7 @@
         self.grants: dict[tuple[str, int, str], Grant] = {}
         self.remembered: dict[str, RememberedCommand] = {}
         self.history: dict[int, VersionRecord] = {}
+        self.plans = Plans(MaintenanceState(), PlacementState())
 
 
 def dump_state(state: FleetState) -> FleetImage:
@@ -134,6 +152,8 @@
         tuple(state.remembered.values()),
         tuple(state.history.values()),
         state.wall_s,
+        dump_maintenance(state.plans.maintenance),
+        dump_placement(state.plans.placement),
     )
 
 
@@ -154,4 +174,8 @@
     }
     state.remembered = {one.command_id: one for one in image.remembered}
     state.history = {one.version: one for one in image.history}
+    state.plans = Plans(
+        load_maintenance(image.maintenance),
+        load_placement(image.placement),
+    )
     return state
--- a/src/sardinemast/fleet/_streams.py
+++ b/src/sardinemast/fleet/_streams.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinemast import placement
 from sardinemast.fleet._dispatch import execute_command
 from sardinemast.fleet._state import (
     FleetImage,
@@ -49,6 +50,7 @@
         entries=(),
         remembered=(),
         history=(),
+        placement=placement.EMPTY_IMAGE,
     )
 
 
@@ -64,7 +66,7 @@
     """
     if isinstance(command, ChangeGrants):
         return EntryCommand(index, b'', _split_grants(state, command))
-    if isinstance(command, AdvanceTime):
+    if isinstance(command, AdvanceTime | placement.Command):
         return EntryCommand(index, b'', {})
     if isinstance(command, RestoreVersion):
         command = ApplyDocument('', state.version - 1, state.document)
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -4,6 +4,7 @@
 
 import cbor2
 
+from sardinemast import maintenance, placement
 from sardinemast.fleet._dispatch import execute_command, refuse
 from sardinemast.fleet._entry_commands import RegisterEntry, RetireEntry
 from sardinemast.fleet._grant_commands import (
@@ -21,6 +22,7 @@
     RestoreVersion,
     WithdrawKey,
 )
+from sardinemast.fleet._plan_commands import PLAN_CLASSES
 from sardinemast.fleet._state import FleetState, Outcome, RememberedCommand
 from sardinemast.fleet._time_commands import AdvanceTime, remember
 from sardinemast.wire import MessageSet
@@ -33,6 +35,8 @@
     | ChangeGrants
     | HoldGrants
     | AdvanceTime
+    | maintenance.Command
+    | placement.Command
 )
 _OPERATOR_CLASSES = (
     ApplyDocument,
@@ -51,6 +55,7 @@
     ChangeGrants,
     HoldGrants,
     AdvanceTime,
+    *PLAN_CLASSES,
 )
 
 __all__ = (
--- a/src/sardinemast/maintenance/__init__.py
+++ b/src/sardinemast/maintenance/__init__.py
@@ -1,6 +1,10 @@
 """Availability budgets, waves, drains and reboots at the leader."""
 
 from sardinemast.maintenance._apply import apply_command
+from sardinemast.maintenance._changes import (
+    forget_instance,
+    reassign_instance,
+)
 from sardinemast.maintenance._choice import (
     Judged,
     choose_steps,
@@ -48,6 +52,7 @@
 )
 from sardinemast.maintenance._settings import MaintenanceSettings
 from sardinemast.maintenance._state import (
+    EMPTY_IMAGE,
     MaintenanceImage,
     MaintenanceState,
     dump_state,
@@ -57,6 +62,7 @@
 
 __all__ = (
     'COMMAND_CLASSES',
+    'EMPTY_IMAGE',
     'UNCUT',
     'AskPlatform',
     'Budgets',
@@ -101,8 +107,10 @@
     'apply_command',
     'choose_steps',
     'dump_state',
+    'forget_instance',
     'get_due',
     'judge_wave',
     'load_state',
     'preview_wave',
+    'reassign_instance',
 )
--- a/src/sardinemast/maintenance/_changes.py
+++ b/src/sardinemast/maintenance/_changes.py
@@ -150,6 +150,36 @@
     cancel_wave_steps(state, name, index, f'wave paused: {reason}')
 
 
+def reassign_instance(
+    state: MaintenanceState,
+    name: str,
+    pool: str,
+    index: int,
+) -> None:
+    """Follow an operator who puts an instance into another pool at once.
+
+    Its step ends, and it counts as down until it has proved itself there.
+    """
+    known = state.instances.get(name)
+    if known is None or known.pool == pool:
+        return
+    is_aside = known.condition is Condition.set_aside
+    state.put(
+        known._replace(
+            pool=pool,
+            condition=known.condition if is_aside else Condition.proving,
+            changed_index=index,
+            step=None,
+            reason='assigned by an operator',
+        ),
+    )
+
+
+def forget_instance(state: MaintenanceState, name: str) -> None:
+    """Follow an operator who removes an instance."""
+    state.remove(name)
+
+
 def _is_allowed(known: Instance, condition: Condition) -> bool:
     # A readmitted instance has not proved itself: it never goes back to
     # serving by way of a cancelled step, only by way of its reboot.
--- a/src/sardinemast/maintenance/_state.py
+++ b/src/sardinemast/maintenance/_state.py
@@ -71,6 +71,17 @@
         """Give all instances whose planned step can still be undone."""
         return map(self.instances.__getitem__, tuple(self.uncut))
 
+    def remove(self, name: str) -> None:
+        """Forget an instance."""
+        known = self.instances.pop(name, None)
+        if known is not None:
+            self.ledger.add(known, -1)
+            self.stepping.pop(name, None)
+            self.uncut.pop(name, None)
+
+
+EMPTY_IMAGE = MaintenanceImage(Budgets(), (), (), ())
+
 
 def dump_state(state: MaintenanceState) -> MaintenanceImage:
     """Give the whole state as one record."""
--- a/src/sardinemast/placement/__init__.py
+++ b/src/sardinemast/placement/__init__.py
@@ -27,6 +27,7 @@
     WorkerStatus,
 )
 from sardinemast.placement._state import (
+    EMPTY_IMAGE,
     PlacementImage,
     PlacementState,
     dump_state,
@@ -36,6 +37,7 @@
 
 __all__ = (
     'COMMAND_CLASSES',
+    'EMPTY_IMAGE',
     'AskWorker',
     'Command',
     'Event',
--- a/src/sardinemast/placement/_state.py
+++ b/src/sardinemast/placement/_state.py
@@ -84,6 +84,9 @@
         return estimate_size(job, self.learned.get((job.team, job.kind)))
 
 
+EMPTY_IMAGE = PlacementImage((), (), (), (), ())
+
+
 def dump_state(state: PlacementState) -> PlacementImage:
     """Give the whole state as one record."""
     return PlacementImage(
--- /dev/null
+++ b/tests/fleet/test_plan_commands.py
@@ -0,0 +1,124 @@
+"""Commands of maintenance and placement in the fleet's log."""
+
+from builders import make_fleet
+from sardinemast import maintenance, placement
+from sardinemast.fleet import (
+    COMMANDS,
+    AssignInstance,
+    Command,
+    FleetState,
+    RegisterEntry,
+    apply_command,
+    dump_state,
+    load_state,
+)
+from sardinemast.fleet._streams import dump_for_entry, make_entry_command
+
+_BUDGETS = maintenance.Budgets(
+    (
+        maintenance.PoolBudget('enrolment', 1),
+        maintenance.PoolBudget('spare', 1),
+    ),
+    (),
+    'spare',
+)
+
+
+def _apply(state: FleetState, *log: Command) -> None:
+    for command in log:
+        apply_command(
+            state,
+            COMMANDS.decode(COMMANDS.encode(command)),
+            state.log_index + 1,
+        )
+
+
+def _make_moving() -> FleetState:
+    state = make_fleet()
+    _apply(
+        state,
+        RegisterEntry('entry-1', 7),
+        maintenance.commands.SetBudgets('b', _BUDGETS),
+        maintenance.commands.EnrolInstance(
+            'enrol-1', 'brittany', 'rennes', 'rack-1', 'enrolment', 1.0
+        ),
+    )
+    enrolled = state.plans.maintenance.instances['enrol-1']
+    proved = maintenance.commands.ConditionChange(
+        'enrol-1',
+        enrolled.changed_index,
+        maintenance.Condition.serving,
+    )
+    _apply(state, maintenance.commands.ChangeConditions((proved,), 2.0))
+    serving = state.plans.maintenance.instances['enrol-1']
+    start = maintenance.commands.StepStart(
+        'enrol-1',
+        serving.changed_index,
+        maintenance.StepKind.move,
+        target_pool='spare',
+    )
+    _apply(state, maintenance.commands.StartSteps((start,), 3.0))
+    return state
+
+
+def test_image_holds_plans() -> None:
+    """A state made from an image has the same plans."""
+    state = _make_moving()
+    size = placement.Size(1000, 1000)
+    _apply(
+        state,
+        placement.commands.SetTeams('t', (placement.Team('atlas', 1, 4000),)),
+        placement.commands.EnterWorker('w', 1, 'r', 'd', 'k', size),
+    )
+    image = dump_state(state)
+    assert dump_state(load_state(image)) == image
+    assert image.maintenance.instances and image.placement.workers
+
+
+def test_move_changes_the_pool_that_entries_route_by() -> None:
+    """Leave an instance in one pool at each log index."""
+    state = _make_moving()
+    moving = state.plans.maintenance.instances['enrol-1']
+    join = maintenance.commands.JoinPool('enrol-1', moving.changed_index)
+    _apply(state, join)
+    assert state.instances['enrol-1'].pool == 'spare'
+    assert state.plans.maintenance.instances['enrol-1'].pool == 'spare'
+
+
+def test_operator_who_assigns_ends_the_step() -> None:
+    """Let an operator's assignment win over a move that is under way.
+
+    An operator assigns an instance by hand while it drains for a move. If
+    the move went on, the instance would end in the pool of the older plan.
+    """
+    state = _make_moving()
+    moving = state.plans.maintenance.instances['enrol-1']
+    state.document = state.document._replace(
+        pools={
+            **state.document.pools,
+            'other': state.document.pools['enrolment']._replace(name='other'),
+        },
+    )
+    _apply(
+        state,
+        AssignInstance('a', 'enrol-1', 'other'),
+        maintenance.commands.JoinPool('enrol-1', moving.changed_index),
+    )
+    found = state.plans.maintenance.instances['enrol-1']
+    assert (found.pool, found.condition) == ('other', 'proving')
+    assert state.instances['enrol-1'].pool == 'other'
+
+
+def test_entries_get_no_jobs() -> None:
+    """Send entries what instances do, but nothing of jobs."""
+    state = _make_moving()
+    image = dump_for_entry(state, 'entry-1', 7)
+    assert image.maintenance == dump_state(state).maintenance
+    drain = placement.commands.DrainWorker('d', 'w')
+    assert not make_entry_command(state, drain, 99).payload
+
+
+def test_registered_entry_is_asked_before_a_reboot() -> None:
+    """Know each run of an entry from its registration on."""
+    runs = _make_moving().plans.maintenance.entry_runs
+    assert set(runs) == {maintenance.EntryRun('entry-1', 7)}
