Drop the jobs that were over first

Cause: jobs that are over stayed in the state for good; the leader's memory and each image would grow with every job ever run. Change: 20,000 are kept, and the first to be over go, by log index and name, so that a replica from an image drops the same ones. A job with a run that may still go on stays.

--- a/src/sardinemast/placement/_apply.py
+++ b/src/sardinemast/placement/_apply.py
@@ -37,7 +37,9 @@
 
     What is stale does nothing.
     """
+    state.log_index = index
     _apply(command, state, index)
+    state.drop_oldest()
 
 
 @singledispatch
--- a/src/sardinemast/placement/_records.py
+++ b/src/sardinemast/placement/_records.py
@@ -85,7 +85,8 @@
     """Hold one job.
 
     ``may_overlap`` lets a new run start while a lost one may still run.
-    ``growth`` multiplies the memory after runs that ran out of it.
+    ``growth`` multiplies the memory after runs that ran out of it, and
+    ``ended_index`` is the log index at which the job was over.
     """
 
     name: str
@@ -102,6 +103,7 @@
     growth: int = 1
     failed_on: tuple[str, ...] = ()
     token: int = 0
+    ended_index: int = 0
     reason: str = ''
 
 
--- a/src/sardinemast/placement/_state.py
+++ b/src/sardinemast/placement/_state.py
@@ -1,10 +1,12 @@
 """Replicated state of placement."""
 
+import heapq
 from collections import Counter
 from typing import NamedTuple
 
 from sardinemast.placement._learned import LearnedKind, estimate_size
 from sardinemast.placement._records import (
+    FINAL,
     Job,
     JobStatus,
     Run,
@@ -13,6 +15,8 @@
     Worker,
 )
 
+MAX_ENDED = 20_000
+
 
 class PlacementImage(NamedTuple):
     """Hold the whole state as one record."""
@@ -31,12 +35,14 @@
     """
 
     def __init__(self) -> None:
+        self.log_index = 0
         self.teams: dict[str, Team] = {}
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.waiting: dict[str, None] = {}
         self.runs: dict[int, Run] = {}
         self.learned: dict[tuple[str, str], LearnedKind] = {}
+        self._over: list[tuple[int, str]] = []
         self.free: dict[str, Size] = {}
         self.by_worker: dict[str, dict[int, None]] = {}
         self.by_job: dict[str, dict[int, None]] = {}
@@ -53,6 +59,10 @@
 
     def put_job(self, job: Job) -> None:
         """Put a job in place of what was known of it."""
+        if job.status in FINAL:
+            if not job.ended_index:
+                job = job._replace(ended_index=self.log_index)
+                heapq.heappush(self._over, (job.ended_index, job.name))
         self.jobs[job.name] = job
         if job.status is JobStatus.waiting:
             self.waiting.setdefault(job.name)
@@ -79,6 +89,27 @@
         team = self.jobs[run.job].team
         self.millicores_by_team[team] -= run.size.millicores
 
+    def note_ended(self, job: Job) -> None:
+        """Note a job that was over before this state was made."""
+        heapq.heappush(self._over, (job.ended_index, job.name))
+
+    def drop_oldest(self) -> None:
+        """Drop the jobs that were over first, where too many are kept.
+
+        The order is by log index and name alone, so that a replica from an
+        image drops the same ones.
+        """
+        for _ in range(len(self._over) - MAX_ENDED):
+            ended_index, name = heapq.heappop(self._over)
+            if name in self.by_job:
+                # A second run may still go on; it needs its job.
+                heapq.heappush(self._over, (self.log_index, name))
+                self.jobs[name] = self.jobs[name]._replace(
+                    ended_index=self.log_index,
+                )
+            elif self.jobs[name].ended_index == ended_index:
+                self.jobs.pop(name)
+
     def estimate(self, job: Job) -> Size:
         """Estimate what the job takes."""
         return estimate_size(job, self.learned.get((job.team, job.kind)))
@@ -107,6 +138,8 @@
         state.put_worker(worker)
     for job in image.jobs:
         state.put_job(job)
+        if job.ended_index:
+            state.note_ended(job)
     for run in image.runs:
         state.add_run(run)
     return state
--- a/tests/placement/test_job_sessions.py
+++ b/tests/placement/test_job_sessions.py
@@ -212,3 +212,22 @@
         if worker.status is placement.WorkerStatus.set_aside
     ]
     assert aside == ['worker-2']
+
+
+def test_jobs_that_are_over_are_dropped_in_one_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Keep the newest jobs that are over, the same ones in each replica."""
+    monkeypatch.setattr('sardinemast.placement._state.MAX_ENDED', 3)
+    world = JobWorld()
+    copied = placement.load_state(placement.dump_state(world.state))
+    start = len(world.log)
+    for number in (4, 1, 3, 0, 2):
+        world.submit(make_request(f'job-{number}'))
+        world.commit(placement.commands.CancelJobs('c', (f'job-{number}',)))
+    for index, command in enumerate(world.log[start:], start=start + 1):
+        image = placement.dump_state(copied)
+        copied = placement.load_state(image)
+        placement.apply_command(copied, command, index)
+    assert sorted(world.state.jobs) == ['job-0', 'job-2', 'job-3']
+    assert placement.dump_state(copied) == placement.dump_state(world.state)
