Believe what runs are seen to take, though it comes late

Cause: sizes were learned at the end of runs only; a run that takes ten times what it declared left its worker looking half empty, and more were started. Change: reports tell what runs were seen to take; the log keeps at least that, and a worker whose memory is passed loses its lowest run, by checkpoint where it can.

--- a/src/sardinemast/placement/_apply.py
+++ b/src/sardinemast/placement/_apply.py
@@ -269,6 +269,23 @@
             state.add_run(run._replace(size=size, is_throttled=True))
 
 
+@_apply.register
+def _apply_growth(
+    command: commands.GrowRuns,
+    state: PlacementState,
+    index: int,
+) -> None:
+    # Usage lags and sizes are guesses: what a run was seen to take is taken,
+    # even where the worker's room is passed by it. Without this, more runs
+    # would be started beside it until they all run out of memory.
+    for use in command.uses:
+        run = state.runs.get(use.token)
+        if run is not None and use.seen.memory_bytes > run.size.memory_bytes:
+            size = run.size._replace(memory_bytes=use.seen.memory_bytes)
+            state.remove_run(run)
+            state.add_run(run._replace(size=size))
+
+
 @_apply.register
 def _apply_job_aside(
     command: commands.SetJobAside,
--- a/src/sardinemast/placement/_core.py
+++ b/src/sardinemast/placement/_core.py
@@ -10,6 +10,7 @@
 from sardinemast.placement._choice import Planner, fits_no_worker
 from sardinemast.placement._preemption import (
     Pressed,
+    choose_lowest,
     choose_victims,
     get_action,
     press,
@@ -108,7 +109,7 @@
         self._heard_s[holder] = now_s
         self._started.update(event.running)
         settled: tuple[int, ...] = ()
-        if event.ends or event.throttled:
+        if event.ends or event.throttled or event.uses:
             yield from self._take_ends(event, now_s)
             settled = self._get_settled(event)
         yield events.GrantLease(
@@ -132,6 +133,7 @@
         if now_s - self._watched_s >= self._settings.watch_period_s:
             self._watched_s = now_s
             yield from self._watch_workers(now_s)
+            self._relieve_workers(now_s)
         yield from self._plan_placements(now_s)
         yield from self._ask_runs(now_s)
 
@@ -156,6 +158,14 @@
         ends = tuple(end for end in event.ends if end.token in runs)
         if ends:
             yield from self._propose(commands.EndRuns(ends), now_s)
+        grown = tuple(
+            use
+            for use in event.uses
+            if use.token in runs
+            and use.seen.memory_bytes > runs[use.token].size.memory_bytes
+        )
+        if grown:
+            yield from self._propose(commands.GrowRuns(grown), now_s)
         throttled = tuple(
             token
             for token in event.throttled
@@ -164,6 +174,24 @@
         if throttled:
             yield from self._propose(commands.ThrottleRuns(throttled), now_s)
 
+    def _relieve_workers(self, now_s: float) -> None:
+        """Press the lowest run of a worker that has less room than is taken."""
+        state = self._get_state()
+        for name, free in state.free.items():
+            if free.memory_bytes >= 0:
+                continue
+            if any(token in self._pressed for token in state.by_worker[name]):
+                continue
+            victim = choose_lowest(state, name)
+            if victim is not None:
+                can_checkpoint = state.jobs[victim.job].can_checkpoint
+                self._pressed[victim.token] = Pressed(
+                    victim,
+                    now_s,
+                    can_checkpoint,
+                    is_throttle_enough=False,
+                )
+
     def _get_settled(self, event: events.WorkerReported) -> tuple[int, ...]:
         runs = self._get_state().runs
         return tuple(end.token for end in event.ends if end.token not in runs)
--- a/src/sardinemast/placement/_events.py
+++ b/src/sardinemast/placement/_events.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from sardinemast.placement._records import Size
-from sardinemast.placement.commands import Command, RunEnd
+from sardinemast.placement.commands import Command, RunEnd, RunUse
 
 
 class TermStarted(NamedTuple):
@@ -23,7 +23,8 @@
     """Pass on what a worker says; it asks for its lease to go on.
 
     ``sent_at_s`` is the worker's clock. ``running`` and ``throttled`` name
-    runs by their tokens; ``ends`` is repeated until it is settled.
+    runs by their tokens; ``ends`` is repeated until it is settled; ``uses``
+    lag by some seconds.
     """
 
     worker: str
@@ -32,6 +33,7 @@
     running: tuple[int, ...] = ()
     throttled: tuple[int, ...] = ()
     ends: tuple[RunEnd, ...] = ()
+    uses: tuple[RunUse, ...] = ()
 
 
 class RunAction(StrEnum):
--- a/src/sardinemast/placement/_preemption.py
+++ b/src/sardinemast/placement/_preemption.py
@@ -48,6 +48,14 @@
     return best
 
 
+def choose_lowest(state: PlacementState, worker: str) -> Run | None:
+    """Choose the run that makes room with the least waste, if two run."""
+    runs = [state.runs[token] for token in state.by_worker[worker]]
+    if len(runs) < 2:
+        return None
+    return min(runs, key=lambda run: _get_order(state, run))
+
+
 def press(
     state: PlacementState,
     victims: Iterable[Run],
--- a/src/sardinemast/placement/commands.py
+++ b/src/sardinemast/placement/commands.py
@@ -137,6 +137,19 @@
     tokens: tuple[int, ...]
 
 
+class RunUse(NamedTuple):
+    """Tell what a run was seen to take."""
+
+    token: int
+    seen: Size
+
+
+class GrowRuns(NamedTuple):
+    """Keep the room that runs take, where it is more than was kept."""
+
+    uses: tuple[RunUse, ...]
+
+
 class SetJobAside(NamedTuple):
     """End a job that can't run, with the reason."""
 
@@ -158,6 +171,7 @@
     | PlaceJobs
     | EndRuns
     | ThrottleRuns
+    | GrowRuns
     | SetJobAside
 )
 COMMAND_CLASSES = (
@@ -174,5 +188,6 @@
     PlaceJobs,
     EndRuns,
     ThrottleRuns,
+    GrowRuns,
     SetJobAside,
 )
--- a/tests/builders/jobs.py
+++ b/tests/builders/jobs.py
@@ -50,6 +50,7 @@
         self.is_bad = False
         self.runs: dict[int, placement.AskWorker] = {}
         self.throttled: set[int] = set()
+        self.uses: dict[int, placement.Size] = {}
         self.ends: dict[int, placement.commands.RunEnd] = {}
 
     def lapse(self) -> None:
@@ -94,7 +95,7 @@
             self.end(ask.token, placement.RunResult.stopped)
 
     def report(self, now_s: float) -> placement.WorkerReported:
-        """Say what the worker says."""
+        """Say what the worker says; what runs take is told as seen."""
         return placement.WorkerReported(
             self.name,
             self.incarnation,
@@ -102,6 +103,11 @@
             tuple(self.runs),
             tuple(sorted(self.throttled)),
             tuple(self.ends.values()),
+            tuple(
+                placement.commands.RunUse(token, seen)
+                for token, seen in self.uses.items()
+                if token in self.runs
+            ),
         )
 
 
--- a/tests/placement/test_job_sessions.py
+++ b/tests/placement/test_job_sessions.py
@@ -231,3 +231,29 @@
         placement.apply_command(copied, command, index)
     assert sorted(world.state.jobs) == ['job-0', 'job-2', 'job-3']
     assert placement.dump_state(copied) == placement.dump_state(world.state)
+
+
+def test_run_that_takes_more_than_was_kept_makes_others_leave() -> None:
+    """Believe what a run is seen to take, and relieve its worker.
+
+    A job declares a tenth of the memory that it takes, and its usage is told
+    late. If its worker got more jobs meanwhile, all of them would run out of
+    memory.
+    """
+    world = JobWorld()
+    world.set_teams((ROOMY,))
+    for name in ('worker-2', 'worker-3', 'worker-4'):
+        world.commit(placement.commands.DrainWorker('d', name))
+    spare = placement.Priority.spare
+    world.submit(
+        make_request('liar', millicores=1000),
+        make_request('low', spare, millicores=1000, memory_bytes=8000),
+    )
+    _live(world, 3)
+    worker = world.workers['worker-1']
+    token = next(iter(worker.runs))
+    worker.uses[token] = placement.Size(1000, 15_000)
+    _live(world, 8)
+    assert world.get_workers('liar') == ['worker-1']
+    assert not world.get_workers('low')
+    assert world.state.free['worker-1'].memory_bytes == 1000
--- a/tests/placement/test_jobs_fuzz.py
+++ b/tests/placement/test_jobs_fuzz.py
@@ -121,6 +121,13 @@
         if back <= len(self.world.events):
             self.world.feed(self.world.events[-back], is_kept=False)
 
+    @rule(name=_workers, memory_bytes=st.sampled_from([500, 9000, 15_000]))
+    def use(self, name: str, memory_bytes: int) -> None:
+        """Let the runs on a worker take other memory than was kept."""
+        worker = self.world.workers[name]
+        for token in worker.runs:
+            worker.uses[token] = placement.Size(0, memory_bytes)
+
     @rule(name=_workers, is_over=st.booleans())
     def drain(self, name: str, is_over: bool) -> None:
         """Drain a worker, or end that."""
