Count the workers that are set aside as they change

Cause: a profile with jobs showed a look at all workers for each one that might be set aside. Change: the state holds their names.

--- a/src/sardinemast/placement/_checks.py
+++ b/src/sardinemast/placement/_checks.py
@@ -21,11 +21,7 @@
     A bad job or a bad roll-out makes many workers look bad at once. Without
     a bound they would all be set aside and nothing would run anywhere.
     """
-    aside = sum(
-        worker.status is WorkerStatus.set_aside
-        for worker in state.workers.values()
-    )
-    return aside < max(1, int(ASIDE_SHARE * len(state.workers)))
+    return len(state.aside) < max(1, int(ASIDE_SHARE * len(state.workers)))
 
 
 def get_worker(
--- a/src/sardinemast/placement/_state.py
+++ b/src/sardinemast/placement/_state.py
@@ -13,6 +13,7 @@
     Size,
     Team,
     Worker,
+    WorkerStatus,
 )
 
 MAX_ENDED = 20_000
@@ -42,6 +43,7 @@
         self.waiting: dict[str, None] = {}
         self.runs: dict[int, Run] = {}
         self.learned: dict[tuple[str, str], LearnedKind] = {}
+        self.aside: set[str] = set()
         self._over: list[tuple[int, str]] = []
         self.free: dict[str, Size] = {}
         self.by_worker: dict[str, dict[int, None]] = {}
@@ -55,6 +57,10 @@
         free = self.free.get(worker.name, Size(0, 0))
         self.free[worker.name] = free.plus(worker.room).plus(room, -1)
         self.workers[worker.name] = worker
+        if worker.status is WorkerStatus.set_aside:
+            self.aside.add(worker.name)
+        else:
+            self.aside.discard(worker.name)
         self.by_worker.setdefault(worker.name, {})
 
     def put_job(self, job: Job) -> None:
