--- a/src/sardinemast/cli/queries.py
+++ b/src/sardinemast/cli/queries.py
@@ -25,6 +25,16 @@
     return ask_leader(get_controls(controls), '/v1/state')
 
 
+def replicas(controls: str = '') -> dict[str, Any]:
+    """Show the replicas of the log as the leader has them.
+
+    Args:
+        controls: Operators' addresses of the control processes.
+
+    """
+    return ask_leader(get_controls(controls), '/v1/replicas')
+
+
 def check(base: str, *overlays: str) -> dict[str, Any]:
     """Check a base file and its overlays without changing anything.
 
--- a/src/sardinemast/control/_entry_desk.py
+++ b/src/sardinemast/control/_entry_desk.py
@@ -42,7 +42,13 @@
 
     def connect(self, event: EntryConnected, now_s: float) -> None:
         """Open a stream: register the entry, send state and roster."""
-        session = Session(event.stream_id, event.entry, event.incarnation)
+        session = Session(
+            event.stream_id,
+            event.entry,
+            event.incarnation,
+            event.host,
+            event.port,
+        )
         self._sessions.open(session)
         self._register(session, now_s)
         self.streams.send_whole(session, now_s)
@@ -109,7 +115,12 @@
             now_s,
         )
         if is_next and self._registering.take_turn(session.holder, now_s):
-            self._propose(RegisterEntry(*session.holder), now_s)
+            registration = RegisterEntry(
+                *session.holder,
+                session.host,
+                session.port,
+            )
+            self._propose(registration, now_s)
 
     def _is_next(self, session: Session, known: int, now_s: float) -> bool:
         # Two processes under one name must not take the lease from each
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -16,14 +16,17 @@
 
     sender: str
     message: consensus.Message
+    route: consensus.Route = consensus.Route()
 
 
 class EntryConnected(NamedTuple):
-    """Tell that an entry opened a stream."""
+    """Tell that an entry opened a stream, and where others reach it."""
 
     stream_id: int
     entry: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
 
 class EntryReceived(NamedTuple):
@@ -47,6 +50,19 @@
     wall_s: float = 0
 
 
+class OperatorsAsked(NamedTuple):
+    """Hand over commands to be written and synced together."""
+
+    asked: tuple[OperatorAsked, ...]
+
+
+class RepairAsked(NamedTuple):
+    """Hand over an operator's wish to replace a replica's folder."""
+
+    request_id: int
+    name: str
+
+
 class OperatorAnswer(NamedTuple):
     """Answer an operator truthfully.
 
@@ -70,6 +86,14 @@
     answer: OperatorAnswer
 
 
+class AnswerRepair(NamedTuple):
+    """Tell an operator whether the replica was told to join anew."""
+
+    request_id: int
+    is_accepted: bool
+    leader: str
+
+
 class SendToEntry(NamedTuple):
     """Send a message on an entry's stream."""
 
@@ -84,5 +108,7 @@
     | EntryReceived
     | EntryDisconnected
     | OperatorAsked
+    | OperatorsAsked
+    | RepairAsked
 )
-ControlOutput = consensus.Output | AnswerOperator | SendToEntry
+ControlOutput = consensus.Output | AnswerOperator | AnswerRepair | SendToEntry
--- a/src/sardinemast/control/_sessions.py
+++ b/src/sardinemast/control/_sessions.py
@@ -19,11 +19,13 @@
 
 
 class Session(NamedTuple):
-    """Hold one entry's stream."""
+    """Hold one entry's stream, and where other entries reach it."""
 
     stream_id: int
     entry: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
     @property
     def holder(self) -> Holder:
--- a/src/sardinemast/fleet/_entry_commands.py
+++ b/src/sardinemast/fleet/_entry_commands.py
@@ -16,6 +16,8 @@
 
     name: str
     incarnation: int
+    host: str = ''
+    port: int = 0
 
 
 class RetireEntry(NamedTuple):
@@ -39,6 +41,9 @@
         command.name,
         command.incarnation,
         former,
+        command.host,
+        command.port,
+        state.log_index,
     )
     # A run whose lease nobody asks about before a reboot would lose its work.
     run = EntryRun(command.name, command.incarnation)
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -36,7 +36,7 @@
         self.entry_names = [
             f'entry-{number}' for number in range(1, entry_count + 1)
         ]
-        ports = iter(_find_ports(2 * control_count + entry_count))
+        ports = iter(find_ports(2 * control_count + entry_count))
         self._controls: list[dict[str, Any]] = [
             {
                 'name': name,
@@ -45,6 +45,8 @@
             }
             for name in self.control_names
         ]
+        # What one control process dials instead of another's peer port.
+        self.detours: dict[tuple[str, str], int] = {}
         self._entry_ports = dict(zip(self.entry_names, ports, strict=True))
 
     @property
@@ -65,7 +67,7 @@
 
     def add_entry(self, name: str) -> None:
         """Find a port for one more entry."""
-        self._entry_ports[name] = _find_ports(1)[0]
+        self._entry_ports[name] = find_ports(1)[0]
 
     def start(self, name: str) -> None:
         """Start a control process or an entry."""
@@ -75,7 +77,7 @@
             'roles': [role],
             'data_centre': 'rennes',
             'data_folder': str(self.folder / name),
-            'controls': self._controls,
+            'controls': [self._detour(name, one) for one in self._controls],
         }
         if role == 'entry':
             settings['callers'] = {'port': self._entry_ports[name]}
@@ -91,6 +93,11 @@
         security = write_certificate(self.folder, self.authority, name, unit)
         return {field: str(path) for field, path in security._asdict().items()}
 
+    def get_peer_port(self, name: str) -> int:
+        """Give the port that a control process listens on for peers."""
+        found = next(one for one in self._controls if one['name'] == name)
+        return int(found['peer']['port'])
+
     def start_upstream(self, name: str, *options: str) -> None:
         """Start an upstream that announces itself to all entries."""
         self.run(
@@ -128,6 +135,10 @@
         """Send a signal to a process."""
         self.processes[name].send_signal(number)
 
+    def _detour(self, name: str, control: dict[str, Any]) -> dict[str, Any]:
+        port = self.detours.get((name, control['name']))
+        return {**control, 'peer': {'port': port}} if port else control
+
 
 @contextmanager
 def run_fleet(
@@ -135,10 +146,13 @@
     control_count: int = 3,
     entry_count: int = 3,
     authority: trustme.CA | None = None,
+    prepare: Callable[[Fleet], None] | None = None,
 ) -> Iterator[Fleet]:
     """Start control processes and entries, and stop all at the end."""
     fleet = Fleet(folder, control_count, entry_count)
     fleet.authority = authority
+    if prepare is not None:
+        prepare(fleet)
     for name in (*fleet.control_names, *fleet.entry_names):
         fleet.start(name)
     try:
@@ -187,7 +201,8 @@
     return call(address, '/-/health').code == HTTPStatus.OK
 
 
-def _find_ports(count: int) -> list[int]:
+def find_ports(count: int) -> list[int]:
+    """Give free ports."""
     # All sockets stay open until the last port is known, so that the system
     # gives no port twice.
     with ExitStack() as stack:
