--- a/src/sardinemast/maintenance/_core.py
+++ b/src/sardinemast/maintenance/_core.py
@@ -260,7 +260,7 @@
         instance: Instance,
         change: commands.ConditionChange,
     ) -> Iterator[events.Output]:
-        if not change.reason or not self._is_unproposed(change):
+        if not change.reason or change in self._proposed:
             return
         text = change.reason
         if change.not_before_s:
@@ -289,9 +289,6 @@
         if self._is_new(command, now_s):
             yield events.Propose(command)
 
-    def _is_unproposed(self, proposal: object) -> bool:
-        return proposal not in self._proposed
-
     def _is_new(self, proposal: object, now_s: float) -> bool:
         if proposal in self._proposed:
             return False
