Send no new work to an instance whose drain stands in the log

Cause: entries chose by pool and by what the instance says of itself, and knew nothing of its plans; a drain would not have ended. Change: an upstream that was enrolled is usable only while it serves or is merely suspected. The new test is red without it.

--- a/src/sardinemast/maintenance/__init__.py
+++ b/src/sardinemast/maintenance/__init__.py
@@ -57,6 +57,7 @@
     MaintenanceState,
     dump_state,
     load_state,
+    takes_work,
 )
 from sardinemast.maintenance.commands import COMMAND_CLASSES, Command
 
@@ -113,4 +114,5 @@
     'load_state',
     'preview_wave',
     'reassign_instance',
+    'takes_work',
 )
--- a/src/sardinemast/maintenance/_state.py
+++ b/src/sardinemast/maintenance/_state.py
@@ -6,6 +6,7 @@
 from sardinemast.maintenance._ledger import Ledger
 from sardinemast.maintenance._records import (
     Budgets,
+    Condition,
     EntryRun,
     Instance,
     NotedRun,
@@ -80,9 +81,19 @@
             self.uncut.pop(name, None)
 
 
+_OPEN = frozenset((Condition.serving, Condition.suspected))
 EMPTY_IMAGE = MaintenanceImage(Budgets(), (), (), ())
 
 
+def takes_work(state: MaintenanceState, name: str) -> bool:
+    """Tell whether an instance may get new work.
+
+    One that was never enrolled has no plans and may.
+    """
+    known = state.instances.get(name)
+    return known is None or known.condition in _OPEN
+
+
 def dump_state(state: MaintenanceState) -> MaintenanceImage:
     """Give the whole state as one record."""
     return MaintenanceImage(
--- a/src/sardinemast/routing/_picker.py
+++ b/src/sardinemast/routing/_picker.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sardinemast.fleet import FleetState, Pool, get_pool
+from sardinemast.maintenance import takes_work
 from sardinemast.membership import Announcement, UpstreamStatus
 from sardinemast.routing._health import UpstreamHealth, get_typical_s
 
@@ -210,4 +211,5 @@
         and one.pool == pool_name
         and placed is not None
         and placed.pool == pool_name
+        and takes_work(state.plans.maintenance, one.instance)
     )
--- a/tests/fleet/test_plan_commands.py
+++ b/tests/fleet/test_plan_commands.py
@@ -1,6 +1,8 @@
 """Commands of maintenance and placement in the fleet's log."""
 
-from builders import make_fleet
+from random import Random
+
+from builders import make_announcement, make_fleet
 from sardinemast import maintenance, placement
 from sardinemast.fleet import (
     COMMANDS,
@@ -13,6 +15,7 @@
     load_state,
 )
 from sardinemast.fleet._streams import dump_for_entry, make_entry_command
+from sardinemast.routing._picker import UpstreamPicker, Wish
 
 _BUDGETS = maintenance.Budgets(
     (
@@ -122,3 +125,17 @@
     """Know each run of an entry from its registration on."""
     runs = _make_moving().plans.maintenance.entry_runs
     assert set(runs) == {maintenance.EntryRun('entry-1', 7)}
+
+
+def test_draining_instance_gets_no_new_work() -> None:
+    """Send nothing to an instance from the index at which its drain stands.
+
+    The instance itself still says that it serves. If an entry went on
+    sending, the drain would never end.
+    """
+    announcement = make_announcement()
+    picker = UpstreamPicker('rennes', Random(1))
+    picker.replace_roster((announcement,), 0)
+    wish = Wish('enrolment', is_repeatable=False)
+    assert picker.choose(make_fleet(), wish, 0) == announcement
+    assert picker.choose(_make_moving(), wish, 0) is None
