--- a/src/sardinemast/fleet/_streams.py
+++ b/src/sardinemast/fleet/_streams.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinemast import placement
 from sardinemast.fleet._dispatch import execute_command
 from sardinemast.fleet._state import (
     FleetImage,
@@ -52,6 +53,7 @@
         grants=grants,
         remembered=(),
         history=(),
+        placement=placement.EMPTY_IMAGE,
     )
 
 
@@ -73,7 +75,7 @@
             COMMANDS.encode(NoteTotals(totals)),
             _split_grants(state, command),
         )
-    if isinstance(command, AdvanceTime):
+    if isinstance(command, AdvanceTime | placement.Command):
         return EntryCommand(index, b'', {})
     if isinstance(command, RestoreVersion):
         command = ApplyDocument('', state.version - 1, state.document)
--- a/src/sardinemast/maintenance/__init__.py
+++ b/src/sardinemast/maintenance/__init__.py
@@ -1,6 +1,10 @@
 """Availability budgets, waves, drains and reboots at the leader."""
 
 from sardinemast.maintenance._apply import apply_command
+from sardinemast.maintenance._changes import (
+    forget_instance,
+    reassign_instance,
+)
 from sardinemast.maintenance._choice import (
     Judged,
     choose_steps,
@@ -10,6 +14,7 @@
 from sardinemast.maintenance._core import MaintenanceCore
 from sardinemast.maintenance._events import (
     AskPlatform,
+    DemandReported,
     DrainsReported,
     Event,
     InstanceReported,
@@ -18,12 +23,14 @@
     Output,
     PlatformAction,
     PlatformAnswered,
+    PoolDemand,
     Propose,
     Report,
     TermEnded,
     TermStarted,
     Tick,
 )
+from sardinemast.maintenance._moves import MovePlanner, MoveSettings
 from sardinemast.maintenance._preview import PreviewLine, preview_wave
 from sardinemast.maintenance._records import (
     UNCUT,
@@ -45,15 +52,18 @@
 )
 from sardinemast.maintenance._settings import MaintenanceSettings
 from sardinemast.maintenance._state import (
+    EMPTY_IMAGE,
     MaintenanceImage,
     MaintenanceState,
     dump_state,
     load_state,
+    takes_work,
 )
 from sardinemast.maintenance.commands import COMMAND_CLASSES, Command
 
 __all__ = (
     'COMMAND_CLASSES',
+    'EMPTY_IMAGE',
     'UNCUT',
     'AskPlatform',
     'Budgets',
@@ -61,6 +71,7 @@
     'Condition',
     'DomainBudget',
     'DomainKind',
+    'DemandReported',
     'DrainsReported',
     'EntryRun',
     'Event',
@@ -76,7 +87,10 @@
     'Output',
     'PlatformAction',
     'PlatformAnswered',
+    'MovePlanner',
+    'MoveSettings',
     'PoolBudget',
+    'PoolDemand',
     'PreviewLine',
     'Propose',
     'Refusal',
@@ -94,8 +108,11 @@
     'apply_command',
     'choose_steps',
     'dump_state',
+    'forget_instance',
     'get_due',
     'judge_wave',
     'load_state',
     'preview_wave',
+    'reassign_instance',
+    'takes_work',
 )
