Lose track of open connections in a test, as a firewall does

A relay swallows what goes over connections that are open, and passes new ones. A repeatable request is served in time on a fresh connection, a booking ends as unknown, the upstream is not blamed, and no booking goes out on a connection that was idle for long.

--- a/src/sardinemast/standins/upstream.py
+++ b/src/sardinemast/standins/upstream.py
@@ -25,6 +25,7 @@
     pool: str
     delay_s: float
     behaviour: str
+    announced_port: int
     runs: Counter[str]
 
 
@@ -60,9 +61,15 @@
     rack: str = 'rack-1',
     delay_s: float = 0,
     behaviour: str = 'good',
+    announced_port: int = 0,
 ) -> None:
-    """Serve until SIGTERM; ``entries`` lists HOST:PORT with commas."""
-    options = _Options(name, pool, delay_s, behaviour, Counter())
+    """Serve until SIGTERM; ``entries`` lists HOST:PORT with commas.
+
+    ``announced_port`` is that of a relay in front, where there is one.
+    """
+    options = _Options(
+        name, pool, delay_s, behaviour, announced_port, Counter()
+    )
     asyncio.run(_serve(options, entries, port, (data_centre, rack)))
 
 
@@ -91,7 +98,7 @@
         'incarnation': int(time.time() * _MS_PER_S),
         'pool': options.pool,
         'host': _HOST,
-        'port': sockets[0].getsockname()[1],
+        'port': options.announced_port or sockets[0].getsockname()[1],
         'data_centre': place[0],
         'rack': place[1],
     }
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
@@ -14,7 +15,9 @@
 
 from builders import Fleet, run_fleet
 from builders.processes import call, find_ports, wait_for
+from builders.relays import run_relay
 from sardinemast.cli import commands
+from sardinemast.shell._connections import FRESH_S
 
 _CALLERS = 8
 _PATIENCE_S = 30
@@ -195,6 +198,44 @@
     return response.code, response.body
 
 
+def test_connection_that_goes_silent(fleet: Fleet) -> None:
+    """Something between forgets its open connections; new ones work.
+
+    A request on such a connection is answered by nobody. One that may be
+    repeated is served on a fresh connection before its deadline. A booking
+    ends as unknown, and the next one is served: the upstream is not blamed.
+    """
+    key = _declare(fleet)
+    port = find_ports(1)[0]
+    with run_relay(port) as relay:
+        fleet.start_upstream(
+            'enrolment-1', f'--port={port}', f'--announced_port={relay.port}'
+        )
+        _wait_until_served(fleet, key)
+        address = fleet.get_entry('entry-1')
+        assert _is_served(address, key)
+        relay.forget()
+        assert _is_served(address, key)
+        relay.forget()
+        assert _ask(address, 'enrolment', key) == (504, 'routing.E001')
+        assert _ask(address, 'enrolment', key)[0] == HTTPStatus.OK
+
+
+def test_idle_connection_that_went_silent(fleet: Fleet) -> None:
+    """A booking does not go out on a connection that was idle for long."""
+    key = _declare(fleet)
+    port = find_ports(1)[0]
+    with run_relay(port) as relay:
+        fleet.start_upstream(
+            'enrolment-1', f'--port={port}', f'--announced_port={relay.port}'
+        )
+        _wait_until_served(fleet, key)
+        relay.forget()
+        time.sleep(FRESH_S)
+        address = fleet.get_entry('entry-1')
+        assert _ask(address, 'enrolment', key)[0] == HTTPStatus.OK
+
+
 def test_planned_stop_cuts_no_request(fleet: Fleet) -> None:
     """An entry is stopped under load, as in every maintenance wave.
 
