Tell bad input apart, and let callers in an upload see the refusal

What comes after an early refusal is dropped for up to 1 s or 16 MiB. A caller that asks before it sends is answered at once. Ports of test processes lie outside the system's own range; a test had failed because another process got the port first.

--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -28,6 +28,8 @@
 _REPEATABLE = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 _BEARER = 'bearer '
 _WRITE_TIMEOUT_S = 30.0
+_DISCARD_S = 1.0
+_LONGEST_DISCARDED_BYTES = 16_777_216
 _BODYLESS_CODES = frozenset((204, 304))
 
 CallerAnswer = UpstreamAnswer | Refusal
@@ -76,6 +78,7 @@
         self._body_bytes = 0
         self._limit_bytes = 0
         self._request_id: int | None = None
+        self._is_whole = False
         self._is_answered = False
 
     def headers_received(
@@ -94,6 +97,7 @@
             self._is_answered = True
             return
         if not _is_unambiguous(start_line, headers):
+            self._is_whole = True
             self._answer(refuse_malformed())
             return
         if not ('Content-Length' in headers or 'Transfer-Encoding' in headers):
@@ -107,16 +111,21 @@
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body, up to the pool's limit."""
         self._body_bytes += len(chunk)
-        if self._body_bytes > self._limit_bytes:
+        if self._is_answered:
+            if self._body_bytes > _LONGEST_DISCARDED_BYTES:
+                self._connection.close()
+        elif self._body_bytes > self._limit_bytes:
             self._parts.clear()
             self._answer(_refuse_body(self._limit_bytes))
-        elif not self._is_answered:
+        else:
             self._parts.append(chunk)
 
     def finish(self) -> None:
         """Hand the whole request over."""
         if self._is_answered:
+            self._connection.close()
             return
+        self._is_whole = True
         arrival = read_arrival(self._start, self._headers, self._body_bytes)
         if isinstance(arrival, Refusal):
             self._answer(arrival)
@@ -186,11 +195,18 @@
         headers: HTTPHeaders,
         body: bytes,
     ) -> None:
-        if self._desk.is_stopping():
+        if self._desk.is_stopping() or not self._is_whole:
             headers['Connection'] = 'close'
         connection = self._connection
         start_line = ResponseStartLine('HTTP/1.1', code, reason)
         written = connection.write_headers(start_line, headers, body)
+        # Who asked before sending has sent nothing, and must not be invited.
+        if not self._is_whole and 'Expect' not in self._headers:
+            # A connection that is closed with bytes unread is reset, and a
+            # caller in the middle of its upload would not see the answer.
+            # What comes is dropped for a while instead.
+            _close_later(connection, _DISCARD_S)
+            return
         connection.finish()
         if not written.done():
             self._desk.note_writing(written)
@@ -273,9 +289,18 @@
     written: asyncio.Future[None],
     connection: HTTP1Connection,
 ) -> None:
+    def give_up() -> None:
+        connection.close()
+        # The library forgets the future as it closes. Whoever waits for it,
+        # as a planned stop does, would wait for good.
+        if not written.done():
+            written.set_result(None)
+
     # A caller that takes nothing would hold its answer in memory for good.
-    timer = asyncio.get_running_loop().call_later(
-        _WRITE_TIMEOUT_S,
-        connection.close,
-    )
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(_WRITE_TIMEOUT_S, give_up)
     written.add_done_callback(lambda _: timer.cancel())
+
+
+def _close_later(connection: HTTP1Connection, delay_s: float) -> None:
+    asyncio.get_running_loop().call_later(delay_s, connection.close)
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -2,6 +2,7 @@
 
 import json
 from http import HTTPStatus
+from ipaddress import ip_address
 from typing import Any, Protocol
 
 from tornado.http1connection import HTTP1Connection
@@ -38,6 +39,8 @@
 _KIB_BYTES = 1024
 _LARGEST_BODY_BYTES = _KIB_BYTES**4
 _ANNOUNCEMENT_BYTES = _KIB_BYTES**2
+_LAST_PORT = 65_535
+_LONGEST_TEXT = 255
 _READ_CHUNK_BYTES = 16384
 _BARE_REFUSAL = b'HTTP/1.1 400 Bad Request\r\n\r\n'
 _MALFORMED_HEAD = (
@@ -80,7 +83,8 @@
                 {
                     'code': 'membership.E001',
                     'text': 'Send a JSON map with the fields '
-                    f'{", ".join(Announcement._fields)}.',
+                    f'{", ".join(Announcement._fields)}; host is an IP '
+                    'address, incarnation and port are whole numbers.',
                 },
             )
             return
@@ -221,6 +225,12 @@
         for name in Announcement._fields
     ]
     announcement: Announcement = load_plain(Announcement, fields)
+    ip_address(announcement.host)
+    texts = announcement[:1] + announcement[2:4] + announcement[5:7]
+    if not all(0 < len(str(text)) <= _LONGEST_TEXT for text in texts):
+        raise ValueError(texts)
+    if not 0 < announcement.port <= _LAST_PORT:
+        raise ValueError(announcement.port)
     return announcement
 
 
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -218,11 +218,23 @@
         if give_answer is not None:
             give_answer(answer)
 
+    async def _send(
+        self,
+        output: entry.StartAttempt,
+        request: CallerRequest,
+    ) -> Attempt:
+        try:
+            return await self.client.send(output, request)
+        except Exception:
+            # Without an end the place of the request would be lost for good.
+            _log.exception('Request {} failed here.', output.request_id)
+            return Attempt(entry.AttemptResult.broken)
+
     async def _attempt(self, output: entry.StartAttempt) -> None:
         request = self._requests.get(output.request_id)
         attempt = Attempt(entry.AttemptResult.not_sent)
         if request is not None:
-            attempt = await self.client.send(output, request)
+            attempt = await self._send(output, request)
         self._attempts[output.request_id] = attempt
         self.loop.put(
             entry.AttemptEnded(output.request_id, attempt.attempt_result),
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -6,8 +6,9 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import yaml
@@ -17,6 +18,7 @@
 
 _PATIENCE_S = 30.0
 _POLL_S = 0.05
+_PORTS = range(10_000, 32_000)
 
 
 class Fleet:
@@ -160,12 +162,18 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Give free ports."""
-    # All sockets stay open until the last port is known, so that the system
-    # gives no port twice.
+    """Give free ports that the system gives to nobody by itself.
+
+    A port of the system's own range may go to any connection between this
+    call and the start of the process that it is meant for.
+    """
+    # All sockets stay open until the last port is known, so that no port is
+    # given twice.
     with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(count)
-        ]
+        sockets: list[socket.socket] = []
+        while len(sockets) < count:
+            port = SystemRandom().choice(_PORTS)
+            with suppress(OSError):
+                server = socket.create_server(('127.0.0.1', port))
+                sockets.append(stack.enter_context(server))
         return [one.getsockname()[1] for one in sockets]
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -3,7 +3,7 @@
 import json
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
 from http import HTTPStatus
@@ -13,7 +13,7 @@
 import pytest
 from tornado.httpclient import HTTPResponse
 
-from builders import Fleet, run_fleet
+from builders import Fleet, make_announcement, run_fleet
 from builders.processes import call, find_ports, wait_for
 from builders.relays import run_relay
 from sardinemast.cli import commands
@@ -33,6 +33,19 @@
     'lengths',
 )
 
+_GOOD_ANNOUNCEMENT = make_announcement()._asdict()
+_BAD_ANNOUNCEMENTS: tuple[Any, ...] = (
+    [],
+    'text',
+    {},
+    {**_GOOD_ANNOUNCEMENT, 'port': 99_999},
+    {**_GOOD_ANNOUNCEMENT, 'port': '80'},
+    {**_GOOD_ANNOUNCEMENT, 'host': 'upstream.example'},
+    {**_GOOD_ANNOUNCEMENT, 'instance': ''},
+    {**_GOOD_ANNOUNCEMENT, 'instance': 'x' * 300},
+    {**_GOOD_ANNOUNCEMENT, 'status': 'asleep'},
+)
+
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[Fleet]:
@@ -265,3 +278,54 @@
         if response.code != HTTPStatus.OK:
             outcome = response.headers['Sardinemast-Outcome']
             return _get_code(response), outcome
+
+
+def test_bad_input_is_told_apart(fleet: Fleet) -> None:
+    """Each mistake gets its own code, and the entry goes on."""
+    key = _declare(fleet)
+    _start(fleet, 'enrolment')
+    _wait_until_served(fleet, key)
+    address = fleet.get_entry('entry-1')
+    large = b'x' * (2 * 1024 * 1024)
+    found = {
+        'no key': _refuse(address, '/enrolment/x', ''),
+        'other key': _refuse(address, '/enrolment/x', 'wrong'),
+        'no service': _refuse(address, '/nothing/x', key),
+        'large': _refuse(address, '/enrolment/x', key, body=large),
+        'past': _refuse(address, '/enrolment/x', key, deadline='-1'),
+        'nan': _refuse(address, '/enrolment/x', key, deadline='nan'),
+        'empty idempotency key': _refuse(
+            address, '/enrolment/x', key, headers={'Idempotency-Key': ' '}
+        ),
+    }
+    assert found == {
+        'no key': 'admission.E001',
+        'other key': 'admission.E002',
+        'no service': 'admission.E003',
+        'large': 'admission.E004',
+        'past': 'admission.E005',
+        'nan': 'admission.E009',
+        'empty idempotency key': 'idempotency.E001',
+    }
+    for announced in _BAD_ANNOUNCEMENTS:
+        response = call(
+            address, '/-/announce', method='POST', body=json.dumps(announced)
+        )
+        assert _get_code(response) == 'membership.E001'
+    assert _is_served(address, key)
+
+
+def _refuse(
+    address: str,
+    path: str,
+    key: str,
+    body: bytes = b'x',
+    deadline: str = '2',
+    headers: Mapping[str, str] | None = None,
+) -> Any:
+    headers = {**(headers or {}), 'Sardinemast-Deadline-S': deadline}
+    response = call(
+        address, path, key, method='POST', body=body, headers=headers
+    )
+    assert response.headers['Sardinemast-Outcome'] == 'not run'
+    return _get_code(response)
--- a/tests/shell/test_caller_http.py
+++ b/tests/shell/test_caller_http.py
@@ -1,6 +1,8 @@
 """Callers' bytes at an entry's port, with no entry behind it."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from http import HTTPStatus
 from typing import Any
 
@@ -9,12 +11,12 @@
 
 from sardinemast.admission import Arrival, Refusal, refuse_not_run
 from sardinemast.conf import Address
-from sardinemast.shell import create_identity
-from sardinemast.shell._caller_exchange import Answer
+from sardinemast.shell import _caller_exchange, create_identity
 from sardinemast.shell._caller_http import listen_for_callers
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
 
 _LIMIT_BYTES = 8
+_MANY_TURNS = 50
 _POST = b'POST /enrolment/book HTTP/1.1\r\nHost: entry\r\n'
 _GET = b'GET /enrolment/book HTTP/1.1\r\nHost: entry\r\n'
 
@@ -27,7 +29,9 @@
         self.loop: Any = None
         self.arrivals: list[Arrival] = []
         self.forgotten: list[int] = []
+        self.writing: list[asyncio.Future[None]] = []
         self.gives_answers = True
+        self.body = b''
 
     def is_ready(self) -> bool:
         return True
@@ -36,7 +40,7 @@
         return False
 
     def note_writing(self, written: asyncio.Future[None]) -> None:
-        raise AssertionError(written)
+        self.writing.append(written)
 
     def check_head(self, arrival: Arrival) -> Refusal | int:
         if arrival.body_bytes > _LIMIT_BYTES:
@@ -51,11 +55,15 @@
         self,
         request: CallerRequest,
         arrival: Arrival,
-        answer: Answer,
+        answer: _caller_exchange.Answer,
     ) -> int:
         self.arrivals.append(arrival)
         if self.gives_answers:
-            answer(UpstreamAnswer(200, 'OK', HTTPHeaders(), request.body))
+            answer(
+                UpstreamAnswer(
+                    200, 'OK', HTTPHeaders(), self.body or request.body
+                )
+            )
         return len(self.arrivals)
 
     def forget_caller(self, request_id: int) -> None:
@@ -68,19 +76,26 @@
     return head + await reader.readexactly(int(length))
 
 
+@asynccontextmanager
+async def _connect(
+    desk: _Desk,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    server = listen_for_callers(desk, Address('127.0.0.1', 0))
+    port = next(iter(server._sockets.values())).getsockname()[1]
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    yield reader, writer
+    writer.close()
+    server.stop()
+
+
 def _send(sent: bytes) -> tuple[bytes, _Desk]:
     """Send bytes, and give all that comes back."""
 
     async def run() -> tuple[bytes, _Desk]:
         desk = _Desk()
-        server = listen_for_callers(desk, Address('127.0.0.1', 0))
-        port = next(iter(server._sockets.values())).getsockname()[1]
-        reader, writer = await asyncio.open_connection('127.0.0.1', port)
-        writer.write(sent)
-        received = await _read_answer(reader)
-        writer.close()
-        server.stop()
-        return received, desk
+        async with _connect(desk) as (reader, writer):
+            writer.write(sent)
+            return await _read_answer(reader), desk
 
     return asyncio.run(run())
 
@@ -137,6 +152,7 @@
     'sent',
     [
         _POST + b'Content-Length: 1000000000000\r\n\r\n',
+        _POST + b'Content-Length: 99\r\nExpect: 100-continue\r\n\r\n',
         _POST + b'Transfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n',
     ],
 )
@@ -171,3 +187,60 @@
     assert received.startswith(b'HTTP/1.1 200 ')
     assert received.endswith(b'\r\n\r\n' + body)
     assert [one.body_bytes for one in desk.arrivals] == [len(body)]
+
+
+def test_caller_that_leaves_is_noticed() -> None:
+    """Forget a caller that closes its connection while its request runs.
+
+    Its place among those that wait would be taken for nobody.
+    """
+
+    async def run() -> _Desk:
+        desk = _Desk()
+        desk.gives_answers = False
+        async with _connect(desk) as (_, writer):
+            writer.write(_GET + b'\r\n')
+            while not desk.arrivals:
+                await asyncio.sleep(0)
+        for _ in range(_MANY_TURNS):
+            await asyncio.sleep(0)
+        return desk
+
+    assert asyncio.run(run()).forgotten == [1]
+
+
+def test_caller_that_takes_nothing_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Close the connection of a caller that does not read its answer.
+
+    Some thousand of them would fill the memory of the entry with answers.
+    """
+    monkeypatch.setattr(_caller_exchange, '_WRITE_TIMEOUT_S', 0.01)
+
+    async def run() -> None:
+        desk = _Desk()
+        desk.body = b'x' * 50_000_000
+        async with _connect(desk) as (reader, writer):
+            writer.write(_GET + b'\r\n')
+            while not desk.writing:
+                await asyncio.sleep(0)
+            await asyncio.wait_for(desk.writing[0], 5)
+
+    asyncio.run(run())
+
+
+def test_caller_that_leaves_in_mid_answer_is_noticed() -> None:
+    """A caller goes away with half of its answer; a stop must not wait."""
+
+    async def run() -> None:
+        desk = _Desk()
+        desk.body = b'x' * 50_000_000
+        async with _connect(desk) as (_, writer):
+            writer.write(_GET + b'\r\n')
+            while not desk.writing:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+            await asyncio.wait_for(desk.writing[0], 5)
+
+    asyncio.run(run())
