--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -2,6 +2,7 @@
 
 import json
 from http import HTTPStatus
+from ipaddress import ip_address
 from typing import Any, Protocol
 
 from tornado.http1connection import HTTP1Connection
@@ -80,7 +81,8 @@
                 {
                     'code': 'membership.E001',
                     'text': 'Send a JSON map with the fields '
-                    f'{", ".join(Announcement._fields)}.',
+                    f'{", ".join(Announcement._fields)}; host is an IP '
+                    'address, incarnation and port are whole numbers.',
                 },
             )
             return
@@ -221,6 +223,7 @@
         for name in Announcement._fields
     ]
     announcement: Announcement = load_plain(Announcement, fields)
+    ip_address(announcement.host)
     if not is_sound(announcement):
         raise WireError('membership.E001', 'A field is out of range.')
     return announcement
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -2,7 +2,8 @@
 
 import json
 import signal
-from collections.abc import Iterator
+import time
+from collections.abc import Iterator, Mapping
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
 from http import HTTPStatus
@@ -12,9 +13,11 @@
 import pytest
 from tornado.httpclient import HTTPResponse
 
-from builders import Fleet, run_fleet
+from builders import Fleet, make_announcement, run_fleet
+from builders.lossy_relays import run_relay
 from builders.processes import call, find_ports, wait_for
 from sardinemast.cli import commands
+from sardinemast.shell._connections import FRESH_S
 
 _CALLERS = 8
 _PATIENCE_S = 30
@@ -30,6 +33,19 @@
     'lengths',
 )
 
+_GOOD_ANNOUNCEMENT = make_announcement()._asdict()
+_BAD_ANNOUNCEMENTS: tuple[Any, ...] = (
+    [],
+    'text',
+    {},
+    {**_GOOD_ANNOUNCEMENT, 'port': 99_999},
+    {**_GOOD_ANNOUNCEMENT, 'port': '80'},
+    {**_GOOD_ANNOUNCEMENT, 'host': 'upstream.example'},
+    {**_GOOD_ANNOUNCEMENT, 'instance': ''},
+    {**_GOOD_ANNOUNCEMENT, 'instance': 'x' * 300},
+    {**_GOOD_ANNOUNCEMENT, 'status': 'asleep'},
+)
+
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[Fleet]:
@@ -195,6 +211,44 @@
     return response.code, response.body
 
 
+def test_connection_that_goes_silent(fleet: Fleet) -> None:
+    """Something between forgets its open connections; new ones work.
+
+    A request on such a connection is answered by nobody. One that may be
+    repeated is served on a fresh connection before its deadline. A booking
+    ends as unknown, and the next one is served: the upstream is not blamed.
+    """
+    key = _declare(fleet)
+    port = find_ports(1)[0]
+    with run_relay(port) as relay:
+        fleet.start_upstream(
+            'enrolment-1', f'--port={port}', f'--announced_port={relay.port}'
+        )
+        _wait_until_served(fleet, key)
+        address = fleet.get_entry('entry-1')
+        assert _is_served(address, key)
+        relay.forget()
+        assert _is_served(address, key)
+        relay.forget()
+        assert _ask(address, 'enrolment', key) == (504, 'routing.E001')
+        assert _ask(address, 'enrolment', key)[0] == HTTPStatus.OK
+
+
+def test_idle_connection_that_went_silent(fleet: Fleet) -> None:
+    """A booking does not go out on a connection that was idle for long."""
+    key = _declare(fleet)
+    port = find_ports(1)[0]
+    with run_relay(port) as relay:
+        fleet.start_upstream(
+            'enrolment-1', f'--port={port}', f'--announced_port={relay.port}'
+        )
+        _wait_until_served(fleet, key)
+        relay.forget()
+        time.sleep(FRESH_S)
+        address = fleet.get_entry('entry-1')
+        assert _ask(address, 'enrolment', key)[0] == HTTPStatus.OK
+
+
 def test_planned_stop_cuts_no_request(fleet: Fleet) -> None:
     """An entry is stopped under load, as in every maintenance wave.
 
@@ -224,3 +278,54 @@
         if response.code != HTTPStatus.OK:
             outcome = response.headers['Sardinemast-Outcome']
             return _get_code(response), outcome
+
+
+def test_bad_input_is_told_apart(fleet: Fleet) -> None:
+    """Each mistake gets its own code, and the entry goes on."""
+    key = _declare(fleet)
+    _start(fleet, 'enrolment')
+    _wait_until_served(fleet, key)
+    address = fleet.get_entry('entry-1')
+    large = b'x' * (2 * 1024 * 1024)
+    found = {
+        'no key': _refuse(address, '/enrolment/x', ''),
+        'other key': _refuse(address, '/enrolment/x', 'wrong'),
+        'no service': _refuse(address, '/nothing/x', key),
+        'large': _refuse(address, '/enrolment/x', key, body=large),
+        'past': _refuse(address, '/enrolment/x', key, deadline='-1'),
+        'nan': _refuse(address, '/enrolment/x', key, deadline='nan'),
+        'empty idempotency key': _refuse(
+            address, '/enrolment/x', key, headers={'Idempotency-Key': ' '}
+        ),
+    }
+    assert found == {
+        'no key': 'admission.E001',
+        'other key': 'admission.E002',
+        'no service': 'admission.E003',
+        'large': 'admission.E004',
+        'past': 'admission.E005',
+        'nan': 'admission.E009',
+        'empty idempotency key': 'idempotency.E001',
+    }
+    for announced in _BAD_ANNOUNCEMENTS:
+        response = call(
+            address, '/-/announce', method='POST', body=json.dumps(announced)
+        )
+        assert _get_code(response) == 'membership.E001'
+    assert _is_served(address, key)
+
+
+def _refuse(
+    address: str,
+    path: str,
+    key: str,
+    body: bytes = b'x',
+    deadline: str = '2',
+    headers: Mapping[str, str] | None = None,
+) -> Any:
+    headers = {**(headers or {}), 'Sardinemast-Deadline-S': deadline}
+    response = call(
+        address, path, key, method='POST', body=body, headers=headers
+    )
+    assert response.headers['Sardinemast-Outcome'] == 'not run'
+    return _get_code(response)
