--- a/src/sardinemast/entry/_reports.py
+++ b/src/sardinemast/entry/_reports.py
@@ -15,6 +15,7 @@
 )
 
 _POOL_INTERVAL_S = 0.04
+_UNITS_PER_ENTRY = 2
 
 
 class DemandReports:
@@ -32,6 +33,7 @@
         self._dispatcher = dispatcher
         self._slots = slots
         self._short_teams: set[str] = set()
+        self._idle_teams: set[str] = set()
         self._returns: tuple[GrantReturn, ...] = ()
         self._looked_s = float('-inf')
         self._pools_told_s = float('-inf')
@@ -50,11 +52,15 @@
             self._link.state,
             self._dispatcher.count_running,
         )
-        renewal = self._make_renewal(now_s, bool(short_teams), returns)
+        idle_teams = self._get_idle_teams()
+        is_changed = bool(short_teams or idle_teams - self._idle_teams)
+        renewal = self._make_renewal(now_s, is_changed, returns)
         is_fresh = bool(short_teams - self._short_teams)
         if renewal is not None:
+            self._idle_teams = idle_teams
             yield renewal
-        elif is_fresh or returns != self._returns:
+        self._idle_teams &= idle_teams
+        if renewal is None and (is_fresh or returns != self._returns):
             yield ReportDemand(self._dispatcher.get_demands(), returns)
         self._short_teams = short_teams
         self._returns = returns
@@ -68,6 +74,18 @@
             > self._holder.get_usable(self._link.state, team)
         }
 
+    def _get_idle_teams(self) -> set[str]:
+        # With a limit near the number of entries a unit that lies idle here
+        # is missed elsewhere, so the leader hears of it soon.
+        state = self._link.state
+        small = _UNITS_PER_ENTRY * len(state.entries)
+        return {
+            team
+            for team, usable in self._holder.get_usable_teams(state).items()
+            if usable > self._dispatcher.count_wanted(team)
+            and state.document.teams[team].limit < small
+        }
+
     def _make_renewal(
         self,
         now_s: float,
--- a/src/sardinemast/grants/_holder.py
+++ b/src/sardinemast/grants/_holder.py
@@ -37,6 +37,11 @@
         self._read(state)
         return self._usable.get(team, 0)
 
+    def get_usable_teams(self, state: FleetState) -> dict[str, int]:
+        """Give the teams that this entry holds a grant of, with its use."""
+        self._read(state)
+        return self._usable
+
     def take_recalls(self, recalls: Iterable[GrantRecall]) -> None:
         """Note what the leader asks back."""
         for recall in recalls:
--- a/tests/entry/test_limits_fuzz.py
+++ b/tests/entry/test_limits_fuzz.py
@@ -65,6 +65,7 @@
         self.limits: dict[int, int] = {}
         self.slow: set[int] = set()
         self.calm_steps = 0
+        self._announced_s: float = 0
         self._announced = entry.UpstreamAnnounced(make_serving_upstream())
 
     @initialize(limit=st.integers(1, 3))
@@ -276,10 +277,15 @@
                     self._end(work, entry.AttemptResult.timed_out)
             for node in self.nodes:
                 if not node.is_frozen:
-                    self._act(node, self._announced)
+                    self._announce(node)
                     self._act(node, entry.Tick())
             self.deliver_all()
 
+    def _announce(self, node: Node) -> None:
+        if self.now_s >= self._announced_s + 1:
+            self._announced_s = self.now_s
+            self._act(node, self._announced)
+
     def _connect(self, node: Node) -> None:
         leader = self.controls.get_leader(self.now_s)
         node.stream = None
