--- a/src/sardinemast/control/_slot_desk.py
+++ b/src/sardinemast/control/_slot_desk.py
@@ -47,6 +47,11 @@
             for session in self._sessions.sessions.values()
         }
         self._drop_gone(set(sessions))
+        self._told = {
+            stream_id: parts
+            for stream_id, parts in self._told.items()
+            if stream_id in self._sessions.sessions
+        }
         entries = tuple(sorted(sessions))
         if not entries:
             return
