--- a/src/sardinemast/admission/_queue.py
+++ b/src/sardinemast/admission/_queue.py
@@ -57,7 +57,7 @@
             return False
         self._waiting[waiting.request_id] = waiting
         insort(self._lines.setdefault(waiting.line, []), _rank(waiting))
-        start_by_s = min(waiting.start_by_s, waiting.due_s)
+        start_by_s = _get_last_start_s(waiting)
         heapq.heappush(self._due, (start_by_s, waiting.request_id))
         self._team_counts[waiting.team] += 1
         return True
@@ -103,9 +103,12 @@
     def take_due(self, until_s: float) -> Iterator[Waiting]:
         """Take out the requests that are too late to start at a moment."""
         while self._due and self._due[0][0] <= until_s:
-            _, request_id = heapq.heappop(self._due)
-            waiting = self.remove(request_id)
-            if waiting is not None:
+            noted_s, request_id = heapq.heappop(self._due)
+            waiting = self._waiting.get(request_id)
+            # A request that came back for a second attempt has a later moment
+            # of its own; by the first one it would be refused too soon.
+            if waiting is not None and _get_last_start_s(waiting) <= noted_s:
+                self.remove(request_id)
                 yield waiting
 
     def _compact(self) -> None:
@@ -118,3 +121,7 @@
 
 def _rank(waiting: Waiting) -> _Ranked:
     return _Ranked(not waiting.is_urgent, waiting.due_s, waiting.request_id)
+
+
+def _get_last_start_s(waiting: Waiting) -> float:
+    return min(waiting.start_by_s, waiting.due_s)
--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -21,10 +21,12 @@
     DEADLINE_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
+    PRIORITY_HEADER,
     filter_answer_headers,
 )
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
 
+_URGENT = 'urgent'
 _REPEATABLE = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 _BEARER = 'bearer '
 _WRITE_TIMEOUT_S = 30.0
@@ -238,6 +240,7 @@
         is_repeatable=start_line.method in _REPEATABLE,
         deadline_s=deadline_s,
         body_bytes=body_bytes,
+        is_urgent=headers.get(PRIORITY_HEADER) == _URGENT,
     )
 
 
--- a/src/sardinemast/shell/_headers.py
+++ b/src/sardinemast/shell/_headers.py
@@ -5,6 +5,7 @@
 KEY_HEADER = 'Authorization'
 DEADLINE_HEADER = 'Sardinemast-Deadline-S'
 OUTCOME_HEADER = 'Sardinemast-Outcome'
+PRIORITY_HEADER = 'Sardinemast-Priority'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 _FORWARDED_FOR = 'X-Forwarded-For'
 _FORWARDED_HOST = 'X-Forwarded-Host'
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -65,6 +65,37 @@
     assert not list(dispatcher.expire(_DEADLINE_S))
 
 
+def test_second_attempt_gets_a_time_of_its_own() -> None:
+    """Do not refuse a retry by the moment until which it had to start first.
+
+    The first attempt goes out on a connection that has gone silent and takes
+    half of the deadline. The second attempt has the other half; refused at
+    once, the caller would get an error though an upstream is free.
+    """
+    dispatcher = Dispatcher()
+    _take(dispatcher, 1, due_s=4)
+    waiting = _start(dispatcher, slots=1)
+    assert dispatcher.take_again(waiting, 1.9) is None
+    assert not list(dispatcher.expire(2.1))
+    assert _start_all(dispatcher, slots=1, now_s=2.1) == [1]
+
+
+def test_request_that_backs_off_blocks_nobody() -> None:
+    """Let others of a team start while a retry waits out its back-off.
+
+    One request failed and is to be tried again a little later. If it stood at
+    the head of its line meanwhile, all requests of its team would wait too.
+    """
+    dispatcher = Dispatcher()
+    _take(dispatcher, 1)
+    waiting = _start(dispatcher, slots=2)
+    assert dispatcher.take_again(waiting, 0, None, 0.5) is None
+    _take(dispatcher, 2)
+    assert _start_all(dispatcher, slots=2) == [2]
+    assert not list(dispatcher.expire(0.5))
+    assert _start_all(dispatcher, slots=2, now_s=0.5) == [1]
+
+
 def _take(
     dispatcher: Dispatcher,
     request_id: int,
