Take the old folder out before the new one becomes a voter

Ruled out: asking the learner once more before the change, since it can be lost in the moment after.

Change: once the learner has synced all that is committed the old folder goes out, and then the learner becomes a voter. The majority that is needed is at no time larger than before the repair.

--- a/src/sardinemast/consensus/_membership.py
+++ b/src/sardinemast/consensus/_membership.py
@@ -1,9 +1,11 @@
 """Replace a replica whose folder is lost, one change at a time.
 
 A new folder comes in as a learner. Once it has synced all that is committed
-it becomes a voter, and only then the old folder of the same name goes out.
+the old folder of the same name goes out, and then the learner becomes a voter.
 Each change adds or removes one voter, so any majority before it shares a
-member with any majority after it (Ongaro, 2014, section 4.1).
+member with any majority after it (Ongaro, 2014, section 4.1). In the other
+order four voters of whom one is lost need all three others, and a new folder
+that is lost too would leave no majority for ever.
 """
 
 from sardinemast.consensus._commit import Commits
@@ -93,27 +95,29 @@
         member: Member,
         now_s: float,
     ) -> tuple[Member, ...]:
-        if not self._is_caught_up(member, now_s):
+        if member.is_voter or not self._is_caught_up(member, now_s):
             return ()
         members = self._state.log.configuration.members
-        if not member.is_voter:
-            return tuple(
-                one._replace(is_voter=True) if one == member else one
-                for one in members
-            )
-        replaced = [
-            one
-            for one in self._get_namesakes(member.name)
-            if one != member
-            and one.is_voter
-            and not self._replication.has_heard(one.identity, now_s)
+        namesakes = [
+            one for one in self._get_namesakes(member.name) if one != member
         ]
-        return (
-            tuple(one for one in members if one != replaced[0])
-            if replaced
-            else ()
+        if namesakes:
+            return self._get_without(namesakes[0], now_s)
+        return tuple(
+            one._replace(is_voter=True) if one == member else one
+            for one in members
         )
 
+    def _get_without(
+        self,
+        replaced: Member,
+        now_s: float,
+    ) -> tuple[Member, ...]:
+        if self._replication.has_heard(replaced.identity, now_s):
+            return ()
+        members = self._state.log.configuration.members
+        return tuple(one for one in members if one != replaced)
+
     def _is_caught_up(self, member: Member, now_s: float) -> bool:
         known = self._replication.get_progress(member.identity)
         is_heard = self._replication.has_heard(member.identity, now_s)
--- a/tests/consensus/test_identities.py
+++ b/tests/consensus/test_identities.py
@@ -1,5 +1,7 @@
 """Data folders that are lost, replaced, and come back."""
 
+import pytest
+
 from builders.replicas import Cluster, is_no_leader
 from sardinemast.consensus import (
     MessageReceived,
@@ -86,3 +88,23 @@
     assert leader.replica
     outputs = leader.replica.step(RepairAsked(7, second.name), now_s)
     assert outputs == [ProposalRejected(7, leader.name)]
+
+
+@pytest.mark.parametrize('steps', range(20))
+def test_same_folder_lost_twice(steps: int) -> None:
+    """Repair a replica whose new disk fails too, at any moment.
+
+    The second loss comes while the first is being repaired. Were the lost
+    folder to become a voter beside the one that it replaces, the two that are
+    left would be no majority, and nobody could ever lead again.
+    """
+    cluster = Cluster(3)
+    cluster.run(50)
+    cluster.propose()
+    cluster.run(3)
+    node = next(filter(is_no_leader, cluster.nodes.values()))
+    node.lose_folder(may_found=True)
+    cluster.run(10 + steps)
+    if cluster.may_lose(node):
+        node.lose_folder(may_found=True)
+    cluster.settle()
