--- a/bench/path.py
+++ b/bench/path.py
@@ -55,9 +55,7 @@
 
 
 def _print_table(routes: dict[str, int], connections: int, key: str) -> None:
-    print(
-        f'{connections} connections, POST of 200 bytes, {_ROUNDS} x {_SECONDS} s'
-    )
+    print(f'{connections} connections, 200 bytes, {_ROUNDS} x {_SECONDS} s')
     # In turns, so that what else the machine does meets all routes alike.
     rounds = [
         {
--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -1,7 +1,6 @@
 """One request of a caller, from its head to the end of the answer."""
 
 import asyncio
-import json
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -15,18 +14,20 @@
     ResponseStartLine,
 )
 
-from sardinemast.admission import Arrival, Refusal, refuse_not_run
-from sardinemast.fleet import digest_key
+from sardinemast.admission import Arrival, Refusal
+from sardinemast.shell._arrivals import (
+    encode_refusal,
+    is_unambiguous,
+    read_arrival,
+    refuse_body,
+    refuse_malformed,
+)
 from sardinemast.shell._headers import (
-    DEADLINE_HEADER,
-    KEY_HEADER,
     OUTCOME_HEADER,
     filter_answer_headers,
 )
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
 
-_REPEATABLE = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
-_BEARER = 'bearer '
 _WRITE_TIMEOUT_S = 30.0
 _DISCARD_S = 1.0
 _LONGEST_DISCARDED_BYTES = 16_777_216
@@ -96,7 +97,7 @@
         if self._connection.stream.closed():
             self._is_answered = True
             return
-        if not _is_unambiguous(start_line, headers):
+        if not is_unambiguous(start_line, headers):
             self._is_whole = True
             self._answer(refuse_malformed())
             return
@@ -116,7 +117,7 @@
                 self._connection.close()
         elif self._body_bytes > self._limit_bytes:
             self._parts.clear()
-            self._answer(_refuse_body(self._limit_bytes))
+            self._answer(refuse_body(self._limit_bytes))
         else:
             self._parts.append(chunk)
 
@@ -213,78 +214,6 @@
             _close_when_late(written, connection)
 
 
-def read_arrival(
-    start_line: RequestStartLine,
-    headers: HTTPHeaders,
-    body_bytes: int,
-) -> Arrival | Refusal:
-    """Read what the entry needs to know of a request, or refuse it."""
-    deadline_text = headers.get(DEADLINE_HEADER)
-    deadline_s = None
-    if deadline_text is not None:
-        deadline_s = _read_seconds(deadline_text)
-        if deadline_s is None:
-            return refuse_not_run(
-                'admission.E009',
-                HTTPStatus.BAD_REQUEST,
-                f'{DEADLINE_HEADER} is the time left in seconds, such as 2.5.',
-            )
-    key = _read_key(headers.get(KEY_HEADER, ''))
-    path = start_line.path.partition('?')[0]
-    return Arrival(
-        request_id=0,
-        pool=path.lstrip('/').partition('/')[0],
-        key_digest=digest_key(key) if key else b'',
-        is_repeatable=start_line.method in _REPEATABLE,
-        deadline_s=deadline_s,
-        body_bytes=body_bytes,
-    )
-
-
-def _read_seconds(text: str) -> float | None:
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return seconds if math.isfinite(seconds) else None
-
-
-def _read_key(credentials: str) -> str:
-    is_bearer = credentials[: len(_BEARER)].lower() == _BEARER
-    return credentials[len(_BEARER) :].strip() if is_bearer else ''
-
-
-def refuse_malformed() -> Refusal:
-    """Refuse what has no one meaning as an HTTP request."""
-    return refuse_not_run(
-        'shell.E001',
-        HTTPStatus.BAD_REQUEST,
-        'This is no valid HTTP/1.1 request. Send one Host, and one length: '
-        'either Content-Length or Transfer-Encoding: chunked.',
-    )
-
-
-def encode_refusal(refusal: Refusal) -> bytes:
-    """Give the body of a refusal."""
-    return json.dumps(refusal._asdict()).encode()
-
-
-def _is_unambiguous(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
-    # Two processes that understand a request differently let a caller hide
-    # a second request in the first one's body; it would run with no key.
-    if start_line.version != 'HTTP/1.1':
-        return 'Transfer-Encoding' not in headers
-    return len(headers.get_list('Host')) == 1
-
-
-def _refuse_body(limit_bytes: int) -> Refusal:
-    return refuse_not_run(
-        'admission.E004',
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        f'The body is over {limit_bytes} bytes. Send less.',
-    )
-
-
 def _close_when_late(
     written: asyncio.Future[None],
     connection: HTTP1Connection,
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -21,12 +21,8 @@
 from sardinemast import entry
 from sardinemast.conf import Address
 from sardinemast.membership import Announcement
-from sardinemast.shell._caller_exchange import (
-    CallerDesk,
-    CallerExchange,
-    encode_refusal,
-    refuse_malformed,
-)
+from sardinemast.shell._arrivals import encode_refusal, refuse_malformed
+from sardinemast.shell._caller_exchange import CallerDesk, CallerExchange
 from sardinemast.shell._connections import MAX_HEAD_BYTES
 from sardinemast.shell._headers import OUTCOME_HEADER
 from sardinemast.shell._identity import Identity
