Ask for no more of a limit than the entry's slots can use

Cause: an entry's demand for grants held all that waits. In a full pool that is far above the limit, so the leader moved grants that no slot could use.

Change: demand counts what runs and what could run in the entry's slots.

--- a/src/sardinemast/admission/_dispatcher.py
+++ b/src/sardinemast/admission/_dispatcher.py
@@ -1,5 +1,6 @@
 """What waits and what runs for each team at this entry."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
 from http import HTTPStatus
@@ -124,24 +125,31 @@
         """Count what runs, or may still run, for a team."""
         return self._usage.count(team)
 
-    def count_wanted(self, team: str) -> int:
-        """Count what runs and what waits for a team."""
-        return self._usage.count(team) + self._queue.count(team)
+    def count_wanted(self, get_slots: Callable[[str], int]) -> Counter[str]:
+        """Count by team what runs and what could run in this entry's slots.
 
-    def get_waiting_teams(self) -> set[str]:
-        """Give the teams that have something waiting."""
-        return self._queue.get_teams()
+        What waits beyond the slots is left out: grants for it would be taken
+        from entries that could use them, and each move is a commit.
+        """
+        wanted = Counter(
+            {team: self._usage.count(team) for team in self._usage.get_teams()}
+        )
+        for line in self._queue.get_lines():
+            free_slots = get_slots(line[0]) - self._usage.count_line(line)
+            wanted[line[1]] += min(
+                self._queue.count_line(line),
+                max(0, free_slots),
+            )
+        return wanted
 
-    def get_demands(self) -> tuple[TeamDemand, ...]:
+    def get_demands(
+        self,
+        get_slots: Callable[[str], int],
+    ) -> tuple[TeamDemand, ...]:
         """Tell how much each team wants to run here."""
-        teams = self._queue.get_teams() | self._usage.get_teams()
         return tuple(
-            TeamDemand(
-                team,
-                self.count_wanted(team),
-                self._usage.count(team),
-            )
-            for team in sorted(teams)
+            TeamDemand(team, wanted, self._usage.count(team))
+            for team, wanted in sorted(self.count_wanted(get_slots).items())
         )
 
     def get_uses(self, now_s: float) -> dict[str, tuple[TeamUse, ...]]:
--- a/src/sardinemast/admission/_queue.py
+++ b/src/sardinemast/admission/_queue.py
@@ -87,10 +87,6 @@
         """Count what stands, or would stand, ahead of a request."""
         return bisect_left(self._lines.get(waiting.line, []), _rank(waiting))
 
-    def get_teams(self) -> set[str]:
-        """Give the teams that have something waiting."""
-        return {line[1] for line in self._lines}
-
     def get_lines(self) -> list[Line]:
         """Give the lines that hold something."""
         return list(self._lines)
--- a/src/sardinemast/entry/_reports.py
+++ b/src/sardinemast/entry/_reports.py
@@ -1,5 +1,6 @@
 """What an entry tells the leader of its demand, and when."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from sardinemast.admission import Dispatcher, SlotParts
@@ -47,12 +48,13 @@
 
     def make(self, now_s: float) -> Iterator[EntryMessage]:
         """Give what is to be sent now."""
-        short_teams = self._get_short_teams()
+        wanted = self._dispatcher.count_wanted(self._get_slots)
+        short_teams = self._get_short_teams(wanted)
         returns = self._holder.make_returns(
             self._link.state,
             self._dispatcher.count_running,
         )
-        idle_teams = self._get_idle_teams()
+        idle_teams = self._get_idle_teams(wanted)
         is_changed = bool(short_teams or idle_teams - self._idle_teams)
         renewal = self._make_renewal(now_s, is_changed, returns)
         is_fresh = bool(short_teams - self._short_teams)
@@ -61,20 +63,25 @@
             yield renewal
         self._idle_teams &= idle_teams
         if renewal is None and (is_fresh or returns != self._returns):
-            yield ReportDemand(self._dispatcher.get_demands(), returns)
+            yield ReportDemand(
+                self._dispatcher.get_demands(self._get_slots), returns
+            )
         self._short_teams = short_teams
         self._returns = returns
         yield from self._make_pools(now_s)
 
-    def _get_short_teams(self) -> set[str]:
+    def _get_slots(self, pool: str) -> int:
+        return self._slots.get_slots(self._link.state, pool)
+
+    def _get_short_teams(self, wanted: Counter[str]) -> set[str]:
+        state = self._link.state
         return {
             team
-            for team in self._dispatcher.get_waiting_teams()
-            if self._dispatcher.count_wanted(team)
-            > self._holder.get_usable(self._link.state, team)
+            for team, amount in wanted.items()
+            if amount > self._holder.get_usable(state, team)
         }
 
-    def _get_idle_teams(self) -> set[str]:
+    def _get_idle_teams(self, wanted: Counter[str]) -> set[str]:
         # With a limit near the number of entries a unit that lies idle here
         # is missed elsewhere, so the leader hears of it soon.
         state = self._link.state
@@ -82,7 +89,7 @@
         return {
             team
             for team, usable in self._holder.get_usable_teams(state).items()
-            if usable > self._dispatcher.count_wanted(team)
+            if usable > wanted[team]
             and state.document.teams[team].limit < small
         }
 
@@ -97,7 +104,7 @@
         self._looked_s = now_s
         return self._link.get_renewal(
             now_s,
-            self._dispatcher.get_demands(),
+            self._dispatcher.get_demands(self._get_slots),
             returns,
             is_urgent=is_urgent,
         )
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -61,7 +61,7 @@
         _take(dispatcher, number)
     for number in range(200):
         dispatcher.drop(number)
-    assert dispatcher.get_demands() == ()
+    assert dispatcher.get_demands(lambda _: 8) == ()
     assert not list(dispatcher.expire(_DEADLINE_S))
 
 
