--- a/src/sardinemast/cli/_client.py
+++ b/src/sardinemast/cli/_client.py
@@ -4,7 +4,12 @@
 from collections.abc import Sequence
 from typing import Any
 
-from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import (
+    HTTPClient,
+    HTTPError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from sardinemast.cli.exceptions import CliError
 from sardinemast.fleet import COMMANDS, Command
@@ -55,6 +60,10 @@
             ),
             raise_error=False,
         )
+    except HTTPError as error:
+        # A process that is frozen takes the connection and never answers.
+        # Without this, the next one would not be asked.
+        raise OSError(str(error)) from error
     finally:
         client.close()
     if response.error is not None and response.code == _NO_ANSWER:
