--- a/src/sardinemast/cli/_client.py
+++ b/src/sardinemast/cli/_client.py
@@ -8,7 +8,12 @@
 from pathlib import Path
 from typing import Any
 
-from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import (
+    HTTPClient,
+    HTTPError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from sardinemast.cli.exceptions import CliError, UnreachableError, UsageError
 from sardinemast.conf import Security
@@ -141,5 +146,9 @@
     )
     try:
         return client.fetch(request, raise_error=False)
+    except HTTPError as error:
+        # A process that is frozen takes the connection and never answers.
+        # Without this, the next one would not be asked.
+        raise OSError(str(error)) from error
     finally:
         client.close()
