Let the oracle of limits know a whole answer that reports an error

Cause: routing told a failed answer apart from a broken one, and the fuzz of limits draws all endings; its oracle left the work of a failed one running, while the core, rightly, freed its place: the upstream has ended once its answer is whole. Ruled out: a place freed too soon for broken, timed out and silent ones, which the oracle still counts until their bound.

--- a/tests/entry/test_limits_fuzz.py
+++ b/tests/entry/test_limits_fuzz.py
@@ -102,6 +102,8 @@
         work = known[choice % len(known)]
         is_over = ending in {
             entry.AttemptResult.answered,
+            # A whole answer that reports an error: the upstream has ended.
+            entry.AttemptResult.failed,
             entry.AttemptResult.not_sent,
         }
         if is_over and work in self.works:
