--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -54,62 +54,84 @@
 
 
 def _run(entry_count: int, upstream_count: int) -> _Cost:
-    leader = Leader()
-    cores = {
-        number: entry.EntryCore(
-            entry.EntrySettings(f'entry-{number}', 1, 'rennes'),
-        )
-        for number in range(1, entry_count + 1)
-    }
+    drive = _Drive(entry_count)
     said = [_announce(number) for number in range(upstream_count)]
-    cost = _Cost()
     for tick in range(int((_WARM_S + _RUN_S) / _TICK_S)):
-        now_s = 2 + tick * _TICK_S
         if tick == int(_WARM_S / _TICK_S):
-            cost = _Cost()
-        _feed_leader(leader, cores, control.Tick(), now_s, cost)
-        for number in cores:
+            drive.cost = _Cost()
+        drive.tick(tick, said)
+    return drive.cost
+
+
+class _Drive:
+    """Hold a leader and entries, and what they cost."""
+
+    def __init__(self, entry_count: int) -> None:
+        self.cost = _Cost()
+        self._leader = Leader()
+        self._now_s: float = 2
+        self._cores = {
+            number: entry.EntryCore(
+                entry.EntrySettings(f'entry-{number}', 1, 'rennes'),
+            )
+            for number in range(1, entry_count + 1)
+        }
+
+    def tick(self, tick: int, said: list[Announcement]) -> None:
+        """Let a tick pass, with the announcements that are due."""
+        self._now_s = 2 + tick * _TICK_S
+        self._feed_leader(control.Tick())
+        for number in self._cores:
             if tick == _CONNECT_TICK:
-                event = control.EntryConnected(number, f'entry-{number}', 1)
-                _feed_leader(leader, cores, event, now_s, cost)
-            for place, one in enumerate(said):
-                is_due = (place + tick) % _ANNOUNCE_TICKS == 0
-                if is_due and (place + tick // 10) % entry_count == number - 1:
-                    heard = entry.UpstreamAnnounced(one)
-                    _feed_entry(leader, cores, number, heard, now_s, cost)
-            _feed_entry(leader, cores, number, entry.Tick(), now_s, cost)
-    return cost
+                name = f'entry-{number}'
+                self._feed_leader(control.EntryConnected(number, name, 1))
+            for announcement in self._get_due(tick, number, said):
+                heard = entry.UpstreamAnnounced(announcement)
+                self._feed_entry(number, heard)
+            self._feed_entry(number, entry.Tick())
+
+    def _get_due(
+        self,
+        tick: int,
+        number: int,
+        said: list[Announcement],
+    ) -> list[Announcement]:
+        # Each upstream announces to one entry after the other.
+        turn = tick // _ANNOUNCE_TICKS
+        return [
+            one
+            for place, one in enumerate(said)
+            if (place + tick) % _ANNOUNCE_TICKS == 0
+            and (place + turn) % len(self._cores) == number - 1
+        ]
+
+    def _feed_leader(self, event: control.ControlEvent) -> None:
+        started_s = time.process_time()
+        sent = [
+            (one.stream_id, CONTROL_MESSAGES.encode(one.message))
+            for one in self._leader.step(event, self._now_s)
+        ]
+        self.cost.leader_s += time.process_time() - started_s
+        for number, frame in sent:
+            self.cost.bytes_down += len(frame) + _ENVELOPE_BYTES
+            message = CONTROL_MESSAGES.decode(frame)
+            self._feed_entry(number, entry.ControlReceived(message))
+
+    def _feed_entry(self, number: int, event: entry.EntryEvent) -> None:
+        started_s = time.process_time()
+        frames = [
+            ENTRY_MESSAGES.encode(one.message)
+            for one in self._cores[number].step(event, self._now_s)
+            if isinstance(one, entry.SendToControl)
+        ]
+        self.cost.entries_s += time.process_time() - started_s
+        for frame in frames:
+            self.cost.bytes_up += len(frame) + _ENVELOPE_BYTES
+            message = ENTRY_MESSAGES.decode(frame)
+            self._feed_leader(control.EntryReceived(number, message))
 
 
 def _announce(number: int) -> Announcement:
     pool = f'pool-{number % _POOLS}'
     host = '10.0.0.1'
     return Announcement(f'up-{number}', 1, pool, host, number + 1, 'a', 'r')
-
-
-def _feed_leader(leader, cores, event, now_s, cost):  # type: ignore
-    started_s = time.process_time()
-    sent = [
-        (one.stream_id, CONTROL_MESSAGES.encode(one.message))
-        for one in leader.step(event, now_s)
-    ]
-    cost.leader_s += time.process_time() - started_s
-    for number, frame in sent:
-        cost.bytes_down += len(frame) + _ENVELOPE_BYTES
-        message = CONTROL_MESSAGES.decode(frame)
-        received = entry.ControlReceived(message)
-        _feed_entry(leader, cores, number, received, now_s, cost)
-
-
-def _feed_entry(leader, cores, number, event, now_s, cost):  # type: ignore
-    started_s = time.process_time()
-    frames = [
-        ENTRY_MESSAGES.encode(one.message)
-        for one in cores[number].step(event, now_s)
-        if isinstance(one, entry.SendToControl)
-    ]
-    cost.entries_s += time.process_time() - started_s
-    for frame in frames:
-        cost.bytes_up += len(frame) + _ENVELOPE_BYTES
-        received = control.EntryReceived(number, ENTRY_MESSAGES.decode(frame))
-        _feed_leader(leader, cores, received, now_s, cost)
