Look into the kinds of messages once, and keep told records

Change: a loader for each kind is made once from closures; a record that was told already is given again and compared by identity first.

--- a/src/sardinemast/membership/_roster.py
+++ b/src/sardinemast/membership/_roster.py
@@ -124,7 +124,8 @@
         changed = tuple(
             upstream
             for name, upstream in current.items()
-            if self._told.get(name) != upstream
+            if self._told.get(name) is not upstream
+            and self._told.get(name) != upstream
         )
         self._told = current
         return RosterChanges(changed, gone)
@@ -169,13 +170,31 @@
     def _describe(self, now_s: float) -> dict[str, RosterUpstream]:
         silent = self._find_silent(now_s)
         return {
-            name: RosterUpstream(
+            name: self._keep(
+                name,
                 upstream.handle,
                 _describe(upstream, is_silent=name in silent, now_s=now_s),
             )
             for name, upstream in self._upstreams.items()
         }
 
+    def _keep(
+        self,
+        name: str,
+        handle: int,
+        announcement: Announcement,
+    ) -> RosterUpstream:
+        # Nearly all upstreams are as they were told. Giving the same record
+        # spares making it and comparing it field by field.
+        told = self._told.get(name)
+        if (
+            told is not None
+            and told.handle == handle
+            and told.announcement is announcement
+        ):
+            return told
+        return RosterUpstream(handle, announcement)
+
     def _find_silent(self, now_s: float) -> set[str]:
         # When most of a pool seems silent, it is likelier that the way to the
         # leader is broken than that they all died at once. To suspect them
--- a/src/sardinemast/wire/_codec.py
+++ b/src/sardinemast/wire/_codec.py
@@ -6,7 +6,7 @@
 """
 
 import types
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from enum import Enum
 from functools import cache
@@ -17,11 +17,16 @@
 from sardinemast.wire.exceptions import WireError
 
 _TAGGED_LENGTH = 2
-_SCALARS = (int, float, str, bytes, bool)
+_SCALARS = frozenset((int, float, str, bytes, bool))
+_PLAIN = frozenset((*_SCALARS, types.NoneType))
+
+Loader = Callable[[Any], Any]
 
 
 def dump_plain(record: Any) -> Any:
     """Give the record as lists, maps and scalars."""
+    if record.__class__ in _PLAIN:
+        return record
     if isinstance(record, Enum):
         return record.value
     if isinstance(record, tuple):
@@ -33,76 +38,123 @@
 
 def load_plain(kind: Any, plain: Any) -> Any:
     """Build a value of the kind, or raise ``wire.E002``."""
-    if kind is Any:
-        return plain
+    return _get_loader(kind)(plain)
+
+
+@cache
+def _get_loader(kind: Any) -> Loader:
+    # The kind is looked into once; a look at each value of each message was
+    # half of what a leader spent on a large fleet.
+    if kind in {Any, types.NoneType}:
+        return _keep if kind is Any else _load_nothing
     origin = get_origin(kind)
     if origin is not None:
-        return _build_generic(kind, origin, plain)
+        return _make_generic_loader(kind, origin)
     if kind in _SCALARS:
-        return _check_scalar(kind, plain)
-    if kind is types.NoneType and plain is None:
-        return None
-    return _build_class(kind, plain)
+        return _make_scalar_loader(kind)
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return _make_enum_loader(kind)
+    if isinstance(kind, type) and issubclass(kind, tuple):
+        return _make_record_loader(kind)
+    return _make_refuser(kind)
 
 
-def _build_class(kind: Any, plain: Any) -> Any:
-    if isinstance(kind, type) and issubclass(kind, Enum):
+def _keep(plain: Any) -> Any:
+    return plain
+
+
+def _load_nothing(plain: Any) -> None:
+    if plain is not None:
+        raise _mismatch(types.NoneType, plain)
+
+
+def _make_refuser(kind: Any) -> Loader:
+    def refuse(plain: Any) -> Any:
+        raise _mismatch(kind, plain)
+
+    return refuse
+
+
+def _make_scalar_loader(kind: type) -> Loader:
+    def load(plain: Any) -> Any:
+        # A bool is an int to the language, but never where a number is meant.
+        if plain.__class__ is kind:
+            return plain
+        if kind is float and plain.__class__ is int:
+            return float(plain)
+        raise _mismatch(kind, plain)
+
+    return load
+
+
+def _make_enum_loader(kind: type[Enum]) -> Loader:
+    def load(plain: Any) -> Any:
         try:
             return kind(plain)
         except ValueError:
             raise _mismatch(kind, plain) from None
-    if isinstance(kind, type) and issubclass(kind, tuple):
-        return _build_record(kind, plain)
-    raise _mismatch(kind, plain)
-
-
-def _check_scalar(kind: type, plain: Any) -> Any:
-    # A bool is an int to the language, but never where a number is meant.
-    is_exact = plain.__class__ is kind
-    if kind is float and plain.__class__ is int:
-        return float(plain)
-    if is_exact:
-        return plain
-    raise _mismatch(kind, plain)
-
-
-def _build_generic(kind: Any, origin: Any, plain: Any) -> Any:
-    parts = get_args(kind)
-    if origin is tuple and isinstance(plain, list):
-        return tuple(load_plain(parts[0], part) for part in plain)
-    if origin in {dict, Mapping} and isinstance(plain, dict):
-        return {
-            load_plain(parts[0], key): load_plain(parts[1], part)
-            for key, part in plain.items()
-        }
+
+    return load
+
+
+def _make_generic_loader(kind: Any, origin: Any) -> Loader:
+    loaders = [_get_loader(part) for part in get_args(kind) if part is not ...]
+    if origin is tuple:
+        return _make_sequence_loader(kind, loaders[0])
+    if origin in {dict, Mapping}:
+        return _make_mapping_loader(kind, loaders[0], loaders[1])
     if origin in {types.UnionType, Union}:
-        return _build_union(parts, plain)
-    raise _mismatch(kind, plain)
+        return _make_union_loader(kind, loaders)
+    return _make_refuser(kind)
+
 
+def _make_sequence_loader(kind: Any, load_part: Loader) -> Loader:
+    def load(plain: Any) -> Any:
+        if plain.__class__ is not list:
+            raise _mismatch(kind, plain)
+        return tuple(map(load_part, plain))
 
-def _build_union(parts: tuple[Any, ...], plain: Any) -> Any:
-    for part in parts:
-        with suppress(WireError):
-            return load_plain(part, plain)
-    raise _mismatch(parts, plain)
+    return load
 
 
-def _build_record(kind: Any, plain: Any) -> Any:
-    hints = _get_hints(kind)
-    if not isinstance(plain, list) or len(plain) != len(hints):
+def _make_mapping_loader(
+    kind: Any,
+    load_key: Loader,
+    load_part: Loader,
+) -> Loader:
+    def load(plain: Any) -> Any:
+        if plain.__class__ is not dict:
+            raise _mismatch(kind, plain)
+        return {load_key(key): load_part(part) for key, part in plain.items()}
+
+    return load
+
+
+def _make_union_loader(kind: Any, loaders: list[Loader]) -> Loader:
+    def load(plain: Any) -> Any:
+        for load_part in loaders:
+            with suppress(WireError):
+                return load_part(plain)
         raise _mismatch(kind, plain)
-    return kind(
-        *(
-            load_plain(hint, part)
-            for hint, part in zip(hints, plain, strict=True)
-        )
-    )
 
+    return load
 
-@cache
-def _get_hints(kind: Any) -> tuple[Any, ...]:
+
+def _make_record_loader(kind: Any) -> Loader:
     hints = get_type_hints(kind)
-    return tuple(hints[name] for name in kind._fields)
+    loaders = [_get_loader(hints[name]) for name in kind._fields]
+
+    def load(plain: Any) -> Any:
+        if plain.__class__ is not list or len(plain) != len(loaders):
+            raise _mismatch(kind, plain)
+        return kind(
+            *(
+                load_part(part)
+                for load_part, part in zip(loaders, plain, strict=True)
+            )
+        )
+
+    return load
 
 
 def _mismatch(kind: Any, plain: Any) -> WireError:
