Renew entries' leases every half second

Ruled out: a slower digest of upstreams, which would come near the 1.5 s after which silence is suspicion. News and unmet demand are told at once as before, so that neither waits for a renewal. Change: RENEWAL_INTERVAL_S from 0.25 to 0.5.

--- a/src/sardinemast/entry/_link.py
+++ b/src/sardinemast/entry/_link.py
@@ -11,7 +11,7 @@
     TeamDemand,
 )
 
-RENEWAL_INTERVAL_S = 0.25
+RENEWAL_INTERVAL_S = 0.5
 URGENT_INTERVAL_S = 0.02
 
 
