Send nothing that was decided under an ended lease

Cause: a process that is stopped between its core's decision and the sending sent the request when it went on, maybe an hour later; by then the key may be withdrawn and the limit in use elsewhere. Ruled out: an age of the decision, since a decision near the end of a lease is old after a moment; the lease's own end is the bound. A stop between the comparison and the write remains.

--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -241,7 +241,9 @@
             attempt = self._attempts.start(self.state, waiting, now_s)
             if attempt is not None:
                 self._dispatcher.start(waiting, now_s)
-                self._outputs.append(attempt)
+                self._outputs.append(
+                    attempt._replace(valid_until_s=self._link.lease_until_s),
+                )
 
     def _refuse(self, request_id: int, refusal: Refusal) -> None:
         refusal = self._attempts.conclude(request_id, refusal)
--- a/src/sardinemast/entry/_link.py
+++ b/src/sardinemast/entry/_link.py
@@ -26,6 +26,11 @@
         self._has_gap = False
         self._has_news = False
 
+    @property
+    def lease_until_s(self) -> float:
+        """Give the moment at which the lease ends."""
+        return self._lease_until_s
+
     def has_lease(self, now_s: float) -> bool:
         """Tell whether the leader surely still counts on this entry."""
         return now_s < self._lease_until_s
--- a/src/sardinemast/routing/_attempts.py
+++ b/src/sardinemast/routing/_attempts.py
@@ -49,13 +49,19 @@
 
 
 class StartAttempt(NamedTuple):
-    """Send the request to the upstream, and stop at the timeout."""
+    """Send the request to the upstream, and stop at the timeout.
+
+    Once ``valid_until_s`` has passed on the monotonic clock, nothing may be
+    sent any more: the entry's lease has ended, and what was decided under it
+    may have been withdrawn.
+    """
 
     request_id: int
     upstream: Announcement
     timeout_s: float
     is_repeatable: bool
     connection_limit: int
+    valid_until_s: float = float('inf')
 
 
 class NextStep(StrEnum):
--- a/src/sardinemast/shell/_upstream_client.py
+++ b/src/sardinemast/shell/_upstream_client.py
@@ -220,7 +220,10 @@
     request: CallerRequest,
     reader: _AnswerReader,
 ) -> Attempt:
-    if not stream.is_silent():
+    # A process that was stopped after its core's decision goes on here, maybe
+    # an hour later. The key may be withdrawn and the limit given to others.
+    is_valid = time.monotonic() < start.valid_until_s
+    if not is_valid or not stream.is_silent():
         return Attempt(AttemptResult.not_sent)
     connection = HTTP1Connection(stream, is_client=True, params=_PARAMETERS)
     try:
--- a/tests/shell/test_upstream_client.py
+++ b/tests/shell/test_upstream_client.py
@@ -263,6 +263,23 @@
     assert _run(run()) == Attempt(AttemptResult.not_sent)
 
 
+def test_decision_of_an_ended_lease_is_not_sent() -> None:
+    """Send nothing once the lease has ended under which it was decided.
+
+    The process is frozen between its decision and the sending, and goes on
+    when its lease has long ended. The team's key may be withdrawn by then,
+    and its limit in use elsewhere.
+    """
+
+    async def run() -> Attempt:
+        client = UpstreamClient()
+        async with run_script(answer_with(WHOLE)) as upstream:
+            start = make_start(upstream)._replace(valid_until_s=0)
+            return await client.send(start, make_request())
+
+    assert _run(run()) == Attempt(AttemptResult.not_sent)
+
+
 def test_connections_are_bounded() -> None:
     """No more connections than the pool allows are opened."""
 
