Measure slopes and write the capacity page

Cause: the page that the users asked for did not stand. Change: make capacity fits lines through measured sizes (state, streams, decisions of an entry) and rewrites the tables of docs/CAPACITY.md; the page gives each role at the target, what carries it, what happens in cuts between regions, and what breaks first.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 bench: setup
 	$(BIN)/python -m bench
 
+# Rewrites the measured tables of docs/CAPACITY.md.
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
 # New seeds until a fault is found; hypothesis prints the smallest history.
 soak: setup
 	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -n 8 -m fuzz
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -42,17 +42,26 @@
 def main() -> None:
     """Print what a quiet fleet costs."""
     for entries, upstreams in _CASES:
-        cost = _run(entries, upstreams)
-        total = cost.bytes_down + cost.bytes_up
+        figures = measure(entries, upstreams)
         print(
             f'{entries:3} entries {upstreams:5} upstreams: '
-            f'entry {total / entries / _RUN_S:8.0f} bytes/s '
-            f'{cost.entries_s / entries / _RUN_S * _PERCENT:6.2f}% core; '
-            f'leader {total / _RUN_S:8.0f} bytes/s '
-            f'{cost.leader_s / _RUN_S * _PERCENT:6.2f}% core',
+            f'entry {figures[0]:8.0f} bytes/s {figures[1]:6.2f}% core; '
+            f'leader {figures[2]:8.0f} bytes/s {figures[3]:6.2f}% core',
         )
 
 
+def measure(entries: int, upstreams: int) -> tuple[float, ...]:
+    """Give bytes/s and % of a core, of an entry and then of the leader."""
+    cost = _run(entries, upstreams)
+    total = (cost.bytes_down + cost.bytes_up) / _RUN_S
+    return (
+        total / entries,
+        cost.entries_s / entries / _RUN_S * _PERCENT,
+        total,
+        cost.leader_s / _RUN_S * _PERCENT,
+    )
+
+
 def _run(entry_count: int, upstream_count: int) -> _Cost:
     drive = _Drive(entry_count)
     said = [_announce(number) for number in range(upstream_count)]
