Measure callers' latencies, show history, give grants back at a stop

Cause: metrics were not wired to the entry, history, difference and restoring of versions could not be asked for, and a stopping entry kept its grants until its lease and the longest run had passed. Change: /-/metrics and /-/latencies at entries, and sardinemast latencies, history, diff, restore, forget-instance; the time line notes arrivals with team and pool; an entry that stops gives back its grants once nothing waits. One warning for each outage of the stream to the leader instead of ten a second. Ruled out: giving grants back at the start of a stop, since requests that wait would then be refused.

--- a/src/sardinemast/cli/commands.py
+++ b/src/sardinemast/cli/commands.py
@@ -12,7 +12,9 @@
 from sardinemast.fleet import (
     ApplyDocument,
     AssignInstance,
+    ForgetInstance,
     GrantKey,
+    RestoreVersion,
     WithdrawKey,
     digest_key,
 )
@@ -105,6 +107,42 @@
     return send_command(get_controls(controls), command)
 
 
+def restore(
+    version: int,
+    controls: str = '',
+    command_id: str = '',
+) -> dict[str, Any]:
+    """Put an earlier version of the configuration in force, as a new one.
+
+    Args:
+        version: The number of the version, as history shows it.
+        controls: Operators' addresses of the control processes.
+        command_id: Give the id that was shown, to send a command again.
+
+    """
+    addresses = get_controls(controls)
+    based_on = ask_leader(addresses, '/v1/state')['version']
+    command = RestoreVersion(make_id(command_id), based_on, int(version))
+    return send_command(addresses, command)
+
+
+def forget_instance(
+    instance: str,
+    controls: str = '',
+    command_id: str = '',
+) -> dict[str, Any]:
+    """Take an instance that is gone for good out of its pool.
+
+    Args:
+        instance: The name under which the instance announced itself.
+        controls: Operators' addresses of the control processes.
+        command_id: Give the id that was shown, to send a command again.
+
+    """
+    command = ForgetInstance(make_id(command_id), str(instance))
+    return send_command(get_controls(controls), command)
+
+
 def repair_replica(name: str, controls: str = '') -> dict[str, Any]:
     """Have a replica set its data folder aside and join with a new one.
 
--- a/src/sardinemast/cli/queries.py
+++ b/src/sardinemast/cli/queries.py
@@ -11,7 +11,9 @@
     draw_picture,
     follow_events,
 )
+from sardinemast.cli.exceptions import CliError
 from sardinemast.conf import load_fleet_files, load_process_file
+from sardinemast.metrics import merge_latencies
 from sardinemast.timeline import format_event
 
 
@@ -84,6 +86,48 @@
     return found
 
 
+def latencies(*entries: str) -> dict[str, Any]:
+    """Merge the latencies of entries, by team, service and upstream.
+
+    Args:
+        entries: Callers' addresses of entries.
+
+    """
+    books = [
+        fetch(f'http://{address}/-/latencies')['latencies']
+        for address in split_addresses(entries)
+    ]
+    merged = merge_latencies(books)
+    return {'latencies': [summary._asdict() for summary in merged]}
+
+
+def history(controls: str = '') -> dict[str, Any]:
+    """Show the versions of the configuration that are kept.
+
+    Args:
+        controls: Operators' addresses of the control processes.
+
+    """
+    state = ask_leader(get_controls(controls), '/v1/state')
+    return {'in place': state['version'], 'versions': state['versions']}
+
+
+def diff(before: int, after: int, controls: str = '') -> dict[str, Any]:
+    """Show what differs between two versions of the configuration.
+
+    Args:
+        before: The number of one version.
+        after: The number of the other.
+        controls: Operators' addresses of the control processes.
+
+    """
+    path = f'/v1/diff/{before}/{after}'
+    answer = ask_leader(get_controls(controls), path)
+    if 'changes' in answer:
+        return answer
+    raise CliError(str(answer['code']), str(answer['text']))
+
+
 def timeline(
     *processes: str,
     kind: str = '',
--- a/src/sardinemast/entry/_core.py
+++ b/src/sardinemast/entry/_core.py
@@ -101,6 +101,10 @@
         """Tell the balancer whether to send requests here."""
         return self._link.has_lease(now_s)
 
+    def start_leaving(self) -> None:
+        """Give all grants back; nothing waits any more."""
+        self._holder.start_leaving()
+
     def holds_grants(self) -> bool:
         """Tell whether the log has grants of this entry."""
         return self._holder.holds_any(self.state)
--- a/src/sardinemast/grants/_holder.py
+++ b/src/sardinemast/grants/_holder.py
@@ -27,9 +27,10 @@
         self._recalled: dict[str, _Bound] = {}
         self._seen_state: tuple[FleetState, int] | None = None
         self._grants: dict[str, Grant] = {}
-        self._exceeded_teams: set[str] = set()
+        self._closed_teams: set[str] = set()
         self._usable: dict[str, int] = {}
         self._bound_teams: set[str] = set()
+        self._is_leaving = False
 
     def get_usable(self, state: FleetState, team: str) -> int:
         """Give how much this entry may have running for the team."""
@@ -41,6 +42,15 @@
         self._read(state)
         return self._usable
 
+    def start_leaving(self) -> None:
+        """Give back all that is idle from now on.
+
+        Grants of an entry that stops would else lie idle until its lease and
+        the longest permitted run have passed.
+        """
+        self._is_leaving = True
+        self._seen_state = None
+
     def holds_any(self, state: FleetState) -> bool:
         """Tell whether the log has grants of this holder."""
         self._read(state)
@@ -77,7 +87,7 @@
         count_running: Callable[[str], int],
     ) -> int:
         target = _cut(grant, self._recalled)
-        if grant.team in self._exceeded_teams:
+        if grant.team in self._closed_teams:
             target = 0
         left = min(
             max(target, count_running(grant.team)),
@@ -98,10 +108,11 @@
             for grant in state.grants.values()
             if (grant.entry, grant.incarnation) == self._place
         }
-        self._exceeded_teams = {
+        self._closed_teams = {
             team
             for team in self._grants
-            if state.granted_totals.get(team, 0) > _get_limit(state, team)
+            if self._is_leaving
+            or state.granted_totals.get(team, 0) > _get_limit(state, team)
         }
         self._usable.clear()
         self._bound_teams.clear()
@@ -113,11 +124,11 @@
         if grant is None:
             return
         bound = min(_cut(grant, self._returned), _cut(grant, self._recalled))
-        is_exceeded = team in self._exceeded_teams
+        is_closed = team in self._closed_teams
         # Nothing starts while more is granted than a lowered limit: who else
         # runs what is not known here, and together it may be more.
-        self._usable[team] = 0 if is_exceeded else bound
-        if is_exceeded or bound < grant.amount:
+        self._usable[team] = 0 if is_closed else bound
+        if is_closed or bound < grant.amount:
             self._bound_teams.add(team)
 
 
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -5,6 +5,7 @@
 from ipaddress import ip_address
 from typing import Any, Protocol
 
+from prometheus_client import CONTENT_TYPE_LATEST
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -26,6 +27,7 @@
 from sardinemast.shell._connections import MAX_HEAD_BYTES
 from sardinemast.shell._headers import OUTCOME_HEADER
 from sardinemast.shell._identity import Identity
+from sardinemast.shell._measures import EntryMeasures
 from sardinemast.shell._operator_http import TimelineHandler
 from sardinemast.wire import WireError, load_plain
 
@@ -55,6 +57,7 @@
 class _Shell(CallerDesk, Protocol):
     identity: Identity
     loop: Any
+    measures: EntryMeasures
 
     def is_ready(self) -> bool:
         """Tell whether the entry may serve."""
@@ -86,6 +89,32 @@
         self.finish({'status': 'heard'})
 
 
+class MetricsHandler(RequestHandler):
+    """Show what this entry measures, for the usual collectors."""
+
+    def initialize(self, shell: _Shell) -> None:
+        """Take the entry's shell."""
+        self._shell = shell
+
+    def get(self) -> None:
+        """Give all metrics as text."""
+        is_ready = self._shell.is_ready()
+        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
+        self.finish(self._shell.measures.render(is_ready=is_ready))
+
+
+class LatenciesHandler(RequestHandler):
+    """Show histograms that can be merged with those of other entries."""
+
+    def initialize(self, shell: _Shell) -> None:
+        """Take the entry's shell."""
+        self._shell = shell
+
+    def get(self) -> None:
+        """Give the encoded histograms."""
+        self.finish({'latencies': self._shell.measures.encode_latencies()})
+
+
 class HealthHandler(RequestHandler):
     """Tell the balancer whether to send requests here."""
 
@@ -196,6 +225,8 @@
         [
             ('/-/announce', AnnounceHandler, options),
             ('/-/health', HealthHandler, options),
+            ('/-/metrics', MetricsHandler, options),
+            ('/-/latencies', LatenciesHandler, options),
             ('/-/timeline', TimelineHandler, {'identity': shell.identity}),
         ],
         log_function=_skip_log,
--- a/src/sardinemast/shell/_control_stream.py
+++ b/src/sardinemast/shell/_control_stream.py
@@ -41,6 +41,7 @@
         self._access = access
         self._take = take
         self._outbox: Outbox | None = None
+        self._is_reported = False
 
     def send(self, message: EntryMessage) -> None:
         """Send a message, or drop it where there is no stream."""
@@ -54,12 +55,18 @@
             try:
                 await self._read_control(address)
             except _STREAM_ERRORS as error:
-                _log.warning('No stream to {}: {}.', address.name, error)
+                self._report(address, error)
             self._outbox = None
             self._take(entry.ControlLost())
             self._controls.append(self._controls.pop(0))
             await asyncio.sleep(_RECONNECT_S)
 
+    def _report(self, address: ControlAddress, error: Exception) -> None:
+        # One line for each outage: it is tried again ten times a second.
+        log = _log.debug if self._is_reported else _log.warning
+        log('No stream to {}: {}.', address.name, error)
+        self._is_reported = True
+
     async def _read_control(self, address: ControlAddress) -> None:
         async with open_link(address.peer, '/entry', self._access) as link:
             await link.send(seal(self._identity, dump_plain(self.own_address)))
@@ -85,6 +92,7 @@
             if isinstance(message, NotLeader):
                 self._prefer(message.leader)
                 return
+            self._is_reported = False
             self._take(entry.ControlReceived(message))
 
     def _prefer(self, leader: str) -> None:
--- a/src/sardinemast/shell/_drain.py
+++ b/src/sardinemast/shell/_drain.py
@@ -8,6 +8,8 @@
 from logbook import Logger
 from tornado.httpserver import HTTPServer
 
+from sardinemast.entry import EntryCore
+
 _log = Logger('entry')
 _POLL_S = 0.02
 # For this long the balancer can see that the entry is not ready, and callers
@@ -20,15 +22,14 @@
 class Drainable(Protocol):
     """Say what a planned stop needs of the entry."""
 
+    core: EntryCore
+
     def start_stopping(self) -> None:
         """Refuse new requests from now on."""
 
     def is_busy(self) -> bool:
         """Tell whether a caller waits for an answer, or for a part of it."""
 
-    def holds_grants(self) -> bool:
-        """Tell whether the log still has grants of this entry."""
-
 
 async def drain(entry: Drainable, server: HTTPServer) -> None:
     """Finish all requests, give back the grants, and close the port."""
@@ -37,11 +38,16 @@
     await asyncio.sleep(_LINGER_S)
     await _wait_while(entry.is_busy, _LONGEST_RUN_S)
     server.stop()
-    await _wait_while(entry.holds_grants, _RETURN_TIMEOUT_S)
+    await _give_back(entry)
     await server.close_all_connections()
     _log.info('Entry has stopped.')
 
 
+async def _give_back(entry: Drainable) -> None:
+    entry.core.start_leaving()
+    await _wait_while(entry.core.holds_grants, _RETURN_TIMEOUT_S)
+
+
 async def _wait_while(is_so: Callable[[], bool], longest_s: float) -> None:
     give_up_s = time.monotonic() + longest_s
     while is_so() and time.monotonic() < give_up_s:
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -29,6 +29,7 @@
     limit_deadline,
 )
 from sardinemast.shell._loop import CoreLoop
+from sardinemast.shell._measures import EntryMeasures
 from sardinemast.shell._security import Access
 from sardinemast.shell._upstream_client import (
     Attempt,
@@ -68,6 +69,7 @@
         self._writing: set[asyncio.Future[None]] = set()
         self._sending: set[asyncio.Task[None]] = set()
         self.client = UpstreamClient()
+        self.measures = EntryMeasures()
         self.peers = EntryPeers(identity, access)
         self.control = ControlStream(
             identity,
@@ -93,10 +95,6 @@
         """Tell whether a caller waits for an answer, or for a part of it."""
         return bool(self._callers or self._writing or self._sending)
 
-    def holds_grants(self) -> bool:
-        """Tell whether the log still has grants of this entry."""
-        return self.core.holds_grants()
-
     def note_writing(self, written: asyncio.Future[None]) -> None:
         """Note an answer that is not all on its way yet."""
         self._writing.add(written)
@@ -117,6 +115,7 @@
         self._requests[request_id] = request
         self._callers[request_id] = answer
         self._arrivals[request_id] = arrival._replace(request_id=request_id)
+        self._note_arrival(request_id, arrival)
         if self._is_stopping:
             self._answer(request_id, refuse_while_stopping())
             return request_id
@@ -136,6 +135,7 @@
             self._arrivals.pop(request_id, None)
             self.loop.put(entry.CallerLeft(request_id))
             self._keys.note_left(request_id)
+            self.measures.forget(request_id)
 
     @asynccontextmanager
     async def listen_for_peers(self, host: str) -> AsyncIterator[None]:
@@ -144,6 +144,16 @@
             self.control.own_address = address
             yield
 
+    def _note_arrival(self, request_id: int, arrival: Arrival) -> None:
+        team = find_team_by_key(self.core.state, arrival.key_digest) or ''
+        self.measures.note_arrival(request_id, team, arrival.pool)
+        self.identity.recorder.record(
+            'request arrived',
+            request=request_id,
+            team=team,
+            pool=arrival.pool,
+        )
+
     def _claim(self, request_id: int, key: str) -> None:
         arrival = self._arrivals[request_id]
         state = self.core.state
@@ -186,6 +196,10 @@
             upstream=output.upstream.instance,
         )
         self._keys.note_sent(output.request_id)
+        self.measures.note_attempt(
+            output.request_id,
+            output.upstream.instance,
+        )
         task = asyncio.create_task(self._attempt(output))
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
@@ -217,6 +231,7 @@
 
     def _answer(self, request_id: int, answer: CallerAnswer) -> None:
         self._keys.note_answer(request_id, answer)
+        self.measures.note_answer(request_id, answer)
         self._arrivals.pop(request_id, None)
         self._requests.pop(request_id, None)
         give_answer = self._callers.pop(request_id, None)
--- a/tests/grants/test_holder.py
+++ b/tests/grants/test_holder.py
@@ -43,6 +43,20 @@
     assert [returned.amount for returned in returns] == [1]
 
 
+def test_leaving_entry_gives_back_what_is_idle() -> None:
+    """An entry that stops returns its grants, but for what still runs.
+
+    An entry is stopped for maintenance. Without the return its part of each
+    limit lies idle until its lease and the longest run have passed, and the
+    teams' callers wait at the other entries meanwhile.
+    """
+    state = _make_state(3)
+    holder = GrantHolder('entry-1', 1)
+    holder.start_leaving()
+    returns = holder.make_returns(state, lambda team: 1)
+    assert [returned.amount for returned in returns] == [1]
+
+
 def _make_state(amount: int) -> FleetState:
     state = FleetState()
     for index, command in enumerate(make_setup_commands(3), start=1):
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -79,3 +79,30 @@
     """The time line holds events of control processes and entries."""
     addresses = f'{fleet.controls},{fleet.entries}'.split(',')
     assert 'role=leader' in queries.timeline(*addresses)
+
+
+def test_latencies_of_entries_are_merged(fleet: Fleet) -> None:
+    """Requests through two entries are counted together by team."""
+    key = _grant(fleet, 'measured')
+    addresses = [fleet.get_entry(name) for name in fleet.entry_names[:2]]
+    for address in addresses:
+        wait_for(partial(_get_served, address, key))
+    found = queries.latencies(*addresses)['latencies']
+    by_name = {(one['dimension'], one['name']): one for one in found}
+    assert by_name['team', 'petits-pixels']['requests'] >= 2
+    assert ('service', 'enrolment') in by_name
+    metrics = call(addresses[0], '/-/metrics').body.decode()
+    assert 'sardinemast_answers_total{code="answered"}' in metrics
+
+
+def test_earlier_version_is_restored(fleet: Fleet, tmp_path: Path) -> None:
+    """Going back makes a new version, and the difference can be shown."""
+    base = tmp_path / 'base.yaml'
+    base.write_text(_BASE.replace('limit: 9', 'limit: 8'))
+    first = queries.show(fleet.controls)['version']
+    commands.apply(str(base), controls=fleet.controls)
+    changed = queries.diff(first, first + 1, fleet.controls)['changes']
+    assert [one['path'] for one in changed] == ['teams.petits-pixels.limit']
+    commands.restore(first, controls=fleet.controls)
+    back = queries.diff(first, first + 2, fleet.controls)['changes']
+    assert back == []
--- a/tests/shell/test_caller_http.py
+++ b/tests/shell/test_caller_http.py
@@ -13,6 +13,7 @@
 from sardinemast.conf import Address
 from sardinemast.shell import _caller_exchange, create_identity
 from sardinemast.shell._caller_http import listen_for_callers
+from sardinemast.shell._measures import EntryMeasures
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
 
 _LIMIT_BYTES = 8
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.identity = create_identity('entry-1')
         self.loop: Any = None
+        self.measures = EntryMeasures()
         self.arrivals: list[Arrival] = []
         self.forgotten: list[int] = []
         self.writing: list[asyncio.Future[None]] = []
