Make a histogram only where none is known

The default of setdefault was made for each record: three new histograms of about 19 KB for each request, thrown away at once. Ruled out: the recording itself, which is a few additions. Change: look first, make only what is missing; the same in the merge.

--- a/src/sardinemast/metrics/_latencies.py
+++ b/src/sardinemast/metrics/_latencies.py
@@ -81,9 +81,16 @@
 
     def _get_histogram(self, dimension: Dimension, name: str) -> HdrHistogram:
         by_name = self._histograms[dimension]
-        if name not in by_name and len(by_name) >= MAX_NAMES:
+        known = by_name.get(name)
+        if known is not None:
+            return known
+        if len(by_name) >= MAX_NAMES:
             name = OTHER
-        return by_name.setdefault(name, _create_histogram())
+        # Making a histogram costs more than a request, so that none is made
+        # where one is known.
+        if name not in by_name:
+            by_name[name] = _create_histogram()
+        return by_name[name]
 
 
 def merge_latencies(
@@ -96,8 +103,9 @@
     """
     merged: dict[_Key, HdrHistogram] = {}
     for place, encoded in _iterate(books):
-        total = merged.setdefault(place, _create_histogram())
-        total.decode_and_add(encoded)
+        if place not in merged:
+            merged[place] = _create_histogram()
+        merged[place].decode_and_add(encoded)
     return [_summarize(key, merged[key]) for key in sorted(merged)]
 
 
