--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 lock: setup
 	$(BIN)/uv pip compile --quiet --all-extras --generate-hashes --no-header --no-emit-index-url pyproject.toml -o requirements.lock
+	$(BIN)/uv pip compile --quiet --generate-hashes --no-header --no-emit-index-url pyproject.toml -o deploy/requirements.txt
 
 clean:
 	rm -rf $(VENV) var
--- a/src/sardinemast/conf/_fields.py
+++ b/src/sardinemast/conf/_fields.py
@@ -13,6 +13,7 @@
 from sardinemast.checks import Finding, Level
 
 INVALID: Any = object()
+_HIGHEST_PORT = 65535
 
 
 class Source:
@@ -125,6 +126,25 @@
     return read
 
 
+def host_and_port(read_record: Reader) -> Reader:
+    """Read a record of host and port, or both in one text."""
+
+    def read(source: Source, node: yaml.Node) -> Any:
+        if not isinstance(node, yaml.ScalarNode):
+            return read_record(source, node)
+        host, _, port = node.value.rpartition(':')
+        if host and port.isdigit() and int(port) <= _HIGHEST_PORT:
+            return {'host': host, 'port': int(port)}
+        return source.report(
+            node,
+            'conf.E022',
+            f'{node.value!r} is no address.',
+            'Write host:port.',
+        )
+
+    return read
+
+
 def mapping_of(read_value: Reader) -> Reader:
     """Read a map from names to values of one kind."""
 
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -11,6 +11,7 @@
     Source,
     choice,
     get_defaults,
+    host_and_port,
     list_of,
     number,
     record,
@@ -55,8 +56,25 @@
     private_key: Path
 
 
+class Cluster(NamedTuple):
+    """Say how control processes find each other without a list of all.
+
+    The founders begin the cluster; others ask them to be taken in. So many
+    replicas may be lost at once as ``failures_tolerated`` says. Without
+    ``may_found`` an empty folder only joins.
+    """
+
+    own: ControlAddress
+    failures_tolerated: int
+    may_found: bool
+
+
 class ProcessSettings(NamedTuple):
-    """Hold everything a process is told when it starts."""
+    """Hold everything a process is told when it starts.
+
+    With a ``cluster`` the ``controls`` are its founders. A balancer looks at
+    ``readiness``, and ``operators`` is where the platform's own calls come.
+    """
 
     name: str
     roles: tuple[str, ...]
@@ -66,9 +84,13 @@
     controls: tuple[ControlAddress, ...]
     logs: LogSettings
     security: Security | None
+    cluster: Cluster | None = None
+    readiness: Address | None = None
+    operators: Address | None = None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
+_PLACE = host_and_port(_ADDRESS)
 _CONTROL = record(
     {
         'name': Field(text()),
@@ -96,14 +118,27 @@
         'private_key': Field(text()),
     },
 )
+_CLUSTER = record(
+    {
+        'host': Field(text()),
+        'port': Field(number(1, _HIGHEST_PORT - 1, is_whole=True)),
+        'founders': Field(list_of(text())),
+        'failures_tolerated': Field(number(0, is_whole=True), 1),
+        'may_found': Field(choice('true', 'false'), 'true'),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
         'roles': Field(list_of(choice('entry', 'control'))),
         'data_centre': Field(text()),
         'data_folder': Field(text(), 'var'),
-        'callers': Field(_ADDRESS, {'host': '127.0.0.1', 'port': 0}),
-        'controls': Field(list_of(_CONTROL)),
+        'callers': Field(_PLACE, MappingProxyType({'host': '127.0.0.1', 'port': 0})),
+        'readiness': Field(_PLACE, None),
+        'operators': Field(_PLACE, None),
+        'controls': Field(list_of(_CONTROL), ()),
+        'cluster': Field(_CLUSTER, None),
+        'network': Field(choice('open', 'private'), 'open'),
         'security': Field(_SECURITY, None),
         'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
     },
@@ -121,6 +156,9 @@
 
 
 def _check_controls(source: Source, found: Any) -> None:
+    if found['cluster'] is not None:
+        _check_cluster(source, found)
+        return
     names = [control['name'] for control in found['controls']]
     if 'control' in found['roles'] and found['name'] not in names:
         source.report(
@@ -139,6 +177,18 @@
         _check_loopback(source, found)
 
 
+def _check_cluster(source: Source, found: Any) -> None:
+    if not found['cluster']['founders']:
+        source.report(None, 'conf.E020', 'No founder is listed.')
+    if found['network'] != 'private' and found['security'] is None:
+        source.report(
+            None,
+            'conf.E021',
+            'A cluster is reached from other machines.',
+            'Set security, or network: private where nobody else gets in.',
+        )
+
+
 def _check_loopback(source: Source, found: Any) -> None:
     # Without credentials anybody who reaches the port could command the
     # fleet, so that is left open on the own machine only.
@@ -167,12 +217,51 @@
         data_centre=found['data_centre'],
         data_folder=Path(found['data_folder']),
         callers=Address(**found['callers']),
-        controls=tuple(_build_control(one) for one in found['controls']),
+        controls=_build_controls(found),
         logs=LogSettings(**found['logs']),
         security=_build_security(found['security']),
+        cluster=_build_cluster(found['cluster']),
+        readiness=_build_address(found['readiness']),
+        operators=_build_address(found['operators']),
     )
 
 
+def _build_controls(found: Any) -> tuple[ControlAddress, ...]:
+    cluster = found['cluster']
+    if cluster is None:
+        return tuple(_build_control(one) for one in found['controls'])
+    hosts = sorted({_cut_port(founder) for founder in cluster['founders']})
+    return tuple(get_control_address(host, cluster['port']) for host in hosts)
+
+
+def _build_cluster(found: Any) -> Cluster | None:
+    if found is None:
+        return None
+    return Cluster(
+        get_control_address(found['host'], found['port']),
+        found['failures_tolerated'],
+        found['may_found'] == 'true',
+    )
+
+
+def _build_address(found: Any) -> Address | None:
+    return None if found is None else Address(**found)
+
+
+def _cut_port(founder: str) -> str:
+    # A founder may be given as the address of another of its services; all
+    # control processes of a cluster listen at the cluster's own port.
+    return founder.partition(':')[0]
+
+
+def get_control_address(host: str, port: int) -> ControlAddress:
+    """Give where a control process of a cluster listens, by its host.
+
+    Operators reach it at the next port.
+    """
+    return ControlAddress(host, Address(host, port), Address(host, port + 1))
+
+
 def _build_security(found: Any) -> Security | None:
     if found is None:
         return None
--- a/src/sardinemast/consensus/_founding.py
+++ b/src/sardinemast/consensus/_founding.py
@@ -11,6 +11,7 @@
     Configuration,
     FoundReply,
     FoundRequest,
+    JoinHint,
     JoinRequest,
     LogEntry,
     Member,
@@ -29,6 +30,7 @@
         self._joining: dict[str, str] = {}
         self._accepted: set[str] = set()
         self._ask_due_s = float('-inf')
+        self._hinted: set[str] = set()
         self.is_active = (
             state.has_fixed_members
             or state.term > 0
@@ -58,6 +60,10 @@
             self._joining[event.sender] = event.route.sender
             self._propose()
 
+    def receive_hint(self, hint: JoinHint) -> None:
+        """Ask these replicas too."""
+        self._hinted.update(hint.names)
+
     def receive_request(
         self,
         event: MessageReceived,
@@ -97,7 +103,7 @@
         state = self._state
         may_found = self._folder.may_found and self.is_empty
         request: Message = JoinRequest(may_found)
-        for name in state.settings.voters:
+        for name in sorted({*state.settings.voters, *self._hinted}):
             if name != state.settings.name:
                 route = Route(state.identity)
                 state.outputs.append(SendMessage(name, request, route))
--- a/src/sardinemast/consensus/_membership.py
+++ b/src/sardinemast/consensus/_membership.py
@@ -10,7 +10,7 @@
 
 from sardinemast.consensus._commit import Commits
 from sardinemast.consensus._events import MessageReceived, Role
-from sardinemast.consensus._messages import Member, RetireRequest
+from sardinemast.consensus._messages import JoinHint, Member, RetireRequest
 from sardinemast.consensus._replication import Replication
 from sardinemast.consensus._state import ReplicaState
 
@@ -33,6 +33,8 @@
         state = self._state
         configuration = state.log.configuration
         identity = event.route.sender
+        if state.role is not Role.leader:
+            self._give_hint(event)
         if not self._may_change() or configuration.find(identity):
             return
         namesakes = self._get_namesakes(event.sender)
@@ -42,7 +44,7 @@
             self._replication.has_heard(one.identity, now_s)
             for one in namesakes
         )
-        if is_in_use or event.sender not in state.settings.voters:
+        if is_in_use or not self._may_join(event.sender):
             return
         kept = [
             one
@@ -52,6 +54,16 @@
         learner = Member(identity, event.sender, is_voter=False)
         self._propose((*kept, learner), now_s)
 
+    def _give_hint(self, event: MessageReceived) -> None:
+        names = {one.name for one in self._state.log.configuration.members}
+        if names and self._state.settings.voters_max:
+            stranger = Member(event.route.sender, event.sender, is_voter=False)
+            self._state.send(stranger, JoinHint(tuple(sorted(names))))
+
+    def _may_join(self, name: str) -> bool:
+        settings = self._state.settings
+        return settings.voters_max > 0 or name in settings.voters
+
     def tick(self, now_s: float) -> None:
         """Go on with a change that is due and loses no majority."""
         if not self._may_change():
@@ -103,6 +115,8 @@
         ]
         if namesakes:
             return self._get_without(namesakes[0], now_s)
+        if self._is_full():
+            return self._get_without_silent(now_s)
         return tuple(
             one._replace(is_voter=True) if one == member else one
             for one in members
@@ -118,6 +132,29 @@
         members = self._state.log.configuration.members
         return tuple(one for one in members if one != replaced)
 
+    def _is_full(self) -> bool:
+        voters_max = self._state.settings.voters_max
+        members = self._state.log.configuration.members
+        return 0 < voters_max <= sum(one.is_voter for one in members)
+
+    def _get_without_silent(self, now_s: float) -> tuple[Member, ...]:
+        # A replica that was replaced for good never comes back under its
+        # name. While it counts as a voter, one loss less can be borne.
+        progress = self._replication.get_progress
+        voters = [one for one in self._state.get_peers() if one.is_voter]
+        silent = min(
+            voters,
+            key=lambda one: progress(one.identity).acknowledged_s,
+        )
+        heard_s = max(
+            progress(silent.identity).acknowledged_s,
+            self._replication.elected_s,
+        )
+        if now_s < heard_s + self._state.settings.replace_after_s:
+            return ()
+        members = self._state.log.configuration.members
+        return tuple(one for one in members if one != silent)
+
     def _is_caught_up(self, member: Member, now_s: float) -> bool:
         known = self._replication.get_progress(member.identity)
         is_heard = self._replication.has_heard(member.identity, now_s)
--- a/src/sardinemast/consensus/_messages.py
+++ b/src/sardinemast/consensus/_messages.py
@@ -136,6 +136,15 @@
     may_found: bool
 
 
+class JoinHint(NamedTuple):
+    """Name the replicas that a folder may ask to be taken in.
+
+    The leader may be one that the settings of a new replica do not name.
+    """
+
+    names: tuple[str, ...]
+
+
 class FoundRequest(NamedTuple):
     """Ask an empty folder to accept the first configuration."""
 
@@ -160,6 +169,7 @@
     | SnapshotChunk
     | SnapshotReply
     | JoinRequest
+    | JoinHint
     | FoundRequest
     | FoundReply
     | RetireRequest
@@ -172,6 +182,7 @@
     SnapshotChunk,
     SnapshotReply,
     JoinRequest,
+    JoinHint,
     FoundRequest,
     FoundReply,
     RetireRequest,
--- a/src/sardinemast/consensus/_receiving.py
+++ b/src/sardinemast/consensus/_receiving.py
@@ -17,6 +17,7 @@
     AppendReply,
     FoundReply,
     FoundRequest,
+    JoinHint,
     JoinRequest,
     Member,
     Message,
@@ -75,6 +76,8 @@
         if isinstance(message, JoinRequest):
             self._parts.founding.receive_join(event, message.may_found)
             self._parts.membership.receive_join(event, now_s)
+        elif isinstance(message, JoinHint):
+            self._parts.founding.receive_hint(message)
         elif isinstance(message, FoundRequest):
             self._parts.founding.receive_request(event, message.configuration)
         elif isinstance(message, FoundReply):
--- a/src/sardinemast/consensus/_replica.py
+++ b/src/sardinemast/consensus/_replica.py
@@ -138,10 +138,13 @@
 
     def has_lease(self, now_s: float) -> bool:
         """Tell whether no other leader can have been elected yet."""
+        return now_s < self.get_lease_until_s(now_s)
+
+    def get_lease_until_s(self, now_s: float) -> float:
+        """Give until when no other leader can be elected, at the leader."""
         if self.role is not Role.leader:
-            return False
-        heard_s = self._replication.get_heard_s(now_s)
-        return now_s < heard_s + self.settings.lease_s
+            return float('-inf')
+        return self._replication.get_heard_s(now_s) + self.settings.lease_s
 
     def _start(self, now_s: float) -> None:
         # Before the restart this replica may have promised a leader its
--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -38,7 +38,7 @@
         self._state = state
         self._commits = commits
         self._heartbeat_due_s: float = 0
-        self._elected_s: float = 0
+        self.elected_s: float = 0
         self.progress: dict[str, Progress] = {}
 
     def start_term(self, now_s: float) -> None:
@@ -48,7 +48,7 @@
         state.leader = state.settings.name
         following = Progress(state.log.last_index + 1)
         self.progress = {peer.identity: following for peer in state.get_peers()}
-        self._elected_s = now_s
+        self.elected_s = now_s
         self.propose(((b'', None),), now_s)
         self.count()
 
@@ -81,7 +81,7 @@
         # A leader that hears no majority steps down by itself, or it would
         # go on answering operators from a state that has been replaced.
         timeout_s = self._state.settings.election_timeout_s
-        heard_s = max(self.get_heard_s(now_s), self._elected_s)
+        heard_s = max(self.get_heard_s(now_s), self.elected_s)
         if now_s >= heard_s + timeout_s:
             self._state.become_follower(now_s)
         elif now_s >= self._heartbeat_due_s:
--- a/src/sardinemast/consensus/_settings.py
+++ b/src/sardinemast/consensus/_settings.py
@@ -9,6 +9,12 @@
 class ReplicaSettings(NamedTuple):
     """Name the replicas and set the times.
 
+    With ``voters_max`` the voters of the settings only found the cluster.
+    Replicas of any name may join it, up to that many become voters, and one
+    that nobody has heard for ``replace_after_s`` gives its place to a replica
+    that waits for one: longer than a restart or a lost word, short enough
+    that a second loss seldom comes before.
+
     ``lease_s`` is shorter than the shortest election timeout, so that a new
     leader cannot be elected while the old one still trusts its lease. The
     quotient bounds how far the rates of two clocks may lie apart. Entries and
@@ -25,6 +31,8 @@
     batch_bytes: int = _BATCH_BYTES
     chunk_bytes: int = _CHUNK_BYTES
     retained_entries: int = 1024
+    voters_max: int = 0
+    replace_after_s: float = 1.5
 
 
 class FolderIdentity(NamedTuple):
--- a/src/sardinemast/control/__init__.py
+++ b/src/sardinemast/control/__init__.py
@@ -1,26 +1,39 @@
-"""Core of a control process: the log, leases, grants and the roster."""
+"""Core of a control process: the log, leases, grants, jobs, the roster."""
 
 from sardinemast.control._core import ControlCore, ControlSettings
 from sardinemast.control._events import (
+    AnswerCall,
     AnswerOperator,
     AnswerRepair,
+    CallReceived,
+    CallerConnected,
+    CallerDisconnected,
     ControlEvent,
     ControlOutput,
     EntryConnected,
     EntryDisconnected,
     EntryReceived,
+    GatherProposals,
     OperatorAnswer,
     OperatorAsked,
     OperatorsAsked,
     PeerReceived,
+    ProposalsDue,
     RepairAsked,
+    SendOrder,
+    SendToCaller,
     SendToEntry,
     Tick,
 )
+from sardinemast.control._job_desk import make_unsent
 
 __all__ = (
+    'AnswerCall',
     'AnswerOperator',
     'AnswerRepair',
+    'CallReceived',
+    'CallerConnected',
+    'CallerDisconnected',
     'ControlCore',
     'ControlEvent',
     'ControlOutput',
@@ -28,11 +41,16 @@
     'EntryConnected',
     'EntryDisconnected',
     'EntryReceived',
+    'GatherProposals',
     'OperatorAnswer',
     'OperatorAsked',
     'OperatorsAsked',
     'PeerReceived',
+    'ProposalsDue',
     'RepairAsked',
+    'SendOrder',
+    'SendToCaller',
     'SendToEntry',
     'Tick',
+    'make_unsent',
 )
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -2,13 +2,22 @@
 
 from typing import NamedTuple
 
-from sardinemast import consensus
+from sardinemast import consensus, dispatch
 from sardinemast.fleet import Command, Outcome
-from sardinemast.protocol import ControlMessage, EntryMessage
+from sardinemast.protocol import (
+    Call,
+    CallAnswer,
+    ControlMessage,
+    EntryMessage,
+    LeaderBeat,
+    NotLeader,
+)
 
 
 class Tick(NamedTuple):
-    """Tell the core that time has passed."""
+    """Tell the core that time has passed, and the time of day."""
+
+    wall_ms: int = 0
 
 
 class PeerReceived(NamedTuple):
@@ -63,6 +72,30 @@
     name: str
 
 
+class CallerConnected(NamedTuple):
+    """Tell that a process opened a stream for calls."""
+
+    stream_id: int
+
+
+class CallReceived(NamedTuple):
+    """Hand over a call that a process passes on."""
+
+    stream_id: int
+    call_id: int
+    call: Call
+
+
+class CallerDisconnected(NamedTuple):
+    """Tell that a stream for calls has ended."""
+
+    stream_id: int
+
+
+class ProposalsDue(NamedTuple):
+    """Have what was gathered written and synced together."""
+
+
 class OperatorAnswer(NamedTuple):
     """Answer an operator truthfully.
 
@@ -101,6 +134,32 @@
     message: ControlMessage
 
 
+class GatherProposals(NamedTuple):
+    """Hand over ``ProposalsDue`` a moment later."""
+
+
+class AnswerCall(NamedTuple):
+    """Send the answer to a call."""
+
+    stream_id: int
+    call_id: int
+    answer: CallAnswer
+
+
+class SendToCaller(NamedTuple):
+    """Send a message on a stream for calls."""
+
+    stream_id: int
+    message: LeaderBeat | NotLeader
+
+
+class SendOrder(NamedTuple):
+    """Send an order to a worker, unless the lease has ended before."""
+
+    order: dispatch.DispatchOutput
+    valid_until_s: float
+
+
 ControlEvent = (
     Tick
     | PeerReceived
@@ -110,5 +169,19 @@
     | OperatorAsked
     | OperatorsAsked
     | RepairAsked
+    | CallerConnected
+    | CallReceived
+    | CallerDisconnected
+    | ProposalsDue
+    | dispatch.DispatchEvent
+)
+ControlOutput = (
+    consensus.Output
+    | AnswerOperator
+    | AnswerRepair
+    | SendToEntry
+    | AnswerCall
+    | SendToCaller
+    | SendOrder
+    | GatherProposals
 )
-ControlOutput = consensus.Output | AnswerOperator | AnswerRepair | SendToEntry
--- a/src/sardinemast/daemon/_logs.py
+++ b/src/sardinemast/daemon/_logs.py
@@ -1,9 +1,15 @@
 """Logs as text for people or as JSON lines for machines."""
 
 import json
+import sys
 from typing import Any
 
-from logbook import LogRecord, RotatingFileHandler, StderrHandler
+from logbook import (
+    LogRecord,
+    RotatingFileHandler,
+    StderrHandler,
+    StreamHandler,
+)
 from logbook.handlers import Handler
 
 from sardinemast.conf import LogSettings
@@ -24,6 +30,8 @@
             max_size=logs.max_bytes,
             backup_count=logs.backups,
         )
+    elif logs.format == 'json':
+        handler = StreamHandler(sys.stdout, level=level)
     else:
         handler = StderrHandler(level=level)
     if logs.format == 'json':
--- /dev/null
+++ b/src/sardinemast/dispatch/__init__.py
@@ -0,0 +1,37 @@
+"""Start, watch and stop the tasks of jobs on workers, at the leader."""
+
+from sardinemast.dispatch._core import Dispatcher
+from sardinemast.dispatch._events import (
+    DispatchEvent,
+    DispatchOutput,
+    ListedEnd,
+    ListedRun,
+    LookAnswer,
+    LookAtWorker,
+    OrderOutcome,
+    PaceRun,
+    Propose,
+    RunAnswered,
+    StartRun,
+    StopRun,
+    WorkerLooked,
+)
+from sardinemast.dispatch._settings import DispatchSettings
+
+__all__ = (
+    'DispatchEvent',
+    'DispatchOutput',
+    'DispatchSettings',
+    'Dispatcher',
+    'ListedEnd',
+    'ListedRun',
+    'LookAnswer',
+    'LookAtWorker',
+    'OrderOutcome',
+    'PaceRun',
+    'Propose',
+    'RunAnswered',
+    'StartRun',
+    'StopRun',
+    'WorkerLooked',
+)
--- /dev/null
+++ b/src/sardinemast/dispatch/_planner.py
@@ -0,0 +1,214 @@
+"""Choose which tasks start now, and on which workers."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from sardinemast.jobs import (
+    NO_SIZE,
+    JobsState,
+    JobState,
+    Size,
+    StepState,
+    TaskKey,
+    Worker,
+)
+from sardinemast.jobs.commands import RunStart
+
+# One command is synced and sent at once; more would hold up the next look.
+_STARTS_MAX = 256
+
+
+class Standing(NamedTuple):
+    """Say which workers get a task, and what speaks against one.
+
+    ``get_penalty`` gives 0 for a worker like any other and more for one that
+    is better avoided, for a step and a task's index.
+    """
+
+    worker: Worker
+    has_servers: bool = False
+    has_fillers: bool = False
+
+
+class Planner:
+    """Choose starts on a picture of the free room."""
+
+    def __init__(
+        self,
+        state: JobsState,
+        standings: Iterable[Standing],
+        order: Callable[[StepState], tuple[float, ...]],
+        is_avoided: Callable[[TaskKey, str], bool],
+    ) -> None:
+        self._state = state
+        self._order = order
+        self._is_avoided = is_avoided
+        self._free: dict[str, Size] = {}
+        self._by_pool: dict[str, list[Standing]] = defaultdict(list)
+        for standing in standings:
+            worker = standing.worker
+            self._free[worker.name] = state.get_free(worker)
+            self._by_pool[worker.pool].append(standing)
+        self._used_by_team = dict(state.used_by_team)
+        self._starts: list[RunStart] = []
+
+    def choose(self) -> tuple[RunStart, ...]:
+        """Choose what starts now, the most pressing first."""
+        candidates = [
+            step
+            for step in self._state.ready.values()
+            if step.waiting and self._by_pool.get(self._get_pool(step))
+        ]
+        for step in sorted(candidates, key=self._order):
+            if len(self._starts) >= _STARTS_MAX:
+                break
+            self._place_step(step)
+        return tuple(self._starts)
+
+    def _get_pool(self, step: StepState) -> str:
+        return self._get_job(step).queue.pool
+
+    def _get_job(self, step: StepState) -> JobState:
+        return self._state.jobs[step.key.job]
+
+    def _place_step(self, step: StepState) -> None:
+        if step.step.is_gang:
+            self._place_gang(step)
+            return
+        on_worker = _count_by_worker(step)
+        for index in tuple(step.waiting):
+            worker = self._place_task(step, index, on_worker, '')
+            if worker is None:
+                return
+            on_worker[worker] += 1
+
+    def _place_gang(self, step: StepState) -> None:
+        # Members wait for each other at their workers, and hold room there.
+        # Unless all can start at once, none does.
+        if step.running:
+            return
+        racks = [''] if not step.step.is_same_rack else self._get_racks(step)
+        for rack in racks:
+            if self._try_gang(step, rack):
+                return
+
+    def _get_racks(self, step: StepState) -> list[str]:
+        standings = self._by_pool[self._get_pool(step)]
+        racks = sorted({one.worker.rack for one in standings})
+        racks.sort(key=lambda rack: rack != step.step.data_rack)
+        # Far apart is slow, but a gang that fits no rack must run somewhere.
+        return [*racks, '']
+
+    def _try_gang(self, step: StepState, rack: str) -> bool:
+        kept_free = dict(self._free)
+        kept_used = dict(self._used_by_team)
+        kept_starts = list(self._starts)
+        on_worker = _count_by_worker(step)
+        for index in tuple(step.waiting):
+            worker = self._place_task(step, index, on_worker, rack)
+            if worker is None:
+                self._free = kept_free
+                self._used_by_team = kept_used
+                self._starts = kept_starts
+                return False
+            on_worker[worker] += 1
+        return True
+
+    def _place_task(
+        self,
+        step: StepState,
+        index: int,
+        on_worker: dict[str, int],
+        rack: str,
+    ) -> str | None:
+        if not self._has_team_room(step):
+            return None
+        worker = self._pick(step, index, on_worker, rack)
+        if worker is None:
+            return None
+        size = _get_taken(step)
+        self._free[worker] = self._free[worker].plus(size, -1)
+        team = self._get_job(step).team
+        used = self._used_by_team.get(team, NO_SIZE)
+        self._used_by_team[team] = used.plus(step.step.size)
+        self._starts.append(
+            RunStart(step.get_task(index), step.get_next_number(index), worker),
+        )
+        return worker
+
+    def _has_team_room(self, step: StepState) -> bool:
+        job = self._get_job(step)
+        team = self._state.teams.get(job.team)
+        if team is None:
+            return True
+        used = self._used_by_team.get(job.team, NO_SIZE).plus(step.step.size)
+        return all(
+            cap <= 0 or taken <= cap
+            for taken, cap in zip(used, team.cap, strict=True)
+        )
+
+    def _pick(
+        self,
+        step: StepState,
+        index: int,
+        on_worker: dict[str, int],
+        rack: str,
+    ) -> str | None:
+        size = _get_taken(step)
+        task = step.get_task(index)
+        best: tuple[tuple[float, ...], str] | None = None
+        for standing in self._by_pool[self._get_pool(step)]:
+            worker = standing.worker
+            if not size.fits(self._free[worker.name]):
+                continue
+            if not _is_allowed(step, worker, on_worker, rack):
+                continue
+            cost = (
+                self._is_avoided(task, worker.name),
+                _is_far(step, worker),
+                _is_disturbed(step, standing),
+                on_worker[worker.name],
+                -self._free[worker.name].millicores,
+            )
+            if best is None or (cost, worker.name) < best:
+                best = (cost, worker.name)
+        return best[1] if best else None
+
+
+def _count_by_worker(step: StepState) -> dict[str, int]:
+    counted: dict[str, int] = defaultdict(int)
+    for run in step.running.values():
+        counted[run.worker] += 1
+    return counted
+
+
+def _get_taken(step: StepState) -> Size:
+    if step.step.is_filler:
+        return step.step.size._replace(millicores=0)
+    return step.step.size
+
+
+def _is_allowed(
+    step: StepState,
+    worker: Worker,
+    on_worker: dict[str, int],
+    rack: str,
+) -> bool:
+    wanted = step.step
+    if wanted.required_label and wanted.required_label not in worker.labels:
+        return False
+    if wanted.worker_max and on_worker[worker.name] >= wanted.worker_max:
+        return False
+    return not rack or worker.rack == rack
+
+
+def _is_far(step: StepState, worker: Worker) -> bool:
+    rack = step.step.data_rack
+    return bool(rack) and rack != worker.rack
+
+
+def _is_disturbed(step: StepState, standing: Standing) -> bool:
+    if step.step.is_filler:
+        return standing.has_servers
+    return step.step.tail_limit_ms > 0 and standing.has_fillers
--- /dev/null
+++ b/src/sardinemast/dispatch/_settings.py
@@ -0,0 +1,29 @@
+"""Times and limits of the leader's work with workers."""
+
+from typing import NamedTuple
+
+
+class DispatchSettings(NamedTuple):
+    """Set the times; each is bounded by what workers promise.
+
+    ``lease_ms`` is how long a worker's runs go on when it hears nothing: long
+    enough to outlast an election of about a second and a lost word or two,
+    short enough that a silent worker's tasks start again soon. A worker's
+    clock may be slow by ``drift``. A look waits up to ``wait_ms`` for an end,
+    or ``watch_ms`` where the tails of serving tasks must be followed.
+    ``quiet_s`` is how long a worker may be silent before it gets nothing new;
+    idle ones only send announcements, so they have ``idle_quiet_s``.
+    """
+
+    lease_ms: int = 5000
+    drift: float = 0.02
+    wait_ms: int = 1000
+    watch_ms: int = 300
+    answer_s: float = 0.8
+    quiet_s: float = 1.9
+    idle_quiet_s: float = 3.6
+    stop_again_s: float = 0.5
+    retry_s: float = 0.25
+    retry_max_s: float = 2.0
+    forget_s: float = 20.0
+    margin_s: float = 0.3
--- a/src/sardinemast/fleet/_plan_commands.py
+++ b/src/sardinemast/fleet/_plan_commands.py
@@ -1,10 +1,14 @@
-"""Commands of maintenance and placement on the fleet's state."""
+"""Commands of maintenance, placement and jobs on the fleet's state."""
 
-from sardinemast import maintenance, placement
+from sardinemast import jobs, maintenance, placement
 from sardinemast.fleet._dispatch import accept, execute_command, refuse
 from sardinemast.fleet._state import FleetState, Instance, Outcome
 
-PLAN_CLASSES = (*maintenance.COMMAND_CLASSES, *placement.COMMAND_CLASSES)
+PLAN_CLASSES = (
+    *maintenance.COMMAND_CLASSES,
+    *placement.COMMAND_CLASSES,
+    *jobs.COMMAND_CLASSES,
+)
 
 
 def _execute_maintenance(
@@ -31,6 +35,11 @@
     return accept(state)
 
 
+def _execute_jobs(command: jobs.Command, state: FleetState) -> Outcome:
+    jobs.apply_command(command, state.plans.jobs, state.log_index)
+    return accept(state)
+
+
 def _follow_pools(state: FleetState) -> None:
     # Entries route by the fleet's instances. If a move changed only the
     # maintenance state, an instance would stand in two pools.
@@ -48,6 +57,8 @@
         execute_command.register(maintenance_class, _execute_maintenance)
     for placement_class in placement.COMMAND_CLASSES:
         execute_command.register(placement_class, _execute_placement)
+    for jobs_class in jobs.COMMAND_CLASSES:
+        execute_command.register(jobs_class, _execute_jobs)
 
 
 _register()
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -6,6 +6,10 @@
 
 from sardinemast.fleet._diff import DocumentChange, DocumentFinding
 from sardinemast.fleet._documents import EMPTY_DOCUMENT, FleetDocument
+from sardinemast.jobs import EMPTY_IMAGE as EMPTY_JOBS
+from sardinemast.jobs import JobsImage, JobsState
+from sardinemast.jobs import dump_state as dump_jobs
+from sardinemast.jobs import load_state as load_jobs
 from sardinemast.maintenance import EMPTY_IMAGE as EMPTY_MAINTENANCE
 from sardinemast.maintenance import MaintenanceImage, MaintenanceState
 from sardinemast.maintenance import dump_state as dump_maintenance
@@ -118,6 +122,7 @@
     key_holders: tuple[EntryProcess, ...] = ()
     maintenance: MaintenanceImage = EMPTY_MAINTENANCE
     placement: PlacementImage = EMPTY_PLACEMENT
+    jobs: JobsImage = EMPTY_JOBS
 
 
 class Plans(NamedTuple):
@@ -125,6 +130,7 @@
 
     maintenance: MaintenanceState
     placement: PlacementState
+    jobs: JobsState
 
 
 class FleetState:
@@ -154,7 +160,11 @@
         self.granted_totals: dict[str, int] = {}
         self.remembered: dict[str, RememberedCommand] = {}
         self.history: dict[int, VersionRecord] = {}
-        self.plans = Plans(MaintenanceState(), PlacementState())
+        self.plans = Plans(
+            MaintenanceState(),
+            PlacementState(),
+            JobsState(),
+        )
 
 
 def dump_state(state: FleetState) -> FleetImage:
@@ -174,6 +184,7 @@
         tuple(state.key_holders.values()),
         dump_maintenance(state.plans.maintenance),
         dump_placement(state.plans.placement),
+        dump_jobs(state.plans.jobs),
     )
 
 
@@ -199,5 +210,6 @@
     state.plans = Plans(
         load_maintenance(image.maintenance),
         load_placement(image.placement),
+        load_jobs(image.jobs),
     )
     return state
--- a/src/sardinemast/fleet/_streams.py
+++ b/src/sardinemast/fleet/_streams.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from sardinemast import placement
+from sardinemast import jobs, placement
 from sardinemast.fleet._dispatch import execute_command
 from sardinemast.fleet._state import (
     FleetImage,
@@ -54,6 +54,7 @@
         remembered=(),
         history=(),
         placement=placement.EMPTY_IMAGE,
+        jobs=jobs.EMPTY_IMAGE,
     )
 
 
@@ -75,7 +76,7 @@
             COMMANDS.encode(NoteTotals(totals)),
             _split_grants(state, command),
         )
-    if isinstance(command, AdvanceTime | placement.Command):
+    if isinstance(command, AdvanceTime | placement.Command | jobs.Command):
         return EntryCommand(index, b'', {})
     if isinstance(command, RestoreVersion):
         command = ApplyDocument('', state.version - 1, state.document)
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from sardinemast import maintenance, placement
+from sardinemast import jobs, maintenance, placement
 from sardinemast.fleet._dispatch import execute_command, refuse
 from sardinemast.fleet._entry_commands import RegisterEntry, RetireEntry
 from sardinemast.fleet._grant_commands import (
@@ -39,6 +39,7 @@
     | AdvanceTime
     | maintenance.Command
     | placement.Command
+    | jobs.Command
 )
 _OPERATOR_CLASSES = (
     ApplyDocument,
--- /dev/null
+++ b/src/sardinemast/jobs/__init__.py
@@ -0,0 +1,67 @@
+"""Jobs of many tasks, the queues that take them and what runs them."""
+
+from sardinemast.jobs._apply import apply_command
+from sardinemast.jobs._checks import CatalogFinding, check_catalog
+from sardinemast.jobs._images import (
+    EMPTY_IMAGE,
+    JobsImage,
+    dump_state,
+    load_state,
+)
+from sardinemast.jobs._records import (
+    EMPTY_CATALOG,
+    NO_SIZE,
+    Advice,
+    Catalog,
+    JobRequest,
+    JobStatus,
+    Pool,
+    Queue,
+    Run,
+    RunEnd,
+    Step,
+    StepKey,
+    TaskKey,
+    Team,
+    UpkeepStatus,
+    Wave,
+    WaveItem,
+    Worker,
+)
+from sardinemast.jobs._state import JobsState, JobState, StepState
+from sardinemast.jobs.commands import COMMAND_CLASSES, Command
+from sardinemast.placement import Size
+
+__all__ = (
+    'COMMAND_CLASSES',
+    'EMPTY_CATALOG',
+    'EMPTY_IMAGE',
+    'NO_SIZE',
+    'Advice',
+    'Catalog',
+    'CatalogFinding',
+    'Command',
+    'JobRequest',
+    'JobState',
+    'JobStatus',
+    'JobsImage',
+    'JobsState',
+    'Pool',
+    'Queue',
+    'Run',
+    'RunEnd',
+    'Size',
+    'Step',
+    'StepKey',
+    'StepState',
+    'TaskKey',
+    'Team',
+    'UpkeepStatus',
+    'Wave',
+    'WaveItem',
+    'Worker',
+    'apply_command',
+    'check_catalog',
+    'dump_state',
+    'load_state',
+)
--- /dev/null
+++ b/src/sardinemast/jobs/_apply.py
@@ -0,0 +1,278 @@
+"""Apply commands to the state of jobs."""
+
+from functools import singledispatch
+
+from sardinemast.jobs import commands
+from sardinemast.jobs._records import (
+    Run,
+    RunEnd,
+    UpkeepStatus,
+    Wave,
+    WaveItem,
+)
+from sardinemast.jobs._state import JobsState, JobState, StepState
+
+# A job that is over can be read this long, twice what callers are promised.
+KEPT_MS = 240_000
+
+
+@singledispatch
+def apply_command(
+    command: commands.Command,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    """Change the state by the command at the index; what is stale is left."""
+    raise TypeError(command)
+
+
+@apply_command.register
+def _apply_catalog(
+    command: commands.PutCatalog,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    if command.catalog.version > state.catalog.version:
+        state.put_catalog(command.catalog, command.source)
+
+
+@apply_command.register
+def _apply_submission(
+    command: commands.SubmitJob,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    queue = state.queues.get(command.queue)
+    if command.name in state.jobs or queue is None:
+        return
+    _drop_old(state, command.noted_ms)
+    job = JobState(
+        command.name,
+        queue,
+        command.team,
+        command.request,
+        log_index,
+        command.noted_ms,
+    )
+    state.jobs[job.name] = job
+    state.live[job.name] = job
+    if not job.request.occurrences:
+        _open(state, job, 0)
+
+
+@apply_command.register
+def _apply_cancellation(
+    command: commands.CancelJob,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    job = state.jobs.get(command.name)
+    if job is not None and not job.is_over:
+        job.is_cancelled = True
+        _close(state, job)
+
+
+@apply_command.register
+def _apply_occurrence(
+    command: commands.OpenOccurrence,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    job = state.jobs.get(command.job)
+    if job is None or job.is_over or command.occurrence in job.steps:
+        return
+    _open(state, job, command.occurrence)
+
+
+@apply_command.register
+def _apply_worker(
+    command: commands.RegisterWorker,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    worker = command.worker
+    known = state.workers.get(worker.name)
+    if known is not None and known.boot_ms > worker.boot_ms:
+        return
+    # Runs of an earlier boot stay until the leader has looked: a start that
+    # crossed the restart may have reached the new boot.
+    state.workers[worker.name] = worker
+    state.runs.setdefault(worker.name, {})
+
+
+@apply_command.register
+def _apply_leaving(
+    command: commands.ForgetWorker,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    worker = state.workers.get(command.name)
+    if worker is None or worker.boot_ms != command.boot_ms:
+        return
+    state.workers.pop(command.name)
+    for task in tuple(state.runs.get(command.name, ())):
+        step = state.find_step(task)
+        if step is not None:
+            _end_run(state, step, task.index, RunEnd.lost)
+    state.runs.pop(command.name, None)
+    state.used_by_worker.pop(command.name, None)
+
+
+@apply_command.register
+def _apply_runs(
+    command: commands.RecordRuns,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    for over in command.ends:
+        step = state.find_step(over.task)
+        run = step.running.get(over.task.index) if step else None
+        if step and run is not None and run.number == over.number:
+            if over.checkpoint:
+                step.checkpoints[over.task.index] = over.checkpoint
+            _end_run(state, step, over.task.index, over.end)
+    for start in command.starts:
+        _start_run(state, start)
+
+
+@apply_command.register
+def _apply_wave(
+    command: commands.DeclareWave,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    if command.number not in state.waves:
+        state.waves[command.number] = Wave(
+            command.number,
+            command.cap,
+            command.started_ms,
+            command.due_ms,
+            tuple(map(WaveItem, command.instances)),
+        )
+
+
+@apply_command.register
+def _apply_upkeep(
+    command: commands.NoteUpkeep,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    wave = state.waves.get(command.wave)
+    if wave is None:
+        return
+    items = tuple(
+        item._replace(status=command.status, token=command.token)
+        if item.instance == command.instance
+        and item.status is not UpkeepStatus.done
+        else item
+        for item in wave.items
+    )
+    state.waves[wave.number] = wave._replace(items=items)
+
+
+def _open(state: JobsState, job: JobState, occurrence: int) -> None:
+    for step in job.open_occurrence(occurrence):
+        if job.is_ready(step):
+            state.ready[step.key] = step
+
+
+def _start_run(state: JobsState, start: commands.RunStart) -> None:
+    step = state.find_step(start.task)
+    index = start.task.index
+    if step is None or state.jobs[start.task.job].is_over:
+        return
+    if start.worker not in state.workers or index not in step.waiting:
+        return
+    if step.key in state.ready and start.number == step.get_next_number(index):
+        state.jobs[start.task.job].has_begun = True
+        state.add_run(step, index, Run(start.number, start.worker))
+
+
+def _end_run(
+    state: JobsState,
+    step: StepState,
+    index: int,
+    end: RunEnd,
+) -> None:
+    state.remove_run(step, index)
+    job = state.jobs[step.key.job]
+    if job.is_over:
+        return
+    if end is RunEnd.done and not step.step.is_lasting:
+        _finish_task(state, job, step, index)
+        return
+    step.waiting[index] = None
+    if end is RunEnd.failed and not step.step.is_lasting:
+        _note_failure(state, job, step, index)
+
+
+def _finish_task(
+    state: JobsState,
+    job: JobState,
+    step: StepState,
+    index: int,
+) -> None:
+    step.done.add(index)
+    step.checkpoints.pop(index, None)
+    if step.step.is_gang:
+        # One end stands for all members: they work and end only together.
+        for member in tuple(step.running):
+            state.remove_run(step, member)
+        step.done.update(range(step.step.count))
+        step.waiting.clear()
+    if step.is_done:
+        state.ready.pop(step.key, None)
+        _go_on(state, job, step)
+
+
+def _go_on(state: JobsState, job: JobState, ended: StepState) -> None:
+    steps = job.steps[ended.key.occurrence]
+    for step in steps:
+        if not step.is_done and job.is_ready(step):
+            state.ready.setdefault(step.key, step)
+    wanted = max(job.request.occurrences, 1)
+    if len(job.steps) == wanted and all(
+        step.is_done for step in job.iterate_steps()
+    ):
+        job.ended_ms = max(job.submitted_ms, 1)
+        _close(state, job)
+
+
+def _note_failure(
+    state: JobsState,
+    job: JobState,
+    step: StepState,
+    index: int,
+) -> None:
+    # The members of a gang fail together, and that is one failed attempt.
+    counted = 0 if step.step.is_gang else index
+    number = step.numbers[index]
+    if step.step.is_gang and step.failures.get(-1) == number:
+        return
+    step.failures[-1] = number
+    step.failures[counted] = step.failures.get(counted, 0) + 1
+    if step.failures[counted] >= job.queue.attempts:
+        job.is_failed = True
+        _close(state, job)
+
+
+def _close(state: JobsState, job: JobState) -> None:
+    job.ended_ms = max(job.submitted_ms, 1)
+    state.live.pop(job.name, None)
+    state.ended[job.name] = None
+    for step in job.iterate_steps():
+        step.waiting.clear()
+        state.ready.pop(step.key, None)
+
+
+def _drop_old(state: JobsState, now_ms: int) -> None:
+    # ``ended`` is in the order of ends, which is near that of submissions;
+    # one old job at its head may keep a few behind it a little longer.
+    for name in tuple(state.ended):
+        job = state.jobs[name]
+        if job.submitted_ms + KEPT_MS > now_ms:
+            return
+        if any(step.running for step in job.iterate_steps()):
+            return
+        state.ended.pop(name)
+        state.jobs.pop(name)
--- /dev/null
+++ b/src/sardinemast/jobs/_images.py
@@ -0,0 +1,150 @@
+"""The state of jobs as one record, and back."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from sardinemast.jobs._records import (
+    EMPTY_CATALOG,
+    Catalog,
+    JobRequest,
+    Queue,
+    Run,
+    Wave,
+    Worker,
+)
+from sardinemast.jobs._state import JobsState, JobState, StepState
+
+
+class StepImage(NamedTuple):
+    """Hold a step of an occurrence; tasks are named by their index."""
+
+    occurrence: int
+    number: int
+    waiting: tuple[int, ...]
+    running: Mapping[int, Run]
+    done: tuple[int, ...]
+    numbers: Mapping[int, int]
+    failures: Mapping[int, int]
+    checkpoints: Mapping[int, str]
+
+
+class JobImage(NamedTuple):
+    """Hold a job with all of its steps that have begun."""
+
+    name: str
+    queue: Queue
+    team: str
+    request: JobRequest
+    log_index: int
+    submitted_ms: int
+    ended_ms: int
+    has_begun: bool
+    is_cancelled: bool
+    is_failed: bool
+    steps: tuple[StepImage, ...]
+
+
+class JobsImage(NamedTuple):
+    """Hold the whole state; ended jobs in the order of their ends."""
+
+    catalog: Catalog = EMPTY_CATALOG
+    source: bytes = b''
+    live: tuple[JobImage, ...] = ()
+    ended: tuple[JobImage, ...] = ()
+    workers: tuple[Worker, ...] = ()
+    waves: tuple[Wave, ...] = ()
+
+
+EMPTY_IMAGE = JobsImage()
+
+
+def dump_state(state: JobsState) -> JobsImage:
+    """Give the whole state as one record."""
+    return JobsImage(
+        state.catalog,
+        state.source,
+        tuple(map(_dump_job, state.live.values())),
+        tuple(_dump_job(state.jobs[name]) for name in state.ended),
+        tuple(state.workers.values()),
+        tuple(state.waves.values()),
+    )
+
+
+def load_state(image: JobsImage) -> JobsState:
+    """Make a state from its record."""
+    state = JobsState()
+    state.put_catalog(image.catalog, image.source)
+    state.workers = {worker.name: worker for worker in image.workers}
+    state.runs = {name: {} for name in state.workers}
+    state.waves = {wave.number: wave for wave in image.waves}
+    for live in image.live:
+        job = _load_job(state, live)
+        state.live[job.name] = job
+        for step in job.iterate_steps():
+            if not step.is_done and job.is_ready(step):
+                state.ready[step.key] = step
+    for ended in image.ended:
+        job = _load_job(state, ended)
+        state.ended[job.name] = None
+    return state
+
+
+def _dump_job(job: JobState) -> JobImage:
+    return JobImage(
+        job.name,
+        job.queue,
+        job.team,
+        job.request,
+        job.log_index,
+        job.submitted_ms,
+        job.ended_ms,
+        job.has_begun,
+        job.is_cancelled,
+        job.is_failed,
+        tuple(map(_dump_step, job.iterate_steps())),
+    )
+
+
+def _dump_step(step: StepState) -> StepImage:
+    return StepImage(
+        step.key.occurrence,
+        step.key.step,
+        tuple(step.waiting),
+        dict(step.running),
+        tuple(sorted(step.done)),
+        dict(step.numbers),
+        dict(step.failures),
+        dict(step.checkpoints),
+    )
+
+
+def _load_job(state: JobsState, image: JobImage) -> JobState:
+    job = JobState(
+        image.name,
+        image.queue,
+        image.team,
+        image.request,
+        image.log_index,
+        image.submitted_ms,
+    )
+    job.ended_ms = image.ended_ms
+    job.has_begun = image.has_begun
+    job.is_cancelled = image.is_cancelled
+    job.is_failed = image.is_failed
+    state.jobs[job.name] = job
+    for step_image in image.steps:
+        if step_image.occurrence not in job.steps:
+            job.open_occurrence(step_image.occurrence)
+        step = job.steps[step_image.occurrence][step_image.number]
+        _fill_step(state, step, step_image)
+    return job
+
+
+def _fill_step(state: JobsState, step: StepState, image: StepImage) -> None:
+    step.waiting = dict.fromkeys(image.waiting)
+    step.done = set(image.done)
+    step.numbers = dict(image.numbers)
+    step.failures = dict(image.failures)
+    step.checkpoints = dict(image.checkpoints)
+    for index, run in image.running.items():
+        state.add_run(step, index, run)
--- /dev/null
+++ b/src/sardinemast/jobs/_records.py
@@ -0,0 +1,208 @@
+"""Records of jobs, of the queues that take them and of what runs them."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from sardinemast.placement import Size
+
+NO_SIZE = Size(0, 0)
+
+
+class Step(NamedTuple):
+    """Describe the tasks of one step of a job.
+
+    ``size`` is what each task takes. ``worker_max`` is how many tasks of the
+    step one worker may run, 0 for any number. ``may_miss`` is how many tasks
+    of a lasting step may be away at once by our own doing. A filler's
+    processor time is not counted against the worker's room.
+    """
+
+    count: int
+    size: Size
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    can_checkpoint: bool = False
+    is_gang: bool = False
+    is_same_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    worker_max: int = 0
+    may_overlap: bool = False
+    is_lasting: bool = False
+    image: str = ''
+    tail_limit_ms: int = 0
+    is_filler: bool = False
+    may_miss: int = 0
+
+
+class JobRequest(NamedTuple):
+    """Describe a whole job as its caller declares it.
+
+    ``occurrences`` above 0 runs all steps that many times, the first due at
+    ``first_due_ms`` of Unix time and each next one ``interval_ms`` later.
+    """
+
+    spec: str
+    steps: tuple[Step, ...]
+    occurrences: int = 0
+    first_due_ms: int = 0
+    interval_ms: int = 0
+
+
+class Advice(NamedTuple):
+    """Say that an outside policy allows the workers of a queue's steps.
+
+    An answer takes ``decide_ms`` and ``each_ms`` for each worker asked for;
+    a ticket counts for ``valid_ms``.
+    """
+
+    decide_ms: int
+    each_ms: int
+    valid_ms: int
+
+
+class Queue(NamedTuple):
+    """Declare a queue: who reaches it, and how its jobs are run.
+
+    The target of a job is ``stretch`` times its longest chain of work, and
+    ``target_ms`` more. Priority 0 comes first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    timeout_ms: int
+    target_ms: int = 0
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1
+    is_public: bool = False
+    advice: Advice | None = None
+
+
+class Pool(NamedTuple):
+    """Declare a pool of workers; those of a standby pool are switched off."""
+
+    name: str
+    rejects_overload: bool = True
+    is_standby: bool = False
+
+
+class Team(NamedTuple):
+    """Declare a team, its keys, its weight and what it may have running.
+
+    A part of ``cap`` that is 0 is no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int = 0
+    weight: float = 1
+    cap: Size = NO_SIZE
+
+
+class Catalog(NamedTuple):
+    """Hold all queues, pools and teams of one version."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    pools: tuple[Pool, ...]
+    teams: tuple[Team, ...]
+
+
+EMPTY_CATALOG = Catalog(0, (), (), ())
+
+
+class Worker(NamedTuple):
+    """Hold one worker; ``boot_ms`` is when it last started.
+
+    ``instance`` is the machine, which stays the same over its workers' lives.
+    """
+
+    name: str
+    boot_ms: int
+    address: str
+    pool: str
+    data_centre: str
+    rack: str
+    labels: tuple[str, ...]
+    room: Size
+    instance: str = ''
+    is_draining: bool = False
+
+
+class TaskKey(NamedTuple):
+    """Name one task of one step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        """Give the dotted name that workers and logs know."""
+        return f'{self.job}.{self.occurrence}.{self.step}.{self.index}'
+
+
+class StepKey(NamedTuple):
+    """Name one step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
+class Run(NamedTuple):
+    """Hold one start of a task; ``number`` grows with each start."""
+
+    number: int
+    worker: str
+
+
+class RunEnd(StrEnum):
+    """How a run ended; ``lost`` covers all that says nothing of the task."""
+
+    done = 'done'
+    failed = 'failed'
+    lost = 'lost'
+
+
+class JobStatus(StrEnum):
+    """What a caller is told of a job."""
+
+    queued = 'queued'
+    running = 'running'
+    done = 'done'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+
+class UpkeepStatus(StrEnum):
+    """How far the maintenance of one instance in a wave is."""
+
+    waiting = 'waiting'
+    ordered = 'ordered'
+    down = 'down'
+    done = 'done'
+
+
+class WaveItem(NamedTuple):
+    """Hold one instance of a wave; ``token`` fences the order for it."""
+
+    instance: str
+    status: UpkeepStatus = UpkeepStatus.waiting
+    token: int = 0
+
+
+class Wave(NamedTuple):
+    """Hold instances that are due for maintenance.
+
+    At most ``cap`` of them may be down at once; ``due_ms`` is a Unix time.
+    """
+
+    number: int
+    cap: int
+    started_ms: int
+    due_ms: int
+    items: tuple[WaveItem, ...]
--- /dev/null
+++ b/src/sardinemast/jobs/_state.py
@@ -0,0 +1,214 @@
+"""Replicated state of jobs, queues and workers."""
+
+from collections.abc import Iterator
+
+from sardinemast.jobs._records import (
+    EMPTY_CATALOG,
+    NO_SIZE,
+    Catalog,
+    JobRequest,
+    JobStatus,
+    Queue,
+    Run,
+    Step,
+    StepKey,
+    TaskKey,
+    Team,
+    Wave,
+    Worker,
+)
+from sardinemast.placement import Size
+
+
+class StepState:
+    """Hold the tasks of one step: which wait, run and are done.
+
+    ``numbers`` holds each task's highest run so far, ``failures`` how often
+    it failed by its own fault, ``checkpoints`` what a run left behind.
+    """
+
+    __slots__ = (
+        'checkpoints',
+        'done',
+        'failures',
+        'key',
+        'numbers',
+        'running',
+        'step',
+        'waiting',
+    )
+
+    def __init__(self, key: StepKey, step: Step) -> None:
+        self.key = key
+        self.step = step
+        self.waiting: dict[int, None] = dict.fromkeys(range(step.count))
+        self.running: dict[int, Run] = {}
+        self.done: set[int] = set()
+        self.numbers: dict[int, int] = {}
+        self.failures: dict[int, int] = {}
+        self.checkpoints: dict[int, str] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task has ended well."""
+        return len(self.done) == self.step.count
+
+    def get_task(self, index: int) -> TaskKey:
+        """Name one of the tasks."""
+        return TaskKey(*self.key, index)
+
+    def get_next_number(self, index: int) -> int:
+        """Give the number of the task's next run; a gang shares one."""
+        if self.step.is_gang:
+            return max(self.numbers.values(), default=0) + 1
+        return self.numbers.get(index, 0) + 1
+
+
+class JobState:
+    """Hold one job, and the steps of each occurrence that has begun."""
+
+    __slots__ = (
+        'ended_ms',
+        'has_begun',
+        'is_cancelled',
+        'is_failed',
+        'log_index',
+        'name',
+        'queue',
+        'request',
+        'steps',
+        'submitted_ms',
+        'team',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        queue: Queue,
+        team: str,
+        request: JobRequest,
+        log_index: int,
+        submitted_ms: int,
+    ) -> None:
+        self.name = name
+        self.queue = queue
+        self.team = team
+        self.request = request
+        self.log_index = log_index
+        self.submitted_ms = submitted_ms
+        self.ended_ms = 0
+        self.has_begun = False
+        self.is_cancelled = False
+        self.is_failed = False
+        self.steps: dict[int, list[StepState]] = {}
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing of the job may start any more."""
+        return self.is_cancelled or self.is_failed or self.ended_ms > 0
+
+    @property
+    def status(self) -> JobStatus:
+        """Give what a caller is told."""
+        if self.is_cancelled:
+            return JobStatus.cancelled
+        if self.is_failed:
+            return JobStatus.failed
+        if self.ended_ms:
+            return JobStatus.done
+        return JobStatus.running if self.has_begun else JobStatus.queued
+
+    def open_occurrence(self, occurrence: int) -> list[StepState]:
+        """Make the steps of an occurrence."""
+        opened = [
+            StepState(StepKey(self.name, occurrence, place), step)
+            for place, step in enumerate(self.request.steps)
+        ]
+        self.steps[occurrence] = opened
+        return opened
+
+    def is_ready(self, step: StepState) -> bool:
+        """Tell whether all steps that this one needs are done."""
+        steps = self.steps[step.key.occurrence]
+        return all(steps[needed].is_done for needed in step.step.depends_on)
+
+    def iterate_steps(self) -> Iterator[StepState]:
+        """Go through the steps of all occurrences that have begun."""
+        for steps in self.steps.values():
+            yield from steps
+
+
+class JobsState:
+    """Hold catalog, jobs, workers and waves at one log index.
+
+    ``ready`` holds the steps whose tasks may start. ``runs`` holds, by
+    worker, each task that may still run there. ``ended`` holds jobs that are
+    over, the first one first.
+    """
+
+    def __init__(self) -> None:
+        self.catalog: Catalog = EMPTY_CATALOG
+        self.source = b''
+        self.teams_by_key: dict[str, Team] = {}
+        self.teams: dict[str, Team] = {}
+        self.queues: dict[str, Queue] = {}
+        self.jobs: dict[str, JobState] = {}
+        self.ended: dict[str, None] = {}
+        self.live: dict[str, JobState] = {}
+        self.ready: dict[StepKey, StepState] = {}
+        self.workers: dict[str, Worker] = {}
+        self.runs: dict[str, dict[TaskKey, int]] = {}
+        self.used_by_worker: dict[str, Size] = {}
+        self.used_by_team: dict[str, Size] = {}
+        self.waves: dict[int, Wave] = {}
+
+    def put_catalog(self, catalog: Catalog, source: bytes) -> None:
+        """Put a catalog in force; live jobs follow their queues."""
+        self.catalog = catalog
+        self.source = source
+        self.teams = {team.name: team for team in catalog.teams}
+        self.teams_by_key = {
+            key: team for team in catalog.teams for key in team.keys
+        }
+        self.queues = {queue.name: queue for queue in catalog.queues}
+        for job in self.live.values():
+            job.queue = self.queues.get(job.queue.name, job.queue)
+
+    def find_step(self, task: TaskKey) -> StepState | None:
+        """Give the step of a task, where the job is known."""
+        job = self.jobs.get(task.job)
+        if job is None or task.occurrence not in job.steps:
+            return None
+        steps = job.steps[task.occurrence]
+        return steps[task.step] if task.step < len(steps) else None
+
+    def get_free(self, worker: Worker) -> Size:
+        """Give the room of a worker that no run takes."""
+        return worker.room.plus(
+            self.used_by_worker.get(worker.name, NO_SIZE),
+            -1,
+        )
+
+    def add_run(self, step: StepState, index: int, run: Run) -> None:
+        """Take room for a run."""
+        step.waiting.pop(index, None)
+        step.running[index] = run
+        step.numbers[index] = run.number
+        self.runs.setdefault(run.worker, {})[step.get_task(index)] = run.number
+        self._charge(step, run.worker, 1)
+
+    def remove_run(self, step: StepState, index: int) -> None:
+        """Give the room of an ended run back."""
+        run = step.running.pop(index)
+        self.runs[run.worker].pop(step.get_task(index), None)
+        self._charge(step, run.worker, -1)
+
+    def _charge(self, step: StepState, worker: str, sign: int) -> None:
+        size = step.step.size
+        team = self.jobs[step.key.job].team
+        used = self.used_by_team.get(team, NO_SIZE)
+        self.used_by_team[team] = used.plus(size, sign)
+        if step.step.is_filler:
+            size = size._replace(millicores=0)
+        taken = self.used_by_worker.get(worker, NO_SIZE)
+        self.used_by_worker[worker] = taken.plus(size, sign)
--- /dev/null
+++ b/src/sardinemast/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product."""
--- /dev/null
+++ b/src/sardinemast/platform/_control_http.py
@@ -0,0 +1,111 @@
+"""The platform's calls to control processes: workers and operators."""
+
+from http import HTTPStatus
+
+import msgspec
+from logbook import Logger
+from tornado.httputil import HTTPServerRequest
+
+from sardinemast.platform._answers import make_reply
+from sardinemast.platform._http import Reply
+from sardinemast.platform._translate import make_catalog, make_worker
+from sardinemast.platform._wire import (
+    DECODE_ERRORS,
+    BeatBody,
+    ConfigBody,
+    WaveBody,
+    decode,
+)
+from sardinemast.protocol import (
+    AnnounceWorker,
+    BeginWave,
+    Call,
+    CallOutcome,
+    ReadCatalog,
+    ReadWave,
+    ReplaceCatalog,
+    WorkerLeft,
+)
+from sardinemast.shell import LeaderRelay
+
+_log = Logger('control-http')
+_WORKERS = '/instances/'
+_WAVE = '/wave-get/'
+# Whoever calls gives up after a second, or later for large bodies.
+_TIMEOUT_S = 0.9
+_LARGE_TIMEOUT_S = 2.5
+_LARGE_BYTES = 16 * 1024
+
+
+class ControlFront:
+    """Pass the platform's calls on to the leader."""
+
+    def __init__(self, relay: LeaderRelay, port: int) -> None:
+        self._relay = relay
+        self._port = port
+
+    async def handle(self, request: HTTPServerRequest) -> Reply:
+        """Answer a worker or an operator."""
+        try:
+            call = _read_call(request)
+        except DECODE_ERRORS as error:
+            _log.info('{} {} refused: {}.', request.method, request.path, error)
+            return Reply(HTTPStatus.BAD_REQUEST)
+        if call is None:
+            return Reply(HTTPStatus.NOT_FOUND)
+        timeout_s = _TIMEOUT_S
+        if len(request.body) > _LARGE_BYTES:
+            timeout_s = _LARGE_TIMEOUT_S
+        answer = await self._relay.call(call, timeout_s)
+        if not isinstance(call, AnnounceWorker):
+            _log.info(
+                '{} {}: {} {}',
+                request.method,
+                request.path,
+                answer.outcome.value,
+                answer.status or answer.text,
+            )
+        body = b''
+        if answer.outcome is CallOutcome.done:
+            body = self._make_body(call, answer.status, answer.source)
+        return make_reply(answer, body)
+
+    def _make_body(self, call: Call, status: str, source: bytes) -> bytes:
+        if isinstance(call, AnnounceWorker):
+            # The leader hears later words without a detour.
+            address = f'{self._relay.leader}:{self._port}'
+            return msgspec.json.encode({'heartbeat_addr': address})
+        if isinstance(call, ReadWave):
+            return msgspec.json.encode({'state': status})
+        return source
+
+
+def _read_call(request: HTTPServerRequest) -> Call | None:
+    method, path = request.method, request.path
+    if path.startswith(_WORKERS):
+        return _read_worker_call(request, path[len(_WORKERS) :])
+    if path == '/config' and method == 'GET':
+        return ReadCatalog()
+    if path == '/config' and method == 'PUT':
+        catalog = make_catalog(decode(request.body, ConfigBody))
+        return ReplaceCatalog(catalog, request.body)
+    if path == '/wave-start' and method == 'POST':
+        wave = decode(request.body, WaveBody)
+        return BeginWave(
+            wave['wave'],
+            tuple(wave['machines']),
+            wave['cap'],
+            wave['deadline_s'],
+        )
+    if path.startswith(_WAVE) and method == 'GET':
+        return ReadWave(int(path[len(_WAVE) :]))
+    return None
+
+
+def _read_worker_call(request: HTTPServerRequest, name: str) -> Call | None:
+    if request.method == 'PUT':
+        beat = decode(request.body, BeatBody)
+        return AnnounceWorker(make_worker(name, beat), beat['seq'])
+    if request.method == 'DELETE':
+        return WorkerLeft(name)
+    return None
--- /dev/null
+++ b/src/sardinemast/platform/_front.py
@@ -0,0 +1,86 @@
+"""Callers' HTTP at an entry: jobs and queues, and readiness."""
+
+from http import HTTPStatus
+
+import msgspec
+from logbook import Logger
+from tornado.httputil import HTTPServerRequest
+
+from sardinemast.platform._answers import make_reply
+from sardinemast.platform._http import Reply
+from sardinemast.platform._translate import make_request
+from sardinemast.platform._wire import DECODE_ERRORS, JobBody, decode
+from sardinemast.protocol import CallOutcome, JobAction, JobCall
+from sardinemast.shell import LeaderRelay
+
+_log = Logger('front')
+_ACTIONS = {
+    'POST': JobAction.submit,
+    'GET': JobAction.read,
+    'DELETE': JobAction.cancel,
+}
+_MS = 1000
+# Callers that name no deadline wait so long; the platform's own wait 3 s.
+_TIMEOUT_S = 2.5
+# A part of the caller's time is left for the answer's way back.
+_USED_SHARE = 0.8
+
+
+class Front:
+    """Pass callers' requests on to the leader."""
+
+    def __init__(self, relay: LeaderRelay) -> None:
+        self.is_stopping = False
+        self._relay = relay
+
+    async def handle(self, request: HTTPServerRequest) -> Reply:
+        """Answer a caller."""
+        action = _ACTIONS.get(request.method or '')
+        if action is None:
+            return Reply(HTTPStatus.METHOD_NOT_ALLOWED)
+        job = None
+        if action is JobAction.submit:
+            try:
+                job = make_request(decode(request.body, JobBody))
+            except DECODE_ERRORS as error:
+                _log.info('Job refused: {} {}.', request.path, error)
+                return Reply(HTTPStatus.BAD_REQUEST)
+        call = JobCall(
+            action,
+            request.host.partition(':')[0],
+            request.path,
+            request.headers.get('X-Api-Key', ''),
+            job,
+        )
+        answer = await self._relay.call(call, _get_timeout_s(request))
+        _log.info(
+            '{} {}: {} {}',
+            request.method,
+            request.path,
+            answer.outcome.value,
+            answer.status or answer.text,
+        )
+        body = b''
+        if answer.outcome is CallOutcome.done and action is JobAction.read:
+            body = _encode_reading(answer.status, answer.waiting)
+        return make_reply(answer, body)
+
+    async def handle_ready(self, request: HTTPServerRequest) -> Reply:
+        """Tell the balancer whether to send callers here."""
+        is_ready = self._relay.is_connected and not self.is_stopping
+        if is_ready:
+            return Reply(HTTPStatus.OK)
+        return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def _encode_reading(status: str, waiting: int) -> bytes:
+    if status:
+        return msgspec.json.encode({'state': status})
+    return msgspec.json.encode({'pending': waiting})
+
+
+def _get_timeout_s(request: HTTPServerRequest) -> float:
+    named = request.headers.get('X-Deadline-Ms', '')
+    if not named.isdigit():
+        return _TIMEOUT_S
+    return min(int(named) / _MS * _USED_SHARE, _TIMEOUT_S)
--- /dev/null
+++ b/src/sardinemast/platform/_translate.py
@@ -0,0 +1,196 @@
+"""Turn the platform's bodies into the product's records, and back."""
+
+from typing import Any
+
+from sardinemast.dispatch import ListedEnd, ListedRun, LookAnswer
+from sardinemast.jobs import (
+    Advice,
+    Catalog,
+    JobRequest,
+    Pool,
+    Queue,
+    Size,
+    Step,
+    TaskKey,
+    Team,
+    Worker,
+)
+from sardinemast.platform._wire import (
+    AdviceBody,
+    BeatBody,
+    CapacityBody,
+    ConfigBody,
+    EndRow,
+    JobBody,
+    ListsBody,
+    RouteBody,
+    RunRow,
+    StepBody,
+    TenantBody,
+)
+
+_MIB_BYTES = 1024 * 1024
+_TASK_PARTS = 3
+_READY = 'ready'
+_DRAINING = 'draining'
+
+
+def make_request(body: JobBody) -> JobRequest:
+    """Give the job that a caller declares, or raise ``ValueError``."""
+    steps = tuple(map(_make_step, body['phases']))
+    if not steps or any(step.count < 1 for step in steps):
+        raise ValueError('A job has steps, and each step has tasks.')
+    for number, step in enumerate(steps):
+        if any(not 0 <= needed < number for needed in step.depends_on):
+            raise ValueError('A step depends on earlier ones.')
+    return JobRequest(
+        body.get('spec', ''),
+        steps,
+        body.get('times', 0),
+        body.get('start_at_ms', 0),
+        body.get('interval_ms', 0),
+    )
+
+
+def make_catalog(body: ConfigBody) -> Catalog:
+    """Give the catalog that an operator declares."""
+    return Catalog(
+        body['version'],
+        tuple(map(_make_queue, body['routes'])),
+        tuple(
+            Pool(
+                pool['name'],
+                pool.get('rejects_overload', True),
+                pool.get('standby', False),
+            )
+            for pool in body['services']
+        ),
+        tuple(map(_make_team, body.get('tenants', []))),
+    )
+
+
+def make_worker(name: str, body: BeatBody) -> Worker:
+    """Give the worker that announces itself, or raise ``ValueError``."""
+    if body['state'] not in {_READY, _DRAINING}:
+        raise ValueError(f'No state {body["state"]!r} of a worker is known.')
+    host, _, port = body['addr'].rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(f'{body["addr"]!r} is no address.')
+    labels = tuple(body.get('labels', ()))
+    return Worker(
+        name,
+        body.get('born', 0),
+        body['addr'],
+        body['service'],
+        body.get('zone', ''),
+        labels[1] if len(labels) > 1 else '',
+        labels,
+        _make_size(body.get('capacity', {})),
+        body.get('machine', ''),
+        body['state'] == _DRAINING,
+    )
+
+
+def make_look_answer(body: ListsBody) -> LookAnswer:
+    """Give what a worker lists, without rows that make no sense."""
+    return LookAnswer(
+        body.get('born', 0),
+        body.get('wall_ms', 0),
+        tuple(_iterate_runs(body.get('running', []))),
+        tuple(_iterate_ends(body.get('finished', []))),
+    )
+
+
+def read_task(name: str) -> TaskKey | None:
+    """Read a task's dotted name, or give nothing."""
+    parts = name.rsplit('.', _TASK_PARTS)
+    if len(parts) != _TASK_PARTS + 1:
+        return None
+    if not all(part.isdigit() for part in parts[1:]):
+        return None
+    return TaskKey(parts[0], *map(int, parts[1:]))
+
+
+def _iterate_runs(rows: list[RunRow]) -> Any:
+    for row in rows:
+        task = read_task(row.task)
+        if task is not None:
+            yield ListedRun(
+                task,
+                row.run,
+                row.saved,
+                int(row.percent),
+                int(row.gauge),
+            )
+
+
+def _iterate_ends(rows: list[EndRow]) -> Any:
+    for row in rows:
+        task = read_task(row.task)
+        if task is not None:
+            yield ListedEnd(row.position, task, row.run, row.how, row.saved)
+
+
+def _make_size(body: CapacityBody) -> Size:
+    return Size(
+        body.get('cpu', 0),
+        body.get('mem_mb', 0) * _MIB_BYTES,
+        body.get('gpu', 0),
+    )
+
+
+def _make_step(body: StepBody) -> Step:
+    return Step(
+        count=body.get('count', 0),
+        size=Size(
+            body.get('cpu', 0),
+            body.get('mem_mb', 0) * _MIB_BYTES,
+            body.get('gpu', 0),
+        ),
+        estimate_ms=body.get('est_ms', 0),
+        depends_on=tuple(body.get('deps', ())),
+        can_checkpoint=body.get('checkpoints', False),
+        is_gang=body.get('gang', False),
+        is_same_rack=body.get('same_rack', False),
+        required_label=body.get('required_label', ''),
+        data_rack=body.get('affinity', ''),
+        worker_max=body.get('max_per_server', 0),
+        may_overlap=body.get('speculative', False),
+        is_lasting=body.get('long_running', False),
+        image=body.get('image', ''),
+        tail_limit_ms=body.get('tail_latency_ms', 0),
+        is_filler=body.get('fills', False),
+        may_miss=body.get('may_miss', 0),
+    )
+
+
+def _make_queue(body: RouteBody) -> Queue:
+    return Queue(
+        body['name'],
+        body['host'],
+        body['prefix'],
+        body['service'],
+        body['timeout_ms'],
+        body.get('slo_ms', 0),
+        body.get('prio', 0),
+        body.get('attempts', 1),
+        body.get('stretch', 1),
+        body.get('public', False),
+        _make_advice(body.get('advice')),
+    )
+
+
+def _make_advice(body: AdviceBody | None) -> Advice | None:
+    if not body:
+        return None
+    return Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
+
+
+def _make_team(body: TenantBody) -> Team:
+    return Team(
+        body['name'],
+        tuple(body.get('keys', ())),
+        body.get('prio', 0),
+        body.get('weight', 1),
+        _make_size(body.get('cap', {})),
+    )
--- /dev/null
+++ b/src/sardinemast/platform/_workers.py
@@ -0,0 +1,225 @@
+"""Orders to the platform's workers, over HTTP."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from functools import singledispatchmethod
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+import msgspec
+from logbook import Logger
+from tornado.httputil import HTTPHeaders
+
+from sardinemast.control import ControlEvent
+from sardinemast.dispatch import (
+    DispatchOutput,
+    LookAtWorker,
+    OrderOutcome,
+    PaceRun,
+    RunAnswered,
+    StartRun,
+    StopRun,
+    WorkerLooked,
+)
+from sardinemast.jobs import Worker
+from sardinemast.membership import Announcement
+from sardinemast.platform._translate import make_look_answer
+from sardinemast.platform._wire import DECODE_ERRORS, ListsBody, decode
+from sardinemast.routing import AttemptResult, StartAttempt
+from sardinemast.shell import CallerRequest, UpstreamClient
+
+_log = Logger('workers')
+# A worker takes this many connections at once.
+_CONNECTIONS_MAX = 64
+_CERTAIN = frozenset((AttemptResult.answered, AttemptResult.failed))
+
+
+class _Reply(NamedTuple):
+    outcome: OrderOutcome
+    body: ListsBody | None = None
+
+
+class PlatformGateway:
+    """Carry the leader's orders to workers, each in a task of its own."""
+
+    def __init__(self, own_host: str) -> None:
+        self._client = UpstreamClient()
+        self._own_host = own_host
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Close connections that have gone stale, until cancelled."""
+        await self._client.run()
+
+    def send(
+        self,
+        order: DispatchOutput,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        """Send an order, and hand over what became of it."""
+        task = asyncio.create_task(self._send(order, valid_until_s, take))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @singledispatchmethod
+    async def _send(
+        self,
+        order: Any,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        raise TypeError(order)
+
+    @_send.register
+    async def _send_look(
+        self,
+        order: LookAtWorker,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body: dict[str, Any] = {
+            'fence': order.fence,
+            'last_seen': order.seen,
+            'wait_ms': order.wait_ms,
+        }
+        if order.expires_ms is not None:
+            body['expires_ms'] = order.expires_ms
+        reply = await self._post(order, '/hold', body, valid_until_s)
+        answer = None
+        if reply.outcome is OrderOutcome.done and reply.body is not None:
+            answer = make_look_answer(reply.body)
+        take(
+            WorkerLooked(
+                order.worker.name,
+                order.fence,
+                order.sent_s,
+                reply.outcome,
+                answer,
+            ),
+        )
+
+    @_send.register
+    async def _send_start(
+        self,
+        order: StartRun,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body: dict[str, Any] = {
+            'task': str(order.task),
+            'run': order.number,
+            'spec': order.spec,
+            'expires_ms': order.expires_ms,
+            'fence': order.fence,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['ticket'] = order.ticket
+        reply = await self._post(order, '/run-start', body, valid_until_s)
+        answered = reply.body or {}
+        take(
+            RunAnswered(
+                order.worker.name,
+                order.task,
+                order.number,
+                reply.outcome,
+                answered.get('reason', ''),
+                answered.get('wall_ms', 0),
+            ),
+        )
+
+    @_send.register
+    async def _send_stop(
+        self,
+        order: StopRun,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body = {
+            'task': str(order.task),
+            'run': order.number,
+            'fence': order.fence,
+        }
+        await self._post(order, '/run-stop', body, valid_until_s)
+
+    @_send.register
+    async def _send_pace(
+        self,
+        order: PaceRun,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body = {
+            'task': str(order.task),
+            'run': order.number,
+            'percent': order.percent,
+            'fence': order.fence,
+        }
+        await self._post(order, '/pace', body, valid_until_s)
+
+    async def _post(
+        self,
+        order: LookAtWorker | StartRun | StopRun | PaceRun,
+        path: str,
+        body: dict[str, Any],
+        valid_until_s: float,
+    ) -> _Reply:
+        headers = HTTPHeaders(
+            {
+                'Content-Type': 'application/json',
+                'X-Expect-Instance': order.worker.name,
+            },
+        )
+        attempt = await self._client.send(
+            StartAttempt(
+                0,
+                _make_announcement(order.worker),
+                order.timeout_s,
+                is_repeatable=False,
+                connection_limit=_CONNECTIONS_MAX,
+                valid_until_s=max(valid_until_s, time.monotonic()),
+            ),
+            CallerRequest(
+                'POST',
+                path,
+                headers,
+                msgspec.json.encode(body),
+                self._own_host,
+            ),
+        )
+        if attempt.attempt_result is AttemptResult.not_sent:
+            return _Reply(OrderOutcome.not_sent)
+        if attempt.answer is None or attempt.attempt_result not in _CERTAIN:
+            return _Reply(OrderOutcome.unknown)
+        return _read_reply(attempt.answer.code, attempt.answer.body)
+
+
+def _read_reply(code: int, body: bytes) -> _Reply:
+    if code == HTTPStatus.MISDIRECTED_REQUEST:
+        return _Reply(OrderOutcome.gone)
+    try:
+        found = decode(body, ListsBody) if body else None
+    except DECODE_ERRORS as error:
+        # Another program may answer at the address. Without its lists
+        # nothing is known of the runs, which is what unknown says.
+        _log.warning('A worker answered {} unreadably: {}.', code, error)
+        return _Reply(OrderOutcome.unknown)
+    if code == HTTPStatus.OK:
+        return _Reply(OrderOutcome.done, found)
+    return _Reply(OrderOutcome.refused, found)
+
+
+def _make_announcement(worker: Worker) -> Announcement:
+    host, _, port = worker.address.rpartition(':')
+    return Announcement(
+        worker.name,
+        worker.boot_ms,
+        worker.pool,
+        host,
+        int(port),
+        worker.data_centre,
+        worker.rack,
+    )
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -11,11 +11,26 @@
 from websockets.exceptions import ConnectionClosed
 
 from sardinemast import consensus, control
-from sardinemast.conf import Address, ControlAddress, ProcessSettings
+from sardinemast.conf import (
+    Address,
+    Cluster,
+    ControlAddress,
+    ProcessSettings,
+)
 from sardinemast.exceptions import CodedError
-from sardinemast.protocol import CONTROL_MESSAGES, ENTRY_MESSAGES, NotLeader
-from sardinemast.shell._identity import Identity
+from sardinemast.protocol import (
+    CONTROL_MESSAGES,
+    ENTRY_MESSAGES,
+    LEADER_MESSAGES,
+    LeaderMessage,
+    NotLeader,
+    PassAnswer,
+    unpack_call,
+)
+from sardinemast.shell._gateway import NO_EXTRAS, ControlExtras
+from sardinemast.shell._identity import Identity, get_wall_ms
 from sardinemast.shell._links import (
+    CALLS_PATH,
     LINK_OPTIONS,
     Outbox,
     PeerLink,
@@ -31,23 +46,34 @@
 
 _log = Logger('control')
 _FOLDER_NAME = 'replica'
+# What comes within this time is written and synced together. It is a part of
+# the sync itself, which takes 4 to 9 ms on the disks that this is meant for.
+GATHER_S = 0.002
 
 
 class ControlShell:
     """Carry out what the core of a control process decides."""
 
-    def __init__(self, settings: ProcessSettings, identity: Identity) -> None:
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        identity: Identity,
+        extras: ControlExtras,
+    ) -> None:
         self._folder = settings.data_folder / _FOLDER_NAME
         store, loaded = open_or_replace_log_store(self._folder)
         self._store = store
-        voters = tuple(one.name for one in settings.controls)
-        replica = consensus.ReplicaSettings(settings.name, voters)
+        self._cluster = settings.cluster
+        self._gateway = extras.gateway
         self.core = control.ControlCore(
-            control.ControlSettings(replica),
+            control.ControlSettings(
+                _get_replica_settings(settings),
+                dispatching=extras.dispatching,
+            ),
             loaded.hard_state,
             loaded.entries,
             Random(),
-            folder=loaded.folder,
+            folder=_restrict(loaded.folder, settings.cluster),
             snapshot=loaded.snapshot,
         )
         self._access = Access(settings.security)
@@ -55,7 +81,7 @@
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
             self._step,
             self._execute,
-            control.Tick(),
+            _make_tick,
         )
         self._replica_desk = ReplicaDesk(
             self.core,
@@ -66,11 +92,13 @@
         self._identity = identity
         self._stream_ids = count(1)
         self._outboxes: dict[int, Outbox] = {}
-        self._peers = {
-            one.name: PeerLink(identity, one.peer, self._access)
+        self._peers: dict[str, PeerLink] = {}
+        self._peer_addresses = {
+            one.name: one.peer
             for one in settings.controls
             if one.name != settings.name
         }
+        self._tasks: asyncio.TaskGroup | None = None
 
     async def run(self, own: ControlAddress) -> None:
         """Serve peers, entries and operators until cancelled."""
@@ -91,8 +119,9 @@
                 ),
                 asyncio.TaskGroup() as tasks,
             ):
-                for peer in self._peers.values():
-                    tasks.create_task(peer.run())
+                self._tasks = tasks
+                for name in self._peer_addresses:
+                    self._get_peer(name)
                 tasks.create_task(self.loop.run())
                 tasks.create_task(self._access.follow_files())
                 _log.info('Control {} listens.', own.name)
@@ -127,6 +156,8 @@
                 await self._read_peer(link)
             elif path == '/entry':
                 await self._read_entry(link)
+            elif path == CALLS_PATH:
+                await self._read_calls(link)
 
     async def _read_peer(self, link: ServerConnection) -> None:
         async for frame in link:
@@ -134,6 +165,42 @@
             received = consensus.unpack_parcel(envelope.sender, envelope.body)
             self.loop.put(control.PeerReceived(*received))
 
+    async def _read_calls(self, link: ServerConnection) -> None:
+        stream_id = next(self._stream_ids)
+        outbox = Outbox(link.send, self._identity)
+        sending = asyncio.create_task(outbox.run())
+        self._outboxes[stream_id] = outbox
+        self.loop.put(control.CallerConnected(stream_id))
+        try:
+            async for frame in link:
+                envelope = unseal_from(
+                    link, frame, self._identity, self._access
+                )
+                passed = unpack_call(envelope.body)
+                self.loop.put(control.CallReceived(stream_id, *passed))
+        finally:
+            sending.cancel()
+            self._outboxes.pop(stream_id)
+            self.loop.put(control.CallerDisconnected(stream_id))
+
+    def _get_peer(self, name: str) -> PeerLink | None:
+        peer = self._peers.get(name)
+        if peer is None and self._tasks is not None:
+            address = self._find_peer_address(name)
+            if address is None:
+                return None
+            peer = PeerLink(self._identity, address, self._access)
+            self._peers[name] = peer
+            self._tasks.create_task(peer.run())
+        return peer
+
+    def _find_peer_address(self, name: str) -> Address | None:
+        known = self._peer_addresses.get(name)
+        if known is not None or self._cluster is None:
+            return known
+        # A replica of a cluster is named by its host.
+        return Address(name, self._cluster.own.peer.port)
+
     async def _read_entry(self, link: ServerConnection) -> None:
         first = unseal_from(
             link,
@@ -174,7 +241,7 @@
 
     @_execute.register
     def _execute_send(self, output: consensus.SendMessage) -> None:
-        peer = self._peers.get(output.to)
+        peer = self._get_peer(output.to)
         if peer is not None:
             peer.send(consensus.pack_parcel(output))
 
@@ -225,21 +292,86 @@
                 _log.debug('Stream {} is sent on.', output.stream_id)
 
 
-async def run_control(settings: ProcessSettings, identity: Identity) -> None:
+    @_execute.register
+    def _execute_gather(self, output: control.GatherProposals) -> None:
+        asyncio.get_running_loop().call_later(
+            GATHER_S,
+            self.loop.put,
+            control.ProposalsDue(),
+        )
+
+    @_execute.register
+    def _execute_call_answer(self, output: control.AnswerCall) -> None:
+        answer = PassAnswer(output.call_id, output.answer)
+        self._send_to_caller(output.stream_id, answer)
+
+    @_execute.register
+    def _execute_caller_send(self, output: control.SendToCaller) -> None:
+        self._send_to_caller(output.stream_id, output.message)
+
+    def _send_to_caller(self, stream_id: int, message: LeaderMessage) -> None:
+        outbox = self._outboxes.get(stream_id)
+        if outbox is not None:
+            outbox.put(LEADER_MESSAGES.pack(message))
+
+    @_execute.register
+    def _execute_order(self, output: control.SendOrder) -> None:
+        self._gateway.send(output.order, output.valid_until_s, self.loop.put)
+
+
+def _make_tick() -> control.Tick:
+    return control.Tick(get_wall_ms())
+
+
+def _get_replica_settings(
+    settings: ProcessSettings,
+) -> consensus.ReplicaSettings:
+    voters = tuple(one.name for one in settings.controls)
+    if settings.cluster is None:
+        return consensus.ReplicaSettings(settings.name, voters)
+    # Of 2 n + 1 replicas, n may be lost and the others are a majority.
+    voters_max = 2 * settings.cluster.failures_tolerated + 1
+    return consensus.ReplicaSettings(
+        settings.name,
+        voters,
+        voters_max=voters_max,
+    )
+
+
+def _restrict(
+    folder: consensus.FolderIdentity,
+    cluster: Cluster | None,
+) -> consensus.FolderIdentity:
+    if cluster is None or cluster.may_found:
+        return folder
+    return folder._replace(may_found=False)
+
+
+async def run_control(
+    settings: ProcessSettings,
+    identity: Identity,
+    extras: ControlExtras = NO_EXTRAS,
+) -> None:
     """Run the role control until cancelled.
 
     An error of core or files ends it with a ``CodedError``: a process that
     answers its peers but decides nothing would look alive for ever.
     """
-    own = next(one for one in settings.controls if one.name == settings.name)
+    own = _get_own_address(settings)
     while True:
-        shell = ControlShell(settings, identity)
+        shell = ControlShell(settings, identity, extras)
         try:
             await shell.run(own)
         except ExceptionGroup as group:
             _check_discarded(group)
 
 
+def _get_own_address(settings: ProcessSettings) -> ControlAddress:
+    if settings.cluster is not None:
+        return settings.cluster.own
+    return next(one for one in settings.controls if one.name == settings.name)
+
+
 def _check_discarded(group: ExceptionGroup[Exception]) -> None:
     for error in group.exceptions:
         if isinstance(error, CodedError):
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -55,7 +55,7 @@
         self.loop = CoreLoop[entry.EntryEvent, entry.EntryOutput](
             self.core.step,
             self._execute,
-            entry.Tick(),
+            entry.Tick,
         )
         self.identity = identity
         access = Access(settings.security)
--- a/src/sardinemast/shell/_entry_peers.py
+++ b/src/sardinemast/shell/_entry_peers.py
@@ -33,7 +33,7 @@
         self.loop = CoreLoop[
             idempotency.IdempotencyEvent,
             idempotency.IdempotencyOutput,
-        ](core.step, self._execute, idempotency.Tick())
+        ](core.step, self._execute, idempotency.Tick)
         self._identity = identity
         self._access = access
         self._epoch = 0
--- /dev/null
+++ b/src/sardinemast/shell/_gateway.py
@@ -0,0 +1,49 @@
+"""Way from the leader's orders to the workers."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from sardinemast.control import ControlEvent, make_unsent
+from sardinemast.dispatch import DispatchOutput, DispatchSettings
+
+
+class WorkerGateway(Protocol):
+    """Carry orders to workers and to whoever runs the instances.
+
+    ``send`` returns at once. It hands the answer to ``take`` later, also
+    where there is none, and writes nothing once ``valid_until_s`` has passed
+    on the monotonic clock.
+    """
+
+    def send(
+        self,
+        order: DispatchOutput,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        """Send one order."""
+
+
+class NoWorkers:
+    """Answer for a fleet without workers that nothing was sent."""
+
+    def send(
+        self,
+        order: DispatchOutput,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        """Send nothing."""
+        unsent = make_unsent(order)
+        if unsent is not None:
+            take(unsent)
+
+
+class ControlExtras(NamedTuple):
+    """Hold what a control process is given besides its settings."""
+
+    gateway: WorkerGateway = NoWorkers()
+    dispatching: DispatchSettings = DispatchSettings()
+
+
+NO_EXTRAS = ControlExtras()
--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -20,6 +20,7 @@
 _QUEUE_FRAMES = 1024
 _RECONNECT_S = 0.2
 _HEARTBEAT_S = 1.0
+CALLS_PATH = '/calls'
 
 LINK_OPTIONS: Mapping[str, Any] = MappingProxyType(
     {
--- a/src/sardinemast/shell/_loop.py
+++ b/src/sardinemast/shell/_loop.py
@@ -23,11 +23,11 @@
         self,
         step: Callable[[EventT, float], list[OutputT]],
         execute: Callable[[OutputT], None],
-        tick: EventT,
+        make_tick: Callable[[], EventT],
     ) -> None:
         self._step = step
         self._execute = execute
-        self._tick = tick
+        self._make_tick = make_tick
         self._inbox: deque[EventT] = deque()
         self._is_stepping = False
         self._is_running = False
@@ -73,5 +73,5 @@
 
     async def _tick_steadily(self) -> None:
         while True:
-            self.put(self._tick)
+            self.put(self._make_tick())
             await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/src/sardinemast/shell/_relay.py
@@ -0,0 +1,193 @@
+"""Calls to the leader, wherever that is."""
+
+import asyncio
+import time
+from itertools import count
+from typing import NamedTuple
+
+from logbook import Logger
+from websockets.asyncio.client import ClientConnection
+
+from sardinemast.conf import Address, Cluster, ControlAddress
+from sardinemast.protocol import (
+    LEADER_MESSAGES,
+    Call,
+    CallAnswer,
+    CallOutcome,
+    LeaderBeat,
+    NotLeader,
+    PassAnswer,
+    PassCall,
+    pack_call,
+)
+from sardinemast.shell._identity import Identity
+from sardinemast.shell._links import (
+    CALLS_PATH,
+    LINK_ERRORS,
+    Outbox,
+    open_link,
+    unseal_from,
+)
+from sardinemast.shell._security import Access
+from sardinemast.wire import WireError
+
+_log = Logger('relay')
+_STREAM_ERRORS = (*LINK_ERRORS, WireError)
+# A leader beats four times a second; after three beats missed it is sought.
+_SILENCE_S = 0.8
+_RECONNECT_S = 0.05
+# A caller waits so long for a leader that is not known, a quarter of the
+# shortest target of about 0.6 s, and is refused with nothing sent.
+_UNSENT_S = 0.15
+
+
+class _Pending(NamedTuple):
+    passed: PassCall
+    answer: asyncio.Future[CallAnswer]
+
+
+class LeaderRelay:
+    """Pass calls to the leader over one stream, and on to the next leader.
+
+    Each call may be sent again: a job has one name, a catalog one version,
+    and a worker's word one sequence, so that a second arrival changes
+    nothing. What the old leader had not written is taken by the next one.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        founders: tuple[ControlAddress, ...],
+        cluster: Cluster,
+        access: Access,
+    ) -> None:
+        self.leader = ''
+        self._identity = identity
+        self._port = cluster.own.peer.port
+        self._access = access
+        self._founders = [one.name for one in founders]
+        self._names = list(self._founders)
+        self._call_ids = count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._outbox: Outbox | None = None
+        self._led = asyncio.Event()
+        self._is_reported = False
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether a leader has been heard on the open stream."""
+        return self._led.is_set()
+
+    def follow(self, founders: tuple[ControlAddress, ...]) -> None:
+        """Ask these control processes too, where none is known."""
+        self._founders = [one.name for one in founders]
+
+    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
+        """Pass a call on and wait for the answer."""
+        due_s = time.monotonic() + timeout_s
+        if not await self._wait_for_leader(min(timeout_s, _UNSENT_S)):
+            return CallAnswer(CallOutcome.refused, text='No leader is known.')
+        call_id = next(self._call_ids)
+        answer = asyncio.get_running_loop().create_future()
+        pending = _Pending(PassCall(call_id, call), answer)
+        self._pending[call_id] = pending
+        self._send(pending)
+        try:
+            async with asyncio.timeout(due_s - time.monotonic()):
+                return await answer  # type: ignore[no-any-return]
+        except TimeoutError:
+            return CallAnswer(CallOutcome.uncertain, text='No answer in time.')
+        finally:
+            self._pending.pop(call_id, None)
+
+    async def run(self) -> None:
+        """Hold the stream until cancelled."""
+        while True:
+            name = self._names[0]
+            try:
+                await self._read_leader(Address(name, self._port))
+            except _STREAM_ERRORS as error:
+                self._report(name, error)
+            self._outbox = None
+            self._led.clear()
+            self._turn(name)
+            await asyncio.sleep(_RECONNECT_S)
+
+    async def _wait_for_leader(self, timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._led.wait()
+        except TimeoutError:
+            return False
+
+    def _send(self, pending: _Pending) -> None:
+        if self._outbox is not None:
+            self._outbox.put(pack_call(pending.passed))
+
+    def _report(self, name: str, error: Exception) -> None:
+        # One line for each outage: it is tried again many times a second.
+        log = _log.debug if self._is_reported else _log.warning
+        log('No leader at {}: {!r}.', name, error)
+        self._is_reported = True
+
+    def _turn(self, name: str) -> None:
+        known = {*self._names, *self._founders}
+        rest = [one for one in self._names if one in known and one != name]
+        rest.extend(sorted(known.difference(rest, {name})))
+        self._names = [*rest, name]
+
+    async def _read_leader(self, address: Address) -> None:
+        async with open_link(address, CALLS_PATH, self._access) as link:
+            outbox = Outbox(link.send, self._identity)
+            sending = asyncio.create_task(outbox.run())
+            self._outbox = outbox
+            try:
+                await self._take_messages(link)
+            finally:
+                sending.cancel()
+
+    async def _take_messages(self, link: ClientConnection) -> None:
+        while True:
+            async with asyncio.timeout(_SILENCE_S):
+                frame = await link.recv()
+            envelope = unseal_from(
+                link,
+                frame,
+                self._identity,
+                self._access,
+            )
+            message = LEADER_MESSAGES.unpack(envelope.body)
+            if isinstance(message, NotLeader):
+                self._prefer(message.leader)
+                return
+            if isinstance(message, LeaderBeat):
+                self._note_beat(message)
+            elif isinstance(message, PassAnswer):
+                self._note_answer(message)
+
+    def _prefer(self, leader: str) -> None:
+        # The list is turned by one after each stream, so the leader is put
+        # second to be first next time.
+        if leader and leader != self._names[0]:
+            rest = [one for one in self._names[1:] if one != leader]
+            self._names = [self._names[0], leader, *rest]
+
+    def _note_beat(self, beat: LeaderBeat) -> None:
+        others = [one for one in beat.controls if one != beat.leader]
+        self._names = [beat.leader, *others]
+        if not self._led.is_set():
+            self.leader = beat.leader
+            self._is_reported = False
+            self._led.set()
+            _log.info('The leader is {}.', beat.leader)
+            for pending in self._pending.values():
+                self._send(pending)
+
+    def _note_answer(self, passed: PassAnswer) -> None:
+        pending = self._pending.get(passed.call_id)
+        if pending is None or pending.answer.done():
+            return
+        # A leader that ends cannot tell what the next one does; the call is
+        # sent to that one, and its answer tells.
+        if passed.answer.outcome is not CallOutcome.uncertain:
+            pending.answer.set_result(passed.answer)
