Give a silent worker no more time, and carry out waves

After a miss, looks ask without prolonging. Waves: workers are emptied within what steps may miss, and their instances maintained within the cap.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -74,6 +74,7 @@
 
     With a ``cluster`` the ``controls`` are its founders. A balancer looks at
     ``readiness``, and ``operators`` is where the platform's own calls come.
+    Whoever runs the instances is asked at ``instances``.
     """
 
     name: str
@@ -87,6 +88,7 @@
     cluster: Cluster | None = None
     readiness: Address | None = None
     operators: Address | None = None
+    instances: Address | None = None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -133,9 +135,12 @@
         'roles': Field(list_of(choice('entry', 'control'))),
         'data_centre': Field(text()),
         'data_folder': Field(text(), 'var'),
-        'callers': Field(_PLACE, MappingProxyType({'host': '127.0.0.1', 'port': 0})),
+        'callers': Field(
+            _PLACE, MappingProxyType({'host': '127.0.0.1', 'port': 0})
+        ),
         'readiness': Field(_PLACE, None),
         'operators': Field(_PLACE, None),
+        'instances': Field(_PLACE, None),
         'controls': Field(list_of(_CONTROL), ()),
         'cluster': Field(_CLUSTER, None),
         'network': Field(choice('open', 'private'), 'open'),
@@ -223,6 +228,7 @@
         cluster=_build_cluster(found['cluster']),
         readiness=_build_address(found['readiness']),
         operators=_build_address(found['operators']),
+        instances=_build_address(found['instances']),
     )
 
 
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -171,6 +171,14 @@
     def _handle_look(self, event: dispatch.WorkerLooked, now_s: float) -> None:
         self._take_worker_answer(event, now_s)
 
+    @_handle.register
+    def _handle_upkeep(
+        self,
+        event: dispatch.UpkeepAnswered,
+        now_s: float,
+    ) -> None:
+        self._take_worker_answer(event, now_s)
+
     @_handle.register
     def _handle_run(self, event: dispatch.RunAnswered, now_s: float) -> None:
         self._take_worker_answer(event, now_s)
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -12,18 +12,20 @@
 )
 from sardinemast.control._wall_clock import WallClock
 from sardinemast.dispatch import (
-    DispatchEvent,
     Dispatcher,
+    DispatchEvent,
     DispatchOutput,
     DispatchSettings,
     LookAtWorker,
     OrderOutcome,
+    OrderUpkeep,
     Propose,
     RunAnswered,
     StartRun,
+    UpkeepAnswered,
     WorkerLooked,
 )
-from sardinemast.protocol import CallAnswer, LeaderBeat, NotLeader
+from sardinemast.protocol import LeaderBeat, NotLeader
 
 _BEAT_S = 0.25
 
@@ -182,4 +184,11 @@
             order.number,
             OrderOutcome.not_sent,
         )
+    if isinstance(order, OrderUpkeep):
+        return UpkeepAnswered(
+            order.instance,
+            order.wave,
+            order.boot_ms,
+            OrderOutcome.not_sent,
+        )
     return None
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -9,11 +9,13 @@
     LookAnswer,
     LookAtWorker,
     OrderOutcome,
+    OrderUpkeep,
     PaceRun,
     Propose,
     RunAnswered,
     StartRun,
     StopRun,
+    UpkeepAnswered,
     WorkerLooked,
 )
 from sardinemast.dispatch._settings import DispatchSettings
@@ -28,10 +30,12 @@
     'LookAnswer',
     'LookAtWorker',
     'OrderOutcome',
+    'OrderUpkeep',
     'PaceRun',
     'Propose',
     'RunAnswered',
     'StartRun',
     'StopRun',
+    'UpkeepAnswered',
     'WorkerLooked',
 )
--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -40,6 +40,7 @@
         self.is_looking = False
         self.has_doubt = False
         self.is_leaving = False
+        self.is_resting = False
         self.look_due_s = float('-inf')
         self.heard_s = float('-inf')
         self.announced_s = float('-inf')
@@ -110,6 +111,7 @@
             self.is_synced
             and not self.worker.is_draining
             and not self.is_leaving
+            and not self.is_resting
             and now_s >= self.avoid_until_s
             and now_s < heard_s + quiet_s
         )
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -126,11 +126,37 @@
     timeout_s: float
 
 
+class OrderUpkeep(NamedTuple):
+    """Have an instance maintained; all that runs on it ends at once.
+
+    ``token`` fences the order, and ``boot_ms`` is the boot of the worker that
+    is taken down.
+    """
+
+    instance: str
+    wave: int
+    token: int
+    boot_ms: int
+    timeout_s: float
+
+
+class UpkeepAnswered(NamedTuple):
+    """Hand over what became of an order for an instance."""
+
+    instance: str
+    wave: int
+    boot_ms: int
+    outcome: OrderOutcome
+    is_unknown_instance: bool = False
+
+
 class Propose(NamedTuple):
     """Put a command into the log."""
 
     command: Command
 
 
-DispatchEvent = WorkerLooked | RunAnswered
-DispatchOutput = LookAtWorker | StartRun | StopRun | PaceRun | Propose
+DispatchEvent = WorkerLooked | RunAnswered | UpkeepAnswered
+DispatchOutput = (
+    LookAtWorker | StartRun | StopRun | PaceRun | OrderUpkeep | Propose
+)
--- /dev/null
+++ b/src/sardinemast/dispatch/_looks.py
@@ -0,0 +1,218 @@
+"""Looks at workers: leases, lists, and workers that come and go."""
+
+from sardinemast.dispatch._contact import Contact
+from sardinemast.dispatch._events import (
+    LookAtWorker,
+    OrderOutcome,
+    PaceRun,
+    WorkerLooked,
+)
+from sardinemast.dispatch._pacing import Pacing, has_fillers, has_servers
+from sardinemast.dispatch._reconcile import (
+    collect_ends,
+    find_lost,
+    find_orphans,
+)
+from sardinemast.dispatch._state import DispatchState
+from sardinemast.jobs import RunEnd
+from sardinemast.jobs.commands import ForgetWorker, RegisterWorker, RunOver
+
+_MS = 1000
+
+
+class Looks:
+    """Keep workers' leases and learn what they run and what has ended."""
+
+    def __init__(self, state: DispatchState) -> None:
+        self._state = state
+        self._leaving: set[tuple[str, int]] = set()
+        self._pacing = Pacing()
+
+    def start_term(self) -> None:
+        """Forget what was under way in a former term."""
+        self._leaving.clear()
+        self._pacing = Pacing()
+
+    def follow_workers(self, now_s: float) -> None:
+        """Have a contact for each boot of a worker that the log knows."""
+        state = self._state
+        for name in state.contacts.keys() - state.jobs.workers.keys():
+            state.contacts.pop(name)
+        for worker in state.jobs.workers.values():
+            contact = state.contacts.get(worker.name)
+            if contact is None:
+                state.contacts[worker.name] = Contact(
+                    worker,
+                    state.term,
+                    state.settings,
+                    state.over_at_s,
+                )
+            elif worker.boot_ms > contact.worker.boot_ms:
+                contact.restart(worker, now_s)
+            elif worker.boot_ms == contact.worker.boot_ms:
+                contact.worker = worker
+
+    def check_lease(self, contact: Contact, now_s: float) -> None:
+        """End the runs of a worker whose lease has surely ended."""
+        if now_s < contact.over_at_s:
+            return
+        self._forget_silent(contact, now_s)
+        runs = self._state.get_runs(contact.worker.name)
+        if not runs:
+            return
+        # The worker has killed everything by itself; what it was told and
+        # has not carried out yet is void under a higher fence.
+        for task, number in runs.items():
+            self._state.note_end(RunOver(task, number, RunEnd.lost))
+        if contact.is_synced:
+            contact.is_synced = False
+            contact.has_doubt = True
+
+    def look(self, contact: Contact, now_s: float) -> None:
+        """Look at a worker where that is due."""
+        if contact.is_looking or now_s < contact.look_due_s:
+            return
+        has_runs = bool(self._state.get_runs(contact.worker.name))
+        is_needed = has_runs or bool(contact.listed)
+        if contact.is_synced and not is_needed and not contact.has_doubt:
+            return
+        # Asked before its ends are recorded, it would only list them again.
+        if contact.noted > contact.seen:
+            return
+        if contact.has_doubt:
+            contact.raise_fence()
+        # A worker that does not answer must not get more time: each try would
+        # put off the moment at which its tasks may start elsewhere.
+        is_heard = contact.is_synced and not contact.misses
+        wait_ms = self._get_wait_ms(contact) if is_heard else 0
+        contact.is_looking = True
+        self._state.outputs.append(
+            LookAtWorker(
+                contact.worker,
+                contact.fence,
+                contact.seen,
+                contact.grant(now_s) if is_heard else None,
+                wait_ms,
+                wait_ms / _MS + self._state.settings.answer_s,
+                now_s,
+            ),
+        )
+
+    def take(
+        self,
+        contact: Contact,
+        looked: WorkerLooked,
+        now_s: float,
+    ) -> list[RunOver]:
+        """Take the answer to a look, and give the ends that it told."""
+        contact.is_looking = False
+        answer = looked.answer
+        ends: list[RunOver] = []
+        if looked.outcome is OrderOutcome.gone:
+            self.let_go(contact)
+        elif answer is None:
+            self._note_miss(contact, now_s)
+        elif answer.boot_ms > contact.worker.boot_ms:
+            # It started again and nobody has said so yet.
+            worker = contact.worker._replace(boot_ms=answer.boot_ms)
+            contact.restart(worker, now_s)
+            self._state.propose(RegisterWorker(worker))
+        elif not answer.boot_ms or answer.boot_ms == contact.worker.boot_ms:
+            ends = self._take_lists(contact, looked, now_s)
+        contact.look_due_s = max(contact.look_due_s, now_s)
+        self.look(contact, now_s)
+        return ends
+
+    def take_note(self, now_s: float) -> None:
+        """Let workers forget their ends; all that were told are recorded."""
+        for contact in self._state.contacts.values():
+            if contact.noted > contact.seen:
+                contact.seen = contact.noted
+                self.look(contact, now_s)
+
+    def let_go(self, contact: Contact) -> None:
+        """Forget a worker that has surely ended."""
+        gone = (contact.worker.name, contact.worker.boot_ms)
+        if gone not in self._leaving:
+            self._leaving.add(gone)
+            self._state.propose(ForgetWorker(*gone))
+
+    def note_forgotten(self, forgotten: ForgetWorker) -> None:
+        """Note that the log has forgotten a worker."""
+        self._leaving.discard((forgotten.name, forgotten.boot_ms))
+
+    def _forget_silent(self, contact: Contact, now_s: float) -> None:
+        quiet_s = now_s - max(contact.heard_s, contact.announced_s)
+        is_settled = now_s > self._state.over_at_s
+        if quiet_s > self._state.settings.forget_s and is_settled:
+            self.let_go(contact)
+
+    def _get_wait_ms(self, contact: Contact) -> int:
+        tasks = contact.listed.keys()
+        jobs = self._state.jobs
+        is_watched = has_fillers(jobs, iter(tasks)) and has_servers(
+            jobs,
+            iter(tasks),
+        )
+        settings = self._state.settings
+        return settings.watch_ms if is_watched else settings.wait_ms
+
+    def _note_miss(self, contact: Contact, now_s: float) -> None:
+        contact.misses += 1
+        settings = self._state.settings
+        wait_s = settings.retry_s * contact.misses
+        contact.look_due_s = now_s + min(wait_s, settings.retry_max_s)
+
+    def _take_lists(
+        self,
+        contact: Contact,
+        looked: WorkerLooked,
+        now_s: float,
+    ) -> list[RunOver]:
+        answer = looked.answer
+        if answer is None or looked.fence < contact.fence:
+            return []
+        contact.note_clock(answer.clock_ms, now_s)
+        contact.heard_s = now_s
+        contact.misses = 0
+        if not contact.is_synced:
+            self._state.is_changed = True
+        contact.is_synced = contact.has_clock
+        contact.listed = {one.task: one for one in answer.running}
+        ends = collect_ends(contact, looked)
+        for over in ends:
+            self._state.note_end(over)
+        self._compare(contact, looked, now_s)
+        self._pace(contact, now_s)
+        return ends
+
+    def _compare(
+        self,
+        contact: Contact,
+        looked: WorkerLooked,
+        now_s: float,
+    ) -> None:
+        state = self._state
+        ending = set(state.ends)
+        for lost in find_lost(state.jobs, contact, looked, ending):
+            state.note_end(lost)
+        for orphan in find_orphans(state.jobs, contact):
+            state.stop(contact, orphan.task, orphan.number, now_s)
+
+    def _pace(self, contact: Contact, now_s: float) -> None:
+        state = self._state
+        self._pacing.note_look(state.jobs, contact, now_s)
+        name = contact.worker.name
+        for paced in self._pacing.choose(state.jobs, contact):
+            task, number, percent = paced
+            self._pacing.note_sent(name, task, number, percent)
+            state.outputs.append(
+                PaceRun(
+                    contact.worker,
+                    task,
+                    number,
+                    contact.fence,
+                    percent,
+                    state.settings.answer_s,
+                ),
+            )
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -20,11 +20,7 @@
 
 
 class Standing(NamedTuple):
-    """Say which workers get a task, and what speaks against one.
-
-    ``get_penalty`` gives 0 for a worker like any other and more for one that
-    is better avoided, for a step and a task's index.
-    """
+    """Hold a worker that may get tasks, and whom they would disturb there."""
 
     worker: Worker
     has_servers: bool = False
@@ -88,7 +84,7 @@
         # Unless all can start at once, none does.
         if step.running:
             return
-        racks = [''] if not step.step.is_same_rack else self._get_racks(step)
+        racks = self._get_racks(step) if step.step.is_same_rack else ['']
         for rack in racks:
             if self._try_gang(step, rack):
                 return
@@ -165,6 +161,7 @@
             if not _is_allowed(step, worker, on_worker, rack):
                 continue
             cost = (
+                _is_crowded(step, on_worker[worker.name]),
                 self._is_avoided(task, worker.name),
                 _is_far(step, worker),
                 _is_disturbed(step, standing),
@@ -203,6 +200,13 @@
     return not rack or worker.rack == rack
 
 
+def _is_crowded(step: StepState, running: int) -> bool:
+    # With more tasks of a lasting step on one worker than may be away at
+    # once, the worker could not be emptied for maintenance in one go.
+    may_miss = step.step.may_miss
+    return step.step.is_lasting and 0 < may_miss <= running
+
+
 def _is_far(step: StepState, worker: Worker) -> bool:
     rack = step.step.data_rack
     return bool(rack) and rack != worker.rack
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -13,6 +13,13 @@
     or ``watch_ms`` where the tails of serving tasks must be followed.
     ``quiet_s`` is how long a worker may be silent before it gets nothing new;
     idle ones only send announcements, so they have ``idle_quiet_s``.
+
+    A new leader orders nothing for an instance before ``settle_s``: until
+    then an order of the one before may be under way, and nothing checks its
+    fence. It covers the platform's bound for two holders in turn and a freeze
+    between check and send. A worker is emptied for ``empty_max_s`` at most,
+    the longest of usual tasks. An instance whose successor is not heard after
+    ``upkeep_max_s`` is counted as back.
     """
 
     lease_ms: int = 5000
@@ -27,3 +34,7 @@
     retry_max_s: float = 2.0
     forget_s: float = 20.0
     margin_s: float = 0.3
+    settle_s: float = 3.8
+    empty_max_s: float = 3.5
+    order_again_s: float = 1.0
+    upkeep_max_s: float = 8.0
--- /dev/null
+++ b/src/sardinemast/dispatch/_starts.py
@@ -0,0 +1,170 @@
+"""Ends and starts of runs on their way through the log."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from sardinemast.dispatch._contact import Contact, SentStart
+from sardinemast.dispatch._events import (
+    OrderOutcome,
+    RunAnswered,
+    StartRun,
+)
+from sardinemast.dispatch._order import get_order
+from sardinemast.dispatch._pacing import has_fillers, has_servers
+from sardinemast.dispatch._planner import Planner, Standing
+from sardinemast.dispatch._state import DispatchState
+from sardinemast.jobs import RunEnd, StepState, TaskKey
+from sardinemast.jobs.commands import RecordRuns, RunOver, RunStart
+
+# Room that a worker refuses is told by its next look, well within this.
+_AVOID_REFUSED_S = 0.3
+# One that answers with an error or not at all is tried again at this rate.
+_AVOID_UNHEALTHY_S = 1.5
+# What time alone changes (who is heard, who is avoided) waits this long.
+_PLAN_AGAIN_S = 0.1
+
+
+class Starts:
+    """Record ends and starts together, and send what is recorded.
+
+    One command with all that has gathered is on its way at a time, so that
+    neither a start nor an end needs an entry of the log to itself.
+    """
+
+    def __init__(self, state: DispatchState) -> None:
+        self._state = state
+        self._recording: RecordRuns | None = None
+        self._failed_at: dict[TaskKey, set[str]] = defaultdict(set)
+        self._planned_s: float = 0
+
+    def start_term(self) -> None:
+        """Forget what was under way in a former term."""
+        self._recording = None
+        self._failed_at.clear()
+
+    def note_failures(self, worker: str, ends: list[RunOver]) -> None:
+        """Remember where a task has failed; it goes elsewhere next."""
+        for over in ends:
+            if over.end is RunEnd.failed:
+                self._failed_at[over.task].add(worker)
+
+    def record(self, now_s: float, now_ms: int) -> bool:
+        """Record what is due; tell whether there was nothing left to do."""
+        if self._recording is not None:
+            return False
+        starts = self._plan(now_s, now_ms)
+        ends = tuple(self._state.ends.values())
+        if not ends and not starts:
+            return True
+        self._state.ends.clear()
+        self._recording = RecordRuns(ends, starts)
+        self._state.propose(self._recording)
+        return False
+
+    def take_recorded(self, command: RecordRuns, now_s: float) -> bool:
+        """Send the starts that the log has taken, if they are this term's."""
+        if command != self._recording:
+            return False
+        self._recording = None
+        for start in command.starts:
+            step = self._state.jobs.find_step(start.task)
+            run = step.running.get(start.task.position) if step else None
+            if step and run == (start.number, start.worker):
+                self._send(step, start, now_s)
+        for over in command.ends:
+            self._stop_rest(over.task, now_s)
+        return True
+
+    def take_answer(
+        self,
+        contact: Contact,
+        answered: RunAnswered,
+        now_s: float,
+    ) -> None:
+        """Take a worker's answer to a start."""
+        sent = contact.sent.get(answered.task)
+        if sent is None or sent.number != answered.number:
+            return
+        contact.note_clock(answered.clock_ms, now_s)
+        if answered.outcome is OrderOutcome.done:
+            contact.sent[answered.task] = sent._replace(confirmed_s=now_s)
+            contact.heard_s = now_s
+        elif answered.outcome is OrderOutcome.unknown:
+            contact.has_doubt = True
+            contact.avoid_until_s = now_s + _AVOID_UNHEALTHY_S
+        else:
+            contact.sent.pop(answered.task)
+            lost = RunOver(answered.task, answered.number, RunEnd.lost)
+            self._state.note_end(lost)
+            avoid_s = _AVOID_UNHEALTHY_S
+            if answered.reason:
+                avoid_s = _AVOID_REFUSED_S
+            contact.avoid_until_s = now_s + avoid_s
+
+    def _plan(self, now_s: float, now_ms: int) -> tuple[RunStart, ...]:
+        state = self._state
+        again_s = self._planned_s + _PLAN_AGAIN_S
+        is_due = state.is_changed or now_s >= again_s
+        if not state.jobs.ready or not is_due:
+            return ()
+        state.is_changed = False
+        self._planned_s = now_s
+
+        def order(step: StepState) -> tuple[float, ...]:
+            return get_order(state.jobs.jobs[step.key.job], step, now_ms)
+
+        return Planner(
+            state.jobs,
+            self._list_standings(now_s),
+            order,
+            self._is_avoided,
+        ).choose()
+
+    def _list_standings(self, now_s: float) -> Iterator[Standing]:
+        state = self._state
+        for name, contact in state.contacts.items():
+            tasks = state.get_runs(name)
+            if contact.is_usable(now_s, has_runs=bool(tasks)):
+                yield Standing(
+                    contact.worker,
+                    has_servers(state.jobs, iter(tasks)),
+                    has_fillers(state.jobs, iter(tasks)),
+                )
+
+    def _is_avoided(self, task: TaskKey, worker: str) -> bool:
+        return worker in self._failed_at.get(task, ())
+
+    def _send(self, step: StepState, start: RunStart, now_s: float) -> None:
+        contact = self._state.contacts.get(start.worker)
+        if contact is None or not contact.is_synced:
+            # It was lost while the start was recorded, and hears nothing.
+            lost = RunOver(start.task, start.number, RunEnd.lost)
+            self._state.note_end(lost)
+            return
+        contact.sent[start.task] = SentStart(start.number, contact.fence)
+        self._state.outputs.append(
+            StartRun(
+                contact.worker,
+                start.task,
+                start.number,
+                contact.fence,
+                contact.grant(now_s),
+                self._state.jobs.jobs[start.task.job].request.spec,
+                _get_checkpoint(step, start.task.position),
+                self._state.settings.answer_s,
+            ),
+        )
+
+    def _stop_rest(self, ended: TaskKey, now_s: float) -> None:
+        self._state.stop_job(ended.job, now_s)
+        step = self._state.jobs.find_step(ended)
+        # A member of a gang that runs without the others only holds room.
+        if step is not None and step.step.is_gang and step.waiting:
+            self._state.stop_step(step, now_s)
+
+
+def _get_checkpoint(step: StepState, position: int) -> str:
+    # The value of any member counts for a gang, and all carry the same.
+    if step.step.is_gang:
+        return next(iter(sorted(step.checkpoints.values())), '')
+    return step.checkpoints.get(position, '')
--- /dev/null
+++ b/src/sardinemast/dispatch/_state.py
@@ -0,0 +1,117 @@
+"""What the parts of the dispatcher share."""
+
+from collections.abc import Iterator
+
+from sardinemast import jobs
+from sardinemast.dispatch._contact import Contact
+from sardinemast.dispatch._events import (
+    DispatchOutput,
+    Propose,
+    StopRun,
+)
+from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.jobs import JobsState, StepState, TaskKey
+from sardinemast.jobs.commands import RunOver
+
+_MS = 1000
+_NEVER_S = float('-inf')
+
+
+class DispatchState:
+    """Hold the log's state, the contacts and what is gathered of a term.
+
+    ``ends`` is what workers have told and the log does not have yet. With
+    ``is_changed`` room or tasks may have come since the last plan.
+    """
+
+    def __init__(self, settings: DispatchSettings) -> None:
+        self.settings = settings
+        self.jobs = JobsState()
+        self.term = 0
+        self.started_s: float = 0
+        self.outputs: list[DispatchOutput] = []
+        self.contacts: dict[str, Contact] = {}
+        self.ends: dict[TaskKey, RunOver] = {}
+        self.is_changed = True
+
+    def start_term(self, state: JobsState, term: int, now_s: float) -> None:
+        """Know nothing but the log."""
+        self.jobs = state
+        self.term = term
+        self.started_s = now_s
+        self.contacts.clear()
+        self.ends.clear()
+        self.is_changed = True
+
+    @property
+    def over_at_s(self) -> float:
+        """Give when leases have ended that the leader before has given.
+
+        It may have prolonged one right until its own lease ended, which it
+        had when this term began.
+        """
+        settings = self.settings
+        lease_s = settings.lease_ms / _MS / (1 - settings.drift)
+        return self.started_s + lease_s + settings.margin_s
+
+    def propose(self, command: jobs.Command) -> None:
+        """Put a command into the log."""
+        self.outputs.append(Propose(command))
+
+    def get_runs(self, worker: str) -> dict[TaskKey, int]:
+        """Give the runs that the log has at a worker."""
+        return self.jobs.runs.get(worker, {})
+
+    def note_end(self, over: RunOver) -> None:
+        """Gather an end, if it is that of the task's newest run."""
+        step = self.jobs.find_step(over.task)
+        run = step.running.get(over.task.position) if step else None
+        if run is not None and run.number == over.number:
+            self.ends[over.task] = over
+
+    def iterate_steps_on(
+        self,
+        worker: str,
+    ) -> Iterator[tuple[TaskKey, int, StepState]]:
+        """Give each task that runs on a worker, its run and its step."""
+        for task, number in self.get_runs(worker).items():
+            step = self.jobs.find_step(task)
+            if step is not None:
+                yield task, number, step
+
+    def stop(
+        self,
+        contact: Contact,
+        task: TaskKey,
+        number: int,
+        now_s: float,
+    ) -> None:
+        """Have a run stopped; asked too often, nothing is sent."""
+        again_s = contact.stopping_s.get(task, _NEVER_S)
+        if now_s < again_s + self.settings.stop_again_s:
+            return
+        contact.stopping_s[task] = now_s
+        self.outputs.append(
+            StopRun(
+                contact.worker,
+                task,
+                number,
+                contact.fence,
+                self.settings.answer_s,
+            ),
+        )
+
+    def stop_step(self, step: StepState, now_s: float) -> None:
+        """Have all runs of a step stopped."""
+        for position, run in step.running.items():
+            contact = self.contacts.get(run.worker)
+            if contact is not None:
+                task = step.get_task(position)
+                self.stop(contact, task, run.number, now_s)
+
+    def stop_job(self, job_name: str, now_s: float) -> None:
+        """Have all runs of a job that is over stopped."""
+        job = self.jobs.jobs.get(job_name)
+        if job is not None and job.is_over:
+            for step in job.iterate_steps():
+                self.stop_step(step, now_s)
--- /dev/null
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -0,0 +1,251 @@
+"""Maintenance of instances: waves, and workers that are emptied for them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from sardinemast.dispatch._contact import Contact
+from sardinemast.dispatch._events import (
+    OrderOutcome,
+    OrderUpkeep,
+    UpkeepAnswered,
+)
+from sardinemast.dispatch._ledger import may_stop
+from sardinemast.dispatch._state import DispatchState
+from sardinemast.jobs import UpkeepStatus, Wave, WaveItem, Worker
+from sardinemast.jobs.commands import NoteUpkeep
+
+_MS = 1000
+_BUSY = frozenset((UpkeepStatus.ordered, UpkeepStatus.down))
+# From emptying a worker to its successor's first word, seen on quiet days.
+_TURN_S = 6.0
+# A wave is planned to end so much before its deadline.
+_RESERVE_S = 4.0
+
+
+class Upkeep:
+    """Empty the workers of a wave and have their instances maintained.
+
+    An order takes everything down that runs on the instance. It is in the
+    log before it is sent, so that the next leader counts it against the cap.
+    """
+
+    def __init__(self, state: DispatchState) -> None:
+        self._state = state
+        self._emptied_s: dict[str, float] = {}
+        self._ordered_s: dict[tuple[int, str], float] = {}
+        self._noting: dict[tuple[int, str], UpkeepStatus] = {}
+
+    def start_term(self) -> None:
+        """Forget what was under way in a former term."""
+        self._emptied_s.clear()
+        self._ordered_s.clear()
+        self._noting.clear()
+
+    def tick(self, now_s: float, now_ms: int) -> None:
+        """Go on with each wave that is not done."""
+        workers = _find_workers(self._state)
+        for wave in self._state.jobs.waves.values():
+            if any(one.status is not UpkeepStatus.done for one in wave.items):
+                self._go_on(wave, workers, now_s, now_ms)
+        for contact in self._state.contacts.values():
+            if contact.is_resting or contact.worker.is_draining:
+                self._empty(contact, now_s)
+
+    def take_answer(self, answered: UpkeepAnswered) -> None:
+        """Take the answer to an order."""
+        wave = self._state.jobs.waves.get(answered.wave)
+        if wave is None:
+            return
+        # What ran there has ended only if the order was carried out just now,
+        # and the answer is the same where that was before. The successor's
+        # first word tells it.
+        if answered.outcome is OrderOutcome.done:
+            self._note(
+                wave,
+                answered.instance,
+                UpkeepStatus.down,
+                answered.boot_ms,
+            )
+        elif answered.is_unknown_instance:
+            self._note(wave, answered.instance, UpkeepStatus.done)
+
+    def note_applied(self, noted: NoteUpkeep) -> None:
+        """Go on with an item whose status stands in the log."""
+        self._noting.pop((noted.wave, noted.instance), None)
+
+    def _go_on(
+        self,
+        wave: Wave,
+        workers: dict[str, Worker],
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        for item in wave.items:
+            worker = workers.get(item.instance)
+            if item.status in _BUSY:
+                self._follow(wave, item, worker, now_s)
+        # Without checked fences only time keeps two leaders' orders apart.
+        settled_s = self._state.started_s + self._state.settings.settle_s
+        if now_s >= settled_s:
+            self._begin(wave, workers, now_s, now_ms)
+
+    def _follow(
+        self,
+        wave: Wave,
+        item: WaveItem,
+        worker: Worker | None,
+        now_s: float,
+    ) -> None:
+        place = (wave.number, item.instance)
+        settings = self._state.settings
+        ordered_s = self._ordered_s.get(place)
+        if item.status is UpkeepStatus.down:
+            is_back = worker is not None and worker.boot_ms > item.boot_ms
+            since_s = ordered_s or self._state.started_s
+            if is_back or now_s >= since_s + settings.upkeep_max_s:
+                self._note(wave, item.instance, UpkeepStatus.done)
+        elif now_s >= self._state.started_s + settings.settle_s:
+            if ordered_s is None or now_s >= ordered_s + settings.order_again_s:
+                self._ordered_s[place] = now_s
+                self._order(wave, item, worker)
+
+    def _order(
+        self,
+        wave: Wave,
+        item: WaveItem,
+        worker: Worker | None,
+    ) -> None:
+        self._state.outputs.append(
+            OrderUpkeep(
+                item.instance,
+                wave.number,
+                self._state.term,
+                worker.boot_ms if worker else 0,
+                self._state.settings.answer_s,
+            ),
+        )
+
+    def _begin(
+        self,
+        wave: Wave,
+        workers: dict[str, Worker],
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        waiting = [
+            item for item in wave.items if item.status is UpkeepStatus.waiting
+        ]
+        busy = sum(item.status in _BUSY for item in wave.items)
+        busy += sum(
+            place[0] == wave.number and status is UpkeepStatus.ordered
+            for place, status in self._noting.items()
+        )
+        for item in self._choose(wave, waiting, workers, now_ms):
+            worker = workers.get(item.instance)
+            contact = self._state.contacts.get(worker.name) if worker else None
+            if contact is None:
+                is_due = True
+            else:
+                self._rest(contact, now_s)
+                is_due = self._is_empty(contact, now_s)
+            if is_due and busy < wave.cap:
+                busy += 1
+                self._note(
+                    wave,
+                    item.instance,
+                    UpkeepStatus.ordered,
+                    worker.boot_ms if worker else 0,
+                )
+
+    def _choose(
+        self,
+        wave: Wave,
+        waiting: list[WaveItem],
+        workers: dict[str, Worker],
+        now_ms: int,
+    ) -> Iterator[WaveItem]:
+        """Give the items whose turn it is: a few of each pool at a time."""
+        left_s = max((wave.due_ms - now_ms) / _MS - _RESERVE_S, _TURN_S)
+        by_pool: Counter[str] = Counter()
+        for item in waiting:
+            worker = workers.get(item.instance)
+            by_pool[worker.pool if worker else ''] += 1
+        taken: Counter[str] = Counter()
+        for item in wave.items:
+            worker = workers.get(item.instance)
+            pool = worker.pool if worker else ''
+            if item.status in _BUSY:
+                taken[pool] += 1
+        for item in sorted(waiting, key=self._get_order(workers)):
+            worker = workers.get(item.instance)
+            pool = worker.pool if worker else ''
+            allowed = 1 + int(by_pool[pool] * _TURN_S / left_s)
+            if sum(taken.values()) < wave.cap and taken[pool] < allowed:
+                taken[pool] += 1
+                yield item
+
+    def _get_order(
+        self,
+        workers: dict[str, Worker],
+    ) -> Callable[[WaveItem], tuple[bool, int, str]]:
+        def get_order(item: WaveItem) -> tuple[bool, int, str]:
+            worker = workers.get(item.instance)
+            if worker is None:
+                return (False, 0, item.instance)
+            runs = self._state.get_runs(worker.name)
+            is_resting = worker.name in self._emptied_s
+            return (not is_resting, len(runs), item.instance)
+
+        return get_order
+
+    def _rest(self, contact: Contact, now_s: float) -> None:
+        contact.is_resting = True
+        self._emptied_s.setdefault(contact.worker.name, now_s)
+
+    def _is_empty(self, contact: Contact, now_s: float) -> bool:
+        name = contact.worker.name
+        left = [
+            step
+            for _, _, step in self._state.iterate_steps_on(name)
+            if step.step.is_lasting and step.step.may_miss
+        ]
+        if left:
+            return False
+        since_s = self._emptied_s.get(name, now_s)
+        is_patient = now_s < since_s + self._state.settings.empty_max_s
+        return not (is_patient and self._state.get_runs(name))
+
+    def _empty(self, contact: Contact, now_s: float) -> None:
+        for task, number, step in tuple(
+            self._state.iterate_steps_on(contact.worker.name),
+        ):
+            if not step.step.is_lasting:
+                continue
+            if may_stop(self._state, step, task, now_s):
+                self._state.stop(contact, task, number, now_s)
+
+    def _note(
+        self,
+        wave: Wave,
+        instance: str,
+        status: UpkeepStatus,
+        boot_ms: int = 0,
+    ) -> None:
+        place = (wave.number, instance)
+        if self._noting.get(place) is not status:
+            self._noting[place] = status
+            self._state.propose(
+                NoteUpkeep(wave.number, instance, status, boot_ms),
+            )
+
+
+def _find_workers(state: DispatchState) -> dict[str, Worker]:
+    """Give the newest worker of each instance."""
+    found: dict[str, Worker] = {}
+    for worker in state.jobs.workers.values():
+        known = found.get(worker.instance)
+        if worker.instance and (
+            known is None or worker.boot_ms > known.boot_ms
+        ):
+            found[worker.instance] = worker
+    return found
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -9,6 +9,7 @@
     UpkeepStatus,
     Wave,
     WaveItem,
+    Worker,
 )
 from sardinemast.jobs._state import JobsState, JobState, StepState
 
@@ -98,6 +99,21 @@
     # crossed the restart may have reached the new boot.
     state.workers[worker.name] = worker
     state.runs.setdefault(worker.name, {})
+    for other in tuple(state.workers.values()):
+        if _has_followed(worker, other):
+            _forget_worker(state, other)
+
+
+def _has_followed(worker: Worker, other: Worker) -> bool:
+    """Tell whether a worker lives where another one must have ended.
+
+    An instance has one worker at a time, and so has an address. Without this
+    the tasks of one that was replaced would wait for the end of its lease.
+    """
+    if worker.name == other.name or worker.boot_ms <= other.boot_ms:
+        return False
+    is_same = worker.instance and worker.instance == other.instance
+    return bool(is_same) or worker.address == other.address
 
 
 @apply_command.register
@@ -109,13 +125,7 @@
     worker = state.workers.get(command.name)
     if worker is None or worker.boot_ms != command.boot_ms:
         return
-    state.workers.pop(command.name)
-    for task in tuple(state.runs.get(command.name, ())):
-        step = state.find_step(task)
-        if step is not None:
-            _end_run(state, step, task.index, RunEnd.lost)
-    state.runs.pop(command.name, None)
-    state.used_by_worker.pop(command.name, None)
+    _forget_worker(state, worker)
 
 
 @apply_command.register
@@ -126,11 +136,11 @@
 ) -> None:
     for over in command.ends:
         step = state.find_step(over.task)
-        run = step.running.get(over.task.index) if step else None
+        run = step.running.get(over.task.position) if step else None
         if step and run is not None and run.number == over.number:
             if over.checkpoint:
-                step.checkpoints[over.task.index] = over.checkpoint
-            _end_run(state, step, over.task.index, over.end)
+                step.checkpoints[over.task.position] = over.checkpoint
+            _end_run(state, step, over.task.position, over.end)
     for start in command.starts:
         _start_run(state, start)
 
@@ -161,7 +171,10 @@
     if wave is None:
         return
     items = tuple(
-        item._replace(status=command.status, token=command.token)
+        item._replace(
+            status=command.status,
+            boot_ms=command.boot_ms or item.boot_ms,
+        )
         if item.instance == command.instance
         and item.status is not UpkeepStatus.done
         else item
@@ -170,6 +183,16 @@
     state.waves[wave.number] = wave._replace(items=items)
 
 
+def _forget_worker(state: JobsState, worker: Worker) -> None:
+    state.workers.pop(worker.name)
+    for task in tuple(state.runs.get(worker.name, ())):
+        step = state.find_step(task)
+        if step is not None:
+            _end_run(state, step, task.position, RunEnd.lost)
+    state.runs.pop(worker.name, None)
+    state.used_by_worker.pop(worker.name, None)
+
+
 def _open(state: JobsState, job: JobState, occurrence: int) -> None:
     for step in job.open_occurrence(occurrence):
         if job.is_ready(step):
@@ -178,7 +201,7 @@
 
 def _start_run(state: JobsState, start: commands.RunStart) -> None:
     step = state.find_step(start.task)
-    index = start.task.index
+    index = start.task.position
     if step is None or state.jobs[start.task.job].is_over:
         return
     if start.worker not in state.workers or index not in step.waiting:
@@ -218,7 +241,7 @@
         # One end stands for all members: they work and end only together.
         for member in tuple(step.running):
             state.remove_run(step, member)
-        step.done.update(range(step.step.count))
+        step.done.update(range(step.step.task_count))
         step.waiting.clear()
     if step.is_done:
         state.ready.pop(step.key, None)
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -17,7 +17,7 @@
     processor time is not counted against the worker's room.
     """
 
-    count: int
+    task_count: int
     size: Size
     estimate_ms: int = 0
     depends_on: tuple[int, ...] = ()
@@ -138,11 +138,11 @@
     job: str
     occurrence: int
     step: int
-    index: int
+    position: int
 
     def __str__(self) -> str:
         """Give the dotted name that workers and logs know."""
-        return f'{self.job}.{self.occurrence}.{self.step}.{self.index}'
+        return f'{self.job}.{self.occurrence}.{self.step}.{self.position}'
 
 
 class StepKey(NamedTuple):
@@ -188,11 +188,11 @@
 
 
 class WaveItem(NamedTuple):
-    """Hold one instance of a wave; ``token`` fences the order for it."""
+    """Hold one instance of a wave, and the boot that an order takes down."""
 
     instance: str
     status: UpkeepStatus = UpkeepStatus.waiting
-    token: int = 0
+    boot_ms: int = 0
 
 
 class Wave(NamedTuple):
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -41,7 +41,7 @@
     def __init__(self, key: StepKey, step: Step) -> None:
         self.key = key
         self.step = step
-        self.waiting: dict[int, None] = dict.fromkeys(range(step.count))
+        self.waiting: dict[int, None] = dict.fromkeys(range(step.task_count))
         self.running: dict[int, Run] = {}
         self.done: set[int] = set()
         self.numbers: dict[int, int] = {}
@@ -51,7 +51,7 @@
     @property
     def is_done(self) -> bool:
         """Tell whether every task has ended well."""
-        return len(self.done) == self.step.count
+        return len(self.done) == self.step.task_count
 
     def get_task(self, index: int) -> TaskKey:
         """Name one of the tasks."""
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -98,7 +98,7 @@
     wave: int
     instance: str
     status: UpkeepStatus
-    token: int = 0
+    boot_ms: int = 0
 
 
 Command = (
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -110,7 +110,10 @@
     control_front = ControlFront(process.relay, address.port)
     server = SmallServer(control_front.handle)
     server.listen(address)
-    gateway = PlatformGateway(process.cluster.own.peer.host)
+    gateway = PlatformGateway(
+        process.cluster.own.peer.host,
+        process.settings.instances,
+    )
     extras = ControlExtras(gateway, DispatchSettings())
     async with asyncio.TaskGroup() as tasks:
         running = [
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -38,7 +38,7 @@
 def make_request(body: JobBody) -> JobRequest:
     """Give the job that a caller declares, or raise ``ValueError``."""
     steps = tuple(map(_make_step, body['phases']))
-    if not steps or any(step.count < 1 for step in steps):
+    if not steps or any(step.task_count < 1 for step in steps):
         raise ValueError('A job has steps, and each step has tasks.')
     for number, step in enumerate(steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
@@ -141,7 +141,7 @@
 
 def _make_step(body: StepBody) -> Step:
     return Step(
-        count=body.get('count', 0),
+        task_count=body.get('count', 0),
         size=Size(
             body.get('cpu', 0),
             body.get('mem_mb', 0) * _MIB_BYTES,
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -1,7 +1,6 @@
 """Orders to the platform's workers, over HTTP."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -11,15 +10,18 @@
 from logbook import Logger
 from tornado.httputil import HTTPHeaders
 
+from sardinemast.conf import Address
 from sardinemast.control import ControlEvent
 from sardinemast.dispatch import (
     DispatchOutput,
     LookAtWorker,
     OrderOutcome,
+    OrderUpkeep,
     PaceRun,
     RunAnswered,
     StartRun,
     StopRun,
+    UpkeepAnswered,
     WorkerLooked,
 )
 from sardinemast.jobs import Worker
@@ -38,14 +40,20 @@
 class _Reply(NamedTuple):
     outcome: OrderOutcome
     body: ListsBody | None = None
+    is_bad: bool = False
 
 
 class PlatformGateway:
-    """Carry the leader's orders to workers, each in a task of its own."""
+    """Carry the leader's orders, each in a task of its own.
 
-    def __init__(self, own_host: str) -> None:
+    Orders for instances go to the platform's service for them, under the
+    name of this process as their holder.
+    """
+
+    def __init__(self, own_host: str, instances: Address | None) -> None:
         self._client = UpstreamClient()
         self._own_host = own_host
+        self._instances = instances
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -160,6 +168,53 @@
         }
         await self._post(order, '/pace', body, valid_until_s)
 
+    @_send.register
+    async def _send_upkeep(
+        self,
+        order: OrderUpkeep,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body = {'machine': order.instance, 'wave': order.wave}
+        reply = await self._ask_instances(order, body, valid_until_s)
+        take(
+            UpkeepAnswered(
+                order.instance,
+                order.wave,
+                order.boot_ms,
+                reply.outcome,
+                reply.is_bad,
+            ),
+        )
+
+    async def _ask_instances(
+        self,
+        order: OrderUpkeep,
+        body: dict[str, Any],
+        valid_until_s: float,
+    ) -> _Reply:
+        if self._instances is None:
+            return _Reply(OrderOutcome.not_sent)
+        headers = HTTPHeaders(
+            {
+                'Content-Type': 'application/json',
+                'X-Lease-Holder': self._own_host,
+                'X-Fence-Token': str(order.token),
+            },
+        )
+        service = Announcement('', 0, '', *self._instances, '', '')
+        request = CallerRequest(
+            'POST',
+            '/machine-upkeep',
+            headers,
+            msgspec.json.encode(body),
+            self._own_host,
+        )
+        return await self._exchange(
+            _make_attempt(service, order.timeout_s, valid_until_s),
+            request,
+        )
+
     async def _post(
         self,
         order: LookAtWorker | StartRun | StopRun | PaceRun,
@@ -173,23 +228,25 @@
                 'X-Expect-Instance': order.worker.name,
             },
         )
-        attempt = await self._client.send(
-            StartAttempt(
-                0,
-                _make_announcement(order.worker),
-                order.timeout_s,
-                is_repeatable=False,
-                connection_limit=_CONNECTIONS_MAX,
-                valid_until_s=max(valid_until_s, time.monotonic()),
-            ),
-            CallerRequest(
-                'POST',
-                path,
-                headers,
-                msgspec.json.encode(body),
-                self._own_host,
-            ),
+        request = CallerRequest(
+            'POST',
+            path,
+            headers,
+            msgspec.json.encode(body),
+            self._own_host,
+        )
+        upstream = _make_announcement(order.worker)
+        return await self._exchange(
+            _make_attempt(upstream, order.timeout_s, valid_until_s),
+            request,
         )
+
+    async def _exchange(
+        self,
+        start: StartAttempt,
+        request: CallerRequest,
+    ) -> _Reply:
+        attempt = await self._client.send(start, request)
         if attempt.attempt_result is AttemptResult.not_sent:
             return _Reply(OrderOutcome.not_sent)
         if attempt.answer is None or attempt.attempt_result not in _CERTAIN:
@@ -197,6 +254,21 @@
         return _read_reply(attempt.answer.code, attempt.answer.body)
 
 
+def _make_attempt(
+    upstream: Announcement,
+    timeout_s: float,
+    valid_until_s: float,
+) -> StartAttempt:
+    return StartAttempt(
+        0,
+        upstream,
+        timeout_s,
+        is_repeatable=False,
+        connection_limit=_CONNECTIONS_MAX,
+        valid_until_s=valid_until_s,
+    )
+
+
 def _read_reply(code: int, body: bytes) -> _Reply:
     if code == HTTPStatus.MISDIRECTED_REQUEST:
         return _Reply(OrderOutcome.gone)
@@ -209,7 +281,8 @@
         return _Reply(OrderOutcome.unknown)
     if code == HTTPStatus.OK:
         return _Reply(OrderOutcome.done, found)
-    return _Reply(OrderOutcome.refused, found)
+    is_bad = code == HTTPStatus.BAD_REQUEST
+    return _Reply(OrderOutcome.refused, found, is_bad)
 
 
 def _make_announcement(worker: Worker) -> Announcement:
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -291,7 +291,6 @@
             if isinstance(output.message, NotLeader):
                 _log.debug('Stream {} is sent on.', output.stream_id)
 
-
     @_execute.register
     def _execute_gather(self, output: control.GatherProposals) -> None:
         asyncio.get_running_loop().call_later(
