--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -25,6 +25,9 @@
     Orders of an earlier leader, and own orders without an answer, may reach
     the worker seconds later. The fence is raised before the next look, and
     once that is answered, none of them can be carried out any more.
+
+    Of the worker's numbered ends, those up to ``noted`` are known here, up to
+    ``proposed`` on their way into the log, and up to ``seen`` recorded.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.misses = 0
         self.seen = 0
         self.noted = 0
+        self.proposed = 0
         self.sent: dict[TaskKey, SentStart] = {}
         self.listed: dict[TaskKey, ListedRun] = {}
         self.stopping_s: dict[TaskKey, float] = {}
@@ -91,6 +95,7 @@
         self.is_synced = False
         self.seen = 0
         self.noted = 0
+        self.proposed = 0
         self.listed = {}
         self._clock_ms = 0
         self._clock_at_s = None
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -80,8 +80,7 @@
         self._state.is_changed = True
         if isinstance(command, RecordRuns):
             if self._starts.take_recorded(command, now_s):
-                self._record(now_s, now_ms)
-                return self._state.outputs
+                self._looks.take_note(now_s)
         elif isinstance(command, CancelJob):
             self._state.stop_job(command.name, now_s)
         elif isinstance(command, ForgetWorker):
@@ -129,7 +128,12 @@
             self._looks.look(contact, now_s)
 
     def _record(self, now_s: float, now_ms: int) -> None:
-        if self._starts.record(now_s, now_ms):
+        if self._starts.is_recording:
+            return
+        self._starts.record(now_s, now_ms)
+        self._looks.note_proposed()
+        # Ends of runs that the log has ended before need no entry.
+        if not self._starts.is_recording:
             self._looks.take_note(now_s)
 
     def _open_due(self, now_ms: int) -> None:
--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -123,11 +123,20 @@
         self.look(contact, now_s)
         return ends
 
+    def note_proposed(self) -> None:
+        """Note that all ends told so far are on their way into the log."""
+        for contact in self._state.contacts.values():
+            contact.proposed = contact.noted
+
     def take_note(self, now_s: float) -> None:
-        """Let workers forget their ends; all that were told are recorded."""
+        """Let workers forget the ends that are recorded by now.
+
+        What a worker has told since is not in the log yet. Forgotten there,
+        it would be lost with this process, and the task would run again.
+        """
         for contact in self._state.contacts.values():
-            if contact.noted > contact.seen:
-                contact.seen = contact.noted
+            if contact.proposed > contact.seen:
+                contact.seen = contact.proposed
                 self.look(contact, now_s)
 
     def let_go(self, contact: Contact) -> None:
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -48,18 +48,19 @@
             if over.end is RunEnd.failed:
                 self._failed_at[over.task].add(worker)
 
-    def record(self, now_s: float, now_ms: int) -> bool:
-        """Record what is due; tell whether there was nothing left to do."""
-        if self._recording is not None:
-            return False
+    @property
+    def is_recording(self) -> bool:
+        """Tell whether ends and starts are on their way into the log."""
+        return self._recording is not None
+
+    def record(self, now_s: float, now_ms: int) -> None:
+        """Put what is due on its way into the log."""
         starts = self._plan(now_s, now_ms)
         ends = tuple(self._state.ends.values())
-        if not ends and not starts:
-            return True
-        self._state.ends.clear()
-        self._recording = RecordRuns(ends, starts)
-        self._state.propose(self._recording)
-        return False
+        if ends or starts:
+            self._state.ends.clear()
+            self._recording = RecordRuns(ends, starts)
+            self._state.propose(self._recording)
 
     def take_recorded(self, command: RecordRuns, now_s: float) -> bool:
         """Send the starts that the log has taken, if they are this term's."""
