--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -184,4 +184,5 @@
     | SendToCaller
     | SendOrder
     | GatherProposals
+    | dispatch.LogDecision
 )
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -16,6 +16,7 @@
     DispatchEvent,
     DispatchOutput,
     DispatchSettings,
+    LogDecision,
     LookAtWorker,
     OrderOutcome,
     OrderUpkeep,
@@ -142,6 +143,8 @@
         for output in outputs:
             if isinstance(output, Propose):
                 self._context.propose(output.command, INTERNAL_REQUEST, now_s)
+            elif isinstance(output, LogDecision):
+                self._context.outputs.append(output)
             elif leadership.is_leader:
                 order = SendOrder(output, leadership.until_s)
                 self._context.outputs.append(order)
--- a/src/sardinemast/daemon/_logs.py
+++ b/src/sardinemast/daemon/_logs.py
@@ -49,5 +49,6 @@
             'level': record.level_name.lower(),
             'part': record.channel,
             'text': record.message,
+            **record.extra,
         },
     )
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -1,5 +1,6 @@
 """What goes into the dispatcher and what comes out of it."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -150,6 +151,14 @@
     is_unknown_instance: bool = False
 
 
+class LogDecision(NamedTuple):
+    """Have a decision logged: what, about whom, and what decided it."""
+
+    event: str
+    subject: str
+    details: Mapping[str, str | float]
+
+
 class Propose(NamedTuple):
     """Put a command into the log."""
 
@@ -158,5 +167,11 @@
 
 DispatchEvent = WorkerLooked | RunAnswered | UpkeepAnswered
 DispatchOutput = (
-    LookAtWorker | StartRun | StopRun | PaceRun | OrderUpkeep | Propose
+    LookAtWorker
+    | StartRun
+    | StopRun
+    | PaceRun
+    | OrderUpkeep
+    | LogDecision
+    | Propose
 )
--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -60,6 +60,12 @@
         runs = self._state.get_runs(contact.worker.name)
         if not runs:
             return
+        self._state.log(
+            'worker.lease_ended',
+            contact.worker.name,
+            runs=len(runs),
+            silent_s=round(now_s - contact.heard_s, 3),
+        )
         # The worker has killed everything by itself; what it was told and
         # has not carried out yet is void under a higher fence.
         for task, number in runs.items():
@@ -144,6 +150,8 @@
         gone = (contact.worker.name, contact.worker.boot_ms)
         if gone not in self._leaving:
             self._leaving.add(gone)
+            runs = len(self._state.get_runs(gone[0]))
+            self._state.log('worker.gone', gone[0], runs=runs)
             self._state.propose(ForgetWorker(*gone))
 
     def note_forgotten(self, forgotten: ForgetWorker) -> None:
@@ -168,6 +176,10 @@
 
     def _note_miss(self, contact: Contact, now_s: float) -> None:
         contact.misses += 1
+        if contact.misses == 1:
+            heard_s = round(now_s - contact.heard_s, 3)
+            name = contact.worker.name
+            self._state.log('worker.silent', name, heard_ago_s=heard_s)
         settings = self._state.settings
         wait_s = settings.retry_s * contact.misses
         contact.look_due_s = now_s + min(wait_s, settings.retry_max_s)
@@ -186,6 +198,9 @@
         contact.misses = 0
         if not contact.is_synced:
             self._state.is_changed = True
+            runs = len(answer.running)
+            name = contact.worker.name
+            self._state.log('worker.heard', name, runs=runs)
         contact.is_synced = contact.has_clock
         contact.listed = {one.task: one for one in answer.running}
         ends = collect_ends(contact, looked)
@@ -205,6 +220,13 @@
         ending = set(state.ends)
         for lost in find_lost(state.jobs, contact, looked, ending):
             state.note_end(lost)
+            state.log(
+                'run.lost',
+                str(lost.task),
+                run=lost.number,
+                worker=looked.worker,
+                fence=looked.fence,
+            )
         for orphan in find_orphans(state.jobs, contact):
             state.stop(contact, orphan.task, orphan.number, now_s)
 
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -73,6 +73,12 @@
             if step and run == (start.number, start.worker):
                 self._send(step, start, now_s)
         for over in command.ends:
+            self._state.log(
+                'run.ended',
+                str(over.task),
+                run=over.number,
+                result=over.end.value,
+            )
             self._stop_rest(over.task, now_s)
         return True
 
@@ -87,6 +93,15 @@
         if sent is None or sent.number != answered.number:
             return
         contact.note_clock(answered.clock_ms, now_s)
+        if answered.outcome is not OrderOutcome.done:
+            self._state.log(
+                'run.not_started',
+                str(answered.task),
+                run=answered.number,
+                worker=answered.worker,
+                outcome=answered.outcome.value,
+                reason=answered.reason,
+            )
         if answered.outcome is OrderOutcome.done:
             contact.sent[answered.task] = sent._replace(confirmed_s=now_s)
             contact.heard_s = now_s
@@ -142,6 +157,13 @@
             lost = RunOver(start.task, start.number, RunEnd.lost)
             self._state.note_end(lost)
             return
+        self._state.log(
+            'run.started',
+            str(start.task),
+            run=start.number,
+            worker=start.worker,
+            fence=contact.fence,
+        )
         contact.sent[start.task] = SentStart(start.number, contact.fence)
         self._state.outputs.append(
             StartRun(
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -6,6 +6,7 @@
 from sardinemast.dispatch._contact import Contact
 from sardinemast.dispatch._events import (
     DispatchOutput,
+    LogDecision,
     Propose,
     StopRun,
 )
@@ -58,6 +59,10 @@
         """Put a command into the log."""
         self.outputs.append(Propose(command))
 
+    def log(self, event: str, subject: str, **details: str | float) -> None:
+        """Have a decision logged."""
+        self.outputs.append(LogDecision(event, subject, details))
+
     def get_runs(self, worker: str) -> dict[TaskKey, int]:
         """Give the runs that the log has at a worker."""
         return self.jobs.runs.get(worker, {})
@@ -91,6 +96,8 @@
         if now_s < again_s + self.settings.stop_again_s:
             return
         contact.stopping_s[task] = now_s
+        worker = contact.worker.name
+        self.log('run.stopped', str(task), run=number, worker=worker)
         self.outputs.append(
             StopRun(
                 contact.worker,
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -234,6 +234,11 @@
         place = (wave.number, instance)
         if self._noting.get(place) is not status:
             self._noting[place] = status
+            self._state.log(
+                f'upkeep.{status.value}',
+                instance,
+                wave=wave.number,
+            )
             self._state.propose(
                 NoteUpkeep(wave.number, instance, status, boot_ms),
             )
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -10,7 +10,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 from websockets.exceptions import ConnectionClosed
 
-from sardinemast import consensus, control
+from sardinemast import consensus, control, dispatch
 from sardinemast.conf import (
     Address,
     Cluster,
@@ -45,6 +45,7 @@
 from sardinemast.wire import WireError, load_plain
 
 _log = Logger('control')
+_decisions = Logger('dispatch')
 _FOLDER_NAME = 'replica'
 # What comes within this time is written and synced together. It is a part of
 # the sync itself, which takes 4 to 9 ms on the disks that this is meant for.
@@ -317,6 +318,11 @@
     def _execute_order(self, output: control.SendOrder) -> None:
         self._gateway.send(output.order, output.valid_until_s, self.loop.put)
 
+    @_execute.register
+    def _execute_log(self, output: dispatch.LogDecision) -> None:
+        extra = {'subject': output.subject, **output.details}
+        _decisions.info('{}', output.event, extra=extra)
+
 
 def _make_tick() -> control.Tick:
     return control.Tick(get_wall_ms())
