--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -41,12 +41,16 @@
         for worker in state.jobs.workers.values():
             contact = state.contacts.get(worker.name)
             if contact is None:
-                state.contacts[worker.name] = Contact(
+                contact = Contact(
                     worker,
                     state.term,
                     state.settings,
                     state.over_at_s,
                 )
+                # Its silence counts from here, or it would be forgotten
+                # between its first word and the first look.
+                contact.announced_s = now_s
+                state.contacts[worker.name] = contact
             elif worker.boot_ms > contact.worker.boot_ms:
                 contact.restart(worker, now_s)
             elif worker.boot_ms == contact.worker.boot_ms:
