--- /dev/null
+++ b/tests/builders/workers.py
@@ -0,0 +1,355 @@
+"""Model workers, and a leader whose log commits when the test says so."""
+
+from collections import deque
+from typing import Any, NamedTuple
+
+from sardinemast.dispatch import (
+    DispatchEvent,
+    Dispatcher,
+    DispatchOutput,
+    DispatchSettings,
+    ListedEnd,
+    ListedRun,
+    LogDecision,
+    LookAnswer,
+    LookAtWorker,
+    OrderOutcome,
+    OrderUpkeep,
+    PaceRun,
+    Propose,
+    RunAnswered,
+    StartRun,
+    StopRun,
+    UpkeepAnswered,
+    WorkerLooked,
+)
+from sardinemast.jobs import (
+    Catalog,
+    Command,
+    JobRequest,
+    JobsState,
+    Pool,
+    Queue,
+    Size,
+    Step,
+    TaskKey,
+    Team,
+    Worker,
+    apply_command,
+)
+from sardinemast.jobs.commands import PutCatalog, RegisterWorker, SubmitJob
+
+POOL = 'booking'
+QUEUE = 'seats'
+TEAM = 'breizh'
+KEY = 'key-of-breizh'
+CORE = 1000
+MIB = 1024 * 1024
+_MS = 1000
+
+
+def make_catalog(version: int = 1, *, cap: int = 0) -> Catalog:
+    """Give a catalog with one queue, one pool and one team."""
+    return Catalog(
+        version,
+        (
+            Queue(
+                QUEUE,
+                'host',
+                '/seats/',
+                POOL,
+                timeout_ms=3000,
+                target_ms=600,
+                attempts=2,
+                stretch=2,
+            ),
+        ),
+        (Pool(POOL),),
+        (Team(TEAM, (KEY,), cap=Size(cap, 0)),),
+    )
+
+
+def make_worker(
+    number: int,
+    *,
+    boot_ms: int = 1,
+    cores: int = 4,
+    is_draining: bool = False,
+) -> Worker:
+    """Give a worker with its own address and instance."""
+    return Worker(
+        f'w-{number}',
+        boot_ms,
+        f'10.0.0.{number}:80',
+        POOL,
+        'rennes',
+        f'r-{number % 2}',
+        ('a', f'r-{number % 2}'),
+        Size(cores * CORE, 8192 * MIB),
+        f'm-{number}',
+        is_draining,
+    )
+
+
+def make_step(task_count: int = 1, **changes: Any) -> Step:
+    """Give a step of tasks that take a core each."""
+    step = Step(task_count, Size(CORE, MIB), estimate_ms=500)
+    return step._replace(**changes)
+
+
+class ModelWorker:
+    """Do what a worker does, on a clock of its own that may be slow."""
+
+    def __init__(self, worker: Worker, rate: float = 1) -> None:
+        self.worker = worker
+        self.rate = rate
+        self.is_dark = False
+        self.fence = 0
+        self.expires_ms: float = 0
+        self.running: dict[TaskKey, int] = {}
+        self.highest: dict[TaskKey, int] = {}
+        self.ends: list[ListedEnd] = []
+        self.paces: dict[TaskKey, int] = {}
+        self.gauges: dict[TaskKey, int] = {}
+        self.percent = 100
+        self._position = 0
+
+    def get_clock_ms(self, true_s: float) -> int:
+        """Give the worker's own time."""
+        return int(1_000_000 + true_s * self.rate * _MS)
+
+    def note_time(self, true_s: float) -> None:
+        """Kill everything once the lease has ended."""
+        if self.running and self.get_clock_ms(true_s) > self.expires_ms:
+            for task in tuple(self.running):
+                self.end(task, 'lapsed')
+
+    def end(self, task: TaskKey, result: str, checkpoint: str = '') -> None:
+        """End a run and list its end."""
+        self._position += 1
+        number = self.running.pop(task)
+        self.ends.append(
+            ListedEnd(self._position, task, number, result, checkpoint),
+        )
+
+    def carry_out(self, order: Any, true_s: float) -> Any:
+        """Carry out an order, and give the outcome and a body."""
+        self.note_time(true_s)
+        if order.fence < self.fence:
+            return OrderOutcome.refused, 'fence'
+        self.fence = order.fence
+        if isinstance(order, LookAtWorker):
+            return OrderOutcome.done, self._look(order, true_s)
+        if isinstance(order, StartRun):
+            return self._start(order, true_s)
+        if isinstance(order, StopRun):
+            self._stop(order)
+        elif isinstance(order, PaceRun):
+            self.paces[order.task] = order.percent
+        return OrderOutcome.done, ''
+
+    def _look(self, order: LookAtWorker, true_s: float) -> LookAnswer:
+        self.expires_ms = max(self.expires_ms, order.expires_ms or 0)
+        self.ends = [one for one in self.ends if one.position > order.seen]
+        return LookAnswer(
+            self.worker.boot_ms,
+            self.get_clock_ms(true_s),
+            tuple(
+                ListedRun(
+                    task,
+                    number,
+                    '',
+                    self.percent,
+                    self.gauges.get(task, 0),
+                )
+                for task, number in self.running.items()
+            ),
+            tuple(self.ends),
+        )
+
+    def _start(self, order: StartRun, true_s: float) -> Any:
+        self.expires_ms = max(self.expires_ms, order.expires_ms)
+        if self.running.get(order.task) == order.number:
+            return OrderOutcome.done, ''
+        if order.number <= self.highest.get(order.task, 0):
+            return OrderOutcome.refused, 'old'
+        if order.expires_ms < self.get_clock_ms(true_s):
+            return OrderOutcome.refused, 'late'
+        self.highest[order.task] = order.number
+        self.running[order.task] = order.number
+        return OrderOutcome.done, ''
+
+    def _stop(self, order: StopRun) -> None:
+        self.highest[order.task] = max(
+            order.number,
+            self.highest.get(order.task, 0),
+        )
+        if self.running.get(order.task) == order.number:
+            self.end(order.task, 'stopped')
+
+
+class _Waiting(NamedTuple):
+    """Hold an order that a worker has not answered yet."""
+
+    order: Any
+    due_s: float
+
+
+class ModelFleet:
+    """Run a leader's dispatcher over a log, and workers that it orders.
+
+    Orders to a dark worker are kept in ``late``; a test may carry them out
+    whenever it likes. With ``is_held`` proposals wait to be committed.
+    """
+
+    def __init__(self, worker_count: int = 2, **worker: Any) -> None:
+        self.now_s: float = 0
+        self.term = 0
+        self.log_length = 0
+        self.state = JobsState()
+        self.dispatcher = Dispatcher(DispatchSettings())
+        self.workers: dict[str, ModelWorker] = {}
+        self.is_held = False
+        self.proposed: deque[Command] = deque()
+        self.late: list[tuple[ModelWorker, Any]] = []
+        self.started: list[StartRun] = []
+        self.upkeeps: list[str] = []
+        self.logged: list[str] = []
+        self._waiting: list[_Waiting] = []
+        self.commit(PutCatalog(make_catalog(), b'{}'))
+        for number in range(worker_count):
+            self.add_worker(make_worker(number, **worker))
+        self.elect()
+
+    @property
+    def now_ms(self) -> int:
+        """Give the time of day."""
+        return int(self.now_s * _MS)
+
+    def add_worker(self, worker: Worker, rate: float = 1) -> ModelWorker:
+        """Have a worker announce itself for the first time."""
+        model = ModelWorker(worker, rate)
+        self.workers[worker.name] = model
+        self.commit(RegisterWorker(worker))
+        return model
+
+    def elect(self) -> None:
+        """Let a new leader begin; what was not committed is lost."""
+        self.term += 1
+        self.proposed.clear()
+        self._waiting.clear()
+        self.dispatcher = Dispatcher(DispatchSettings())
+        self.dispatcher.start_term(self.state, self.term, self.now_s)
+
+    def submit(self, name: str, *steps: Step, team: str = TEAM) -> None:
+        """Have a job accepted."""
+        request = JobRequest('spec', steps)
+        self.commit(SubmitJob(name, QUEUE, team, request, self.now_ms))
+
+    def commit(self, command: Command) -> None:
+        """Have a command applied, and tell the leader."""
+        self.log_length += 1
+        apply_command(command, self.state, self.log_length)
+        if self.term:
+            self._execute(
+                self.dispatcher.note_applied(command, self.now_s, self.now_ms),
+            )
+
+    def commit_held(self) -> None:
+        """Have all held proposals committed."""
+        while self.proposed:
+            self.commit(self.proposed.popleft())
+
+    def run(self, seconds: float, step_s: float = 0.05) -> None:
+        """Let time pass; workers that are not dark announce themselves."""
+        for _ in range(round(seconds / step_s)):
+            self.now_s += step_s
+            for model in tuple(self.workers.values()):
+                model.note_time(self.now_s)
+                if not model.is_dark:
+                    name = model.worker.name
+                    self.dispatcher.note_announced(name, self.now_s)
+            self._answer_due()
+            self._execute(self.dispatcher.tick(self.now_s, self.now_ms))
+
+    def get_runs(self, task: TaskKey) -> list[str]:
+        """Give the workers that truly run a task now."""
+        return [
+            name
+            for name, model in self.workers.items()
+            if task in model.running
+        ]
+
+    def _execute(self, outputs: list[DispatchOutput]) -> None:
+        for output in outputs:
+            if isinstance(output, Propose):
+                self.proposed.append(output.command)
+            elif isinstance(output, LogDecision):
+                self.logged.append(f'{output.event} {output.subject}')
+            elif isinstance(output, OrderUpkeep):
+                self.upkeeps.append(output.instance)
+                self._waiting.append(_Waiting(output, self.now_s))
+            else:
+                self._send(output)
+        if not self.is_held:
+            self.commit_held()
+
+    def _send(self, order: Any) -> None:
+        if isinstance(order, StartRun):
+            self.started.append(order)
+        due_s = self.now_s
+        model = self.workers.get(order.worker.name)
+        if model is None or model.is_dark:
+            due_s += order.timeout_s
+        elif isinstance(order, LookAtWorker):
+            due_s += order.wait_ms / _MS
+        self._waiting.append(_Waiting(order, due_s))
+
+    def _answer_due(self) -> None:
+        waiting = self._waiting
+        self._waiting = []
+        for one in waiting:
+            if self._is_due(one):
+                self._answer(one.order)
+            else:
+                self._waiting.append(one)
+
+    def _is_due(self, waiting: _Waiting) -> bool:
+        if isinstance(waiting.order, LookAtWorker):
+            model = self.workers.get(waiting.order.worker.name)
+            if model is not None and not model.is_dark and model.ends:
+                return True
+        return self.now_s >= waiting.due_s
+
+    def _answer(self, order: Any) -> None:
+        event: DispatchEvent | None = None
+        if isinstance(order, OrderUpkeep):
+            event = UpkeepAnswered(
+                order.instance,
+                order.wave,
+                order.boot_ms,
+                OrderOutcome.done,
+            )
+        else:
+            event = self._answer_worker(order)
+        if event is not None:
+            self._execute(
+                self.dispatcher.step(event, self.now_s, self.now_ms),
+            )
+
+    def _answer_worker(self, order: Any) -> DispatchEvent | None:
+        name = order.worker.name
+        model = self.workers.get(name)
+        outcome, body = OrderOutcome.unknown, None
+        if model is not None and not model.is_dark:
+            outcome, body = model.carry_out(order, self.now_s)
+        elif model is not None:
+            self.late.append((model, order))
+        if isinstance(order, LookAtWorker):
+            answer = body if isinstance(body, LookAnswer) else None
+            sent_s = order.sent_s
+            return WorkerLooked(name, order.fence, sent_s, outcome, answer)
+        if isinstance(order, StartRun):
+            task, number = order.task, order.number
+            return RunAnswered(name, task, number, outcome, body or '')
+        return None
--- /dev/null
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -0,0 +1,169 @@
+"""Random histories of leaders, workers and orders against simple rules."""
+
+import pytest
+from builders.workers import (
+    CORE,
+    TEAM,
+    ModelFleet,
+    make_catalog,
+    make_step,
+    make_worker,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from sardinemast.jobs import NO_SIZE, TaskKey
+from sardinemast.jobs.commands import CancelJob, PutCatalog
+
+pytestmark = pytest.mark.fuzz
+_CAP = 5 * CORE
+_WORKERS = 3
+
+
+class Dispatching(RuleBasedStateMachine):
+    """Do to leaders and workers what may happen to them, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = ModelFleet(_WORKERS)
+        self.boots = 1
+        self.done: set[TaskKey] = set()
+        self.jobs = 0
+
+    @initialize()
+    def limit_team(self) -> None:
+        """Let the team run five cores of the twelve."""
+        self.fleet.commit(PutCatalog(make_catalog(2, cap=_CAP), b'{}'))
+
+    @rule(widths=st.lists(st.integers(1, 4), min_size=1, max_size=3))
+    def submit(self, widths: list[int]) -> None:
+        """Submit a job whose steps follow each other."""
+        self.jobs += 1
+        steps = [
+            make_step(width, depends_on=(place - 1,) if place else ())
+            for place, width in enumerate(widths)
+        ]
+        self.fleet.submit(f'job-{self.jobs}', *steps)
+
+    @rule(number=st.integers(1, 9))
+    def cancel(self, number: int) -> None:
+        """Cancel a job."""
+        self.fleet.commit(CancelJob(f'job-{number}'))
+
+    @rule(
+        number=st.integers(0, _WORKERS - 1),
+        result=st.sampled_from(['done', 'done', 'failed', 'lapsed']),
+    )
+    def end(self, number: int, result: str) -> None:
+        """Let a run end at a worker."""
+        model = self.fleet.workers[f'w-{number}']
+        if model.running:
+            task = next(iter(model.running))
+            model.end(task, result)
+
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def darken(self, number: int) -> None:
+        """Cut a worker off, or let it be reached again."""
+        model = self.fleet.workers[f'w-{number}']
+        model.is_dark = not model.is_dark
+
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def reboot(self, number: int) -> None:
+        """Start a worker anew under its name; it knows nothing of before."""
+        self.boots += 1
+        self.fleet.add_worker(make_worker(number, boot_ms=self.boots))
+
+    @rule(place=st.integers(0, 50))
+    def carry_out_late(self, place: int) -> None:
+        """Have an order that got no answer carried out now."""
+        late = self.fleet.late
+        if late:
+            model, order = late.pop(place % len(late))
+            if model is self.fleet.workers[model.worker.name]:
+                model.carry_out(order, self.fleet.now_s)
+
+    @rule()
+    def hold(self) -> None:
+        """Let the log stand still, or commit what has waited."""
+        self.fleet.is_held = not self.fleet.is_held
+        if not self.fleet.is_held:
+            self.fleet.commit_held()
+
+    @rule(kept=st.integers(0, 3))
+    def elect(self, kept: int) -> None:
+        """Let another leader begin; the log may have some proposals."""
+        commands = list(self.fleet.proposed)[:kept]
+        self.fleet.elect()
+        for command in commands:
+            self.fleet.commit(command)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.5, 7.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.fleet.run(seconds)
+
+    @invariant()
+    def runs_once(self) -> None:
+        """No task runs at two workers at once."""
+        running = [
+            task
+            for model in self.fleet.workers.values()
+            for task in model.running
+        ]
+        assert len(running) == len(set(running))
+
+    @invariant()
+    def stays_in_limit(self) -> None:
+        """What the log has running stays within the team's limit."""
+        used = self.fleet.state.used_by_team.get(TEAM, NO_SIZE)
+        assert used.millicores <= _CAP
+
+    @invariant()
+    def counts_room_right(self) -> None:
+        """The room taken is that of the runs, neither more nor less."""
+        state = self.fleet.state
+        runs = sum(len(one) for one in state.runs.values())
+        used = state.used_by_team.get(TEAM, NO_SIZE)
+        assert used.millicores == runs * CORE
+        for worker in state.workers.values():
+            assert state.get_free(worker).millicores >= 0
+
+    @invariant()
+    def follows_order(self) -> None:
+        """No task starts before the steps that it needs are done."""
+        for start in self.fleet.started:
+            job = self.fleet.state.jobs[start.task.job]
+            if start.task.step:
+                before = job.steps[0][start.task.step - 1]
+                assert before.is_done
+
+    def teardown(self) -> None:
+        """Let everything be well and every run end: no job may be left."""
+        fleet = self.fleet
+        fleet.is_held = False
+        fleet.commit_held()
+        for model in fleet.workers.values():
+            model.is_dark = False
+        fleet.run(8)
+        for _ in range(60):
+            if not fleet.state.live:
+                break
+            for model in fleet.workers.values():
+                for task in tuple(model.running):
+                    model.end(task, 'done')
+            fleet.run(1)
+        assert not fleet.state.live
+
+
+TestDispatching = Dispatching.TestCase
+TestDispatching.settings = settings(
+    stateful_step_count=40,
+    max_examples=150,
+    deadline=None,
+)
