--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -98,12 +98,17 @@
 
 
 class ModelWorker:
-    """Do what a worker does, on a clock of its own that may be slow."""
+    """Do what a worker does, on a clock of its own that may be slow.
+
+    A dark one gets no orders; a mute one carries them out, and its answers
+    are lost.
+    """
 
     def __init__(self, worker: Worker, rate: float = 1) -> None:
         self.worker = worker
         self.rate = rate
         self.is_dark = False
+        self.is_mute = False
         self.fence = 0
         self.expires_ms: float = 0
         self.running: dict[TaskKey, int] = {}
@@ -266,7 +271,7 @@
             self.now_s += step_s
             for model in tuple(self.workers.values()):
                 model.note_time(self.now_s)
-                if not model.is_dark:
+                if not (model.is_dark or model.is_mute):
                     name = model.worker.name
                     self.dispatcher.note_announced(name, self.now_s)
             self._answer_due()
@@ -343,6 +348,8 @@
         outcome, body = OrderOutcome.unknown, None
         if model is not None and not model.is_dark:
             outcome, body = model.carry_out(order, self.now_s)
+            if model.is_mute:
+                outcome, body = OrderOutcome.unknown, None
         elif model is not None:
             self.late.append((model, order))
         if isinstance(order, LookAtWorker):
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -73,6 +73,12 @@
         model = self.fleet.workers[f'w-{number}']
         model.is_dark = not model.is_dark
 
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def mute(self, number: int) -> None:
+        """Have a worker's answers lost, or let them come again."""
+        model = self.fleet.workers[f'w-{number}']
+        model.is_mute = not model.is_mute
+
     @rule(number=st.integers(0, _WORKERS - 1))
     def reboot(self, number: int) -> None:
         """Start a worker anew under its name; it knows nothing of before."""
@@ -150,6 +156,7 @@
         fleet.commit_held()
         for model in fleet.workers.values():
             model.is_dark = False
+            model.is_mute = False
         fleet.run(8)
         for _ in range(60):
             if not fleet.state.live:
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -48,7 +48,7 @@
 
 
 def test_slow_clock_of_a_worker_is_allowed_for() -> None:
-    """A worker's clock runs two in a hundred slow, and it is cut off.
+    """A worker's clock runs two in a hundred slow, and its answers are lost.
 
     Its lease lasts longer in true time. The task must not start elsewhere
     while the worker still trusts its own clock.
@@ -60,7 +60,7 @@
     fleet.run(0.5)
     slow = fleet.workers['w-1']
     fleet.run(30)
-    slow.is_dark = True
+    slow.is_mute = True
     for _ in range(200):
         fleet.run(0.05)
         for position in range(2):
