--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -19,6 +19,13 @@
     confirmed_s: float | None = None
 
 
+class SentStop(NamedTuple):
+    """Hold which run was told to stop, and when last."""
+
+    number: int
+    sent_s: float
+
+
 class Contact:
     """Hold fence, clock, lease and lists of one boot of a worker.
 
@@ -54,7 +61,7 @@
         self.proposed = 0
         self.sent: dict[TaskKey, SentStart] = {}
         self.listed: dict[TaskKey, ListedRun] = {}
-        self.stopping_s: dict[TaskKey, float] = {}
+        self.stopping: dict[TaskKey, SentStop] = {}
         self.over_at_s = over_at_s
         self._settings = settings
         self._clock_ms = 0
--- a/src/sardinemast/dispatch/_ledger.py
+++ b/src/sardinemast/dispatch/_ledger.py
@@ -21,7 +21,9 @@
     listed = contact.listed.get(task)
     if listed is None or listed.number != run.number:
         return False
-    if contact.stopping_s.get(task, float('-inf')) > contact.heard_s:
+    # A list that crosses the order still shows the run at work.
+    stopping = contact.stopping.get(task)
+    if stopping is not None and stopping.number == run.number:
         return False
     is_heard = now_s < contact.heard_s + state.settings.quiet_s
     return is_heard and listed.percent >= _AT_WORK_PERCENT
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from sardinemast import jobs
-from sardinemast.dispatch._contact import Contact
+from sardinemast.dispatch._contact import Contact, SentStop
 from sardinemast.dispatch._events import (
     DispatchOutput,
     LogDecision,
@@ -15,7 +15,6 @@
 from sardinemast.jobs.commands import RunOver
 
 _MS = 1000
-_NEVER_S = float('-inf')
 
 
 class DispatchState:
@@ -92,10 +91,11 @@
         now_s: float,
     ) -> None:
         """Have a run stopped; asked too often, nothing is sent."""
-        again_s = contact.stopping_s.get(task, _NEVER_S)
-        if now_s < again_s + self.settings.stop_again_s:
-            return
-        contact.stopping_s[task] = now_s
+        known = contact.stopping.get(task)
+        if known is not None and known.number == number:
+            if now_s < known.sent_s + self.settings.stop_again_s:
+                return
+        contact.stopping[task] = SentStop(number, now_s)
         worker = contact.worker.name
         self.log('run.stopped', str(task), run=number, worker=worker)
         self.outputs.append(
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -41,7 +41,11 @@
 from sardinemast.shell._replica_http import ReplicaDesk
 from sardinemast.shell._security import Access
 from sardinemast.shell.exceptions import FolderDiscardedError, ShellError
-from sardinemast.storage import discard_folder, open_or_replace_log_store
+from sardinemast.storage import (
+    StorageError,
+    discard_folder,
+    open_or_replace_log_store,
+)
 from sardinemast.wire import WireError, load_plain
 
 _log = Logger('control')
@@ -50,6 +54,9 @@
 # What comes within this time is written and synced together. It is a part of
 # the sync itself, which takes 4 to 9 ms on the disks that this is meant for.
 GATHER_S = 0.002
+# A full or hanging disk refuses for seconds; each try reads the whole log.
+_DISK_AGAIN_S = 0.5
+_REFUSED = frozenset(('storage.E002',))
 
 
 class ControlShell:
@@ -360,15 +367,32 @@
     """Run the role control until cancelled.
 
     An error of core or files ends it with a ``CodedError``: a process that
-    answers its peers but decides nothing would look alive for ever.
+    answers its peers but decides nothing would look alive for ever. In a
+    cluster a disk that refuses is tried again, since this process also
+    passes calls on to the others; meanwhile it answers no peer.
     """
     own = _get_own_address(settings)
     while True:
-        shell = ControlShell(settings, identity, extras)
         try:
-            await shell.run(own)
-        except ExceptionGroup as group:
-            _check_discarded(group)
+            await _run_once(settings, identity, extras, own)
+        except StorageError as error:
+            if settings.cluster is None or error.code not in _REFUSED:
+                raise
+            _log.warning('The disk is tried again: {}', error)
+            await asyncio.sleep(_DISK_AGAIN_S)
+
+
+async def _run_once(
+    settings: ProcessSettings,
+    identity: Identity,
+    extras: ControlExtras,
+    own: ControlAddress,
+) -> None:
+    shell = ControlShell(settings, identity, extras)
+    try:
+        await shell.run(own)
+    except ExceptionGroup as group:
+        _check_discarded(group)
 
 
 def _get_own_address(settings: ProcessSettings) -> ControlAddress:
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -117,6 +117,8 @@
         self.paces: dict[TaskKey, int] = {}
         self.gauges: dict[TaskKey, int] = {}
         self.percent = 100
+        self.stop_delay_s: float = 0
+        self.stopping: dict[TaskKey, float] = {}
         self._position = 0
 
     def get_clock_ms(self, true_s: float) -> int:
@@ -124,7 +126,12 @@
         return int(1_000_000 + true_s * self.rate * _MS)
 
     def note_time(self, true_s: float) -> None:
-        """Kill everything once the lease has ended."""
+        """End what was told to stop, and all once the lease has ended."""
+        for stopped, due_s in tuple(self.stopping.items()):
+            if true_s >= due_s:
+                self.stopping.pop(stopped)
+                if stopped in self.running:
+                    self.end(stopped, 'stopped')
         if self.running and self.get_clock_ms(true_s) > self.expires_ms:
             for task in tuple(self.running):
                 self.end(task, 'lapsed')
@@ -148,7 +155,7 @@
         if isinstance(order, StartRun):
             return self._start(order, true_s)
         if isinstance(order, StopRun):
-            self._stop(order)
+            self._stop(order, true_s)
         elif isinstance(order, PaceRun):
             self.paces[order.task] = order.percent
         return OrderOutcome.done, ''
@@ -184,13 +191,15 @@
         self.running[order.task] = order.number
         return OrderOutcome.done, ''
 
-    def _stop(self, order: StopRun) -> None:
+    def _stop(self, order: StopRun, true_s: float) -> None:
         self.highest[order.task] = max(
             order.number,
             self.highest.get(order.task, 0),
         )
         if self.running.get(order.task) == order.number:
-            self.end(order.task, 'stopped')
+            due_s = true_s + self.stop_delay_s
+            self.stopping.setdefault(order.task, due_s)
+            self.note_time(true_s)
 
 
 class _Waiting(NamedTuple):
@@ -238,6 +247,23 @@
         self.commit(RegisterWorker(worker))
         return model
 
+    def add_drain(self, number: int) -> None:
+        """Have a worker say that it drains."""
+        model = self.workers[f'w-{number}']
+        model.worker = model.worker._replace(is_draining=True)
+        self.commit(RegisterWorker(model.worker))
+
+    def replace_worker(self, instance: str, boot_ms: int) -> None:
+        """Have the next worker of an instance announce itself."""
+        for name, model in tuple(self.workers.items()):
+            if model.worker.instance == instance:
+                self.workers.pop(name)
+                next_worker = model.worker._replace(
+                    name=f'{instance}-{boot_ms}',
+                    boot_ms=boot_ms,
+                )
+                self.add_worker(next_worker)
+
     def elect(self) -> None:
         """Let a new leader begin; what was not committed is lost."""
         self.term += 1
--- /dev/null
+++ b/tests/dispatch/test_upkeep.py
@@ -0,0 +1,73 @@
+"""Waves of maintenance, and what lasting tasks may miss."""
+
+from builders.workers import ModelFleet, make_step, make_worker
+
+from sardinemast.jobs import TaskKey, UpkeepStatus
+from sardinemast.jobs.commands import DeclareWave
+
+_WORKERS = 4
+_FAR_MS = 1_000_000
+
+
+def _start_lasting(fleet: ModelFleet, task_count: int, may_miss: int) -> None:
+    fleet.run(4)
+    step = make_step(task_count, is_lasting=True, may_miss=may_miss)
+    fleet.submit('watch', step)
+    fleet.run(2)
+
+
+def _declare(fleet: ModelFleet, cap: int = _WORKERS) -> None:
+    names = tuple(f'm-{number}' for number in range(_WORKERS))
+    wave = DeclareWave(1, names, cap, fleet.now_ms, fleet.now_ms + _FAR_MS)
+    fleet.commit(wave)
+
+
+def _count_at_work(fleet: ModelFleet, task_count: int) -> int:
+    tasks = [TaskKey('watch', 0, 0, number) for number in range(task_count)]
+    return sum(bool(fleet.get_runs(task)) for task in tasks)
+
+
+def test_stops_of_one_step_wait_for_each_other() -> None:
+    """All workers are emptied at once, and a step may miss one task.
+
+    A look that crosses the order to stop still lists the task. Taken for
+    work, it let the next one be stopped, and a class lost two of its four
+    balloons' tracks at once.
+    """
+    fleet = ModelFleet(_WORKERS)
+    _start_lasting(fleet, 4, 1)
+    for model in fleet.workers.values():
+        model.stop_delay_s = 0.4
+    for number in range(_WORKERS):
+        fleet.add_drain(number)
+    fleet.add_worker(make_worker(8))
+    fleet.add_worker(make_worker(9))
+    for _ in range(300):
+        fleet.run(0.05)
+        stopping = sum(len(one.stopping) for one in fleet.workers.values())
+        away = 4 - _count_at_work(fleet, 4)
+        assert stopping + away <= 1
+
+
+def test_wave_takes_no_more_down_than_its_cap() -> None:
+    """A wave names all workers and allows one to be down.
+
+    Two down at once would take a place for a second time out of a pool that
+    its queue needs.
+    """
+    fleet = ModelFleet(_WORKERS)
+    _start_lasting(fleet, 2, 1)
+    _declare(fleet, cap=1)
+    fleet.run(0.5)
+    assert len(fleet.upkeeps) == 1
+    fleet.run(3)
+    assert len(set(fleet.upkeeps)) == 1
+    boot_ms = 10
+    for _ in range(60):
+        fleet.run(0.5)
+        down = fleet.upkeeps[-1]
+        boot_ms += 1
+        fleet.replace_worker(down, boot_ms)
+    assert set(fleet.upkeeps) == {f'm-{one}' for one in range(_WORKERS)}
+    items = fleet.state.waves[1].items
+    assert all(item.status is UpkeepStatus.done for item in items)
