--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -168,6 +168,8 @@
     | dispatch.WorkerLooked
     | dispatch.RunAnswered
     | dispatch.UpkeepAnswered
+    | dispatch.MoveAnswered
+    | dispatch.InstancesListed
 )
 ControlEvent = (
     Tick
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -31,6 +31,8 @@
     DispatchSettings,
     LogDecision,
     LookAtWorker,
+    MoveAnswered,
+    OrderMove,
     OrderOutcome,
     OrderUpkeep,
     Propose,
@@ -157,7 +159,7 @@
     @_handle.register
     def _handle_answer(
         self,
-        event: WorkerLooked | RunAnswered | UpkeepAnswered,
+        event: DispatchEvent,
         now_s: float,
     ) -> None:
         if self._leading.replica.role is Role.leader:
@@ -226,4 +228,10 @@
             order.boot_ms,
             OrderOutcome.not_sent,
         )
+    if isinstance(order, OrderMove):
+        return MoveAnswered(
+            order.instance,
+            order.pool,
+            OrderOutcome.not_sent,
+        )
     return None
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -3,11 +3,15 @@
 from sardinemast.dispatch._events import (
     DispatchEvent,
     DispatchOutput,
+    InstancesListed,
+    MoveAnswered,
     RunAnswered,
     UpkeepAnswered,
     WorkerLooked,
 )
 from sardinemast.dispatch._looks import Looks
+from sardinemast.dispatch._measure import MEASURE_EVERY_S, measure_pools
+from sardinemast.dispatch._moves import Moves
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts import Starts
 from sardinemast.dispatch._state import DispatchState
@@ -31,6 +35,8 @@
         self._looks = Looks(self._state)
         self._starts = Starts(self._state)
         self._upkeep = Upkeep(self._state)
+        self._moves = Moves(self._state)
+        self._measured_s: float = 0
         self._opening: set[tuple[str, int]] = set()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
@@ -39,6 +45,7 @@
         self._looks.start_term()
         self._starts.start_term()
         self._upkeep.start_term()
+        self._moves.start_term()
         self._opening.clear()
 
     def tick(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
@@ -49,6 +56,10 @@
         for contact in tuple(self._state.contacts.values()):
             self._looks.check_lease(contact, now_s)
             self._looks.look(contact, now_s)
+        if now_s >= self._measured_s + MEASURE_EVERY_S:
+            self._measured_s = now_s
+            self._state.loads = measure_pools(self._state, now_s)
+            self._moves.tick(now_s)
         self._upkeep.tick(now_s, now_ms)
         self._record(now_s, now_ms)
         return self._state.outputs
@@ -63,6 +74,10 @@
         self._state.outputs = []
         if isinstance(event, UpkeepAnswered):
             self._upkeep.take_answer(event)
+        elif isinstance(event, MoveAnswered):
+            self._moves.take_answer(event, now_s)
+        elif isinstance(event, InstancesListed):
+            self._moves.take_list(event)
         else:
             self._take_worker_answer(event, now_s)
         self._record(now_s, now_ms)
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -151,6 +151,43 @@
     is_unknown_instance: bool = False
 
 
+class OrderMove(NamedTuple):
+    """Have an instance change its pool; all that runs on it ends at once."""
+
+    instance: str
+    pool: str
+    token: int
+    timeout_s: float
+
+
+class MoveAnswered(NamedTuple):
+    """Hand over what became of a move."""
+
+    instance: str
+    pool: str
+    outcome: OrderOutcome
+
+
+class ListInstances(NamedTuple):
+    """Ask for all instances, those that stand by included."""
+
+    timeout_s: float
+
+
+class ListedInstance(NamedTuple):
+    """Hold an instance as whoever runs it lists it."""
+
+    name: str
+    pool: str
+    is_up: bool
+
+
+class InstancesListed(NamedTuple):
+    """Hand over the list of instances."""
+
+    instances: tuple[ListedInstance, ...]
+
+
 class LogDecision(NamedTuple):
     """Have a decision logged: what, about whom, and what decided it."""
 
@@ -165,13 +202,17 @@
     command: Command
 
 
-DispatchEvent = WorkerLooked | RunAnswered | UpkeepAnswered
+DispatchEvent = (
+    WorkerLooked | RunAnswered | UpkeepAnswered | MoveAnswered | InstancesListed
+)
 DispatchOutput = (
     LookAtWorker
     | StartRun
     | StopRun
     | PaceRun
     | OrderUpkeep
+    | OrderMove
+    | ListInstances
     | LogDecision
     | Propose
 )
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -9,6 +9,7 @@
     Propose,
     StopRun,
 )
+from sardinemast.dispatch._loads import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.jobs import Command, JobsState, StepState, TaskKey
 from sardinemast.jobs.commands import RunOver
@@ -32,6 +33,7 @@
         self.contacts: dict[str, Contact] = {}
         self.ends: dict[TaskKey, RunOver] = {}
         self.is_changed = True
+        self.loads: dict[str, PoolLoad] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Know nothing but the log."""
@@ -41,6 +43,7 @@
         self.contacts.clear()
         self.ends.clear()
         self.is_changed = True
+        self.loads = {}
 
     @property
     def over_at_s(self) -> float:
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -10,6 +10,7 @@
     UpkeepAnswered,
 )
 from sardinemast.dispatch._ledger import may_stop
+from sardinemast.dispatch._loads import NO_LOAD
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import UpkeepStatus, Wave, WaveItem, Worker
 from sardinemast.jobs.commands import NoteUpkeep
@@ -180,6 +181,10 @@
             worker = workers.get(item.instance)
             pool = worker.pool if worker else ''
             allowed = 1 + int(by_pool[pool] * _TURN_S / left_s)
+            load = self._state.loads.get(pool, NO_LOAD)
+            if allowed == 1 and load.missing > 0:
+                # There is time enough to let the pool's peak pass first.
+                continue
             if sum(taken.values()) < wave.cap and taken[pool] < allowed:
                 taken[pool] += 1
                 yield item
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -2,7 +2,12 @@
 
 from typing import Any
 
-from sardinemast.dispatch import ListedEnd, ListedRun, LookAnswer
+from sardinemast.dispatch import (
+    ListedEnd,
+    ListedInstance,
+    ListedRun,
+    LookAnswer,
+)
 from sardinemast.jobs import (
     Advice,
     Catalog,
@@ -28,6 +33,7 @@
     BeatBody,
     EndRow,
     ListsBody,
+    MachineBody,
     RunRow,
 )
 
@@ -103,6 +109,15 @@
     )
 
 
+def make_instance(body: MachineBody) -> ListedInstance:
+    """Give an instance of the platform's list."""
+    return ListedInstance(
+        body.get('machine', ''),
+        body.get('pool', ''),
+        body.get('state', '') == 'up',
+    )
+
+
 def read_task(name: str) -> TaskKey | None:
     """Read a task's dotted name, or give nothing."""
     parts = name.rsplit('.', _TASK_PARTS)
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -67,3 +67,19 @@
     machines: list[str]
     deadline_s: float
     cap: int
+
+
+class MachineBody(TypedDict, total=False):
+    """Hold an instance in the platform's list."""
+
+    machine: str
+    # The service whose workers run on it.
+    pool: str
+    state: str
+
+
+class MachinesBody(TypedDict, total=False):
+    """Hold a page of the platform's list of instances."""
+
+    machines: list[MachineBody]
+    next_token: str | None
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any, NamedTuple
+from urllib.parse import urlencode
 
 import msgspec
 from logbook import Logger
@@ -14,7 +15,12 @@
 from sardinemast.control import ControlEvent
 from sardinemast.dispatch import (
     DispatchOutput,
+    InstancesListed,
+    ListedInstance,
+    ListInstances,
     LookAtWorker,
+    MoveAnswered,
+    OrderMove,
     OrderOutcome,
     OrderUpkeep,
     PaceRun,
@@ -26,15 +32,17 @@
 )
 from sardinemast.jobs import Worker
 from sardinemast.membership import Announcement
-from sardinemast.platform._translate import make_look_answer
+from sardinemast.platform._translate import make_instance, make_look_answer
 from sardinemast.platform._wire import DECODE_ERRORS, decode
-from sardinemast.platform._worker_bodies import ListsBody
+from sardinemast.platform._worker_bodies import ListsBody, MachinesBody
 from sardinemast.routing import AttemptResult, StartAttempt
 from sardinemast.shell import CallerRequest, UpstreamClient
 
 _log = Logger('workers')
 # A worker takes this many connections at once.
 _CONNECTIONS_MAX = 64
+# A list with more pages than this is cut; pages hold a hundred or so.
+_PAGES_MAX = 50
 _CERTAIN = frozenset((AttemptResult.answered, AttemptResult.failed))
 
 
@@ -177,7 +185,12 @@
         take: Callable[[ControlEvent], None],
     ) -> None:
         body = {'machine': order.instance, 'wave': order.wave}
-        reply = await self._ask_instances(order, body, valid_until_s)
+        reply = await self._order_instance(
+            order,
+            '/machine-upkeep',
+            body,
+            valid_until_s,
+        )
         take(
             UpkeepAnswered(
                 order.instance,
@@ -188,9 +201,73 @@
             ),
         )
 
-    async def _ask_instances(
+    @_send.register
+    async def _send_move(
         self,
-        order: OrderUpkeep,
+        order: OrderMove,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        body = {'machine': order.instance, 'pool': order.pool}
+        reply = await self._order_instance(
+            order,
+            '/machine-move',
+            body,
+            valid_until_s,
+        )
+        take(MoveAnswered(order.instance, order.pool, reply.outcome))
+
+    @_send.register
+    async def _send_list(
+        self,
+        order: ListInstances,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        listed: list[ListedInstance] = []
+        token = ''
+        for _ in range(_PAGES_MAX):
+            page = await self._read_page(order, token, valid_until_s)
+            if page is None:
+                return
+            listed.extend(map(make_instance, page.get('machines', [])))
+            token = page.get('next_token') or ''
+            if not token:
+                break
+        take(InstancesListed(tuple(listed)))
+
+    async def _read_page(
+        self,
+        order: ListInstances,
+        token: str,
+        valid_until_s: float,
+    ) -> MachinesBody | None:
+        if self._instances is None:
+            return None
+        path = '/machines'
+        if token:
+            query = urlencode({'page_token': token})
+            path = f'{path}?{query}'
+        attempt = await self._client.send(
+            _make_attempt(
+                _make_service(self._instances),
+                order.timeout_s,
+                valid_until_s,
+            ),
+            CallerRequest('GET', path, HTTPHeaders(), b'', self._own_host),
+        )
+        if attempt.answer is None or attempt.answer.code != HTTPStatus.OK:
+            return None
+        try:
+            return decode(attempt.answer.body, MachinesBody)  # type: ignore[no-any-return]
+        except DECODE_ERRORS as error:
+            _log.warning('The list of instances is unreadable: {}.', error)
+            return None
+
+    async def _order_instance(
+        self,
+        order: OrderUpkeep | OrderMove,
+        path: str,
         body: dict[str, Any],
         valid_until_s: float,
     ) -> _Reply:
@@ -203,16 +280,19 @@
                 'X-Fence-Token': str(order.token),
             },
         )
-        service = Announcement('', 0, '', *self._instances, '', '')
         request = CallerRequest(
             'POST',
-            '/machine-upkeep',
+            path,
             headers,
             msgspec.json.encode(body),
             self._own_host,
         )
         return await self._exchange(
-            _make_attempt(service, order.timeout_s, valid_until_s),
+            _make_attempt(
+                _make_service(self._instances),
+                order.timeout_s,
+                valid_until_s,
+            ),
             request,
         )
 
@@ -255,6 +335,10 @@
         return _read_reply(attempt.answer.code, attempt.answer.body)
 
 
+def _make_service(address: Address) -> Announcement:
+    return Announcement('', 0, '', *address, '', '')
+
+
 def _make_attempt(
     upstream: Announcement,
     timeout_s: float,
