--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -45,7 +45,8 @@
 from sardinemast.jobs import Command as JobCommand
 from sardinemast.protocol import LeaderBeat, NotLeader
 
-_BEAT_S = 0.25
+# Streams take a leader that misses three beats for lost.
+_BEAT_S = 0.2
 
 
 class Leading(NamedTuple):
--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -78,6 +78,7 @@
         self.heard_s = float('-inf')
         self.announced_s = float('-inf')
         self.avoid_until_s = float('-inf')
+        self.failures = 0
         self.sent: dict[TaskKey, SentStart] = {}
         self.listed: dict[TaskKey, ListedRun] = {}
         self.stopping: dict[TaskKey, SentStop] = {}
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -136,7 +136,7 @@
             return
         if isinstance(event, WorkerLooked):
             ends = self._looks.take(contact, event, now_s)
-            self._starts.note_failures(event.worker, ends)
+            self._starts.note_ends(contact, ends, now_s)
         else:
             self._starts.take_answer(contact, event, now_s)
             self._looks.look(contact, now_s)
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -29,10 +29,15 @@
 _KEPT_FREE = 0.4
 # A pool that has peaked lately does not peak again soon. One that has not
 # been seen to peak keeps its workers for its own turn.
-_LATELY_S = 9.0
+_LATELY_S = 6.0
 _TAKEN_AT_ONCE = 8
-# An instance that came in for a peak stays on for what follows it.
-_IDLE_S = 2.5
+# So much of its room a pool lacks, for so long, before it is helped. Less is
+# made good by the tasks that end in the meantime.
+_SHORT_SHARE = 0.15
+_SHORT_S = 0.25
+# One that came for a peak stays on for what follows, and goes home well
+# before its own pool's next turn.
+_IDLE_S = 1.2
 # A move that was refused is not tried again for so long.
 _REFUSED_S = 10.0
 
@@ -53,13 +58,15 @@
         self._peaked_s: dict[str, float] = {}
         self._idle_since_s: dict[str, float] = {}
         self._standby: dict[str, ListedInstance] = {}
-        self._borrowed = 0
+        self._short_since_s: dict[str, float] = {}
+        self._homes: dict[str, str] = {}
         self._refused_s: dict[tuple[str, str], float] = {}
 
     def start_term(self) -> None:
         """Forget what was under way in a former term."""
         self._list_due_s = 0
-        self._borrowed = 0
+        self._short_since_s.clear()
+        self._homes.clear()
         self._refused_s.clear()
         self._under_way.clear()
         self._chosen.clear()
@@ -74,11 +81,17 @@
         loads = dict(self._state.loads)
         self._note_idle(loads, now_s)
         for pool, load in loads.items():
-            if load.missing > 0:
+            if load.missing > _SHORT_SHARE * load.room:
                 self._peaked_s[pool] = now_s
-        for pool in sorted(loads, key=lambda name: -loads[name].missing):
+                self._short_since_s.setdefault(pool, now_s)
+            else:
+                self._short_since_s.pop(pool, None)
+        for pool in sorted(
+            self._short_since_s,
+            key=lambda name: -loads[name].missing,
+        ):
             self._help(pool, loads, now_s)
-        self._give_back(loads, now_s)
+        self._go_home(loads, now_s)
 
     def take_answer(self, answered: MoveAnswered, now_s: float) -> None:
         """Forget a move that was refused; it is decided anew."""
@@ -136,6 +149,8 @@
         now_s: float,
     ) -> None:
         load = loads[pool]
+        if now_s < self._short_since_s.get(pool, now_s) + _SHORT_S:
+            return
         coming = sum(
             move.pool == pool
             for move in (*self._under_way.values(), *self._chosen.values())
@@ -143,11 +158,10 @@
         size = self._get_typical_size(pool)
         wanted = -(-load.missing // size) - coming if size else 0
         wanted = min(wanted, _TAKEN_AT_ONCE - coming)
-        if wanted <= 0:
-            return
-        wanted -= self._borrow(pool, wanted, loads, now_s)
         if wanted > 0:
-            self._bring_in(pool, wanted, now_s)
+            wanted -= self._bring_in(pool, wanted, now_s)
+        if wanted > 0:
+            self._borrow(pool, wanted, loads, now_s)
 
     def _get_typical_size(self, pool: str) -> int:
         rooms = [
@@ -163,21 +177,20 @@
         wanted: int,
         loads: dict[str, PoolLoad],
         now_s: float,
-    ) -> int:
-        taken = 0
+    ) -> None:
         donors = [name for name in loads if name != pool]
         donors.sort(key=lambda name: -self._peaked_s.get(name, 0))
         for donor in donors:
             if now_s > self._peaked_s.get(donor, float('-inf')) + _LATELY_S:
                 continue
-            while taken < wanted and _can_give(loads[donor]):
+            while wanted > 0 and _can_give(loads[donor]):
                 worker, loads[donor] = _give(loads[donor])
                 if not self._is_refused(worker.instance, pool, now_s):
                     self._choose(worker, pool, now_s)
-                    taken += 1
-        return taken
+                    wanted -= 1
 
     def _choose(self, worker: Worker, pool: str, now_s: float) -> None:
+        self._homes.setdefault(worker.instance, worker.pool)
         # A start may be on its way to it; it is moved once it has surely
         # got none.
         contact = self._state.contacts[worker.name]
@@ -216,10 +229,9 @@
             ),
         )
 
-    def _bring_in(self, pool: str, wanted: int, now_s: float) -> None:
-        pools = self._get_standby_pools()
-        if not pools:
-            return
+    def _bring_in(self, pool: str, wanted: int, now_s: float) -> int:
+        if not self._get_standby_pools():
+            return 0
         if now_s >= self._list_due_s:
             self._list_due_s = now_s + _LIST_EVERY_S
             self._state.outputs.append(
@@ -232,25 +244,20 @@
             and not self._is_refused(name, pool, now_s)
         ]
         for name in ready[:wanted]:
-            self._standby.pop(name)
-            self._borrowed += 1
+            self._homes[name] = self._standby.pop(name).pool
             self._send_order(name, pool, now_s)
             self._state.log('instance.brought_in', name, to_pool=pool)
+        return len(ready[:wanted])
 
-    def _give_back(self, loads: dict[str, PoolLoad], now_s: float) -> None:
-        pools = sorted(self._get_standby_pools())
-        is_calm = all(load.missing <= 0 for load in loads.values())
-        if not pools or not is_calm:
-            return
-        idle = [
-            worker
-            for load in loads.values()
-            for worker in load.empty
-            if now_s >= self._idle_since_s[worker.name] + _IDLE_S
-        ]
-        for worker in idle[: self._borrowed]:
-            self._borrowed -= 1
-            self._choose(worker, pools[0], now_s)
+    def _go_home(self, loads: dict[str, PoolLoad], now_s: float) -> None:
+        for load in loads.values():
+            if load.missing > 0:
+                continue
+            for worker in load.empty:
+                home = self._homes.get(worker.instance, worker.pool)
+                idle_s = now_s - self._idle_since_s[worker.name]
+                if home != worker.pool and idle_s >= _IDLE_S:
+                    self._choose(worker, home, now_s)
 
 
 def _can_give(load: PoolLoad) -> bool:
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -20,6 +20,11 @@
 _AVOID_REFUSED_S = 0.3
 # One that answers with an error or not at all is tried again at this rate.
 _AVOID_UNHEALTHY_S = 1.5
+# So many failures with no success between are more than bad luck: a few in a
+# hundred tasks fail by their own fault.
+_FAILURES_MAX = 2
+_AVOID_FAILING_S = 1.0
+_DOUBLINGS_MAX = 4
 # What time alone changes (who is heard, who is avoided) waits this long.
 _PLAN_AGAIN_S = 0.1
 
@@ -42,11 +47,34 @@
         self._recording = None
         self._failed_at.clear()
 
-    def note_failures(self, worker: str, ends: list[RunOver]) -> None:
-        """Remember where a task has failed; it goes elsewhere next."""
+    def note_ends(
+        self,
+        contact: Contact,
+        ends: list[RunOver],
+        now_s: float,
+    ) -> None:
+        """Learn from ends; what failed at a worker goes elsewhere next.
+
+        A worker that fails all that it starts has room all the time, and
+        would get one task after the other until their attempts are used up.
+        """
         for over in ends:
-            if over.end is RunEnd.failed:
-                self._failed_at[over.task].add(worker)
+            if over.end is RunEnd.done:
+                contact.failures = 0
+            elif over.end is RunEnd.failed:
+                # One that failed elsewhere too is likely hopeless itself.
+                contact.failures += not self._failed_at[over.task]
+                self._failed_at[over.task].add(contact.worker.name)
+        if contact.failures >= _FAILURES_MAX:
+            doublings = min(contact.failures - _FAILURES_MAX, _DOUBLINGS_MAX)
+            avoid_s = _AVOID_FAILING_S * 2**doublings
+            contact.avoid_until_s = now_s + avoid_s
+            self._state.log(
+                'worker.avoided',
+                contact.worker.name,
+                failures=contact.failures,
+                avoid_s=avoid_s,
+            )
 
     @property
     def is_recording(self) -> bool:
--- a/src/sardinemast/shell/_relay.py
+++ b/src/sardinemast/shell/_relay.py
@@ -33,8 +33,8 @@
 
 _log = Logger('relay')
 _STREAM_ERRORS = (*LINK_ERRORS, WireError)
-# A leader beats four times a second; after three beats missed it is sought.
-_SILENCE_S = 0.8
+# A leader beats five times a second; after three beats missed it is sought.
+_SILENCE_S = 0.6
 _RECONNECT_S = 0.05
 # A caller waits so long for a leader that is not known, a quarter of the
 # shortest target of about 0.6 s, and is refused with nothing sent.
@@ -143,6 +143,11 @@
             self._outbox = outbox
             try:
                 await self._take_messages(link)
+            except TimeoutError:
+                # A farewell to a silent leader would wait for its answer
+                # for a second, and callers with it.
+                link.transport.abort()
+                raise
             finally:
                 sending.cancel()
 
