--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -149,6 +149,7 @@
     boot_ms: int
     outcome: OrderOutcome
     is_unknown_instance: bool = False
+    reason: str = ''
 
 
 class OrderMove(NamedTuple):
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -69,6 +69,14 @@
             )
         elif answered.is_unknown_instance:
             self._note(wave, answered.instance, UpkeepStatus.done)
+        else:
+            self._state.log(
+                'upkeep.not_done',
+                answered.instance,
+                wave=wave.number,
+                outcome=answered.outcome.value,
+                reason=answered.reason,
+            )
 
     def note_applied(self, noted: NoteUpkeep) -> None:
         """Go on with an item whose status stands in the log."""
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -198,6 +198,7 @@
                 order.boot_ms,
                 reply.outcome,
                 reply.is_bad,
+                (reply.body or {}).get('reason', ''),
             ),
         )
 
