--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -73,7 +73,7 @@
         """Take an answer of a worker, or of who runs the instances."""
         self._state.outputs = []
         if isinstance(event, UpkeepAnswered):
-            self._upkeep.take_answer(event)
+            self._upkeep.take_answer(event, now_s)
         elif isinstance(event, MoveAnswered):
             self._moves.take_answer(event, now_s)
         elif isinstance(event, InstancesListed):
--- a/src/sardinemast/dispatch/_measure.py
+++ b/src/sardinemast/dispatch/_measure.py
@@ -22,16 +22,21 @@
         loads[worker.pool] = load._replace(
             room=load.room + worker.room.millicores,
             free=load.free + max(free, 0),
+            workers=load.workers + 1,
             empty=load.empty if runs else (*load.empty, worker),
         )
     for step in state.jobs.ready.values():
         pool = state.jobs.jobs[step.key.job].queue.pool
-        load = loads.get(pool, NO_LOAD)
-        loads[pool] = load._replace(wanted=load.wanted + _get_wanted(step))
+        loads[pool] = _add_step(loads.get(pool, NO_LOAD), step)
     return loads
 
 
-def _get_wanted(step: StepState) -> int:
+def _add_step(load: PoolLoad, step: StepState) -> PoolLoad:
     if step.step.is_filler:
-        return 0
-    return len(step.waiting) * step.step.size.millicores
+        return load
+    millicores = step.step.size.millicores
+    passing = 0 if step.step.is_lasting else len(step.running)
+    return load._replace(
+        wanted=load.wanted + len(step.waiting) * millicores,
+        passing=load.passing + passing * millicores,
+    )
--- /dev/null
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -0,0 +1,96 @@
+"""When each pool's queue peaks, and when it will again.
+
+Queues peak in turns: each asks about five times its mean for some seconds,
+and next to nothing until its next turn. The peaks seen so far tell when a
+pool needs its instances, and when they may be switched off between.
+"""
+
+from itertools import pairwise
+
+# A peak asks for most of a pool's room, the time between for a few hundredths.
+_BEGIN_SHARE = 0.35
+_END_SHARE = 0.15
+# Shorter ups and downs are single large jobs, and gaps between them.
+_STEADY_S = 0.3
+# While no period is known, a pool is not expected to peak again sooner than
+# after so many times its last peak: there is a turn of another queue between.
+_GAP_PEAKS = 2.0
+_KEPT = 8
+
+
+class _Pool:
+    """Hold the peaks of one pool."""
+
+    def __init__(self) -> None:
+        self.starts_s: list[float] = []
+        self.ended_s: float | None = None
+        self.is_peak = False
+        self.turned_s: float | None = None
+
+
+class PeakBook:
+    """Follow pools' demand, and forecast their next peaks."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, _Pool] = {}
+
+    def note(self, pool: str, share: float, now_s: float) -> None:
+        """Take which share of its room a pool's work asks for."""
+        known = self._pools.setdefault(pool, _Pool())
+        is_turning = share < _END_SHARE
+        if not known.is_peak:
+            is_turning = share >= _BEGIN_SHARE
+        if not is_turning:
+            known.turned_s = None
+            return
+        if known.turned_s is None:
+            known.turned_s = now_s
+        if now_s >= known.turned_s + _STEADY_S:
+            _turn(known, known.turned_s)
+
+    def is_peak(self, pool: str) -> bool:
+        """Tell whether a pool peaks now."""
+        known = self._pools.get(pool)
+        return known is not None and known.is_peak
+
+    def has_peaked(self, pool: str) -> bool:
+        """Tell whether a pool has been seen to peak."""
+        known = self._pools.get(pool)
+        return known is not None and bool(known.starts_s)
+
+    def get_next_start_s(self, pool: str) -> float:
+        """Give when the pool's next peak begins at the earliest.
+
+        A pool that was never seen to peak may do so at any moment.
+        """
+        known = self._pools.get(pool)
+        if known is None or not known.starts_s:
+            return float('-inf')
+        last_s = known.starts_s[-1]
+        period_s = self._get_period_s()
+        if period_s is not None:
+            return last_s + period_s
+        ended_s = known.ended_s or last_s
+        return ended_s + _GAP_PEAKS * (ended_s - last_s)
+
+    def _get_period_s(self) -> float | None:
+        """Give the time from one peak of a pool to its next.
+
+        All queues go round together, so that what one pool has shown holds
+        for the others too.
+        """
+        periods = [
+            later - earlier
+            for known in self._pools.values()
+            for earlier, later in pairwise(known.starts_s)
+        ]
+        return min(periods, default=None)
+
+
+def _turn(known: _Pool, since_s: float) -> None:
+    known.is_peak = not known.is_peak
+    known.turned_s = None
+    if known.is_peak:
+        known.starts_s = [*known.starts_s, since_s][-_KEPT:]
+    else:
+        known.ended_s = since_s
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -165,20 +165,14 @@
                 self._is_avoided(task, worker.name),
                 _is_far(step, worker),
                 _is_disturbed(step, standing),
-                on_worker[worker.name] if step.step.is_lasting else 0,
-                self._get_fit(step, worker),
+                # Tasks are packed, so that whole workers stay empty for wide
+                # steps, for other pools and to be switched off.
+                self._free[worker.name].millicores,
             )
             if best is None or (cost, worker.name) < best:
                 best = (cost, worker.name)
         return best[1] if best else None
 
-    def _get_fit(self, step: StepState, worker: Worker) -> int:
-        # Tasks that end soon are packed, so that whole workers stay empty
-        # for wide steps and for other pools. Lasting ones are spread: what
-        # one worker's end takes away stays small.
-        free = self._free[worker.name].millicores
-        return -free if step.step.is_lasting else free
-
 
 def _count_by_worker(step: StepState) -> dict[str, int]:
     counted: dict[str, int] = defaultdict(int)
--- /dev/null
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -0,0 +1,51 @@
+"""How many workers each pool needs now."""
+
+from typing import NamedTuple
+
+from sardinemast.dispatch._loads import PoolLoad
+from sardinemast.dispatch._peaks import PeakBook
+
+# A moved instance has a new worker after about two seconds; it has to be
+# there when the peak begins.
+_LEAD_S = 2.4
+# So much of its room a pool lacks before it is helped in a peak. Less is made
+# good by the tasks that end in the meantime.
+_SHORT_SHARE = 0.15
+# Between peaks a pool keeps room for some times what it runs, and one worker
+# more, so that the few tasks that come find room at once.
+_CALM_FACTOR = 2.0
+_CALM_SPARE = 1
+
+
+class PoolNeed(NamedTuple):
+    """Hold a pool's usual number of workers, and the room of one."""
+
+    usual: int
+    worker_millicores: int
+
+
+def count_needed(
+    pool: str,
+    load: PoolLoad,
+    need: PoolNeed,
+    peaks: PeakBook,
+    now_s: float,
+) -> int:
+    """Give how many workers the pool should have now.
+
+    One that was never seen to peak keeps all of its workers: its first peak
+    may come at any moment, and is lost by the time that others are there.
+    """
+    size = need.worker_millicores
+    if not size:
+        return need.usual
+    if load.missing > _SHORT_SHARE * load.room:
+        return load.workers - (-load.missing // size)
+    if peaks.is_peak(pool):
+        return load.workers
+    is_due = now_s >= peaks.get_next_start_s(pool) - _LEAD_S
+    if is_due:
+        return need.usual
+    asked = load.lasting + _CALM_FACTOR * (load.passing + load.wanted)
+    calm = -int(-asked // size) + _CALM_SPARE
+    return min(calm, max(need.usual, load.workers))
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -52,7 +52,7 @@
             if contact.is_resting or contact.worker.is_draining:
                 self._empty(contact, now_s)
 
-    def take_answer(self, answered: UpkeepAnswered) -> None:
+    def take_answer(self, answered: UpkeepAnswered, now_s: float) -> None:
         """Take the answer to an order."""
         wave = self._state.jobs.waves.get(answered.wave)
         if wave is None:
@@ -69,6 +69,8 @@
             )
         elif answered.is_unknown_instance:
             self._note(wave, answered.instance, UpkeepStatus.done)
+        elif self._is_given_up(answered, now_s):
+            self._note(wave, answered.instance, UpkeepStatus.done)
         else:
             self._state.log(
                 'upkeep.not_done',
@@ -82,6 +84,21 @@
         """Go on with an item whose status stands in the log."""
         self._noting.pop((noted.wave, noted.instance), None)
 
+    def _is_given_up(self, answered: UpkeepAnswered, now_s: float) -> bool:
+        # An instance that is lost for good refuses for ever, and the wave
+        # would never be done. One that only failed is back by then.
+        if answered.outcome is not OrderOutcome.refused:
+            return False
+        heard_s = max(
+            (
+                max(contact.heard_s, contact.announced_s)
+                for contact in self._state.contacts.values()
+                if contact.worker.instance == answered.instance
+            ),
+            default=self._state.started_s,
+        )
+        return now_s >= heard_s + self._state.settings.lost_after_s
+
     def _go_on(
         self,
         wave: Wave,
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -102,6 +102,9 @@
     for other in tuple(state.workers.values()):
         if _has_followed(worker, other):
             _forget_worker(state, other)
+    present = sum(one.pool == worker.pool for one in state.workers.values())
+    most = max(present, state.most_workers.get(worker.pool, 0))
+    state.most_workers[worker.pool] = most
 
 
 def _has_followed(worker: Worker, other: Worker) -> bool:
