--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -20,6 +20,7 @@
 from sardinemast.jobs.commands import (
     CancelJob,
     ForgetWorker,
+    NoteMove,
     NoteUpkeep,
     OpenOccurrence,
     RecordRuns,
@@ -105,6 +106,8 @@
             self._looks.follow_workers(now_s)
         elif isinstance(command, NoteUpkeep):
             self._upkeep.note_applied(command)
+        elif isinstance(command, NoteMove):
+            self._moves.note_applied(command)
         self._record(now_s, now_ms)
         return self._state.outputs
 
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -6,6 +6,7 @@
 workers are moved.
 """
 
+from operator import itemgetter
 from typing import NamedTuple
 
 from sardinemast.dispatch._events import (
@@ -20,7 +21,7 @@
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import Worker
-from sardinemast.jobs.commands import ForgetWorker
+from sardinemast.jobs.commands import ForgetWorker, NoteMove
 
 # The list changes only by own moves and by instances that come and go.
 _LIST_EVERY_S = 15.0
@@ -81,6 +82,19 @@
         }
         self._balance(loads, lacking, now_s)
 
+    def note_applied(self, noted: NoteMove) -> None:
+        """Send the order for a move that stands in the log."""
+        move = self._under_way.get(noted.instance)
+        if move is not None and move.pool == noted.pool:
+            self._state.outputs.append(
+                OrderMove(
+                    noted.instance,
+                    noted.pool,
+                    self._state.term,
+                    self._state.settings.answer_s,
+                ),
+            )
+
     def take_answer(self, answered: MoveAnswered, now_s: float) -> None:
         """Follow a move that was carried out, or decide anew."""
         if answered.outcome is OrderOutcome.refused:
@@ -108,12 +122,12 @@
             if room:
                 share = (load.passing + load.wanted) / room
                 self._peaks.note(pool, share, now_s)
+        queues = self._state.jobs.catalog.queues
+        self._peaks.pool_count = len({queue.pool for queue in queues})
 
     def _get_need(self, pool: str) -> PoolNeed:
-        jobs = self._state.jobs
-        pools = [one for one in jobs.catalog.pools if not one.is_standby]
-        fair = -(-sum(jobs.most_workers.values()) // max(len(pools), 1))
-        usual = min(jobs.most_workers.get(pool, 0), fair)
+        homes = self._state.jobs.homes.values()
+        usual = sum(home == pool for home in homes)
         rooms = (
             contact.worker.room.millicores
             for contact in self._state.contacts.values()
@@ -127,6 +141,11 @@
         load: PoolLoad,
         now_s: float,
     ) -> int:
+        going = sum(
+            worker.pool == pool
+            for worker in self._state.jobs.workers.values()
+            if worker.instance in self._under_way
+        )
         coming = sum(
             move.pool == pool for move in self._under_way.values()
         ) + sum(target == pool for target in self._chosen.values())
@@ -137,7 +156,8 @@
             self._peaks,
             now_s,
         )
-        return min(needed - load.workers - coming, _TAKEN_AT_ONCE - coming)
+        have = load.workers - going + coming
+        return min(needed - have, _TAKEN_AT_ONCE - coming)
 
     def _balance(
         self,
@@ -153,8 +173,11 @@
             ][: max(-lacking[pool], 0)]
             for pool, load in loads.items()
         }
-        for pool in sorted(lacking, key=lambda name: -lacking[name]):
-            wanted = lacking[pool]
+        for pool, wanted in sorted(
+            lacking.items(),
+            key=itemgetter(1),
+            reverse=True,
+        ):
             if wanted > 0:
                 wanted -= self._bring_in(pool, wanted, now_s)
             for workers in spare.values():
@@ -212,14 +235,7 @@
         is_off = pool == self._get_standby_pool()
         lasts_s = _SWITCH_OFF_S if is_off else _UNDER_WAY_S
         self._under_way[instance] = _UnderWay(pool, now_s + lasts_s)
-        self._state.outputs.append(
-            OrderMove(
-                instance,
-                pool,
-                self._state.term,
-                self._state.settings.answer_s,
-            ),
-        )
+        self._state.propose(NoteMove(instance, pool))
 
     def _follow(self, now_s: float) -> None:
         arrived = {
--- a/src/sardinemast/dispatch/_peaks.py
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -6,6 +6,7 @@
 """
 
 from itertools import pairwise
+from statistics import median
 
 # A peak asks for most of a pool's room, the time between for a few hundredths.
 _BEGIN_SHARE = 0.35
@@ -32,6 +33,7 @@
     """Follow pools' demand, and forecast their next peaks."""
 
     def __init__(self) -> None:
+        self.pool_count = 0
         self._pools: dict[str, _Pool] = {}
 
     def note(self, pool: str, share: float, now_s: float) -> None:
@@ -77,14 +79,25 @@
         """Give the time from one peak of a pool to its next.
 
         All queues go round together, so that what one pool has shown holds
-        for the others too.
+        for the others too. Before that, each pool is taken to have one turn
+        as long as those seen.
         """
         periods = [
             later - earlier
             for known in self._pools.values()
             for earlier, later in pairwise(known.starts_s)
         ]
-        return min(periods, default=None)
+        if periods:
+            return min(periods)
+        starts_s = sorted(
+            start_s
+            for known in self._pools.values()
+            for start_s in known.starts_s
+        )
+        turns = [later - earlier for earlier, later in pairwise(starts_s)]
+        if not turns:
+            return None
+        return median(turns) * self.pool_count
 
 
 def _turn(known: _Pool, since_s: float) -> None:
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -102,9 +102,8 @@
     for other in tuple(state.workers.values()):
         if _has_followed(worker, other):
             _forget_worker(state, other)
-    present = sum(one.pool == worker.pool for one in state.workers.values())
-    most = max(present, state.most_workers.get(worker.pool, 0))
-    state.most_workers[worker.pool] = most
+    if worker.instance:
+        state.homes.setdefault(worker.instance, worker.pool)
 
 
 def _has_followed(worker: Worker, other: Worker) -> bool:
@@ -196,6 +195,16 @@
     state.used_by_worker.pop(worker.name, None)
 
 
+@apply_command.register
+def _apply_move(
+    command: commands.NoteMove,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    # An instance that stood by has no home; it goes where it is needed.
+    state.homes.setdefault(command.instance, '')
+
+
 def _open(state: JobsState, job: JobState, occurrence: int) -> None:
     opened = job.open_occurrence(occurrence)
     state.ready.update(
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -54,7 +54,7 @@
     ended: tuple[JobImage, ...] = ()
     workers: tuple[Worker, ...] = ()
     waves: tuple[Wave, ...] = ()
-    most_workers: Mapping[str, int] = MappingProxyType({})
+    homes: Mapping[str, str] = MappingProxyType({})
 
 
 EMPTY_IMAGE = JobsImage()
@@ -69,7 +69,7 @@
         tuple(_dump_job(state.jobs[name]) for name in state.ended),
         tuple(state.workers.values()),
         tuple(state.waves.values()),
-        dict(state.most_workers),
+        dict(state.homes),
     )
 
 
@@ -80,7 +80,7 @@
     state.workers = {worker.name: worker for worker in image.workers}
     state.runs = {name: {} for name in state.workers}
     state.waves = {wave.number: wave for wave in image.waves}
-    state.most_workers = dict(image.most_workers)
+    state.homes = dict(image.homes)
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -143,8 +143,8 @@
 
     ``ready`` holds the steps whose tasks may start. ``runs`` holds, by
     worker, each task that may still run there. ``ended`` holds jobs that are
-    over, the first one first. ``most_workers`` is how many workers each pool
-    has had at once, whatever it has just now.
+    over, the first one first. ``homes`` holds, by instance, the pool that it
+    was in before it was first moved.
     """
 
     def __init__(self) -> None:
@@ -162,7 +162,7 @@
         self.used_by_worker: dict[str, Size] = {}
         self.used_by_team: dict[str, Size] = {}
         self.waves: dict[int, Wave] = {}
-        self.most_workers: dict[str, int] = {}
+        self.homes: dict[str, str] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Put a catalog in force; live jobs follow their queues."""
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -101,6 +101,13 @@
     boot_ms: int = 0
 
 
+class NoteMove(NamedTuple):
+    """Note that an instance is to change its pool, before it is ordered."""
+
+    instance: str
+    pool: str
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -111,6 +118,7 @@
     | RecordRuns
     | DeclareWave
     | NoteUpkeep
+    | NoteMove
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -122,4 +130,5 @@
     RecordRuns,
     DeclareWave,
     NoteUpkeep,
+    NoteMove,
 )
