--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -29,6 +29,7 @@
     is_probing: bool = False
     snapshot_index: int = 0
     sent_bytes: int = 0
+    probed_s: float = float('-inf')
 
 
 class Replication:
@@ -178,7 +179,18 @@
     def _broadcast(self, now_s: float) -> None:
         self._heartbeat_due_s = now_s + self._state.settings.heartbeat_s
         for peer in self._state.get_peers():
-            self._replicate(peer, now_s)
+            if self._is_probe_due(peer, now_s):
+                self._replicate(peer, now_s)
+
+    def _is_probe_due(self, peer: Member, now_s: float) -> bool:
+        # A probe and a part of a snapshot may be a megabyte, and are the same
+        # until they are answered. Sent with each proposal, a hundred times a
+        # second, they would fill the links and the memory of both ends.
+        known = self.get_progress(peer.identity)
+        has_snapshot = known.next_index <= self._state.log.base_index
+        if not (known.is_probing or has_snapshot):
+            return True
+        return now_s >= known.probed_s + self._state.settings.heartbeat_s
 
     def _send_more(
         self,
@@ -198,7 +210,8 @@
         return known.next_index == known.match_index + 1
 
     def _replicate(self, peer: Member, now_s: float) -> None:
-        known = self.get_progress(peer.identity)
+        known = self.get_progress(peer.identity)._replace(probed_s=now_s)
+        self.progress[peer.identity] = known
         log = self._state.log
         if known.next_index <= log.base_index:
             self._send_chunk(peer, now_s)
--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -40,6 +40,14 @@
         self.misses = 0
 
 
+class Distrust:
+    """Hold how often a worker failed in a row, and how long it is avoided."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.until_s = float('-inf')
+
+
 class EndCursor:
     """Hold how far a worker's numbered ends have come.
 
@@ -77,8 +85,7 @@
         self.ends = EndCursor()
         self.heard_s = float('-inf')
         self.announced_s = float('-inf')
-        self.avoid_until_s = float('-inf')
-        self.failures = 0
+        self.distrust = Distrust()
         self.sent: dict[TaskKey, SentStart] = {}
         self.listed: dict[TaskKey, ListedRun] = {}
         self.stopping: dict[TaskKey, SentStop] = {}
@@ -142,7 +149,7 @@
             and not self.worker.is_draining
             and not self.is_leaving
             and not self.is_resting
-            and now_s >= self.avoid_until_s
+            and now_s >= self.distrust.until_s
             and now_s < heard_s + quiet_s
         )
 
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -79,6 +79,7 @@
             self._moves.take_answer(event, now_s)
         elif isinstance(event, InstancesListed):
             self._moves.take_list(event)
+            self._upkeep.take_list(event, now_s)
         else:
             self._take_worker_answer(event, now_s)
         self._record(now_s, now_ms)
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -176,11 +176,15 @@
 
 
 class ListedInstance(NamedTuple):
-    """Hold an instance as whoever runs it lists it."""
+    """Hold an instance as whoever runs it lists it.
+
+    It may be neither up nor down, while it is moved or maintained.
+    """
 
     name: str
     pool: str
     is_up: bool
+    is_down: bool = False
 
 
 class InstancesListed(NamedTuple):
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -6,6 +6,7 @@
 workers are moved.
 """
 
+from itertools import chain
 from operator import itemgetter
 from typing import NamedTuple
 
@@ -185,9 +186,7 @@
                     wanted -= self._choose(workers.pop(), pool, now_s)
         standby_pool = self._get_standby_pool()
         if standby_pool:
-            for worker in (
-                one for workers in spare.values() for one in workers
-            ):
+            for worker in chain.from_iterable(spare.values()):
                 self._choose(worker, standby_pool, now_s)
 
     def _bring_in(self, pool: str, wanted: int, now_s: float) -> int:
@@ -197,7 +196,7 @@
             if name not in self._under_way
             and not self._is_refused(name, pool, now_s)
         ]
-        for name in ready[:wanted]:
+        for name in ready[: max(wanted, 0)]:
             self._standby.pop(name)
             self._order(name, pool, now_s)
             self._state.log('instance.brought_in', name, to_pool=pool)
@@ -213,7 +212,8 @@
         return True
 
     def _send_chosen(self, now_s: float) -> None:
-        chosen, self._chosen = self._chosen, {}
+        chosen = dict(self._chosen)
+        self._chosen.clear()
         for name, pool in chosen.items():
             contact = self._state.contacts.get(name)
             if contact is None:
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -46,7 +46,7 @@
             worker = standing.worker
             self._free[worker.name] = state.get_free(worker)
             self._by_pool[worker.pool].append(standing)
-        self._used_by_team = dict(state.used_by_team)
+        self._used_by_team = dict(state.usage.by_team)
         self._starts: list[RunStart] = []
 
     def choose(self) -> tuple[RunStart, ...]:
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -60,19 +60,21 @@
         """
         for over in ends:
             if over.end is RunEnd.done:
-                contact.failures = 0
+                contact.distrust.failures = 0
             elif over.end is RunEnd.failed:
                 # One that failed elsewhere too is likely hopeless itself.
-                contact.failures += not self._failed_at[over.task]
+                contact.distrust.failures += not self._failed_at[over.task]
                 self._failed_at[over.task].add(contact.worker.name)
-        if contact.failures >= _FAILURES_MAX:
-            doublings = min(contact.failures - _FAILURES_MAX, _DOUBLINGS_MAX)
+        if contact.distrust.failures >= _FAILURES_MAX:
+            doublings = min(
+                contact.distrust.failures - _FAILURES_MAX, _DOUBLINGS_MAX
+            )
             avoid_s = _AVOID_FAILING_S * 2**doublings
-            contact.avoid_until_s = now_s + avoid_s
+            contact.distrust.until_s = now_s + avoid_s
             self._state.log(
                 'worker.avoided',
                 contact.worker.name,
-                failures=contact.failures,
+                failures=contact.distrust.failures,
                 avoid_s=avoid_s,
             )
 
@@ -135,7 +137,7 @@
             contact.heard_s = now_s
         elif answered.outcome is OrderOutcome.unknown:
             contact.looks.has_doubt = True
-            contact.avoid_until_s = now_s + _AVOID_UNHEALTHY_S
+            contact.distrust.until_s = now_s + _AVOID_UNHEALTHY_S
         else:
             contact.sent.pop(answered.task)
             lost = RunOver(answered.task, answered.number, RunEnd.lost)
@@ -143,7 +145,7 @@
             avoid_s = _AVOID_UNHEALTHY_S
             if answered.reason:
                 avoid_s = _AVOID_REFUSED_S
-            contact.avoid_until_s = now_s + avoid_s
+            contact.distrust.until_s = now_s + avoid_s
 
     def _plan(self, now_s: float, now_ms: int) -> tuple[RunStart, ...]:
         state = self._state
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -5,6 +5,8 @@
 
 from sardinemast.dispatch._contact import Contact
 from sardinemast.dispatch._events import (
+    InstancesListed,
+    ListInstances,
     OrderOutcome,
     OrderUpkeep,
     UpkeepAnswered,
@@ -21,6 +23,8 @@
 _TURN_S = 6.0
 # A wave is planned to end so much before its deadline.
 _RESERVE_S = 4.0
+# While an instance refuses, it is looked up so often whether it is lost.
+_LIST_EVERY_S = 2.0
 
 
 class Upkeep:
@@ -35,12 +39,15 @@
         self._emptied_s: dict[str, float] = {}
         self._ordered_s: dict[tuple[int, str], float] = {}
         self._noting: dict[tuple[int, str], UpkeepStatus] = {}
+        self._down_since_s: dict[str, float] = {}
+        self._listed_s = float('-inf')
 
     def start_term(self) -> None:
         """Forget what was under way in a former term."""
         self._emptied_s.clear()
         self._ordered_s.clear()
         self._noting.clear()
+        self._down_since_s.clear()
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Go on with each wave that is not done."""
@@ -84,20 +91,31 @@
         """Go on with an item whose status stands in the log."""
         self._noting.pop((noted.wave, noted.instance), None)
 
+    def take_list(self, listed: InstancesListed, now_s: float) -> None:
+        """Learn which instances are down or gone."""
+        names = {one.name for one in listed.instances}
+        down = {one.name for one in listed.instances if one.is_down}
+        for wave in self._state.jobs.waves.values():
+            for item in wave.items:
+                if item.instance in names - down:
+                    self._down_since_s.pop(item.instance, None)
+                else:
+                    self._down_since_s.setdefault(item.instance, now_s)
+
     def _is_given_up(self, answered: UpkeepAnswered, now_s: float) -> bool:
-        # An instance that is lost for good refuses for ever, and the wave
-        # would never be done. One that only failed is back by then.
+        """Tell whether an instance is lost, so that the wave ends without it.
+
+        It refuses for ever, and the wave would never be done. One that only
+        failed, or is moved just now, is back by then.
+        """
         if answered.outcome is not OrderOutcome.refused:
             return False
-        heard_s = max(
-            (
-                max(contact.heard_s, contact.announced_s)
-                for contact in self._state.contacts.values()
-                if contact.worker.instance == answered.instance
-            ),
-            default=self._state.started_s,
-        )
-        return now_s >= heard_s + self._state.settings.lost_after_s
+        if now_s >= self._listed_s + _LIST_EVERY_S:
+            self._listed_s = now_s
+            timeout_s = self._state.settings.answer_s
+            self._state.outputs.append(ListInstances(timeout_s))
+        since_s = self._down_since_s.get(answered.instance, now_s)
+        return now_s >= since_s + self._state.settings.lost_after_s
 
     def _go_on(
         self,
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -3,12 +3,14 @@
 from functools import singledispatch
 
 from sardinemast.jobs import commands
+from sardinemast.jobs._apply_plans import (
+    declare_wave,
+    note_move,
+    note_upkeep,
+)
 from sardinemast.jobs._records import (
     Run,
     RunEnd,
-    UpkeepStatus,
-    Wave,
-    WaveItem,
     Worker,
 )
 from sardinemast.jobs._state import JobsState, JobState, StepState
@@ -147,42 +149,9 @@
         _start_run(state, start)
 
 
-@apply_command.register
-def _apply_wave(
-    command: commands.DeclareWave,
-    state: JobsState,
-    log_index: int,
-) -> None:
-    if command.number not in state.waves:
-        state.waves[command.number] = Wave(
-            command.number,
-            command.cap,
-            command.started_ms,
-            command.due_ms,
-            tuple(map(WaveItem, command.instances)),
-        )
-
-
-@apply_command.register
-def _apply_upkeep(
-    command: commands.NoteUpkeep,
-    state: JobsState,
-    log_index: int,
-) -> None:
-    wave = state.waves.get(command.wave)
-    if wave is None:
-        return
-    items = tuple(
-        item._replace(
-            status=command.status,
-            boot_ms=command.boot_ms or item.boot_ms,
-        )
-        if item.instance == command.instance
-        and item.status is not UpkeepStatus.done
-        else item
-        for item in wave.items
-    )
-    state.waves[wave.number] = wave._replace(items=items)
+apply_command.register(commands.DeclareWave, declare_wave)
+apply_command.register(commands.NoteUpkeep, note_upkeep)
+apply_command.register(commands.NoteMove, note_move)
 
 
 def _forget_worker(state: JobsState, worker: Worker) -> None:
@@ -192,17 +161,7 @@
         if step is not None:
             _end_run(state, step, task.position, RunEnd.lost)
     state.runs.pop(worker.name, None)
-    state.used_by_worker.pop(worker.name, None)
-
-
-@apply_command.register
-def _apply_move(
-    command: commands.NoteMove,
-    state: JobsState,
-    log_index: int,
-) -> None:
-    # An instance that stood by has no home; it goes where it is needed.
-    state.homes.setdefault(command.instance, '')
+    state.usage.by_worker.pop(worker.name, None)
 
 
 def _open(state: JobsState, job: JobState, occurrence: int) -> None:
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -138,6 +138,14 @@
             yield from steps
 
 
+class Usage:
+    """Hold what runs take, by worker and by team."""
+
+    def __init__(self) -> None:
+        self.by_worker: dict[str, Size] = {}
+        self.by_team: dict[str, Size] = {}
+
+
 class JobsState:
     """Hold catalog, jobs, workers and waves at one log index.
 
@@ -159,8 +167,7 @@
         self.ready: dict[StepKey, StepState] = {}
         self.workers: dict[str, Worker] = {}
         self.runs: dict[str, dict[TaskKey, int]] = {}
-        self.used_by_worker: dict[str, Size] = {}
-        self.used_by_team: dict[str, Size] = {}
+        self.usage = Usage()
         self.waves: dict[int, Wave] = {}
         self.homes: dict[str, str] = {}
 
@@ -187,7 +194,7 @@
     def get_free(self, worker: Worker) -> Size:
         """Give the room of a worker that no run takes."""
         return worker.room.plus(
-            self.used_by_worker.get(worker.name, NO_SIZE),
+            self.usage.by_worker.get(worker.name, NO_SIZE),
             -1,
         )
 
@@ -208,9 +215,9 @@
     def _charge(self, step: StepState, worker: str, sign: int) -> None:
         size = step.step.size
         team = self.jobs[step.key.job].team
-        used = self.used_by_team.get(team, NO_SIZE)
-        self.used_by_team[team] = used.plus(size, sign)
+        used = self.usage.by_team.get(team, NO_SIZE)
+        self.usage.by_team[team] = used.plus(size, sign)
         if step.step.is_filler:
             size = size._replace(millicores=0)
-        taken = self.used_by_worker.get(worker, NO_SIZE)
-        self.used_by_worker[worker] = taken.plus(size, sign)
+        taken = self.usage.by_worker.get(worker, NO_SIZE)
+        self.usage.by_worker[worker] = taken.plus(size, sign)
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -115,6 +115,7 @@
         body.get('machine', ''),
         body.get('pool', ''),
         body.get('state', '') == 'up',
+        body.get('state', '') == 'down',
     )
 
 
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -41,8 +41,9 @@
 _log = Logger('workers')
 # A worker takes this many connections at once.
 _CONNECTIONS_MAX = 64
-# A list with more pages than this is cut; pages hold a hundred or so.
-_PAGES_MAX = 50
+# A list that goes on beyond this is not believed: several times the fleet of
+# about 1,900 that the system is meant for.
+_INSTANCES_MAX = 10_000
 _CERTAIN = frozenset((AttemptResult.answered, AttemptResult.failed))
 
 
@@ -226,16 +227,14 @@
         take: Callable[[ControlEvent], None],
     ) -> None:
         listed: list[ListedInstance] = []
-        token = ''
-        for _ in range(_PAGES_MAX):
-            page = await self._read_page(order, token, valid_until_s)
-            if page is None:
-                return
+        page = await self._read_page(order, '', valid_until_s)
+        while page is not None and len(listed) < _INSTANCES_MAX:
             listed.extend(map(make_instance, page.get('machines', [])))
             token = page.get('next_token') or ''
             if not token:
-                break
-        take(InstancesListed(tuple(listed)))
+                take(InstancesListed(tuple(listed)))
+                return
+            page = await self._read_page(order, token, valid_until_s)
 
     async def _read_page(
         self,
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -127,7 +127,7 @@
     @invariant()
     def stays_in_limit(self) -> None:
         """Check that what the log has running stays within the limit."""
-        used = self.fleet.state.used_by_team.get(TEAM, NO_SIZE)
+        used = self.fleet.state.usage.by_team.get(TEAM, NO_SIZE)
         assert used.millicores <= _CAP
 
     @invariant()
@@ -135,7 +135,7 @@
         """Check that the room taken is that of the runs."""
         state = self.fleet.state
         runs = sum(len(one) for one in state.runs.values())
-        used = state.used_by_team.get(TEAM, NO_SIZE)
+        used = state.usage.by_team.get(TEAM, NO_SIZE)
         assert used.millicores == runs * CORE
         for worker in state.workers.values():
             assert state.get_free(worker).millicores >= 0
