--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -176,9 +176,9 @@
     index = start.task.position
     if step is None or state.jobs[start.task.job].is_over:
         return
-    if start.worker not in state.workers or index not in step.waiting:
+    if start.worker not in state.workers or step.key not in state.ready:
         return
-    if step.key in state.ready and start.number == step.get_next_number(index):
+    if step.accepts(index, start.number):
         state.jobs[start.task.job].has_begun = True
         state.add_run(step, index, Run(start.number, start.worker))
 
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -63,6 +63,18 @@
             return max(self.numbers.values(), default=0) + 1
         return self.numbers.get(index, 0) + 1
 
+    def accepts(self, index: int, number: int) -> bool:
+        """Tell whether a run of this number may start now.
+
+        The members of a gang start one after the other under one number.
+        """
+        if index not in self.waiting:
+            return False
+        if self.step.is_gang and self.running:
+            numbers = {run.number for run in self.running.values()}
+            return numbers == {number} and self.numbers.get(index, 0) < number
+        return number == self.get_next_number(index)
+
 
 class JobState:
     """Hold one job, and the steps of each occurrence that has begun."""
