--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -51,6 +51,12 @@
         ]
         self.fleet.submit(f'job-{self.jobs}', *steps)
 
+    @rule(width=st.integers(2, 4))
+    def submit_gang(self, width: int) -> None:
+        """Submit a job whose tasks work only together."""
+        self.jobs += 1
+        self.fleet.submit(f'job-{self.jobs}', make_step(width, is_gang=True))
+
     @rule(number=st.integers(1, 9))
     def cancel(self, number: int) -> None:
         """Cancel a job."""
