--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -21,6 +21,8 @@
 _BUSY = frozenset((UpkeepStatus.ordered, UpkeepStatus.down))
 # From emptying a worker to its successor's first word, seen on quiet days.
 _TURN_S = 6.0
+# So many of a pool at once make up for what was put off in its peak.
+_AT_ONCE = 3
 # A wave is planned to end so much before its deadline.
 _RESERVE_S = 4.0
 # While an instance refuses, it is looked up so often whether it is lost.
@@ -225,7 +227,8 @@
             pool = worker.pool if worker else ''
             allowed = 1 + int(by_pool[pool] * _TURN_S / left_s)
             load = self._state.loads.get(pool, NO_LOAD)
-            if allowed == 1 and load.missing > 0:
+            can_wait = by_pool[pool] * _TURN_S / _AT_ONCE < left_s
+            if can_wait and load.missing > 0:
                 # There is time enough to let the pool's peak pass first.
                 continue
             if sum(taken.values()) < wave.cap and taken[pool] < allowed:
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -2,7 +2,7 @@
 
 from builders.workers import ModelFleet, make_step, make_worker
 from sardinemast.jobs import TaskKey, UpkeepStatus, WaveItem
-from sardinemast.jobs.commands import DeclareWave
+from sardinemast.jobs.commands import CancelJob, DeclareWave
 
 _WORKERS = 4
 _FAR_MS = 1_000_000
@@ -105,6 +105,26 @@
     assert 'm-1' in [one.instance for one in _list_left(fleet)]
 
 
+def test_wave_lets_a_peak_pass_first() -> None:
+    """Work waits for room in the pool, and the wave has time.
+
+    Each worker that is emptied then makes callers wait longer.
+    """
+    fleet = ModelFleet(_WORKERS)
+    fleet.run(4)
+    fleet.submit('peak', make_step(30))
+    fleet.run(0.5)
+    _declare(fleet)
+    fleet.run(5)
+    assert not fleet.upkeeps
+    for model in fleet.workers.values():
+        for task in tuple(model.running):
+            model.end(task, 'done')
+    fleet.commit(CancelJob('peak'))
+    fleet.run(5)
+    assert fleet.upkeeps
+
+
 def _list_left(fleet: ModelFleet) -> list[WaveItem]:
     items = fleet.state.waves[1].items
     return [one for one in items if one.status is not UpkeepStatus.done]
