--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -226,15 +226,18 @@
             worker = workers.get(item.instance)
             pool = worker.pool if worker else ''
             allowed = 1 + int(by_pool[pool] * _TURN_S / left_s)
-            load = self._state.loads.get(pool, NO_LOAD)
-            can_wait = by_pool[pool] * _TURN_S / _AT_ONCE < left_s
-            if can_wait and load.missing > 0:
-                # There is time enough to let the pool's peak pass first.
+            if self._is_put_off(pool, by_pool[pool], left_s):
                 continue
             if sum(taken.values()) < wave.cap and taken[pool] < allowed:
                 taken[pool] += 1
                 yield item
 
+    def _is_put_off(self, pool: str, due: int, left_s: float) -> bool:
+        """Tell whether there is time to let the pool's peak pass first."""
+        load = self._state.loads.get(pool, NO_LOAD)
+        can_wait = due * _TURN_S / _AT_ONCE < left_s
+        return can_wait and load.missing > 0
+
     def _get_order(
         self,
         workers: dict[str, Worker],
