--- /dev/null
+++ b/tests/builders/platform_fleets.py
@@ -0,0 +1,283 @@
+"""Real processes on the platform's protocol, with a worker of our own."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+from builders.processes import find_ports
+
+_HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
+_ENTRY_HOST = '127.0.0.4'
+_WORKER_HOST = '127.0.0.5'
+_WAIT_S = 20.0
+_POLL_S = 0.05
+_MS = 1000
+KEY = 'key-of-breizh'
+
+
+def make_config() -> dict[str, Any]:
+    """Give a configuration with one queue, one pool and one team."""
+    return {
+        'version': 1,
+        'routes': [
+            {
+                'name': 'seats',
+                'host': 'h.example',
+                'prefix': '/seats/',
+                'service': 'booking',
+                'timeout_ms': 3000,
+                'attempts': 2,
+            },
+        ],
+        'services': [{'name': 'booking'}],
+        'tenants': [{'name': 'breizh', 'keys': [KEY]}],
+    }
+
+
+def _find_pair() -> int:
+    """Give a free port behind which the next one is free too."""
+    while True:
+        port = find_ports(1)[0]
+        with suppress(OSError), socket.create_server(('127.0.0.1', port + 1)):
+            return port
+
+
+class StandinWorker:
+    """Run tasks by the platform's protocol, each for its estimated time."""
+
+    def __init__(self, port: int, duration_s: float) -> None:
+        self.name = 'i-standin'
+        self.born_ms = int(time.time() * _MS)
+        self.starts: list[str] = []
+        self.duration_s = duration_s
+        self._lock = threading.Condition()
+        self._running: dict[str, int] = {}
+        self._ended: list[list[Any]] = []
+        self._fence = 0
+        self._position = 0
+        self._server = _WorkerServer((_WORKER_HOST, port), _Handler)
+        self._server.worker = self
+        self.address = f'{_WORKER_HOST}:{port}'
+
+    @contextmanager
+    def serve(self) -> Iterator[None]:
+        """Serve until the block is left."""
+        thread = threading.Thread(target=self._server.serve_forever)
+        thread.start()
+        with self._server:
+            try:
+                yield
+            finally:
+                self._server.shutdown()
+
+    def answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
+        """Carry out an order."""
+        with self._lock:
+            if body['fence'] < self._fence:
+                return 409, {'wall_ms': self._get_clock_ms(), 'reason': 'fence'}
+            self._fence = body['fence']
+            if path == '/run-start':
+                self._start(body['task'], body['run'])
+            elif path == '/hold':
+                return 200, self._hold(body)
+            return 200, {'wall_ms': self._get_clock_ms()}
+
+    def describe(self, sequence: int) -> dict[str, Any]:
+        """Give what the worker says of itself."""
+        return {
+            'service': 'booking',
+            'addr': self.address,
+            'zone': 'rennes',
+            'state': 'ready',
+            'seq': sequence,
+            'born': self.born_ms,
+            'machine': 'm-1',
+            'labels': ['a', 'r-1'],
+            'capacity': {'cpu': 8000, 'mem_mb': 8192, 'gpu': 0},
+        }
+
+    def _get_clock_ms(self) -> int:
+        return int(time.time() * _MS) - self.born_ms + _MS
+
+    def _start(self, task: str, run: int) -> None:
+        self.starts.append(task)
+        self._running[task] = run
+        timer = threading.Timer(self.duration_s, self._end, (task,))
+        timer.daemon = True
+        timer.start()
+
+    def _end(self, task: str) -> None:
+        with self._lock:
+            run = self._running.pop(task)
+            self._position += 1
+            self._ended.append([self._position, task, run, 'done', ''])
+            self._lock.notify_all()
+
+    def _hold(self, body: dict[str, Any]) -> dict[str, Any]:
+        seen = body['last_seen']
+        self._ended = [one for one in self._ended if one[0] > seen]
+        if not self._ended:
+            self._lock.wait(body.get('wait_ms', 0) / _MS)
+        return {
+            'wall_ms': self._get_clock_ms(),
+            'born': self.born_ms,
+            'running': [
+                [task, run, '', 50, 0] for task, run in self._running.items()
+            ],
+            'finished': self._ended,
+        }
+
+
+class _WorkerServer(ThreadingHTTPServer):
+    worker: StandinWorker
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Pass orders to the worker."""
+
+    protocol_version = 'HTTP/1.1'
+    server: _WorkerServer
+
+    def do_POST(self) -> None:
+        """Answer an order."""
+        length = int(self.headers['Content-Length'])
+        body = json.loads(self.rfile.read(length))
+        code, answer = self.server.worker.answer(self.path, body)
+        content = json.dumps(answer).encode()
+        self.send_response(code)
+        self.send_header('Content-Length', str(len(content)))
+        self.end_headers()
+        self.wfile.write(content)
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Say nothing."""
+
+
+class PlatformFleet:
+    """Run three control processes and an entry, and call them."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._port = _find_pair()
+        ports = find_ports(4)
+        self._callers = ports[0]
+        self._readiness = ports[1]
+        self._operators = ports[2]
+        self.worker = StandinWorker(ports[3], 0.2)
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    @contextmanager
+    def run(self) -> Iterator[None]:
+        """Run all until the block is left."""
+        try:
+            for host in (*_HOSTS, _ENTRY_HOST):
+                self.start(host)
+            with self.worker.serve():
+                yield
+        finally:
+            for process in self._processes.values():
+                process.kill()
+                process.wait()
+
+    def start(self, host: str) -> None:
+        """Start the process of a host."""
+        path = self._folder / f'{host}.yaml'
+        path.write_text(self._make_settings(host))
+        with (self._folder / f'{host}.log').open('ab') as log:
+            self._processes[host] = subprocess.Popen(
+                (sys.executable, '-m', 'sardinemast.platform'),
+                env={**os.environ, 'SARDINEMAST_BOOT': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self, host: str, signal_number: int = signal.SIGTERM) -> int:
+        """Send a signal and wait for the end."""
+        process = self._processes.pop(host)
+        process.send_signal(signal_number)
+        return process.wait(_WAIT_S)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        key: str = KEY,
+        host: str = '',
+    ) -> tuple[int, Any]:
+        """Send a request, to a control process where a host is given."""
+        port = self._operators if host else self._callers
+        connection = HTTPConnection(host or _ENTRY_HOST, port, timeout=5)
+        headers = {'Host': 'h.example', 'X-Api-Key': key}
+        content = None if body is None else json.dumps(body).encode()
+        try:
+            connection.request(method, path, content, headers)
+            answer = connection.getresponse()
+            found = answer.read()
+        finally:
+            connection.close()
+        return answer.status, json.loads(found or b'null')
+
+    def wait_for(
+        self, code: int, method: str, path: str, **options: Any
+    ) -> Any:
+        """Repeat a request until it is answered with the code."""
+        due_s = time.monotonic() + _WAIT_S
+        seen: Any = None
+        while time.monotonic() < due_s:
+            try:
+                seen = self.call(method, path, **options)
+            except OSError as error:
+                seen = error
+            if isinstance(seen, tuple) and seen[0] == code:
+                return seen[1]
+            time.sleep(_POLL_S)
+        raise TimeoutError(f'{method} {path}: {seen}')
+
+    def wait_for_state(self, path: str, state: str) -> None:
+        """Read a job until it is in the state."""
+        due_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < due_s:
+            code, found = self.call('GET', path)
+            if code == 200 and found['state'] == state:
+                return
+            time.sleep(_POLL_S)
+        raise TimeoutError(f'{path} is not {state}.')
+
+    def get_controls(self) -> tuple[str, ...]:
+        """Give the hosts of the control processes."""
+        return _HOSTS
+
+    def _make_settings(self, host: str) -> str:
+        role = 'entry' if host == _ENTRY_HOST else 'control'
+        return json.dumps(
+            {
+                'name': host,
+                'roles': [role],
+                'data_centre': 'rennes',
+                'data_folder': str(self._folder / host),
+                'network': 'private',
+                'callers': f'{host}:{self._callers}',
+                'readiness': f'{host}:{self._readiness}',
+                'operators': f'{host}:{self._operators}',
+                'cluster': {
+                    'host': host,
+                    'port': self._port,
+                    'founders': list(_HOSTS),
+                    'failures_tolerated': 1,
+                },
+                'logs': {'format': 'json'},
+            },
+        )
--- /dev/null
+++ b/tests/processes/test_platform.py
@@ -0,0 +1,98 @@
+"""Real processes by the platform's protocol, without its bench."""
+
+import signal
+from pathlib import Path
+from typing import Any
+
+from builders.platform_fleets import PlatformFleet, make_config
+
+_JOB = '/seats/5c0e7a21d94b36f8'
+
+
+def _make_chain() -> dict[str, Any]:
+    return {
+        'spec': 'x',
+        'phases': [
+            {'count': 3, 'cpu': 500, 'mem_mb': 1},
+            {'count': 1, 'cpu': 500, 'deps': [0]},
+        ],
+    }
+
+
+def _found(fleet: PlatformFleet) -> None:
+    host = fleet.get_controls()[0]
+    fleet.wait_for(200, 'PUT', '/config', body=make_config(), host=host)
+    announced = fleet.worker.describe(1)
+    path = f'/instances/{fleet.worker.name}'
+    fleet.wait_for(200, 'PUT', path, body=announced, host=host)
+
+
+def test_job_is_run_from_submit_to_end(tmp_path: Path) -> None:
+    """A caller submits through the entry, and a worker runs each task once."""
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _found(fleet)
+        assert (
+            fleet.call('POST', _JOB, _make_chain(), key='withdrawn')[0] == 401
+        )
+        assert fleet.call('POST', '/elsewhere/1', _make_chain())[0] == 404
+        assert fleet.call('GET', _JOB)[0] == 410
+        fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
+        assert fleet.call('POST', _JOB, _make_chain())[0] == 200
+        fleet.wait_for_state(_JOB, 'done')
+        assert sorted(fleet.worker.starts) == [
+            '5c0e7a21d94b36f8.0.0.0',
+            '5c0e7a21d94b36f8.0.0.1',
+            '5c0e7a21d94b36f8.0.0.2',
+            '5c0e7a21d94b36f8.0.1.0',
+        ]
+        assert fleet.call('GET', '/seats/') == (200, {'pending': 0})
+
+
+def test_job_outlives_the_process_that_leads(tmp_path: Path) -> None:
+    """The leader is killed while a job runs.
+
+    The next one finds the tasks at their worker. Started again, each would
+    charge a family twice; forgotten, a child would not be enrolled.
+    """
+    fleet = PlatformFleet(tmp_path)
+    fleet.worker.duration_s = 3
+    with fleet.run():
+        _found(fleet)
+        fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
+        fleet.wait_for_state(_JOB, 'running')
+        leader = fleet.wait_for(
+            200,
+            'PUT',
+            f'/instances/{fleet.worker.name}',
+            body=fleet.worker.describe(2),
+            host=fleet.get_controls()[1],
+        )['heartbeat_addr'].partition(':')[0]
+        fleet.stop(leader, signal.SIGKILL)
+        fleet.wait_for(200, 'GET', _JOB)
+        fleet.wait_for_state(_JOB, 'done')
+        assert len(fleet.worker.starts) == 4
+
+
+def test_accepted_configuration_outlives_all_processes(tmp_path: Path) -> None:
+    """All control processes are killed at once and start again."""
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _found(fleet)
+        for host in fleet.get_controls():
+            fleet.stop(host, signal.SIGKILL)
+        for host in fleet.get_controls():
+            fleet.start(host)
+        read = fleet.wait_for(
+            200, 'GET', '/config', host=fleet.get_controls()[2]
+        )
+        assert read == make_config()
+
+
+def test_entry_answers_until_it_stops(tmp_path: Path) -> None:
+    """An entry is told to stop, and callers still come for a while."""
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _found(fleet)
+        fleet.wait_for(410, 'GET', _JOB)
+        assert fleet.stop('127.0.0.4') == 0
