Do not wait long for a control process that stands still

Incident of Atlas: the leader froze, the next one led 0.8 s later, and entries found it only after another second: asked in turn, the frozen process took the connection and said nothing. Opening is given up after 0.25 s now.

--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -39,6 +39,7 @@
     address: Address,
     path: str,
     access: Access,
+    open_timeout_s: float = _HEARTBEAT_S,
 ) -> AsyncIterator[ClientConnection]:
     """Connect to another process."""
     context = access.create_client_context()
@@ -46,7 +47,7 @@
     url = f'{scheme}://{address.host}:{address.port}{path}'
     async with connect(
         url,
-        open_timeout=_HEARTBEAT_S,
+        open_timeout=open_timeout_s,
         proxy=None,
         ssl=context,
         **LINK_OPTIONS,
--- a/src/sardinemast/shell/_relay.py
+++ b/src/sardinemast/shell/_relay.py
@@ -36,6 +36,10 @@
 # A leader beats five times a second; after three beats missed it is sought.
 _SILENCE_S = 0.6
 _RECONNECT_S = 0.05
+# A process that stands still takes a connection and says nothing on it. Asked
+# in turn with the others, it must not hold up the search for long; a
+# connection between data centres opens within some milliseconds.
+_OPEN_S = 0.25
 # A caller waits so long for a leader that is not known, a quarter of the
 # shortest target of about 0.6 s, and is refused with nothing sent.
 _UNSENT_S = 0.15
@@ -137,7 +141,12 @@
         self._names = [*rest, name]
 
     async def _read_leader(self, address: Address) -> None:
-        async with open_link(address, CALLS_PATH, self._access) as link:
+        async with open_link(
+            address,
+            CALLS_PATH,
+            self._access,
+            _OPEN_S,
+        ) as link:
             outbox = Outbox(link.send, self._identity)
             sending = asyncio.create_task(outbox.run())
             self._outbox = outbox
