--- /dev/null
+++ b/tests/shell/test_relay.py
@@ -0,0 +1,139 @@
+"""Calls to the leader while control processes stand still or change."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from websockets.asyncio.server import ServerConnection, serve
+
+from builders.processes import find_ports
+from sardinemast.conf import Cluster, get_control_address
+from sardinemast.protocol import (
+    LEADER_MESSAGES,
+    CallAnswer,
+    CallOutcome,
+    JobAction,
+    JobCall,
+    LeaderBeat,
+    NotLeader,
+    PassAnswer,
+    unpack_call,
+)
+from sardinemast.shell import Access, LeaderRelay, create_identity
+from sardinemast.shell._identity import Identity, seal, unseal
+
+_FIRST = '127.0.0.2'
+_SECOND = '127.0.0.3'
+_CALL = JobCall(JobAction.read, 'h', '/q/1', 'k')
+_SOON_S = 0.8
+Test = Callable[[int, LeaderRelay], Awaitable[None]]
+
+
+def _run(test: Test) -> None:
+    asyncio.run(_run_test(test))
+
+
+async def _run_test(test: Test) -> None:
+    port = find_ports(1)[0]
+    identity = create_identity('entry-1')
+    founders = tuple(
+        get_control_address(host, port) for host in (_FIRST, _SECOND)
+    )
+    cluster = Cluster(get_control_address('127.0.0.1', port), 1, may_found=True)
+    relay = LeaderRelay(identity, founders, cluster, Access(None))
+    running = asyncio.create_task(relay.run())
+    try:
+        await test(port, relay)
+    finally:
+        running.cancel()
+
+
+def _lead(host: str, outcomes: list[CallOutcome]) -> Any:
+    """Give a handler that leads, and answers each call by an outcome."""
+    identity = create_identity(host)
+
+    async def handle(link: ServerConnection) -> None:
+        beating = asyncio.create_task(_beat(link, identity))
+        try:
+            async for frame in link:
+                passed = unpack_call(unseal(identity, frame).body)
+                answer = CallAnswer(outcomes.pop(0))
+                await _send(link, identity, PassAnswer(passed.call_id, answer))
+        finally:
+            beating.cancel()
+
+    return handle
+
+
+async def _beat(link: ServerConnection, identity: Identity) -> None:
+    while True:
+        beat = LeaderBeat(identity.name, (_FIRST, _SECOND))
+        await _send(link, identity, beat)
+        await asyncio.sleep(0.1)
+
+
+async def _send(
+    link: ServerConnection, identity: Identity, message: Any
+) -> None:
+    await link.send(seal(identity, LEADER_MESSAGES.pack(message)))
+
+
+async def _wait_connected(relay: LeaderRelay) -> None:
+    while not relay.is_connected:
+        await asyncio.sleep(0.02)
+
+
+def test_process_that_stands_still_does_not_hold_up_the_search() -> None:
+    """The leader froze; its system still takes connections.
+
+    The next process leads within a second. Entries that wait for the frozen
+    one's first word refuse callers for a second more than they must.
+    """
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        with socket.create_server((_FIRST, port)):
+            async with serve(_lead(_SECOND, []), _SECOND, port):
+                async with asyncio.timeout(_SOON_S):
+                    await _wait_connected(relay)
+
+    _run(test)
+
+
+def test_call_that_a_leader_leaves_open_goes_to_the_next() -> None:
+    """A leader ends its term while a call waits for the log.
+
+    It cannot tell what becomes of the call. The next leader can, and the
+    caller need not send it again.
+    """
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        first = _lead(_FIRST, [CallOutcome.uncertain])
+        async with serve(first, _FIRST, port) as server:
+            await _wait_connected(relay)
+            calling = asyncio.create_task(relay.call(_CALL, 5))
+            await asyncio.sleep(0.3)
+            assert not calling.done()
+            server.close()
+        async with serve(_lead(_SECOND, [CallOutcome.done]), _SECOND, port):
+            answer = await calling
+        assert answer.outcome is CallOutcome.done
+
+    _run(test)
+
+
+def test_call_without_a_leader_is_refused_soon_and_truly() -> None:
+    """No process leads; nothing of the call may be on its way anywhere."""
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        identity = create_identity(_FIRST)
+
+        async def send_on(link: ServerConnection) -> None:
+            await _send(link, identity, NotLeader(''))
+
+        async with serve(send_on, _FIRST, port):
+            async with asyncio.timeout(0.5):
+                answer = await relay.call(_CALL, 5)
+        assert answer.outcome is CallOutcome.refused
+
+    _run(test)
