--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -151,10 +151,23 @@
             if is_back or now_s >= since_s + settings.upkeep_max_s:
                 self._note(wave, item.instance, UpkeepStatus.done)
         elif now_s >= self._state.started_s + settings.settle_s:
-            if ordered_s is None or now_s >= ordered_s + settings.order_again_s:
+            again_s = (ordered_s or float('-inf')) + settings.order_again_s
+            if now_s >= again_s and self._is_ready(worker, now_s):
                 self._ordered_s[place] = now_s
                 self._order(wave, item, worker)
 
+    def _is_ready(self, worker: Worker | None, now_s: float) -> bool:
+        """Tell whether the worker runs nothing that must not be taken down.
+
+        A leader that finds an order in the log does not know whether it was
+        sent, nor what the worker has got since.
+        """
+        contact = self._state.contacts.get(worker.name) if worker else None
+        if contact is None:
+            return True
+        self._rest(contact, now_s)
+        return self._is_empty(contact, now_s)
+
     def _order(
         self,
         wave: Wave,
@@ -188,13 +201,7 @@
         )
         for item in self._choose(wave, waiting, workers, now_ms):
             worker = workers.get(item.instance)
-            contact = self._state.contacts.get(worker.name) if worker else None
-            if contact is None:
-                is_due = True
-            else:
-                self._rest(contact, now_s)
-                is_due = self._is_empty(contact, now_s)
-            if is_due and busy < wave.cap:
+            if self._is_ready(worker, now_s) and busy < wave.cap:
                 busy += 1
                 self._note(
                     wave,
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -2,7 +2,7 @@
 
 from builders.workers import ModelFleet, make_step, make_worker
 from sardinemast.jobs import TaskKey, UpkeepStatus, WaveItem
-from sardinemast.jobs.commands import CancelJob, DeclareWave
+from sardinemast.jobs.commands import CancelJob, DeclareWave, NoteUpkeep
 
 _WORKERS = 4
 _FAR_MS = 1_000_000
@@ -125,6 +125,29 @@
     assert fleet.upkeeps
 
 
+def test_next_leader_empties_a_worker_before_it_orders_again() -> None:
+    """The leader dies after its order for an instance is in the log.
+
+    It was not carried out, and the worker got new tasks since. Ordered again
+    at once, it would take down a balloon's track while another is away.
+    """
+    fleet = ModelFleet(_WORKERS)
+    _start_lasting(fleet, 4, 1)
+    worker = next(one for one in fleet.workers.values() if one.running)
+    instance = worker.worker.instance
+    fleet.refused.add(instance)
+    _declare(fleet, names=(instance,))
+    ordered = NoteUpkeep(1, instance, UpkeepStatus.ordered, 1)
+    fleet.commit(ordered)
+    fleet.elect()
+    for _ in range(400):
+        known = len(fleet.upkeeps)
+        fleet.run(0.05)
+        if len(fleet.upkeeps) > known:
+            assert not worker.running
+    assert fleet.upkeeps
+
+
 def _list_left(fleet: ModelFleet) -> list[WaveItem]:
     items = fleet.state.waves[1].items
     return [one for one in items if one.status is not UpkeepStatus.done]
