--- a/tests/builders/replicas.py
+++ b/tests/builders/replicas.py
@@ -199,6 +199,29 @@
         for node in self.nodes.values():
             node.start()
 
+    def open(self, voters_max: int) -> None:
+        """Let replicas of any name join, up to so many voters."""
+        for node in self.nodes.values():
+            node.settings = node.settings._replace(voters_max=voters_max)
+            node.start()
+
+    def add(self, name: str, voters_max: int) -> Node:
+        """Start a replica that only knows the founders."""
+        node = Node(name, self.names, 1)
+        node.settings = node.settings._replace(voters_max=voters_max)
+        node.disk = Disk(node.disk.folder._replace(may_found=False))
+        self.nodes[name] = node
+        node.start()
+        return node
+
+    def get_voters(self) -> set[str]:
+        """Give the names of the voters, as the leader has them."""
+        for node in self.nodes.values():
+            if node.replica and node.replica.role is Role.leader:
+                members = node.disk.configuration.members
+                return {one.name for one in members if one.is_voter}
+        return set()
+
     def get_awake(self) -> Iterator[Node]:
         """Give the nodes that run and are not frozen."""
         for node in self.nodes.values():
