--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -164,6 +165,13 @@
         """Say nothing."""
 
 
+def _copy(process: subprocess.Popen[bytes], path: Path) -> None:
+    """Write what a process says to a file, until it ends."""
+    with path.open('ab', buffering=0) as log:
+        for line in process.stdout or ():
+            log.write(line)
+
+
 class PlatformFleet:
     """Run three control processes and an entry, and call them."""
 
@@ -194,13 +202,16 @@
         """Start the process of a host."""
         path = self._folder / f'{host}.yaml'
         path.write_text(self._make_settings(host))
-        with (self._folder / f'{host}.log').open('ab') as log:
-            self._processes[host] = subprocess.Popen(
-                (sys.executable, '-m', 'sardinemast.platform'),
-                env={**os.environ, 'SARDINEMAST_BOOT': str(path)},
-                stdout=log,
-                stderr=log,
-            )
+        process = subprocess.Popen(
+            (sys.executable, '-m', 'sardinemast.platform'),
+            env={**os.environ, 'SARDINEMAST_BOOT': str(path)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        self._processes[host] = process
+        # By a pipe, so that a limit on the process's files spares its log.
+        log = self._folder / f'{host}.log'
+        threading.Thread(target=_copy, args=(process, log)).start()
 
     def stop(self, host: str, signal_number: int = signal.SIGTERM) -> int:
         """Send a signal and wait for the end."""
@@ -208,6 +219,27 @@
         process.send_signal(signal_number)
         return process.wait(_WAIT_S)
 
+    def limit_files(self, host: str, size: int) -> None:
+        """Have writes beyond a size refused, as by a full disk."""
+        resource.prlimit(
+            self._processes[host].pid,
+            resource.RLIMIT_FSIZE,
+            (size, resource.RLIM_INFINITY),
+        )
+
+    def is_running(self, host: str) -> bool:
+        """Tell whether the process of a host has not ended."""
+        return self._processes[host].poll() is None
+
+    def wait_for_log(self, host: str, text: str) -> None:
+        """Wait until a process has logged a text."""
+        due_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < due_s:
+            if text in (self._folder / f'{host}.log').read_text():
+                return
+            time.sleep(_POLL_S)
+        raise TimeoutError(f'{host} does not say {text!r}.')
+
     def call(
         self,
         method: str,
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,5 +1,6 @@
 """Real processes by the platform's protocol, without its bench."""
 
+import resource
 import signal
 from pathlib import Path
 from typing import Any
@@ -89,6 +90,26 @@
         assert read == make_config()
 
 
+def test_process_lives_on_while_its_disk_refuses(tmp_path: Path) -> None:
+    """The disk of a control process is full for some seconds.
+
+    It can be no replica meanwhile. Were it to end each time, nobody could
+    call it either, and whoever watches processes would raise an alarm.
+    """
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _found(fleet)
+        host = fleet.get_controls()[1]
+        fleet.limit_files(host, 1)
+        fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
+        fleet.wait_for_log(host, 'The disk is tried again')
+        assert fleet.is_running(host)
+        fleet.wait_for(200, 'GET', '/config', host=host)
+        fleet.limit_files(host, resource.RLIM_INFINITY)
+        fleet.wait_for_state(_JOB, 'done')
+        assert fleet.is_running(host)
+
+
 def test_entry_answers_until_it_stops(tmp_path: Path) -> None:
     """An entry is told to stop, and callers still come for a while."""
     fleet = PlatformFleet(tmp_path)
