Build each POST of the gateway in one place, and drop a dead method

Found by reading: orders to workers and for instances built the same request twice, a step's size was made twice, Pacing.forget was never called, and a pool's field bore a name of the platform. Behaviour is unchanged; checked by the tests of adapter, jobs and real processes.

--- a/src/sardinemast/dispatch/_pacing.py
+++ b/src/sardinemast/dispatch/_pacing.py
@@ -68,10 +68,6 @@
         """Remember the speed that a run was told."""
         self._sent[(worker, task, number)] = percent
 
-    def forget(self, worker: str, task: TaskKey, number: int) -> None:
-        """Have the speed told again; the worker may not have heard it."""
-        self._sent.pop((worker, task, number), None)
-
 
 def has_fillers(state: JobsState, tasks: Iterator[TaskKey]) -> bool:
     """Tell whether one of the tasks fills unused room."""
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -82,10 +82,13 @@
 
 
 class Pool(NamedTuple):
-    """Declare a pool of workers; those of a standby pool are switched off."""
+    """Declare a pool of workers; those of a standby pool are switched off.
+
+    Workers that guard their room refuse a start that does not fit.
+    """
 
     name: str
-    rejects_overload: bool = True
+    guards_room: bool = True
     is_standby: bool = False
 
 
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -149,7 +149,7 @@
             yield ListedEnd(row.position, task, row.run, row.how, row.saved)
 
 
-def _make_size(body: CapacityBody) -> Size:
+def _make_size(body: CapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
         body.get('mem_mb', 0) * _MIB_BYTES,
@@ -160,11 +160,7 @@
 def _make_step(body: StepBody) -> Step:
     return Step(
         task_count=body.get('count', 0),
-        size=Size(
-            body.get('cpu', 0),
-            body.get('mem_mb', 0) * _MIB_BYTES,
-            body.get('gpu', 0),
-        ),
+        size=_make_size(body),
         estimate_ms=body.get('est_ms', 0),
         depends_on=tuple(body.get('deps', ())),
         can_checkpoint=body.get('checkpoints', False),
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -273,27 +273,17 @@
     ) -> _Reply:
         if self._instances is None:
             return _Reply(OrderOutcome.not_sent)
-        headers = HTTPHeaders(
-            {
-                'Content-Type': 'application/json',
-                'X-Lease-Holder': self._own_host,
-                'X-Fence-Token': str(order.token),
-            },
-        )
-        request = CallerRequest(
-            'POST',
-            path,
-            headers,
-            msgspec.json.encode(body),
-            self._own_host,
-        )
+        headers = {
+            'X-Lease-Holder': self._own_host,
+            'X-Fence-Token': str(order.token),
+        }
         return await self._exchange(
             _make_attempt(
                 _make_service(self._instances),
                 order.timeout_s,
                 valid_until_s,
             ),
-            request,
+            self._make_post(path, headers, body),
         )
 
     async def _post(
@@ -303,24 +293,26 @@
         body: dict[str, Any],
         valid_until_s: float,
     ) -> _Reply:
-        headers = HTTPHeaders(
-            {
-                'Content-Type': 'application/json',
-                'X-Expect-Instance': order.worker.name,
-            },
+        headers = {'X-Expect-Instance': order.worker.name}
+        upstream = _make_announcement(order.worker)
+        return await self._exchange(
+            _make_attempt(upstream, order.timeout_s, valid_until_s),
+            self._make_post(path, headers, body),
         )
-        request = CallerRequest(
+
+    def _make_post(
+        self,
+        path: str,
+        headers: dict[str, str],
+        body: dict[str, Any],
+    ) -> CallerRequest:
+        return CallerRequest(
             'POST',
             path,
-            headers,
+            HTTPHeaders({'Content-Type': 'application/json', **headers}),
             msgspec.json.encode(body),
             self._own_host,
         )
-        upstream = _make_announcement(order.worker)
-        return await self._exchange(
-            _make_attempt(upstream, order.timeout_s, valid_until_s),
-            request,
-        )
 
     async def _exchange(
         self,
