Judge each order to stop a lasting task anew

Cause: an order to stop a lasting task that had no answer was repeated without a look at the step's other tasks, and a task that started up counted as away by a list up to a second old. Ruled out: a wrong count of the others; they were counted as designed. Change: the task that is to be stopped always counts as serving.

--- a/src/sardinemast/dispatch/_ledger.py
+++ b/src/sardinemast/dispatch/_ledger.py
@@ -40,11 +40,13 @@
     A lasting step promises its users that only so many of its tasks are away
     at once. Whatever took one away counts, also a crash: the users miss it
     all the same.
+
+    The task itself is taken to serve, whatever is known of it: its list is up
+    to a second old, and an order to stop it that had no answer may be lost.
+    Ended on that ground, it would be the second one that users miss.
     """
     if not step.step.is_lasting or not step.step.may_miss:
         return True
-    if not is_at_work(state, step, task.position, now_s):
-        return True
     away = sum(
         not is_at_work(state, step, position, now_s)
         for position in range(step.step.task_count)
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -121,6 +121,7 @@
         self.gauges: dict[TaskKey, int] = {}
         self.percent = 100
         self.stop_delay_s: float = 0
+        self.is_deaf_to_stops = False
         self.stopping: dict[TaskKey, float] = {}
         self._position = 0
 
@@ -158,7 +159,8 @@
         if isinstance(order, StartRun):
             return self._start(order, true_s)
         if isinstance(order, StopRun):
-            self._stop(order, true_s)
+            if not self.is_deaf_to_stops:
+                self._stop(order, true_s)
         elif isinstance(order, PaceRun):
             self.paces[order.task] = order.percent
         return OrderOutcome.done, ''
@@ -230,6 +232,7 @@
         self.proposed: deque[Command] = deque()
         self.late: list[tuple[ModelWorker, Any]] = []
         self.started: list[StartRun] = []
+        self.stops: list[StopRun] = []
         self.upkeeps: list[str] = []
         self.refused: set[str] = set()
         self.down: set[str] = set()
@@ -335,6 +338,8 @@
     def _send(self, order: Any) -> None:
         if isinstance(order, StartRun):
             self.started.append(order)
+        if isinstance(order, StopRun):
+            self.stops.append(order)
         due_s = self.now_s
         model = self.workers.get(order.worker.name)
         if model is None or model.is_dark:
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -52,6 +52,44 @@
         assert stopping + away <= 1
 
 
+def test_unanswered_stop_is_not_repeated_while_another_task_is_away() -> None:
+    """An order to stop is lost, and another task of the step crashes then.
+
+    The stopped task is still at work. Repeated without a look at the others,
+    the order took the second track of a class away at the same time.
+    """
+    fleet = ModelFleet(2)
+    _start_lasting(fleet, 2, 1)
+    leaving, other = fleet.workers.values()
+    assert leaving.running and other.running
+    leaving.is_deaf_to_stops = True
+    fleet.add_drain(0)
+    fleet.run(0.2)
+    assert len(fleet.stops) == 1
+    other.percent = 20
+    other.end(next(iter(other.running)), 'failed')
+    fleet.run(3)
+    assert len(fleet.stops) == 1
+
+
+def test_task_that_may_have_begun_to_serve_is_not_stopped() -> None:
+    """A task starts up while another one of its step is away.
+
+    What its worker listed last is up to a second old; by now it serves. Its
+    stop would leave the class with one track less than promised.
+    """
+    fleet = ModelFleet(2)
+    _start_lasting(fleet, 2, 1)
+    starting, other = fleet.workers.values()
+    starting.percent = 20
+    fleet.run(2)
+    other.is_dark = True
+    fleet.run(2.2)
+    fleet.add_drain(0)
+    fleet.run(1.5)
+    assert not fleet.stops
+
+
 def test_wave_takes_no_more_down_than_its_cap() -> None:
     """A wave names all workers and allows one to be down.
 
