Let a new leader know the peaks, and move instances at once

Ruled out: fewer instances on before a pool's first peak; from nothing to full a pool takes 1.2 s, an instance 2.4 s, so that the peak's first jobs are late. Change: peaks are recalled from the jobs in the log; only instances that the log has named within 3.8 s, or whose upkeep is ordered, wait; a round's length is the mean of its turns; lulls of 2 s begin no new peak; what a pool was lent is free as its work runs out; pools shrink once no pool has peaked for a turn.

--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -238,6 +238,7 @@
             self._apply(output.entry, now_s)
         elif isinstance(output, consensus.RestoreSnapshot):
             replace_state(self.state, output.snapshot.image)
+            self._job_desk.note_restored(now_s)
         elif isinstance(output, consensus.ProposalAccepted):
             self._pending.note_proposal(output)
         elif isinstance(output, consensus.ProposalRejected):
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -78,6 +78,7 @@
         self._streams: dict[int, None] = {}
         self._gathered: list[CommandProposed] = []
         self._beat_due_s: float = 0
+        self._has_ticked = False
 
     def start_term(self, now_s: float) -> None:
         """Lead from now on."""
@@ -97,6 +98,9 @@
         """Follow the clocks, and do what is due while leading."""
         if wall_ms:
             self._clock.note(now_s, wall_ms)
+        if not self._has_ticked:
+            self._has_ticked = True
+            self.note_restored(now_s)
         if not self._leading.is_leader(now_s):
             return
         if now_s >= self._beat_due_s:
@@ -110,10 +114,15 @@
         """Take what comes of callers and workers."""
         self._handle(event, now_s)
 
+    def note_restored(self, now_s: float) -> None:
+        """Note that the state came as a whole, from a snapshot."""
+        self._dispatcher.note_gap(now_s)
+
     def note_applied(self, command: Command, now_s: float) -> None:
         """Go on after a command was applied, where this process leads."""
         if not isinstance(command, JobCommand):
             return
+        self._dispatcher.note_logged(command, now_s)
         if self._leading.replica.role is not Role.leader:
             return
         self._calls.note_applied(command)
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -49,6 +49,15 @@
         self._moves.start_term()
         self._opening.clear()
 
+    def note_logged(self, command: Command, now_s: float) -> None:
+        """Follow a command that was applied, also where another leads."""
+        if isinstance(command, NoteMove | NoteUpkeep):
+            self._state.order_times.note(command.instance, now_s)
+
+    def note_gap(self, now_s: float) -> None:
+        """Note that commands up to now were not followed one by one."""
+        self._state.order_times.note_gap(now_s)
+
     def tick(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
         """Do what time has made due."""
         self._state.outputs = []
@@ -60,7 +69,7 @@
         if now_s >= self._measured_s + MEASURE_EVERY_S:
             self._measured_s = now_s
             self._state.loads = measure_pools(self._state, now_s)
-            self._moves.tick(now_s)
+            self._moves.tick(now_s, now_ms)
         self._upkeep.tick(now_s, now_ms)
         self._record(now_s, now_ms)
         return self._state.outputs
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -18,6 +18,7 @@
     OrderOutcome,
 )
 from sardinemast.dispatch._loads import PoolLoad
+from sardinemast.dispatch._peak_history import recall_peaks
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
 from sardinemast.dispatch._state import DispatchState
@@ -47,7 +48,7 @@
 
     def __init__(self, state: DispatchState) -> None:
         self._state = state
-        self._peaks = PeakBook()
+        self._peaks: PeakBook | None = None
         self._list_due_s: float = 0
         self._under_way: dict[str, _UnderWay] = {}
         self._chosen: dict[str, str] = {}
@@ -57,19 +58,17 @@
 
     def start_term(self) -> None:
         """Forget what was under way in a former term."""
-        self._peaks = PeakBook()
+        self._peaks = None
         self._list_due_s = 0
         self._under_way.clear()
         self._chosen.clear()
         self._standby.clear()
         self._refused_s.clear()
 
-    def tick(self, now_s: float) -> None:
+    def tick(self, now_s: float, now_ms: int) -> None:
         """Move workers where the loads, measured just now, call for it."""
         loads = self._state.loads
-        self._note_peaks(loads, now_s)
-        if now_s < self._state.started_s + self._state.settings.settle_s:
-            return
+        peaks = self._note_peaks(loads, now_s, now_ms)
         self._follow(now_s)
         self._send_chosen(now_s)
         self._note_idle(loads, now_s)
@@ -78,7 +77,7 @@
             timeout_s = self._state.settings.answer_s
             self._state.outputs.append(ListInstances(timeout_s))
         lacking = {
-            pool: self._count_lacking(pool, load, now_s)
+            pool: self._count_lacking(pool, load, peaks, now_s)
             for pool, load in loads.items()
         }
         self._balance(loads, lacking, now_s)
@@ -116,15 +115,23 @@
             if one.pool == standby_pool and one.is_up
         }
 
-    def _note_peaks(self, loads: dict[str, PoolLoad], now_s: float) -> None:
+    def _note_peaks(
+        self,
+        loads: dict[str, PoolLoad],
+        now_s: float,
+        now_ms: int,
+    ) -> PeakBook:
+        rooms = {pool: self._get_need(pool).room for pool in loads}
+        if self._peaks is None:
+            jobs = self._state.jobs
+            self._peaks = recall_peaks(jobs, rooms, now_s, now_ms)
         for pool, load in loads.items():
-            need = self._get_need(pool)
-            room = need.usual * need.worker_millicores
-            if room:
-                share = (load.passing + load.wanted) / room
+            if rooms[pool]:
+                share = (load.passing + load.wanted) / rooms[pool]
                 self._peaks.note(pool, share, now_s)
         queues = self._state.jobs.catalog.queues
         self._peaks.pool_count = len({queue.pool for queue in queues})
+        return self._peaks
 
     def _get_need(self, pool: str) -> PoolNeed:
         homes = self._state.jobs.homes.values()
@@ -140,6 +147,7 @@
         self,
         pool: str,
         load: PoolLoad,
+        peaks: PeakBook,
         now_s: float,
     ) -> int:
         going = sum(
@@ -154,7 +162,7 @@
             pool,
             load,
             self._get_need(pool),
-            self._peaks,
+            peaks,
             now_s,
         )
         have = load.workers - going + coming
@@ -194,6 +202,7 @@
             name
             for name in self._standby
             if name not in self._under_way
+            and self._state.is_settled(name, now_s)
             and not self._is_refused(name, pool, now_s)
         ]
         for name in ready[: max(wanted, 0)]:
@@ -203,6 +212,8 @@
         return len(ready[:wanted])
 
     def _choose(self, worker: Worker, pool: str, now_s: float) -> bool:
+        if not self._state.is_settled(worker.instance, now_s):
+            return False
         if self._is_refused(worker.instance, pool, now_s):
             return False
         # A start may be on its way to it; it is moved once it has surely
--- a/src/sardinemast/dispatch/_peaks.py
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -6,7 +6,6 @@
 """
 
 from itertools import pairwise
-from statistics import median
 
 # A peak asks for most of a pool's room, the time between for a few hundredths.
 _BEGIN_SHARE = 0.35
@@ -16,6 +15,9 @@
 # While no period is known, a pool is not expected to peak again sooner than
 # after so many times its last peak: there is a turn of another queue between.
 _GAP_PEAKS = 2.0
+# Work that comes again so soon after a peak is still the same one: a few
+# seconds of few jobs happen in the middle of it.
+_REJOIN_S = 2.0
 _KEPT = 8
 
 
@@ -75,6 +77,26 @@
         ended_s = known.ended_s or last_s
         return ended_s + _GAP_PEAKS * (ended_s - last_s)
 
+    def has_stopped(self, now_s: float) -> bool:
+        """Tell whether no pool has peaked for as long as a turn lasts.
+
+        One queue's peak follows another's. Pools that wait for a peak beyond
+        that would stay at their full size all night.
+        """
+        turn_s = self._get_turn_s()
+        if turn_s is None:
+            return False
+        if any(known.is_peak for known in self._pools.values()):
+            return False
+        peaks = [
+            (known.starts_s[-1], known.ended_s)
+            for known in self._pools.values()
+            if known.starts_s and known.ended_s is not None
+        ]
+        longest_s = max(ended_s - start_s for start_s, ended_s in peaks)
+        last_s = max(ended_s for _, ended_s in peaks)
+        return now_s > last_s + max(turn_s, longest_s)
+
     def _get_period_s(self) -> float | None:
         """Give the time from one peak of a pool to its next.
 
@@ -89,21 +111,31 @@
         ]
         if periods:
             return min(periods)
+        turn_s = self._get_turn_s()
+        return None if turn_s is None else turn_s * self.pool_count
+
+    def _get_turn_s(self) -> float | None:
+        """Give the mean time from one pool's peak to the next one's.
+
+        A peak is noticed up to a second early or late, by which large jobs
+        come first; the mean evens that out.
+        """
         starts_s = sorted(
             start_s
             for known in self._pools.values()
             for start_s in known.starts_s
         )
-        turns = [later - earlier for earlier, later in pairwise(starts_s)]
-        if not turns:
+        if len(starts_s) < 2:
             return None
-        return median(turns) * self.pool_count
+        return (starts_s[-1] - starts_s[0]) / (len(starts_s) - 1)
 
 
 def _turn(known: _Pool, since_s: float) -> None:
     known.is_peak = not known.is_peak
     known.turned_s = None
-    if known.is_peak:
-        known.starts_s = [*known.starts_s, since_s][-_KEPT:]
-    else:
+    if not known.is_peak:
         known.ended_s = since_s
+        return
+    ended_s = known.ended_s
+    if ended_s is None or since_s > ended_s + _REJOIN_S:
+        known.starts_s = [*known.starts_s, since_s][-_KEPT:]
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -23,6 +23,11 @@
     usual: int
     worker_millicores: int
 
+    @property
+    def room(self) -> int:
+        """Give the millicores of the usual number of workers."""
+        return self.usual * self.worker_millicores
+
 
 def count_needed(
     pool: str,
@@ -34,18 +39,24 @@
     """Give how many workers the pool should have now.
 
     One that was never seen to peak keeps all of its workers: its first peak
-    may come at any moment, and is lost by the time that others are there.
+    may come at any moment, and is lost by the time that others are there. So
+    does one whose peak is late, until the queues have stopped peaking.
     """
     size = need.worker_millicores
     if not size:
         return need.usual
     if load.missing > _SHORT_SHARE * load.room:
         return load.workers - (-load.missing // size)
+    calm = _count_calm(load, size)
     if peaks.is_peak(pool):
-        return load.workers
+        # What it got from others is free for them as its work runs out.
+        return min(load.workers, max(need.usual, calm))
     is_due = now_s >= peaks.get_next_start_s(pool) - _LEAD_S
-    if is_due:
+    if is_due and not peaks.has_stopped(now_s):
         return need.usual
-    asked = load.lasting + _CALM_FACTOR * (load.passing + load.wanted)
-    calm = -int(-asked // size) + _CALM_SPARE
     return min(calm, max(need.usual, load.workers))
+
+
+def _count_calm(load: PoolLoad, worker_millicores: int) -> int:
+    asked = load.lasting + _CALM_FACTOR * (load.passing + load.wanted)
+    return -int(-asked // worker_millicores) + _CALM_SPARE
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -14,9 +14,9 @@
     ``quiet_s`` is how long a worker may be silent before it gets nothing new;
     idle ones only send announcements, so they have ``idle_quiet_s``.
 
-    A new leader orders nothing for an instance before ``settle_s``: until
-    then an order of the one before may be under way, and nothing checks its
-    fence. It covers the platform's bound for two holders in turn and a freeze
+    A new leader orders nothing for an instance before ``settle_s``, unless the
+    log has not named that for as long: until then an order of the one before
+    may be under way, and nothing checks its fence. It covers the platform's bound for two holders in turn and a freeze
     between check and send. A worker is emptied for ``empty_max_s`` at most,
     the longest of usual tasks. An instance whose successor is not heard after
     ``upkeep_max_s`` is counted as back, and one that refuses and is listed as
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -10,8 +10,15 @@
     StopRun,
 )
 from sardinemast.dispatch._loads import PoolLoad
+from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._settings import DispatchSettings
-from sardinemast.jobs import Command, JobsState, StepState, TaskKey
+from sardinemast.jobs import (
+    Command,
+    JobsState,
+    StepState,
+    TaskKey,
+    UpkeepStatus,
+)
 from sardinemast.jobs.commands import RunOver
 
 _MS = 1000
@@ -34,6 +41,7 @@
         self.ends: dict[TaskKey, RunOver] = {}
         self.is_changed = True
         self.loads: dict[str, PoolLoad] = {}
+        self.order_times = OrderTimes()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Know nothing but the log."""
@@ -56,6 +64,14 @@
         lease_s = settings.lease_ms / _MS / (1 - settings.drift)
         return self.started_s + lease_s + settings.margin_s
 
+    def is_settled(self, instance: str, now_s: float) -> bool:
+        """Tell whether no earlier leader's order for an instance may come."""
+        last_s = self.order_times.get_last_s(instance)
+        # An order for maintenance is repeated until it is answered.
+        if self._is_ordered(instance):
+            last_s = self.started_s
+        return now_s >= min(self.started_s, last_s) + self.settings.settle_s
+
     def propose(self, command: Command) -> None:
         """Put a command into the log."""
         self.outputs.append(Propose(command))
@@ -85,6 +101,13 @@
             if step is not None:
                 yield task, number, step
 
+    def _is_ordered(self, instance: str) -> bool:
+        return any(
+            item.instance == instance and item.status is UpkeepStatus.ordered
+            for wave in self.jobs.waves.values()
+            for item in wave.items
+        )
+
     def stop(
         self,
         contact: Contact,
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -16,6 +16,8 @@
     LogDecision,
     LookAnswer,
     LookAtWorker,
+    MoveAnswered,
+    OrderMove,
     OrderOutcome,
     OrderUpkeep,
     PaceRun,
@@ -43,6 +45,7 @@
 from sardinemast.jobs.commands import PutCatalog, RegisterWorker, SubmitJob
 
 POOL = 'booking'
+STANDBY = 'standby'
 QUEUE = 'seats'
 TEAM = 'breizh'
 KEY = 'key-of-breizh'
@@ -67,7 +70,7 @@
                 stretch=2,
             ),
         ),
-        (Pool(POOL),),
+        (Pool(POOL), Pool(STANDBY, is_standby=True)),
         (Team(TEAM, (KEY,), cap=Size(cap, 0)),),
     )
 
@@ -227,6 +230,8 @@
         self.log_length = 0
         self.state = JobsState()
         self.dispatcher = Dispatcher(DispatchSettings())
+        self.follower = Dispatcher(DispatchSettings())
+        self.follower.note_gap(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
         self.is_held = False
         self.proposed: deque[Command] = deque()
@@ -234,6 +239,8 @@
         self.started: list[StartRun] = []
         self.stops: list[StopRun] = []
         self.upkeeps: list[str] = []
+        self.moves: list[OrderMove] = []
+        self.standby: set[str] = set()
         self.refused: set[str] = set()
         self.down: set[str] = set()
         self.logged: list[str] = []
@@ -277,7 +284,9 @@
         self.term += 1
         self.proposed.clear()
         self._waiting.clear()
-        self.dispatcher = Dispatcher(DispatchSettings())
+        self.dispatcher = self.follower
+        self.follower = Dispatcher(DispatchSettings())
+        self.follower.note_gap(self.now_s)
         self.dispatcher.start_term(self.state, self.term, self.now_s)
 
     def submit(self, name: str, *steps: Step, team: str = TEAM) -> None:
@@ -289,6 +298,8 @@
         """Have a command applied, and tell the leader."""
         self.log_length += 1
         apply_command(command, self.state, self.log_length)
+        self.dispatcher.note_logged(command, self.now_s)
+        self.follower.note_logged(command, self.now_s)
         if self.term:
             self._execute(
                 self.dispatcher.note_applied(command, self.now_s, self.now_ms),
@@ -328,6 +339,9 @@
             elif isinstance(output, OrderUpkeep):
                 self.upkeeps.append(output.instance)
                 self._waiting.append(_Waiting(output, self.now_s))
+            elif isinstance(output, OrderMove):
+                self.moves.append(output)
+                self._waiting.append(_Waiting(output, self.now_s))
             elif isinstance(output, ListInstances):
                 self._waiting.append(_Waiting(output, self.now_s))
             else:
@@ -375,14 +389,10 @@
                 OrderOutcome.refused if is_refused else OrderOutcome.done,
             )
         elif isinstance(order, ListInstances):
-            event = InstancesListed(
-                tuple(
-                    ListedInstance(
-                        name, POOL, name not in self.down, name in self.down
-                    )
-                    for name in self.state.homes
-                ),
-            )
+            event = InstancesListed(self._list_instances())
+        elif isinstance(order, OrderMove):
+            done = OrderOutcome.done
+            event = MoveAnswered(order.instance, order.pool, done)
         else:
             event = self._answer_worker(order)
         if event is not None:
@@ -390,6 +400,22 @@
                 self.dispatcher.step(event, self.now_s, self.now_ms),
             )
 
+    def _list_instances(self) -> tuple[ListedInstance, ...]:
+        at_work = [
+            ListedInstance(
+                name,
+                POOL,
+                is_up=name not in self.down,
+                is_down=name in self.down,
+            )
+            for name in self.state.homes
+        ]
+        off = [
+            ListedInstance(name, STANDBY, is_up=True)
+            for name in sorted(self.standby)
+        ]
+        return (*at_work, *off)
+
     def _answer_worker(self, order: Any) -> DispatchEvent | None:
         name = order.worker.name
         model = self.workers.get(name)
--- /dev/null
+++ b/tests/dispatch/test_moves.py
@@ -0,0 +1,80 @@
+"""Instances that change their pool right after a change of leader."""
+
+from builders.workers import POOL, ModelFleet, make_step
+from sardinemast.dispatch import DispatchSettings
+from sardinemast.jobs import UpkeepStatus
+from sardinemast.jobs.commands import DeclareWave, NoteMove, NoteUpkeep
+
+_SETTLE_S = DispatchSettings().settle_s
+
+
+def _make_full_fleet() -> ModelFleet:
+    """Give a pool whose work waits, and a leader that is elected just now."""
+    fleet = ModelFleet(2)
+    fleet.standby = {'spare'}
+    fleet.run(10)
+    return fleet
+
+
+def _elect_and_fill(fleet: ModelFleet) -> None:
+    fleet.elect()
+    fleet.submit('peak', make_step(40))
+
+
+def test_new_leader_brings_in_an_instance_that_nobody_ordered_lately() -> None:
+    """The leader is lost in the middle of a peak, and a spare one is free.
+
+    Held back for the sake of an order that the old leader cannot have sent,
+    it came four seconds later, and a whole peak missed its targets.
+    """
+    fleet = _make_full_fleet()
+    _elect_and_fill(fleet)
+    fleet.run(1)
+    assert [(one.instance, one.pool) for one in fleet.moves] == [
+        ('spare', POOL),
+    ]
+
+
+def test_new_leader_waits_with_an_instance_named_in_the_log_just_now() -> None:
+    """The old leader may have sent its order right before it was lost.
+
+    Nothing checks fences there. Two orders that cross would end what the
+    instance has just been given.
+    """
+    fleet = _make_full_fleet()
+    fleet.commit(NoteMove('spare', POOL))
+    named_s = fleet.now_s
+    fleet.run(0.5)
+    _elect_and_fill(fleet)
+    fleet.run(_SETTLE_S - 1)
+    assert not fleet.moves
+    fleet.run(2)
+    assert fleet.moves
+    assert fleet.now_s > named_s + _SETTLE_S
+
+
+def test_new_leader_waits_with_an_instance_whose_upkeep_is_ordered() -> None:
+    """An order for maintenance has no answer and is repeated each second.
+
+    The log named it long ago, and the old leader may have sent it just now.
+    """
+    fleet = _make_full_fleet()
+    fleet.commit(DeclareWave(1, ('spare',), 1, fleet.now_ms, 10**9))
+    fleet.refused.add('spare')
+    fleet.commit(NoteUpkeep(1, 'spare', UpkeepStatus.ordered))
+    fleet.run(6)
+    _elect_and_fill(fleet)
+    fleet.run(_SETTLE_S - 0.5)
+    assert not fleet.moves
+
+
+def test_leader_that_took_a_snapshot_waits_with_every_instance() -> None:
+    """A process was behind and took a snapshot right before it leads.
+
+    It has not seen when the log named which instance.
+    """
+    fleet = _make_full_fleet()
+    fleet.follower.note_gap(fleet.now_s)
+    _elect_and_fill(fleet)
+    fleet.run(_SETTLE_S - 0.5)
+    assert not fleet.moves
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -4,7 +4,9 @@
 a few hundredths until its next turn 18 s later, as the two users' queues do.
 """
 
+from builders.workers import POOL, ModelFleet, make_step
 from sardinemast.dispatch._loads import PoolLoad
+from sardinemast.dispatch._peak_history import recall_peaks
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
 
@@ -65,6 +67,50 @@
     assert count_needed('a', full, _NEED, PeakBook(), 3) == 11
 
 
+def test_pools_shrink_once_the_queues_have_stopped_peaking() -> None:
+    """Traffic ends, and the peak that a pool waits for never comes.
+
+    It kept all of its instances on, and so did the next ones, all night.
+    """
+    book = PeakBook()
+    _play(book, 20)
+    calm = PoolLoad(room=512_000, free=512_000, workers=8)
+    late_s = book.get_next_start_s('b') + 1
+    assert count_needed('b', calm, _NEED, book, late_s) == 8
+    for step in range(100):
+        for pool in _POOLS:
+            book.note(pool, 0, late_s + step * _STEP_S)
+    assert count_needed('b', calm, _NEED, book, late_s + 15) == 1
+
+
+def test_lull_in_a_peak_begins_no_new_one() -> None:
+    """For half a second few jobs come; then the peak goes on.
+
+    Taken for a second peak, the time between the two would be the length of
+    a round, and the pool would never be calm.
+    """
+    book = PeakBook()
+    book.pool_count = len(_POOLS)
+    shares = [0.9] * 10 + [0.05] * 4 + [0.9] * 10 + [0.02] * 20
+    for step, share in enumerate(shares):
+        book.note('a', share, step * _STEP_S)
+    assert book.get_next_start_s('a') > 5
+
+
+def test_workers_lent_for_a_peak_are_free_once_its_work_runs_out() -> None:
+    """The peak fades while the next pool's begins and lacks room.
+
+    Kept until the peak was over for sure, the lent workers reached the next
+    pool a second later than they could, in the middle of its peak.
+    """
+    book = PeakBook()
+    _play(book, 2)
+    fading = PoolLoad(room=1_024_000, free=700_000, passing=324_000, workers=16)
+    assert count_needed('a', fading, _NEED, book, 2) == 12
+    full = PoolLoad(room=1_024_000, free=50_000, passing=974_000, workers=16)
+    assert count_needed('a', full, _NEED, book, 2) == 16
+
+
 def test_one_large_job_is_no_peak() -> None:
     """A single wide step asks for much, and is over in a moment."""
     book = PeakBook()
@@ -72,3 +118,22 @@
     book.note('a', 0.8, 1.15)
     book.note('a', 0.02, 1.3)
     assert not book.has_peaked('a')
+
+
+def test_next_leader_knows_a_peak_from_the_log() -> None:
+    """The leader is lost after a pool has peaked and is calm again.
+
+    The next one took it for a pool that may peak at any moment, and kept all
+    of its instances on for a whole round.
+    """
+    fleet = ModelFleet(2)
+    for number in range(40):
+        fleet.submit(f'job-{number}', make_step(4))
+        fleet.run(0.1)
+    fleet.run(5)
+    fleet.elect()
+    rooms = {POOL: 8_000}
+    book = recall_peaks(fleet.state, rooms, fleet.now_s, fleet.now_ms)
+    assert book.has_peaked(POOL)
+    assert not book.is_peak(POOL)
+    assert book.get_next_start_s(POOL) > fleet.now_s
