Ask a queue's policy before its tasks start

Cause: a queue may have a policy that allows only some workers. Nobody asked it, so that each start came without a ticket and was refused, and no job of such a queue could ever begin. Connections to the services for instances and for advice are kept apart; both went by an empty name. Tests: a model of the policy (allowed, denied, silent, run out, next life) and real processes with a worker that refuses starts without its ticket.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -74,7 +74,8 @@
 
     With a ``cluster`` the ``controls`` are its founders. A balancer looks at
     ``readiness``, and ``operators`` is where the platform's own calls come.
-    Whoever runs the instances is asked at ``instances``.
+    Whoever runs the instances is asked at ``instances``, the outside policy
+    of queues that have one at ``advice``.
     """
 
     name: str
@@ -89,6 +90,7 @@
     readiness: Address | None = None
     operators: Address | None = None
     instances: Address | None = None
+    advice: Address | None = None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -141,6 +143,7 @@
         'readiness': Field(_PLACE, None),
         'operators': Field(_PLACE, None),
         'instances': Field(_PLACE, None),
+        'advice': Field(_PLACE, None),
         'controls': Field(list_of(_CONTROL), ()),
         'cluster': Field(_CLUSTER, None),
         'network': Field(choice('open', 'private'), 'open'),
@@ -229,6 +232,7 @@
         readiness=_build_address(found['readiness']),
         operators=_build_address(found['operators']),
         instances=_build_address(found['instances']),
+        advice=_build_address(found['advice']),
     )
 
 
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -170,6 +170,7 @@
     | dispatch.UpkeepAnswered
     | dispatch.MoveAnswered
     | dispatch.InstancesListed
+    | dispatch.AdviceAnswered
 )
 ControlEvent = (
     Tick
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -25,6 +25,8 @@
 )
 from sardinemast.control._wall_clock import WallClock
 from sardinemast.dispatch import (
+    AdviceAnswered,
+    AskAdvice,
     Dispatcher,
     DispatchEvent,
     DispatchOutput,
@@ -238,6 +240,8 @@
             order.boot_ms,
             OrderOutcome.not_sent,
         )
+    if isinstance(order, AskAdvice):
+        return AdviceAnswered(order.step, is_answered=False)
     if isinstance(order, OrderMove):
         return MoveAnswered(
             order.instance,
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -2,31 +2,40 @@
 
 from sardinemast.dispatch._core import Dispatcher
 from sardinemast.dispatch._events import (
+    AdviceAnswered,
+    AskAdvice,
     DispatchEvent,
     DispatchOutput,
-    InstancesListed,
     ListedEnd,
-    ListedInstance,
     ListedRun,
-    ListInstances,
     LogDecision,
     LookAnswer,
     LookAtWorker,
-    MoveAnswered,
-    OrderMove,
-    OrderOutcome,
-    OrderUpkeep,
     PaceRun,
     Propose,
     RunAnswered,
     StartRun,
     StopRun,
-    UpkeepAnswered,
+    Ticket,
     WorkerLooked,
 )
+from sardinemast.dispatch._instance_events import (
+    InstancesListed,
+    ListedInstance,
+    ListInstances,
+    MoveAnswered,
+    OrderMove,
+    OrderUpkeep,
+    UpkeepAnswered,
+)
+from sardinemast.dispatch._outcomes import (
+    OrderOutcome,
+)
 from sardinemast.dispatch._settings import DispatchSettings
 
 __all__ = (
+    'AdviceAnswered',
+    'AskAdvice',
     'DispatchEvent',
     'DispatchOutput',
     'DispatchSettings',
@@ -48,6 +57,7 @@
     'RunAnswered',
     'StartRun',
     'StopRun',
+    'Ticket',
     'UpkeepAnswered',
     'WorkerLooked',
 )
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -1,13 +1,16 @@
 """Decide what the leader orders of workers, without input or output."""
 
 from sardinemast.dispatch._events import (
+    AdviceAnswered,
     DispatchEvent,
     DispatchOutput,
+    RunAnswered,
+    WorkerLooked,
+)
+from sardinemast.dispatch._instance_events import (
     InstancesListed,
     MoveAnswered,
-    RunAnswered,
     UpkeepAnswered,
-    WorkerLooked,
 )
 from sardinemast.dispatch._looks import Looks
 from sardinemast.dispatch._measure import MEASURE_EVERY_S, measure_pools
@@ -15,6 +18,7 @@
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts import Starts
 from sardinemast.dispatch._state import DispatchState
+from sardinemast.dispatch._tickets import Tickets
 from sardinemast.dispatch._upkeep import Upkeep
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
@@ -34,7 +38,8 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._state = DispatchState(settings)
         self._looks = Looks(self._state)
-        self._starts = Starts(self._state)
+        self._tickets = Tickets(self._state)
+        self._starts = Starts(self._state, self._tickets)
         self._upkeep = Upkeep(self._state)
         self._moves = Moves(self._state)
         self._measured_s: float = 0
@@ -45,6 +50,7 @@
         self._state.start_term(state, term, now_s)
         self._looks.start_term()
         self._starts.start_term()
+        self._tickets.start_term()
         self._upkeep.start_term()
         self._moves.start_term()
         self._opening.clear()
@@ -89,6 +95,9 @@
         elif isinstance(event, InstancesListed):
             self._moves.take_list(event)
             self._upkeep.take_list(event, now_s)
+        elif isinstance(event, AdviceAnswered):
+            if self._tickets.take_answer(event, now_s):
+                self._state.is_changed = True
         else:
             self._take_worker_answer(event, now_s)
         self._record(now_s, now_ms)
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -1,25 +1,21 @@
 """What goes into the dispatcher and what comes out of it."""
 
 from collections.abc import Mapping
-from enum import StrEnum
 from typing import NamedTuple
 
-from sardinemast.jobs import Command, TaskKey, Worker
-
-
-class OrderOutcome(StrEnum):
-    """Tell what became of an order to a worker.
-
-    ``refused`` is a whole answer that says that nothing was done, and
-    ``gone`` the word of another worker at the address. After ``unknown`` the
-    order may have been carried out, or may be yet.
-    """
+from sardinemast.dispatch._instance_events import (
+    InstancesListed,
+    ListInstances,
+    MoveAnswered,
+    OrderMove,
+    OrderUpkeep,
+    UpkeepAnswered,
+)
+from sardinemast.dispatch._outcomes import OrderOutcome
+from sardinemast.jobs import Command, StepKey, TaskKey, Worker
 
-    done = 'done'
-    refused = 'refused'
-    gone = 'gone'
-    not_sent = 'not sent'
-    unknown = 'unknown'
+# Why a worker refuses a start without leave of the outside policy.
+TICKET_REASON = 'ticket'
 
 
 class ListedRun(NamedTuple):
@@ -127,70 +123,31 @@
     timeout_s: float
 
 
-class OrderUpkeep(NamedTuple):
-    """Have an instance maintained; all that runs on it ends at once.
+class AskAdvice(NamedTuple):
+    """Ask the outside policy which of some workers may run a step.
 
-    ``token`` fences the order, and ``boot_ms`` is the boot of the worker that
-    is taken down.
+    A ticket counts for ``valid_s``.
     """
 
-    instance: str
-    wave: int
-    token: int
-    boot_ms: int
+    step: StepKey
+    workers: tuple[Worker, ...]
+    valid_s: float
     timeout_s: float
 
 
-class UpkeepAnswered(NamedTuple):
-    """Hand over what became of an order for an instance."""
-
-    instance: str
-    wave: int
-    boot_ms: int
-    outcome: OrderOutcome
-    is_unknown_instance: bool = False
-    reason: str = ''
-
-
-class OrderMove(NamedTuple):
-    """Have an instance change its pool; all that runs on it ends at once."""
-
-    instance: str
-    pool: str
-    token: int
-    timeout_s: float
+class Ticket(NamedTuple):
+    """Hold the policy's leave for a step to run at a worker."""
 
-
-class MoveAnswered(NamedTuple):
-    """Hand over what became of a move."""
-
-    instance: str
-    pool: str
-    outcome: OrderOutcome
-
-
-class ListInstances(NamedTuple):
-    """Ask for all instances, those that stand by included."""
-
-    timeout_s: float
-
-
-class ListedInstance(NamedTuple):
-    """Hold an instance as whoever runs it lists it.
-
-    It may be neither up nor down, while it is moved or maintained.
-    """
-
-    name: str
-    pool: str
-    is_up: bool
-    is_down: bool = False
+    worker: str
+    ticket: str
 
 
-class InstancesListed(NamedTuple):
-    """Hand over the list of instances."""
+class AdviceAnswered(NamedTuple):
+    """Hand over the tickets, or that the policy gave no answer."""
 
-    instances: tuple[ListedInstance, ...]
+    step: StepKey
+    tickets: tuple[Ticket, ...] = ()
+    is_answered: bool = True
 
 
 class LogDecision(NamedTuple):
@@ -208,7 +165,12 @@
 
 
 DispatchEvent = (
-    WorkerLooked | RunAnswered | UpkeepAnswered | MoveAnswered | InstancesListed
+    WorkerLooked
+    | RunAnswered
+    | UpkeepAnswered
+    | MoveAnswered
+    | InstancesListed
+    | AdviceAnswered
 )
 DispatchOutput = (
     LookAtWorker
@@ -218,6 +180,7 @@
     | OrderUpkeep
     | OrderMove
     | ListInstances
+    | AskAdvice
     | LogDecision
     | Propose
 )
--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -3,10 +3,12 @@
 from sardinemast.dispatch._contact import Contact
 from sardinemast.dispatch._events import (
     LookAtWorker,
-    OrderOutcome,
     PaceRun,
     WorkerLooked,
 )
+from sardinemast.dispatch._outcomes import (
+    OrderOutcome,
+)
 from sardinemast.dispatch._pacing import Pacing, has_fillers, has_servers
 from sardinemast.dispatch._reconcile import (
     collect_ends,
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -10,14 +10,16 @@
 from operator import itemgetter
 from typing import NamedTuple
 
-from sardinemast.dispatch._events import (
+from sardinemast.dispatch._instance_events import (
     InstancesListed,
     ListInstances,
     MoveAnswered,
     OrderMove,
-    OrderOutcome,
 )
 from sardinemast.dispatch._loads import PoolLoad
+from sardinemast.dispatch._outcomes import (
+    OrderOutcome,
+)
 from sardinemast.dispatch._peak_history import recall_peaks
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -36,10 +36,12 @@
         standings: Iterable[Standing],
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
+        is_allowed: Callable[[StepState, Worker], bool],
     ) -> None:
         self._state = state
         self._order = order
         self._is_avoided = is_avoided
+        self._is_allowed = is_allowed
         self._free: dict[str, Size] = {}
         self._by_pool: dict[str, list[Standing]] = defaultdict(list)
         for standing in standings:
@@ -158,7 +160,9 @@
             worker = standing.worker
             if not size.fits(self._free[worker.name]):
                 continue
-            if not _is_allowed(step, worker, on_worker, rack):
+            if not _is_suited(step, worker, on_worker, rack):
+                continue
+            if not self._is_allowed(step, worker):
                 continue
             cost = (
                 _is_crowded(step, on_worker[worker.name]),
@@ -187,7 +191,7 @@
     return step.step.size
 
 
-def _is_allowed(
+def _is_suited(
     step: StepState,
     worker: Worker,
     on_worker: dict[str, int],
--- a/src/sardinemast/dispatch/_reconcile.py
+++ b/src/sardinemast/dispatch/_reconcile.py
@@ -4,7 +4,10 @@
 from typing import NamedTuple
 
 from sardinemast.dispatch._contact import Contact
-from sardinemast.dispatch._events import ListedEnd, WorkerLooked
+from sardinemast.dispatch._events import (
+    ListedEnd,
+    WorkerLooked,
+)
 from sardinemast.jobs import JobsState, RunEnd, TaskKey
 from sardinemast.jobs.commands import RunOver
 
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -15,12 +15,13 @@
     idle ones only send announcements, so they have ``idle_quiet_s``.
 
     A new leader orders nothing for an instance before ``settle_s``, unless the
-    log has not named that for as long: until then an order of the one before
-    may be under way, and nothing checks its fence. It covers the platform's bound for two holders in turn and a freeze
-    between check and send. A worker is emptied for ``empty_max_s`` at most,
-    the longest of usual tasks. An instance whose successor is not heard after
-    ``upkeep_max_s`` is counted as back, and one that refuses and is listed as
-    down for ``lost_after_s`` as lost for good: racks were dark for ten seconds.
+    log has not named it for as long: until then an order of the one before may
+    be under way, and nothing checks its fence. It covers the platform's bound
+    for two holders in turn and a freeze between check and send. A worker is
+    emptied for ``empty_max_s`` at most, the longest of usual tasks. An instance
+    whose successor is not heard after ``upkeep_max_s`` is counted as back, and
+    one that refuses and is listed as down for ``lost_after_s`` as lost for
+    good: racks were dark for ten seconds.
     """
 
     lease_ms: int = 5000
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -5,15 +5,19 @@
 
 from sardinemast.dispatch._contact import Contact, SentStart
 from sardinemast.dispatch._events import (
-    OrderOutcome,
+    TICKET_REASON,
     RunAnswered,
     StartRun,
 )
 from sardinemast.dispatch._order import get_order
+from sardinemast.dispatch._outcomes import (
+    OrderOutcome,
+)
 from sardinemast.dispatch._pacing import has_fillers, has_servers
 from sardinemast.dispatch._planner import Planner, Standing
 from sardinemast.dispatch._state import DispatchState
-from sardinemast.jobs import RunEnd, StepState, TaskKey
+from sardinemast.dispatch._tickets import Tickets
+from sardinemast.jobs import RunEnd, StepKey, StepState, TaskKey, Worker
 from sardinemast.jobs.commands import RecordRuns, RunOver, RunStart
 
 # Room that a worker refuses is told by its next look, well within this.
@@ -36,8 +40,9 @@
     neither a start nor an end needs an entry of the log to itself.
     """
 
-    def __init__(self, state: DispatchState) -> None:
+    def __init__(self, state: DispatchState, tickets: Tickets) -> None:
         self._state = state
+        self._tickets = tickets
         self._recording: RecordRuns | None = None
         self._failed_at: dict[TaskKey, set[str]] = defaultdict(set)
         self._planned_s: float = 0
@@ -142,6 +147,10 @@
             contact.sent.pop(answered.task)
             lost = RunOver(answered.task, answered.number, RunEnd.lost)
             self._state.note_end(lost)
+            if answered.reason == TICKET_REASON:
+                step_key = StepKey(*answered.task[:-1])
+                self._tickets.forget(step_key, answered.worker)
+                return
             avoid_s = _AVOID_UNHEALTHY_S
             if answered.reason:
                 avoid_s = _AVOID_REFUSED_S
@@ -159,11 +168,17 @@
         def order(step: StepState) -> tuple[float, ...]:
             return get_order(state.jobs.jobs[step.key.job], step, now_ms)
 
+        def is_allowed(step: StepState, worker: Worker) -> bool:
+            return self._tickets.is_allowed(step, worker, now_s)
+
+        standings = tuple(self._list_standings(now_s))
+        self._tickets.ask((one.worker for one in standings), now_s, now_ms)
         return Planner(
             state.jobs,
-            self._list_standings(now_s),
+            standings,
             order,
             self._is_avoided,
+            is_allowed,
         ).choose()
 
     def _list_standings(self, now_s: float) -> Iterator[Standing]:
@@ -205,6 +220,7 @@
                 self._state.jobs.jobs[start.task.job].request.spec,
                 _get_checkpoint(step, start.task.position),
                 self._state.settings.answer_s,
+                self._tickets.find(step, contact.worker, now_s),
             ),
         )
 
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -13,6 +13,7 @@
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.jobs import (
+    Advice,
     Command,
     JobsState,
     StepState,
@@ -80,6 +81,10 @@
         """Have a decision logged."""
         self.outputs.append(LogDecision(event, subject, details))
 
+    def get_advice(self, step: StepState) -> Advice | None:
+        """Give the policy that a step's queue asks, if there is one."""
+        return self.jobs.jobs[step.key.job].queue.advice
+
     def get_runs(self, worker: str) -> dict[TaskKey, int]:
         """Give the runs that the log has at a worker."""
         return self.jobs.runs.get(worker, {})
@@ -101,13 +106,6 @@
             if step is not None:
                 yield task, number, step
 
-    def _is_ordered(self, instance: str) -> bool:
-        return any(
-            item.instance == instance and item.status is UpkeepStatus.ordered
-            for wave in self.jobs.waves.values()
-            for item in wave.items
-        )
-
     def stop(
         self,
         contact: Contact,
@@ -147,3 +145,10 @@
         if job is not None and job.is_over:
             for step in job.iterate_steps():
                 self.stop_step(step, now_s)
+
+    def _is_ordered(self, instance: str) -> bool:
+        return any(
+            item.instance == instance and item.status is UpkeepStatus.ordered
+            for wave in self.jobs.waves.values()
+            for item in wave.items
+        )
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -4,15 +4,17 @@
 from collections.abc import Callable, Iterator
 
 from sardinemast.dispatch._contact import Contact
-from sardinemast.dispatch._events import (
+from sardinemast.dispatch._instance_events import (
     InstancesListed,
     ListInstances,
-    OrderOutcome,
     OrderUpkeep,
     UpkeepAnswered,
 )
 from sardinemast.dispatch._ledger import may_stop
 from sardinemast.dispatch._loads import NO_LOAD
+from sardinemast.dispatch._outcomes import (
+    OrderOutcome,
+)
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import UpkeepStatus, Wave, WaveItem, Worker
 from sardinemast.jobs.commands import NoteUpkeep
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -155,6 +155,10 @@
     occurrence: int
     step: int
 
+    def __str__(self) -> str:
+        """Give the dotted name that the outside policy and logs know."""
+        return f'{self.job}.{self.occurrence}.{self.step}'
+
 
 class Run(NamedTuple):
     """Hold one start of a task; ``number`` grows with each start."""
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -113,6 +113,7 @@
     gateway = PlatformGateway(
         process.cluster.own.peer.host,
         process.settings.instances,
+        process.settings.advice,
     )
     extras = ControlExtras(gateway, DispatchSettings())
     async with asyncio.TaskGroup() as tasks:
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -7,6 +7,7 @@
     ListedInstance,
     ListedRun,
     LookAnswer,
+    Ticket,
 )
 from sardinemast.jobs import (
     Advice,
@@ -32,6 +33,7 @@
 from sardinemast.platform._worker_bodies import (
     BeatBody,
     EndRow,
+    GrantedBody,
     ListsBody,
     MachineBody,
     RunRow,
@@ -109,6 +111,11 @@
     )
 
 
+def make_tickets(body: GrantedBody) -> tuple[Ticket, ...]:
+    """Give the tickets of the workers that may run a step."""
+    return tuple(Ticket(*row) for row in body['granted'])
+
+
 def make_instance(body: MachineBody) -> ListedInstance:
     """Give an instance of the platform's list."""
     return ListedInstance(
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -78,6 +78,19 @@
     state: str
 
 
+class TicketRow(NamedTuple):
+    """Hold the leave for one worker, named by its id."""
+
+    worker: str
+    ticket: str
+
+
+class GrantedBody(TypedDict):
+    """Hold the workers that may run a step."""
+
+    granted: list[TicketRow]
+
+
 class MachinesBody(TypedDict, total=False):
     """Hold a page of the platform's list of instances."""
 
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -14,6 +14,8 @@
 from sardinemast.conf import Address
 from sardinemast.control import ControlEvent
 from sardinemast.dispatch import (
+    AdviceAnswered,
+    AskAdvice,
     DispatchOutput,
     InstancesListed,
     ListedInstance,
@@ -32,11 +34,19 @@
 )
 from sardinemast.jobs import Worker
 from sardinemast.membership import Announcement
-from sardinemast.platform._translate import make_instance, make_look_answer
+from sardinemast.platform._translate import (
+    make_instance,
+    make_look_answer,
+    make_tickets,
+)
 from sardinemast.platform._wire import DECODE_ERRORS, decode
-from sardinemast.platform._worker_bodies import ListsBody, MachinesBody
+from sardinemast.platform._worker_bodies import (
+    GrantedBody,
+    ListsBody,
+    MachinesBody,
+)
 from sardinemast.routing import AttemptResult, StartAttempt
-from sardinemast.shell import CallerRequest, UpstreamClient
+from sardinemast.shell import Attempt, CallerRequest, UpstreamClient
 
 _log = Logger('workers')
 # A worker takes this many connections at once.
@@ -57,13 +67,20 @@
     """Carry the leader's orders, each in a task of its own.
 
     Orders for instances go to the platform's service for them, under the
-    name of this process as their holder.
+    name of this process as their holder, questions about workers to that for
+    advice.
     """
 
-    def __init__(self, own_host: str, instances: Address | None) -> None:
+    def __init__(
+        self,
+        own_host: str,
+        instances: Address | None,
+        advice: Address | None = None,
+    ) -> None:
         self._client = UpstreamClient()
         self._own_host = own_host
         self._instances = instances
+        self._advice = advice
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -219,6 +236,34 @@
         )
         take(MoveAnswered(order.instance, order.pool, reply.outcome))
 
+    @_send.register
+    async def _send_question(
+        self,
+        order: AskAdvice,
+        valid_until_s: float,
+        take: Callable[[ControlEvent], None],
+    ) -> None:
+        if self._advice is None:
+            take(AdviceAnswered(order.step, is_answered=False))
+            return
+        body = {
+            'step': str(order.step),
+            'workers': [worker.name for worker in order.workers],
+        }
+        attempt = await self._client.send(
+            _make_attempt(
+                _make_service(self._advice),
+                order.timeout_s,
+                valid_until_s,
+            ),
+            self._make_post('/advise', {}, body),
+        )
+        granted = _read_granted(attempt)
+        if granted is None:
+            take(AdviceAnswered(order.step, is_answered=False))
+            return
+        take(AdviceAnswered(order.step, make_tickets(granted)))
+
     @_send.register
     async def _send_list(
         self,
@@ -328,7 +373,9 @@
 
 
 def _make_service(address: Address) -> Announcement:
-    return Announcement('', 0, '', *address, '', '')
+    # Connections are kept by name; two services must not share one.
+    name = f'{address.host}:{address.port}'
+    return Announcement(name, 0, '', *address, '', '')
 
 
 def _make_attempt(
@@ -362,6 +409,16 @@
     return _Reply(OrderOutcome.refused, found, is_bad)
 
 
+def _read_granted(attempt: Attempt) -> GrantedBody | None:
+    if attempt.answer is None or attempt.answer.code != HTTPStatus.OK:
+        return None
+    try:
+        return decode(attempt.answer.body, GrantedBody)  # type: ignore[no-any-return]
+    except DECODE_ERRORS as error:
+        _log.warning('The answer to a question is unreadable: {}.', error)
+        return None
+
+
 def _make_announcement(worker: Worker) -> Announcement:
     host, _, port = worker.address.rpartition(':')
     return Announcement(
--- a/src/sardinemast/shell/__init__.py
+++ b/src/sardinemast/shell/__init__.py
@@ -6,10 +6,15 @@
 from sardinemast.shell._identity import Identity, create_identity
 from sardinemast.shell._relay import LeaderRelay
 from sardinemast.shell._security import Access, create_client_context
-from sardinemast.shell._upstream_client import CallerRequest, UpstreamClient
+from sardinemast.shell._upstream_client import (
+    Attempt,
+    CallerRequest,
+    UpstreamClient,
+)
 
 __all__ = (
     'Access',
+    'Attempt',
     'CallerRequest',
     'ControlExtras',
     'Identity',
--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -55,13 +55,18 @@
 
 
 class StandinWorker:
-    """Run tasks by the platform's protocol, each for its estimated time."""
+    """Run tasks by the platform's protocol, each for its estimated time.
+
+    It also answers for the policy of queues that ask one, with a ticket for
+    itself, and refuses their starts without it.
+    """
 
     def __init__(self, port: int, duration_s: float) -> None:
         self.name = 'i-standin'
         self.born_ms = int(time.time() * _MS)
         self.starts: list[str] = []
         self.duration_s = duration_s
+        self.tickets: dict[str, str] = {}
         self._lock = threading.Condition()
         self._running: dict[str, int] = {}
         self._ended: list[list[Any]] = []
@@ -84,11 +89,19 @@
 
     def answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
         """Carry out an order."""
+        if path == '/advise':
+            ticket = f'ticket for {body["step"]}'
+            self.tickets[body['step']] = ticket
+            return 200, {'granted': [[self.name, ticket]]}
         with self._lock:
             if body['fence'] < self._fence:
                 return 409, {'wall_ms': self._get_clock_ms(), 'reason': 'fence'}
             self._fence = body['fence']
             if path == '/run-start':
+                step = body['task'].rpartition('.')[0]
+                if body.get('ticket', '') != self.tickets.get(step, ''):
+                    refusal = {'reason': 'ticket'}
+                    return 409, {'wall_ms': self._get_clock_ms(), **refusal}
                 self._start(body['task'], body['run'])
             elif path == '/hold':
                 return 200, self._hold(body)
@@ -310,6 +323,7 @@
                     'founders': list(_HOSTS),
                     'failures_tolerated': 1,
                 },
+                'advice': self.worker.address,
                 'logs': {'format': 'json'},
             },
         )
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -4,6 +4,8 @@
 from typing import Any, NamedTuple
 
 from sardinemast.dispatch import (
+    AdviceAnswered,
+    AskAdvice,
     Dispatcher,
     DispatchEvent,
     DispatchOutput,
@@ -25,10 +27,12 @@
     RunAnswered,
     StartRun,
     StopRun,
+    Ticket,
     UpkeepAnswered,
     WorkerLooked,
 )
 from sardinemast.jobs import (
+    Advice,
     Catalog,
     Command,
     JobRequest,
@@ -46,6 +50,8 @@
 
 POOL = 'booking'
 STANDBY = 'standby'
+# How long the outside policy thinks about a question.
+ADVICE_S = 0.3
 QUEUE = 'seats'
 TEAM = 'breizh'
 KEY = 'key-of-breizh'
@@ -54,7 +60,12 @@
 _MS = 1000
 
 
-def make_catalog(version: int = 1, *, cap: int = 0) -> Catalog:
+def make_catalog(
+    version: int = 1,
+    *,
+    cap: int = 0,
+    advice: Advice | None = None,
+) -> Catalog:
     """Give a catalog with one queue, one pool and one team."""
     return Catalog(
         version,
@@ -68,6 +79,7 @@
                 target_ms=600,
                 attempts=2,
                 stretch=2,
+                advice=advice,
             ),
         ),
         (Pool(POOL), Pool(STANDBY, is_standby=True)),
@@ -124,7 +136,6 @@
         self.gauges: dict[TaskKey, int] = {}
         self.percent = 100
         self.stop_delay_s: float = 0
-        self.is_deaf_to_stops = False
         self.stopping: dict[TaskKey, float] = {}
         self._position = 0
 
@@ -162,8 +173,7 @@
         if isinstance(order, StartRun):
             return self._start(order, true_s)
         if isinstance(order, StopRun):
-            if not self.is_deaf_to_stops:
-                self._stop(order, true_s)
+            self._stop(order, true_s)
         elif isinstance(order, PaceRun):
             self.paces[order.task] = order.percent
         return OrderOutcome.done, ''
@@ -217,6 +227,35 @@
     due_s: float
 
 
+class ModelPolicy:
+    """Allow some workers, one question after the other; may be silent."""
+
+    def __init__(self) -> None:
+        self.allowed: set[str] = set()
+        self.questions: list[AskAdvice] = []
+        self.is_silent = False
+
+    def answer(self, asked: AskAdvice) -> AdviceAnswered:
+        """Give tickets for the workers that are allowed."""
+        tickets = tuple(
+            Ticket(worker.name, f'{asked.step}@{worker.name}')
+            for worker in asked.workers
+            if worker.name in self.allowed
+        )
+        return AdviceAnswered(asked.step, tickets, not self.is_silent)
+
+
+class ModelInstances:
+    """Hold what instances were ordered, and which refuse, are down or off."""
+
+    def __init__(self) -> None:
+        self.upkeeps: list[str] = []
+        self.moves: list[OrderMove] = []
+        self.refused: set[str] = set()
+        self.down: set[str] = set()
+        self.standby: set[str] = set()
+
+
 class ModelFleet:
     """Run a leader's dispatcher over a log, and workers that it orders.
 
@@ -237,12 +276,8 @@
         self.proposed: deque[Command] = deque()
         self.late: list[tuple[ModelWorker, Any]] = []
         self.started: list[StartRun] = []
-        self.stops: list[StopRun] = []
-        self.upkeeps: list[str] = []
-        self.moves: list[OrderMove] = []
-        self.standby: set[str] = set()
-        self.refused: set[str] = set()
-        self.down: set[str] = set()
+        self.policy = ModelPolicy()
+        self.instances = ModelInstances()
         self.logged: list[str] = []
         self._waiting: list[_Waiting] = []
         self.commit(PutCatalog(make_catalog(), b'{}'))
@@ -337,10 +372,14 @@
             elif isinstance(output, LogDecision):
                 self.logged.append(f'{output.event} {output.subject}')
             elif isinstance(output, OrderUpkeep):
-                self.upkeeps.append(output.instance)
+                self.instances.upkeeps.append(output.instance)
                 self._waiting.append(_Waiting(output, self.now_s))
+            elif isinstance(output, AskAdvice):
+                self.policy.questions.append(output)
+                answer_s = self.now_s + ADVICE_S
+                self._waiting.append(_Waiting(output, answer_s))
             elif isinstance(output, OrderMove):
-                self.moves.append(output)
+                self.instances.moves.append(output)
                 self._waiting.append(_Waiting(output, self.now_s))
             elif isinstance(output, ListInstances):
                 self._waiting.append(_Waiting(output, self.now_s))
@@ -352,8 +391,6 @@
     def _send(self, order: Any) -> None:
         if isinstance(order, StartRun):
             self.started.append(order)
-        if isinstance(order, StopRun):
-            self.stops.append(order)
         due_s = self.now_s
         model = self.workers.get(order.worker.name)
         if model is None or model.is_dark:
@@ -381,7 +418,7 @@
     def _answer(self, order: Any) -> None:
         event: DispatchEvent | None = None
         if isinstance(order, OrderUpkeep):
-            is_refused = order.instance in self.refused
+            is_refused = order.instance in self.instances.refused
             event = UpkeepAnswered(
                 order.instance,
                 order.wave,
@@ -390,6 +427,8 @@
             )
         elif isinstance(order, ListInstances):
             event = InstancesListed(self._list_instances())
+        elif isinstance(order, AskAdvice):
+            event = self.policy.answer(order)
         elif isinstance(order, OrderMove):
             done = OrderOutcome.done
             event = MoveAnswered(order.instance, order.pool, done)
@@ -405,14 +444,14 @@
             ListedInstance(
                 name,
                 POOL,
-                is_up=name not in self.down,
-                is_down=name in self.down,
+                is_up=name not in self.instances.down,
+                is_down=name in self.instances.down,
             )
             for name in self.state.homes
         ]
         off = [
             ListedInstance(name, STANDBY, is_up=True)
-            for name in sorted(self.standby)
+            for name in sorted(self.instances.standby)
         ]
         return (*at_work, *off)
 
--- a/tests/dispatch/test_moves.py
+++ b/tests/dispatch/test_moves.py
@@ -11,7 +11,7 @@
 def _make_full_fleet() -> ModelFleet:
     """Give a pool whose work waits, and a leader that is elected just now."""
     fleet = ModelFleet(2)
-    fleet.standby = {'spare'}
+    fleet.instances.standby = {'spare'}
     fleet.run(10)
     return fleet
 
@@ -30,7 +30,7 @@
     fleet = _make_full_fleet()
     _elect_and_fill(fleet)
     fleet.run(1)
-    assert [(one.instance, one.pool) for one in fleet.moves] == [
+    assert [(one.instance, one.pool) for one in fleet.instances.moves] == [
         ('spare', POOL),
     ]
 
@@ -47,9 +47,9 @@
     fleet.run(0.5)
     _elect_and_fill(fleet)
     fleet.run(_SETTLE_S - 1)
-    assert not fleet.moves
+    assert not fleet.instances.moves
     fleet.run(2)
-    assert fleet.moves
+    assert fleet.instances.moves
     assert fleet.now_s > named_s + _SETTLE_S
 
 
@@ -60,12 +60,12 @@
     """
     fleet = _make_full_fleet()
     fleet.commit(DeclareWave(1, ('spare',), 1, fleet.now_ms, 10**9))
-    fleet.refused.add('spare')
+    fleet.instances.refused.add('spare')
     fleet.commit(NoteUpkeep(1, 'spare', UpkeepStatus.ordered))
     fleet.run(6)
     _elect_and_fill(fleet)
     fleet.run(_SETTLE_S - 0.5)
-    assert not fleet.moves
+    assert not fleet.instances.moves
 
 
 def test_leader_that_took_a_snapshot_waits_with_every_instance() -> None:
@@ -77,4 +77,4 @@
     fleet.follower.note_gap(fleet.now_s)
     _elect_and_fill(fleet)
     fleet.run(_SETTLE_S - 0.5)
-    assert not fleet.moves
+    assert not fleet.instances.moves
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -4,6 +4,8 @@
 a few hundredths until its next turn 18 s later, as the two users' queues do.
 """
 
+from itertools import chain, repeat
+
 from builders.workers import POOL, ModelFleet, make_step
 from sardinemast.dispatch._loads import PoolLoad
 from sardinemast.dispatch._peak_history import recall_peaks
@@ -91,7 +93,8 @@
     """
     book = PeakBook()
     book.pool_count = len(_POOLS)
-    shares = [0.9] * 10 + [0.05] * 4 + [0.9] * 10 + [0.02] * 20
+    lengths = ((0.9, 10), (0.05, 4), (0.9, 10), (0.02, 20))
+    shares = chain.from_iterable(repeat(*one) for one in lengths)
     for step, share in enumerate(shares):
         book.note('a', share, step * _STEP_S)
     assert book.get_next_start_s('a') > 5
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -62,14 +62,14 @@
     _start_lasting(fleet, 2, 1)
     leaving, other = fleet.workers.values()
     assert leaving.running and other.running
-    leaving.is_deaf_to_stops = True
+    leaving.stop_delay_s = float('inf')
     fleet.add_drain(0)
     fleet.run(0.2)
-    assert len(fleet.stops) == 1
+    assert _count_stops(fleet) == 1
     other.percent = 20
     other.end(next(iter(other.running)), 'failed')
     fleet.run(3)
-    assert len(fleet.stops) == 1
+    assert _count_stops(fleet) == 1
 
 
 def test_task_that_may_have_begun_to_serve_is_not_stopped() -> None:
@@ -87,7 +87,7 @@
     fleet.run(2.2)
     fleet.add_drain(0)
     fleet.run(1.5)
-    assert not fleet.stops
+    assert not _count_stops(fleet)
 
 
 def test_wave_takes_no_more_down_than_its_cap() -> None:
@@ -100,16 +100,18 @@
     _start_lasting(fleet, 2, 1)
     _declare(fleet, cap=1)
     fleet.run(0.5)
-    assert len(fleet.upkeeps) == 1
+    assert len(fleet.instances.upkeeps) == 1
     fleet.run(3)
-    assert len(set(fleet.upkeeps)) == 1
+    assert len(set(fleet.instances.upkeeps)) == 1
     boot_ms = 10
     for _ in range(60):
         fleet.run(0.5)
-        down = fleet.upkeeps[-1]
+        down = fleet.instances.upkeeps[-1]
         boot_ms += 1
         fleet.replace_worker(down, boot_ms)
-    assert set(fleet.upkeeps) == {f'm-{one}' for one in range(_WORKERS)}
+    assert set(fleet.instances.upkeeps) == {
+        f'm-{one}' for one in range(_WORKERS)
+    }
     items = fleet.state.waves[1].items
     assert all(item.status is UpkeepStatus.done for item in items)
 
@@ -121,8 +123,8 @@
     nobody would ever come back to it.
     """
     fleet = ModelFleet(_WORKERS)
-    fleet.refused.add('m-1')
-    fleet.down.add('m-1')
+    fleet.instances.refused.add('m-1')
+    fleet.instances.down.add('m-1')
     _start_lasting(fleet, 2, 1)
     _declare(fleet, names=('m-1',))
     fleet.run(11)
@@ -136,7 +138,7 @@
 def test_instance_that_only_moves_is_not_given_up() -> None:
     """An instance refuses because it is moved just now, again and again."""
     fleet = ModelFleet(_WORKERS)
-    fleet.refused.add('m-1')
+    fleet.instances.refused.add('m-1')
     _start_lasting(fleet, 2, 1)
     _declare(fleet, names=('m-1',))
     fleet.run(40)
@@ -154,13 +156,13 @@
     fleet.run(0.5)
     _declare(fleet)
     fleet.run(5)
-    assert not fleet.upkeeps
+    assert not fleet.instances.upkeeps
     for model in fleet.workers.values():
         for task in tuple(model.running):
             model.end(task, 'done')
     fleet.commit(CancelJob('peak'))
     fleet.run(5)
-    assert fleet.upkeeps
+    assert fleet.instances.upkeeps
 
 
 def test_next_leader_empties_a_worker_before_it_orders_again() -> None:
@@ -173,17 +175,21 @@
     _start_lasting(fleet, 4, 1)
     worker = next(one for one in fleet.workers.values() if one.running)
     instance = worker.worker.instance
-    fleet.refused.add(instance)
+    fleet.instances.refused.add(instance)
     _declare(fleet, names=(instance,))
     ordered = NoteUpkeep(1, instance, UpkeepStatus.ordered, 1)
     fleet.commit(ordered)
     fleet.elect()
     for _ in range(400):
-        known = len(fleet.upkeeps)
+        known = len(fleet.instances.upkeeps)
         fleet.run(0.05)
-        if len(fleet.upkeeps) > known:
+        if len(fleet.instances.upkeeps) > known:
             assert not worker.running
-    assert fleet.upkeeps
+    assert fleet.instances.upkeeps
+
+
+def _count_stops(fleet: ModelFleet) -> int:
+    return sum(line.startswith('run.stopped') for line in fleet.logged)
 
 
 def _list_left(fleet: ModelFleet) -> list[WaveItem]:
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -20,9 +20,13 @@
     }
 
 
-def _found(fleet: PlatformFleet) -> None:
+def _found(
+    fleet: PlatformFleet,
+    config: dict[str, Any] | None = None,
+) -> None:
     host = fleet.get_controls()[0]
-    fleet.wait_for(200, 'PUT', '/config', body=make_config(), host=host)
+    body = config or make_config()
+    fleet.wait_for(200, 'PUT', '/config', body=body, host=host)
     announced = fleet.worker.describe(1)
     path = f'/instances/{fleet.worker.name}'
     fleet.wait_for(200, 'PUT', path, body=announced, host=host)
@@ -50,6 +54,32 @@
         assert fleet.call('GET', '/seats/') == (200, {'pending': 0})
 
 
+def test_queue_with_a_policy_gets_tickets_for_its_starts(
+    tmp_path: Path,
+) -> None:
+    """A queue's policy must allow each worker before its tasks start there.
+
+    Its workers refuse starts without the policy's ticket, and a job for
+    which nobody asks never begins.
+    """
+    config = make_config()
+    config['routes'][0]['advice'] = {
+        'decide_ms': 20,
+        'period_ms': 5,
+        'valid_ms': 5000,
+    }
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _found(fleet, config)
+        fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
+        fleet.wait_for_state(_JOB, 'done')
+        assert sorted(fleet.worker.tickets) == [
+            '5c0e7a21d94b36f8.0.0',
+            '5c0e7a21d94b36f8.0.1',
+        ]
+        assert len(fleet.worker.starts) == 4
+
+
 def test_job_outlives_the_process_that_leads(tmp_path: Path) -> None:
     """The leader is killed while a job runs.
 
