Start tasks that stand still or crawl elsewhere, once

Cause: tasks on a worker whose tasks hang, or that works at a sixth of its speed, were waited for until the worker recovered; new ones went there too. Change: two runs or more that have taken 2.5 times the learned time of their queue and have more left than they would take elsewhere are stopped and started where there is room; the worker gets nothing new for 2 s, doubling.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -18,6 +18,7 @@
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts import Starts
 from sardinemast.dispatch._state import DispatchState
+from sardinemast.dispatch._stragglers import Stragglers
 from sardinemast.dispatch._tickets import Tickets
 from sardinemast.dispatch._upkeep import Upkeep
 from sardinemast.jobs import Command, JobsState
@@ -40,6 +41,7 @@
         self._looks = Looks(self._state)
         self._tickets = Tickets(self._state)
         self._starts = Starts(self._state, self._tickets)
+        self._stragglers = Stragglers(self._state)
         self._upkeep = Upkeep(self._state)
         self._moves = Moves(self._state)
         self._measured_s: float = 0
@@ -51,6 +53,7 @@
         self._looks.start_term()
         self._starts.start_term()
         self._tickets.start_term()
+        self._stragglers.start_term()
         self._upkeep.start_term()
         self._moves.start_term()
         self._opening.clear()
@@ -159,6 +162,9 @@
         if isinstance(event, WorkerLooked):
             ends = self._looks.take(contact, event, now_s)
             self._starts.note_ends(contact, ends, now_s)
+            self._stragglers.note_ends(contact, ends, now_s)
+            if event.answer is not None:
+                self._stragglers.judge(contact, now_s)
         else:
             self._starts.take_answer(contact, event, now_s)
             self._looks.look(contact, now_s)
