Tell metrics at an address, and log without waiting for the reader

Cause: counters and latencies of the platform's processes were nowhere to be read, and a log reader that stalls blocked the process (a full pipe): a leader would have missed its heartbeats. Change: each process counts calls by outcome with their latencies, control processes decisions, leadership, versions, workers, runs and queues by pool, at the address of the settings.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -75,7 +75,8 @@
     With a ``cluster`` the ``controls`` are its founders. A balancer looks at
     ``readiness``, and ``operators`` is where the platform's own calls come.
     Whoever runs the instances is asked at ``instances``, the outside policy
-    of queues that have one at ``advice``.
+    of queues that have one at ``advice``. ``metrics`` is where this process
+    tells its own.
     """
 
     name: str
@@ -91,6 +92,7 @@
     operators: Address | None = None
     instances: Address | None = None
     advice: Address | None = None
+    metrics: Address | None = None
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -144,6 +146,7 @@
         'operators': Field(_PLACE, None),
         'instances': Field(_PLACE, None),
         'advice': Field(_PLACE, None),
+        'metrics': Field(_PLACE, None),
         'controls': Field(list_of(_CONTROL), ()),
         'cluster': Field(_CLUSTER, None),
         'network': Field(choice('open', 'private'), 'open'),
@@ -233,6 +236,7 @@
         operators=_build_address(found['operators']),
         instances=_build_address(found['instances']),
         advice=_build_address(found['advice']),
+        metrics=_build_address(found['metrics']),
     )
 
 
--- a/src/sardinemast/control/__init__.py
+++ b/src/sardinemast/control/__init__.py
@@ -25,6 +25,7 @@
     SendToEntry,
     Tick,
 )
+from sardinemast.control._gauges import list_gauges
 from sardinemast.control._job_desk import make_unsent
 
 __all__ = (
@@ -52,5 +53,6 @@
     'SendToCaller',
     'SendToEntry',
     'Tick',
+    'list_gauges',
     'make_unsent',
 )
--- /dev/null
+++ b/src/sardinemast/control/_gauges.py
@@ -0,0 +1,55 @@
+"""Current figures of a control process, for its metrics."""
+
+from collections import Counter
+
+from sardinemast.consensus import Replica, Role
+from sardinemast.fleet import FleetState
+from sardinemast.jobs import JobsState
+
+_Figures = dict[str, float]
+
+
+def list_gauges(replica: Replica, fleet: FleetState) -> dict[str, _Figures]:
+    """Give leadership, versions, and by pool workers, runs and queues.
+
+    A follower's figures lag behind the leader's by a heartbeat or so.
+    """
+    state = fleet.plans.jobs
+    return {
+        'is_leader': {'': float(replica.role is Role.leader)},
+        'term': {'': float(replica.term)},
+        'log_index': {'': float(replica.log.last_index)},
+        'catalog_version': {'': float(state.catalog.version)},
+        'jobs_live': {'': float(len(state.live))},
+        'workers': _count_workers(state),
+        'runs': _count_runs(state),
+        'tasks_waiting': _count_waiting(state),
+        'team_millicores': {
+            team: float(used.millicores)
+            for team, used in state.usage.by_team.items()
+        },
+    }
+
+
+def _count_workers(state: JobsState) -> _Figures:
+    counted = Counter(worker.pool for worker in state.workers.values())
+    return _make_figures(counted)
+
+
+def _count_runs(state: JobsState) -> _Figures:
+    counted: Counter[str] = Counter()
+    for name, tasks in state.runs.items():
+        worker = state.workers.get(name)
+        counted[worker.pool if worker else 'gone'] += len(tasks)
+    return _make_figures(counted)
+
+
+def _count_waiting(state: JobsState) -> _Figures:
+    counted: Counter[str] = Counter()
+    for step in state.ready.values():
+        counted[state.jobs[step.key.job].queue.pool] += len(step.waiting)
+    return _make_figures(counted)
+
+
+def _make_figures(counted: Counter[str]) -> _Figures:
+    return {name: float(count) for name, count in counted.items()}
--- a/src/sardinemast/daemon/_logs.py
+++ b/src/sardinemast/daemon/_logs.py
@@ -1,5 +1,6 @@
 """Logs as text for people or as JSON lines for machines."""
 
+import atexit
 import json
 import sys
 from typing import Any
@@ -13,6 +14,7 @@
 from logbook.handlers import Handler
 
 from sardinemast.conf import LogSettings
+from sardinemast.daemon._queued_output import QueuedOutput
 
 _TEXT_FORMAT = (
     '{record.time:%Y-%m-%d %H:%M:%S.%f} {record.level_name:<7} '
@@ -31,7 +33,9 @@
             backup_count=logs.backups,
         )
     elif logs.format == 'json':
-        handler = StreamHandler(sys.stdout, level=level)
+        output = QueuedOutput(sys.stdout.fileno())
+        atexit.register(output.close)
+        handler = StreamHandler(output, level=level)
     else:
         handler = StderrHandler(level=level)
     if logs.format == 'json':
--- a/src/sardinemast/metrics/__init__.py
+++ b/src/sardinemast/metrics/__init__.py
@@ -8,12 +8,15 @@
     LatencySummary,
     merge_latencies,
 )
+from sardinemast.metrics._process import Gauges, ProcessMetrics
 
 __all__ = (
     'Dimension',
     'EncodedLatencies',
+    'Gauges',
     'LatencyBook',
     'LatencySummary',
+    'ProcessMetrics',
     'merge_latencies',
     'render_metrics',
 )
--- a/src/sardinemast/metrics/_exposition.py
+++ b/src/sardinemast/metrics/_exposition.py
@@ -59,11 +59,7 @@
             labels=[str(dimension)],
         )
         for name, histogram in self._book.get_histograms(dimension).items():
-            family.add_metric(
-                [name],
-                _get_buckets(histogram),
-                sum_value=_get_sum_s(histogram),
-            )
+            fill_histogram(family, name, histogram)
         return family
 
 
@@ -82,6 +78,19 @@
     return generate_latest(registry)
 
 
+def fill_histogram(
+    family: HistogramMetricFamily,
+    label: str,
+    histogram: HdrHistogram,
+) -> None:
+    """Put a histogram of latencies into a family, under a label."""
+    family.add_metric(
+        [label],
+        _get_buckets(histogram),
+        sum_value=_get_sum_s(histogram),
+    )
+
+
 def _get_buckets(histogram: HdrHistogram) -> list[tuple[str, float]]:
     total = histogram.get_total_count()
     bounded = [
--- a/src/sardinemast/metrics/_latencies.py
+++ b/src/sardinemast/metrics/_latencies.py
@@ -59,11 +59,8 @@
         elapsed_s: float,
     ) -> None:
         """Count one answered request under its names."""
-        elapsed_us = int(elapsed_s * _US_PER_S)
         for dimension, name in names.items():
-            histogram = self._get_histogram(dimension, name)
-            bounded_us = min(max(elapsed_us, _LOWEST_US), _HIGHEST_US)
-            histogram.record_value(bounded_us)
+            record_s(self._get_histogram(dimension, name), elapsed_s)
 
     def get_histograms(self, dimension: Dimension) -> dict[str, HdrHistogram]:
         """Give the histograms of a dimension by name."""
@@ -89,7 +86,7 @@
         # Making a histogram costs more than a request, so that none is made
         # where one is known.
         if name not in by_name:
-            by_name[name] = _create_histogram()
+            by_name[name] = create_histogram()
         return by_name[name]
 
 
@@ -104,7 +101,7 @@
     merged: dict[_Key, HdrHistogram] = {}
     for place, encoded in _iterate(books):
         if place not in merged:
-            merged[place] = _create_histogram()
+            merged[place] = create_histogram()
         merged[place].decode_and_add(encoded)
     return [_summarize(key, merged[key]) for key in sorted(merged)]
 
@@ -118,7 +115,14 @@
                 yield (dimension, name), encoded
 
 
-def _create_histogram() -> HdrHistogram:
+def record_s(histogram: HdrHistogram, elapsed_s: float) -> None:
+    """Count a latency, bounded to what the histogram holds."""
+    elapsed_us = int(elapsed_s * _US_PER_S)
+    histogram.record_value(min(max(elapsed_us, _LOWEST_US), _HIGHEST_US))
+
+
+def create_histogram() -> HdrHistogram:
+    """Make a histogram of latencies."""
     return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
 
 
--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -1,11 +1,13 @@
 """The platform's calls to control processes: workers and operators."""
 
+import time
 from http import HTTPStatus
 
 import msgspec
 from logbook import Logger
 from tornado.httputil import HTTPServerRequest
 
+from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._answers import make_reply
 from sardinemast.platform._http import Reply
 from sardinemast.platform._job_bodies import ConfigBody
@@ -36,9 +38,15 @@
 class ControlFront:
     """Pass the platform's calls on to the leader."""
 
-    def __init__(self, relay: LeaderRelay, port: int) -> None:
+    def __init__(
+        self,
+        relay: LeaderRelay,
+        port: int,
+        metrics: ProcessMetrics,
+    ) -> None:
         self._relay = relay
         self._port = port
+        self._metrics = metrics
 
     async def handle(self, request: HTTPServerRequest) -> Reply:
         """Answer a worker or an operator."""
@@ -52,7 +60,11 @@
         timeout_s = _TIMEOUT_S
         if len(request.body) > _LARGE_BYTES:
             timeout_s = _LARGE_TIMEOUT_S
+        begun_s = time.monotonic()
         answer = await self._relay.call(call, timeout_s)
+        elapsed_s = time.monotonic() - begun_s
+        action = type(call).__name__
+        self._metrics.note_call(action, answer.outcome.value, elapsed_s)
         if not isinstance(call, AnnounceWorker):
             _log.info(
                 '{} {}: {} {}',
--- a/src/sardinemast/platform/_front.py
+++ b/src/sardinemast/platform/_front.py
@@ -1,5 +1,6 @@
 """Callers' HTTP at an entry: jobs and queues, and readiness."""
 
+import time
 from http import HTTPStatus
 from types import MappingProxyType
 
@@ -7,6 +8,7 @@
 from logbook import Logger
 from tornado.httputil import HTTPServerRequest
 
+from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._answers import make_reply
 from sardinemast.platform._http import Reply
 from sardinemast.platform._job_bodies import JobBody
@@ -33,9 +35,10 @@
 class Front:
     """Pass callers' requests on to the leader."""
 
-    def __init__(self, relay: LeaderRelay) -> None:
+    def __init__(self, relay: LeaderRelay, metrics: ProcessMetrics) -> None:
         self.is_stopping = False
         self._relay = relay
+        self._metrics = metrics
 
     async def handle(self, request: HTTPServerRequest) -> Reply:
         """Answer a caller."""
@@ -56,7 +59,11 @@
             request.headers.get('X-Api-Key', ''),
             job,
         )
+        begun_s = time.monotonic()
         answer = await self._relay.call(call, _get_timeout_s(request))
+        elapsed_s = time.monotonic() - begun_s
+        outcome = answer.outcome.value
+        self._metrics.note_call(action.value, outcome, elapsed_s)
         _log.info(
             '{} {}: {} {}',
             request.method,
--- a/src/sardinemast/platform/_http.py
+++ b/src/sardinemast/platform/_http.py
@@ -26,6 +26,7 @@
     code: int
     body: bytes = b''
     retry_after_s: int = 0
+    content_type: str = 'application/json'
 
 
 Handle = Callable[[HTTPServerRequest], Awaitable[Reply]]
@@ -69,7 +70,7 @@
             return
         headers = HTTPHeaders({'Content-Length': str(len(reply.body))})
         if reply.body:
-            headers['Content-Type'] = 'application/json'
+            headers['Content-Type'] = reply.content_type
         if reply.retry_after_s:
             headers['Retry-After'] = str(reply.retry_after_s)
         if self.is_stopping:
--- /dev/null
+++ b/src/sardinemast/platform/_metrics.py
@@ -0,0 +1,24 @@
+"""Metrics of a process, for whoever reads them."""
+
+from http import HTTPStatus
+
+from tornado.httputil import HTTPServerRequest
+
+from sardinemast.metrics import ProcessMetrics
+from sardinemast.platform._http import Reply
+
+_PATH = '/metrics'
+
+
+class MetricsTeller:
+    """Answer readers with the metrics of this process."""
+
+    def __init__(self, metrics: ProcessMetrics) -> None:
+        self._metrics = metrics
+
+    async def handle(self, request: HTTPServerRequest) -> Reply:
+        """Answer one reading."""
+        if request.path != _PATH:
+            return Reply(HTTPStatus.NOT_FOUND)
+        body = self._metrics.render()
+        return Reply(HTTPStatus.OK, body, content_type='text/plain')
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -12,9 +12,11 @@
 from sardinemast.daemon import create_log_handler
 from sardinemast.dispatch import DispatchSettings
 from sardinemast.exceptions import CodedError
+from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._control_http import ControlFront
 from sardinemast.platform._front import Front
 from sardinemast.platform._http import SmallServer
+from sardinemast.platform._metrics import MetricsTeller
 from sardinemast.platform._workers import PlatformGateway
 from sardinemast.shell import (
     Access,
@@ -48,6 +50,7 @@
             settings.cluster,
             Access(settings.security),
         )
+        self.metrics = ProcessMetrics()
         self.stopping = asyncio.Event()
 
 
@@ -71,6 +74,7 @@
         asyncio.create_task(runners[role](process)) for role in settings.roles
     ]
     relaying = asyncio.create_task(process.relay.run())
+    _tell_metrics(process)
     done, _ = await asyncio.wait(
         (*roles, relaying),
         return_when=asyncio.FIRST_COMPLETED,
@@ -82,6 +86,13 @@
         ended.result()
 
 
+def _tell_metrics(process: Process) -> None:
+    address = process.settings.metrics
+    if address is not None:
+        teller = MetricsTeller(process.metrics)
+        SmallServer(teller.handle).listen(address)
+
+
 def _reload(process: Process, path: Path) -> None:
     try:
         settings = load_process_file(path)
@@ -93,7 +104,7 @@
 
 
 async def _run_entry(process: Process) -> None:
-    front = Front(process.relay)
+    front = Front(process.relay, process.metrics)
     server = SmallServer(front.handle)
     server.listen(_get_address(process.settings.callers))
     readiness = SmallServer(front.handle_ready)
@@ -107,7 +118,11 @@
 
 async def _run_control(process: Process) -> None:
     address = _get_address(process.settings.operators)
-    control_front = ControlFront(process.relay, address.port)
+    control_front = ControlFront(
+        process.relay,
+        address.port,
+        process.metrics,
+    )
     server = SmallServer(control_front.handle)
     server.listen(address)
     gateway = PlatformGateway(
@@ -115,7 +130,7 @@
         process.settings.instances,
         process.settings.advice,
     )
-    extras = ControlExtras(gateway, DispatchSettings())
+    extras = ControlExtras(gateway, DispatchSettings(), process.metrics)
     async with asyncio.TaskGroup() as tasks:
         running = [
             tasks.create_task(gateway.run()),
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import suppress
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from itertools import count
 from random import Random
 
@@ -18,6 +18,7 @@
     ProcessSettings,
 )
 from sardinemast.exceptions import CodedError
+from sardinemast.metrics import ProcessMetrics
 from sardinemast.protocol import (
     CONTROL_MESSAGES,
     ENTRY_MESSAGES,
@@ -69,6 +70,7 @@
         store, loaded = open_or_replace_log_store(self._folder)
         self._store = store
         self._gateway = extras.gateway
+        self._metrics = extras.metrics or ProcessMetrics()
         self.core = control.ControlCore(
             control.ControlSettings(
                 _get_replica_settings(settings),
@@ -80,6 +82,11 @@
             folder=_restrict(loaded.folder, settings.cluster),
             snapshot=loaded.snapshot,
         )
+        self._metrics.list_gauges = partial(
+            control.list_gauges,
+            self.core.replica,
+            self.core.state,
+        )
         self._access = Access(settings.security)
         self.desk = OperatorDesk(self.core, identity, self._access)
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
@@ -273,6 +280,7 @@
     def _execute_log(self, output: dispatch.LogDecision) -> None:
         extra = {'subject': output.subject, **output.details}
         _decisions.info('{}', output.event, extra=extra)
+        self._metrics.note_decision(output.event)
 
 
 def _make_tick() -> control.Tick:
--- a/src/sardinemast/shell/_gateway.py
+++ b/src/sardinemast/shell/_gateway.py
@@ -5,6 +5,7 @@
 
 from sardinemast.control import ControlEvent, make_unsent
 from sardinemast.dispatch import DispatchOutput, DispatchSettings
+from sardinemast.metrics import ProcessMetrics
 
 
 class WorkerGateway(Protocol):
@@ -44,6 +45,7 @@
 
     gateway: WorkerGateway = NoWorkers()
     dispatching: DispatchSettings = DispatchSettings()
+    metrics: ProcessMetrics | None = None
 
 
 NO_EXTRAS = ControlExtras()
--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -191,7 +191,8 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._port = _find_pair()
-        ports = find_ports(4)
+        ports = find_ports(5)
+        self._metrics = ports[4]
         self._callers = ports[0]
         self._readiness = ports[1]
         self._operators = ports[2]
@@ -275,6 +276,15 @@
             connection.close()
         return answer.status, json.loads(found or b'null')
 
+    def read_metrics(self, host: str) -> str:
+        """Give the metrics of a host's process as text."""
+        connection = HTTPConnection(host, self._metrics, timeout=5)
+        try:
+            connection.request('GET', '/metrics')
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def wait_for(
         self, code: int, method: str, path: str, **options: Any
     ) -> Any:
@@ -324,6 +334,7 @@
                     'failures_tolerated': 1,
                 },
                 'advice': self.worker.address,
+                'metrics': f'{host}:{self._metrics}',
                 'logs': {'format': 'json'},
             },
         )
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -52,6 +52,10 @@
             '5c0e7a21d94b36f8.0.1.0',
         ]
         assert fleet.call('GET', '/seats/') == (200, {'pending': 0})
+        told = ''.join(map(fleet.read_metrics, fleet.get_controls()))
+        assert 'sardinemast_decisions_total{event="run.started"} 4.0' in told
+        assert 'sardinemast_is_leader{of=""} 1.0' in told
+        assert 'sardinemast_workers{of="booking"} 1.0' in told
 
 
 def test_queue_with_a_policy_gets_tickets_for_its_starts(
