Divide the platform's orders: workers, services, exchanges

Orders now give their event back, and only the gateway hands events over. Nothing else changes; the process tests pass as before.

--- /dev/null
+++ b/src/sardinemast/platform/_exchanges.py
@@ -0,0 +1,106 @@
+"""Exchanges with workers and services of the platform, over HTTP."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+import msgspec
+from logbook import Logger
+from tornado.httputil import HTTPHeaders
+
+from sardinemast.dispatch import OrderOutcome
+from sardinemast.membership import Announcement
+from sardinemast.platform._wire import DECODE_ERRORS, decode
+from sardinemast.platform._worker_bodies import ListsBody
+from sardinemast.routing import AttemptResult, StartAttempt
+from sardinemast.shell import Attempt, CallerRequest, UpstreamClient
+
+_log = Logger('workers')
+# A worker takes this many connections at once.
+_CONNECTIONS_MAX = 64
+_CERTAIN = frozenset((AttemptResult.answered, AttemptResult.failed))
+_NO_HEADERS = MappingProxyType[str, str]({})
+
+
+class Reply(NamedTuple):
+    """Hold what became of an order, and the body where there is one."""
+
+    outcome: OrderOutcome
+    body: ListsBody | None = None
+    is_bad: bool = False
+
+
+class Exchanges:
+    """Send requests of this process, each at most once."""
+
+    def __init__(self, own_host: str) -> None:
+        self.own_host = own_host
+        self._client = UpstreamClient()
+
+    async def run(self) -> None:
+        """Close connections that have gone stale, until cancelled."""
+        await self._client.run()
+
+    async def post(
+        self,
+        start: StartAttempt,
+        path: str,
+        body: dict[str, Any],
+        headers: Mapping[str, str] = _NO_HEADERS,
+    ) -> Attempt:
+        """Post a body, and give the answer or what is known."""
+        request = CallerRequest(
+            'POST',
+            path,
+            HTTPHeaders({'Content-Type': 'application/json', **headers}),
+            msgspec.json.encode(body),
+            self.own_host,
+        )
+        return await self._client.send(start, request)
+
+    async def get(self, start: StartAttempt, path: str) -> Attempt:
+        """Read a path, and give the answer or what is known."""
+        request = CallerRequest('GET', path, HTTPHeaders(), b'', self.own_host)
+        return await self._client.send(start, request)
+
+
+def make_attempt(
+    upstream: Announcement,
+    timeout_s: float,
+    valid_until_s: float,
+) -> StartAttempt:
+    """Describe a request that must not be sent twice."""
+    return StartAttempt(
+        0,
+        upstream,
+        timeout_s,
+        is_repeatable=False,
+        connection_limit=_CONNECTIONS_MAX,
+        valid_until_s=valid_until_s,
+    )
+
+
+def judge(attempt: Attempt) -> Reply:
+    """Tell what became of an order by how its request ended."""
+    if attempt.attempt_result is AttemptResult.not_sent:
+        return Reply(OrderOutcome.not_sent)
+    if attempt.answer is None or attempt.attempt_result not in _CERTAIN:
+        return Reply(OrderOutcome.unknown)
+    return _read_reply(attempt.answer.code, attempt.answer.body)
+
+
+def _read_reply(code: int, body: bytes) -> Reply:
+    if code == HTTPStatus.MISDIRECTED_REQUEST:
+        return Reply(OrderOutcome.gone)
+    try:
+        found = decode(body, ListsBody) if body else None
+    except DECODE_ERRORS as error:
+        # Another program may answer at the address. Without its lists
+        # nothing is known of the runs, which is what unknown says.
+        _log.warning('A worker answered {} unreadably: {}.', code, error)
+        return Reply(OrderOutcome.unknown)
+    if code == HTTPStatus.OK:
+        return Reply(OrderOutcome.done, found)
+    is_bad = code == HTTPStatus.BAD_REQUEST
+    return Reply(OrderOutcome.refused, found, is_bad)
--- /dev/null
+++ b/src/sardinemast/platform/_services.py
@@ -0,0 +1,175 @@
+"""Calls to the platform's services for instances and for advice."""
+
+from http import HTTPStatus
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+from logbook import Logger
+
+from sardinemast.conf import Address
+from sardinemast.dispatch import (
+    AdviceAnswered,
+    AskAdvice,
+    InstancesListed,
+    ListedInstance,
+    ListInstances,
+    MoveAnswered,
+    OrderMove,
+    OrderOutcome,
+    OrderUpkeep,
+    UpkeepAnswered,
+)
+from sardinemast.membership import Announcement
+from sardinemast.platform._exchanges import (
+    Exchanges,
+    Reply,
+    judge,
+    make_attempt,
+)
+from sardinemast.platform._translate import make_instance, make_tickets
+from sardinemast.platform._wire import DECODE_ERRORS, decode
+from sardinemast.platform._worker_bodies import GrantedBody, MachinesBody
+from sardinemast.routing import StartAttempt
+from sardinemast.shell import Attempt
+
+_log = Logger('services')
+# A list that goes on beyond this is not believed: several times the fleet of
+# about 1,900 that the system is meant for.
+_INSTANCES_MAX = 10_000
+_LIST_PATH = '/machines'
+_Body = TypeVar('_Body')
+
+
+class ServiceOrders:
+    """Order and list instances, and ask for advice.
+
+    Orders for instances go under the name of this process as their holder.
+    """
+
+    def __init__(
+        self,
+        exchanges: Exchanges,
+        instances: Address | None,
+        advice: Address | None,
+    ) -> None:
+        self._exchanges = exchanges
+        self._instances = instances
+        self._advice = advice
+
+    async def send_upkeep(
+        self,
+        order: OrderUpkeep,
+        valid_until_s: float,
+    ) -> UpkeepAnswered:
+        """Have an instance maintained."""
+        body = {'machine': order.instance, 'wave': order.wave}
+        reply = await self._order_instance(
+            order,
+            '/machine-upkeep',
+            body,
+            valid_until_s,
+        )
+        return UpkeepAnswered(
+            order.instance,
+            order.wave,
+            order.boot_ms,
+            reply.outcome,
+            reply.is_bad,
+            (reply.body or {}).get('reason', ''),
+        )
+
+    async def send_move(
+        self,
+        order: OrderMove,
+        valid_until_s: float,
+    ) -> MoveAnswered:
+        """Have an instance change its pool."""
+        body = {'machine': order.instance, 'pool': order.pool}
+        reply = await self._order_instance(
+            order,
+            '/machine-move',
+            body,
+            valid_until_s,
+        )
+        return MoveAnswered(order.instance, order.pool, reply.outcome)
+
+    async def ask(
+        self,
+        order: AskAdvice,
+        valid_until_s: float,
+    ) -> AdviceAnswered:
+        """Ask which workers may run a step."""
+        unanswered = AdviceAnswered(order.step, is_answered=False)
+        if self._advice is None:
+            return unanswered
+        body = {
+            'step': str(order.step),
+            'workers': [worker.name for worker in order.workers],
+        }
+        start = _make_start(self._advice, order.timeout_s, valid_until_s)
+        attempt = await self._exchanges.post(start, '/advise', body)
+        granted = _read_body(attempt, GrantedBody)
+        if granted is None:
+            return unanswered
+        return AdviceAnswered(order.step, make_tickets(granted))
+
+    async def list_instances(
+        self,
+        order: ListInstances,
+        valid_until_s: float,
+    ) -> InstancesListed | None:
+        """Read the whole list of instances, or give nothing."""
+        if self._instances is None:
+            return None
+        start = _make_start(self._instances, order.timeout_s, valid_until_s)
+        listed: list[ListedInstance] = []
+        path = _LIST_PATH
+        while len(listed) < _INSTANCES_MAX:
+            attempt = await self._exchanges.get(start, path)
+            page = _read_body(attempt, MachinesBody)
+            if page is None:
+                return None
+            listed.extend(map(make_instance, page.get('machines', [])))
+            token = page.get('next_token') or ''
+            if not token:
+                return InstancesListed(tuple(listed))
+            query = urlencode({'page_token': token})
+            path = f'{_LIST_PATH}?{query}'
+        return None
+
+    async def _order_instance(
+        self,
+        order: OrderUpkeep | OrderMove,
+        path: str,
+        body: dict[str, Any],
+        valid_until_s: float,
+    ) -> Reply:
+        if self._instances is None:
+            return Reply(OrderOutcome.not_sent)
+        headers = {
+            'X-Lease-Holder': self._exchanges.own_host,
+            'X-Fence-Token': str(order.token),
+        }
+        start = _make_start(self._instances, order.timeout_s, valid_until_s)
+        return judge(await self._exchanges.post(start, path, body, headers))
+
+
+def _make_start(
+    address: Address,
+    timeout_s: float,
+    valid_until_s: float,
+) -> StartAttempt:
+    # Connections are kept by name; two services must not share one.
+    name = f'{address.host}:{address.port}'
+    service = Announcement(name, 0, '', *address, '', '')
+    return make_attempt(service, timeout_s, valid_until_s)
+
+
+def _read_body(attempt: Attempt, expected: type[_Body]) -> _Body | None:
+    if attempt.answer is None or attempt.answer.code != HTTPStatus.OK:
+        return None
+    try:
+        return decode(attempt.answer.body, expected)  # type: ignore[no-any-return]
+    except DECODE_ERRORS as error:
+        _log.warning('{} is unreadable: {}.', expected.__name__, error)
+        return None
