Go through fewer workers for each start

Cause: each plan listed all workers with what they run, each event noted the ends of all, each tick looked at all: at 1,900 workers 200 starts a second took a whole core (profile: 10 of 20 s in the list, 2.7 s in noting). Change: a plan lists the pools in which a task waits; workers whose ends are not recorded are kept apart; all are passed over each 0.1 s. Leases that end are noticed up to 0.1 s later, on the safe side.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -32,6 +32,11 @@
     RegisterWorker,
 )
 
+# Workers that answer are looked at again at once; only leases that end and
+# looks that are tried again wait for this. A pass over 1,900 workers takes
+# 5 ms, and leases are bounded on the safe side by 300 ms.
+_PASS_EVERY_S = 0.1
+
 
 class Dispatcher:
     """Lead the workers: look, start, stop, pace and maintain for a term."""
@@ -45,6 +50,7 @@
         self._upkeep = Upkeep(self._state)
         self._moves = Moves(self._state)
         self._measured_s: float = 0
+        self._passed_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
@@ -57,6 +63,7 @@
         self._upkeep.start_term()
         self._moves.start_term()
         self._opening.clear()
+        self._passed_s = float('-inf')
 
     def note_logged(self, command: Command, now_s: float) -> None:
         """Follow a command that was applied, also where another leads."""
@@ -70,11 +77,10 @@
     def tick(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
         """Do what time has made due."""
         self._state.outputs = []
-        self._looks.follow_workers(now_s)
         self._open_due(now_ms)
-        for contact in tuple(self._state.contacts.values()):
-            self._looks.check_lease(contact, now_s)
-            self._looks.look(contact, now_s)
+        if now_s >= self._passed_s + _PASS_EVERY_S:
+            self._passed_s = now_s
+            self._pass_over(now_s)
         if now_s >= self._measured_s + MEASURE_EVERY_S:
             self._measured_s = now_s
             self._state.loads = measure_pools(self._state, now_s)
@@ -151,6 +157,12 @@
             contact.is_leaving = True
             contact.looks.due_s = now_s
 
+    def _pass_over(self, now_s: float) -> None:
+        self._looks.follow_workers(now_s)
+        for contact in tuple(self._state.contacts.values()):
+            self._looks.check_lease(contact, now_s)
+            self._looks.look(contact, now_s)
+
     def _take_worker_answer(
         self,
         event: WorkerLooked | RunAnswered,
--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -28,11 +28,15 @@
     def __init__(self, state: DispatchState) -> None:
         self._state = state
         self._leaving: set[tuple[str, int]] = set()
+        # Those whose ends are not all recorded; all others need no look at
+        # each event, of which there are several for each start.
+        self._telling: dict[str, Contact] = {}
         self._pacing = Pacing()
 
     def start_term(self) -> None:
         """Forget what was under way in a former term."""
         self._leaving.clear()
+        self._telling.clear()
         self._pacing = Pacing()
 
     def follow_workers(self, now_s: float) -> None:
@@ -40,6 +44,7 @@
         state = self._state
         for name in state.contacts.keys() - state.jobs.workers.keys():
             state.contacts.pop(name)
+            self._telling.pop(name, None)
         for worker in state.jobs.workers.values():
             contact = state.contacts.get(worker.name)
             if contact is None:
@@ -137,7 +142,7 @@
 
     def note_proposed(self) -> None:
         """Note that all ends told so far are on their way into the log."""
-        for contact in self._state.contacts.values():
+        for contact in self._telling.values():
             contact.ends.proposed = contact.ends.noted
 
     def take_note(self, now_s: float) -> None:
@@ -146,7 +151,9 @@
         What a worker has told since is not in the log yet. Forgotten there,
         it would be lost with this process, and the task would run again.
         """
-        for contact in self._state.contacts.values():
+        for name, contact in tuple(self._telling.items()):
+            if contact.ends.noted == contact.ends.proposed:
+                self._telling.pop(name)
             if contact.ends.proposed > contact.ends.seen:
                 contact.ends.seen = contact.ends.proposed
                 self.look(contact, now_s)
@@ -210,6 +217,8 @@
         contact.is_synced = contact.has_clock
         contact.listed = {one.task: one for one in answer.running}
         ends = collect_ends(contact, looked)
+        if ends:
+            self._telling[contact.worker.name] = contact
         for over in ends:
             self._state.note_end(over)
         self._compare(contact, looked, now_s)
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -171,7 +171,14 @@
         def is_allowed(step: StepState, worker: Worker) -> bool:
             return self._tickets.is_allowed(step, worker, now_s)
 
-        standings = tuple(self._list_standings(now_s))
+        pools = {
+            state.jobs.jobs[step.key.job].queue.pool
+            for step in state.jobs.ready.values()
+            if step.waiting
+        }
+        if not pools:
+            return ()
+        standings = tuple(self._list_standings(pools, now_s))
         self._tickets.ask((one.worker for one in standings), now_s, now_ms)
         return Planner(
             state.jobs,
@@ -181,9 +188,17 @@
             is_allowed,
         ).choose()
 
-    def _list_standings(self, now_s: float) -> Iterator[Standing]:
+    def _list_standings(
+        self,
+        pools: set[str],
+        now_s: float,
+    ) -> Iterator[Standing]:
+        # Most pools have no task that waits; at 1,900 workers to go through
+        # them all took 2 ms a plan, with several plans for each start.
         state = self._state
         for name, contact in state.contacts.items():
+            if contact.worker.pool not in pools:
+                continue
             tasks = state.get_runs(name)
             if contact.is_usable(now_s, has_runs=bool(tasks)):
                 yield Standing(
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -55,10 +55,14 @@
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Go on with each wave that is not done."""
-        workers = _find_workers(self._state)
-        for wave in self._state.jobs.waves.values():
-            if any(one.status is not UpkeepStatus.done for one in wave.items):
-                self._go_on(wave, workers, now_s, now_ms)
+        waves = [
+            wave
+            for wave in self._state.jobs.waves.values()
+            if any(one.status is not UpkeepStatus.done for one in wave.items)
+        ]
+        workers = _find_workers(self._state) if waves else {}
+        for wave in waves:
+            self._go_on(wave, workers, now_s, now_ms)
         for contact in self._state.contacts.values():
             if contact.is_resting or contact.worker.is_draining:
                 self._empty(contact, now_s)
