--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -245,10 +245,19 @@
         return AdviceAnswered(asked.step, tickets, not self.is_silent)
 
 
+class OrderSeen(NamedTuple):
+    """Hold when an order for an instance came, and under which token."""
+
+    instance: str
+    token: int
+    at_s: float
+
+
 class ModelInstances:
     """Hold what instances were ordered, and which refuse, are down or off."""
 
     def __init__(self) -> None:
+        self.seen: list[OrderSeen] = []
         self.upkeeps: list[str] = []
         self.moves: list[OrderMove] = []
         self.refused: set[str] = set()
@@ -373,6 +382,7 @@
                 self.logged.append(f'{output.event} {output.subject}')
             elif isinstance(output, OrderUpkeep):
                 self.instances.upkeeps.append(output.instance)
+                self._note_order(output)
                 self._waiting.append(_Waiting(output, self.now_s))
             elif isinstance(output, AskAdvice):
                 self.policy.questions.append(output)
@@ -380,6 +390,7 @@
                 self._waiting.append(_Waiting(output, answer_s))
             elif isinstance(output, OrderMove):
                 self.instances.moves.append(output)
+                self._note_order(output)
                 self._waiting.append(_Waiting(output, self.now_s))
             elif isinstance(output, ListInstances):
                 self._waiting.append(_Waiting(output, self.now_s))
@@ -388,6 +399,10 @@
         if not self.is_held:
             self.commit_held()
 
+    def _note_order(self, order: OrderMove | OrderUpkeep) -> None:
+        seen = OrderSeen(order.instance, order.token, self.now_s)
+        self.instances.seen.append(seen)
+
     def _send(self, order: Any) -> None:
         if isinstance(order, StartRun):
             self.started.append(order)
