Take no first word for that of a maintained instance's successor

An order for maintenance of an instance whose worker is not known holds no boot, and any worker's first word then counted as its return. Change: without a known boot only time tells that an instance is back, and an instance that moves is not maintained meanwhile.

--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -248,6 +248,7 @@
         is_off = pool == self._get_standby_pool()
         lasts_s = _SWITCH_OFF_S if is_off else _UNDER_WAY_S
         self._under_way[instance] = _UnderWay(pool, now_s + lasts_s)
+        self._state.moving.add(instance)
         self._state.propose(NoteMove(instance, pool))
 
     def _follow(self, now_s: float) -> None:
@@ -262,6 +263,7 @@
 
     def _end(self, instance: str) -> None:
         self._under_way.pop(instance, None)
+        self._state.moving.discard(instance)
         for contact in self._state.contacts.values():
             if contact.worker.instance == instance:
                 contact.is_resting = False
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -29,7 +29,8 @@
     """Hold the log's state, the contacts and what is gathered of a term.
 
     ``ends`` is what workers have told and the log does not have yet. With
-    ``is_changed`` room or tasks may have come since the last plan.
+    ``is_changed`` room or tasks may have come since the last plan. ``moving``
+    are the instances that change their pool.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
@@ -43,6 +44,7 @@
         self.is_changed = True
         self.loads: dict[str, PoolLoad] = {}
         self.order_times = OrderTimes()
+        self.moving: set[str] = set()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Know nothing but the log."""
@@ -53,6 +55,7 @@
         self.ends.clear()
         self.is_changed = True
         self.loads = {}
+        self.moving.clear()
 
     @property
     def over_at_s(self) -> float:
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -152,7 +152,10 @@
         settings = self._state.settings
         ordered_s = self._ordered_s.get(place)
         if item.status is UpkeepStatus.down:
-            is_back = worker is not None and worker.boot_ms > item.boot_ms
+            # Of a worker that was not known when the order was sent, the
+            # first word may have been on its way; only time tells there.
+            boot_ms = worker.boot_ms if worker else 0
+            is_back = 0 < item.boot_ms < boot_ms
             since_s = ordered_s or self._state.started_s
             if is_back or now_s >= since_s + settings.upkeep_max_s:
                 self._note(wave, item.instance, UpkeepStatus.done)
@@ -197,8 +200,12 @@
         now_s: float,
         now_ms: int,
     ) -> None:
+        # The first word after a move would pass for that after the order.
         waiting = [
-            item for item in wave.items if item.status is UpkeepStatus.waiting
+            item
+            for item in wave.items
+            if item.status is UpkeepStatus.waiting
+            and item.instance not in self._state.moving
         ]
         busy = sum(item.status in _BUSY for item in wave.items)
         busy += sum(
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -2,7 +2,12 @@
 
 from builders.workers import ModelFleet, make_step, make_worker
 from sardinemast.jobs import TaskKey, UpkeepStatus, WaveItem
-from sardinemast.jobs.commands import CancelJob, DeclareWave, NoteUpkeep
+from sardinemast.jobs.commands import (
+    CancelJob,
+    DeclareWave,
+    ForgetWorker,
+    NoteUpkeep,
+)
 
 _WORKERS = 4
 _FAR_MS = 1_000_000
@@ -188,6 +193,44 @@
     assert fleet.instances.upkeeps
 
 
+def test_first_word_of_an_unknown_worker_is_not_that_of_a_successor() -> None:
+    """An instance is ordered down whose worker has not announced itself yet.
+
+    The word that it sent right before it went down arrives. Taken for its
+    successor's, it let one instance more go down than the wave allows, and
+    a pool lacked it.
+    """
+    fleet = ModelFleet(_WORKERS)
+    fleet.run(5)
+    model = fleet.workers.pop('w-1')
+    fleet.commit(ForgetWorker('w-1', model.worker.boot_ms))
+    _declare(fleet, cap=1, names=('m-1', 'm-2'))
+    fleet.run(0.2)
+    assert fleet.instances.upkeeps == ['m-1']
+    fleet.add_worker(make_worker(1, boot_ms=7))
+    fleet.run(3)
+    assert fleet.instances.upkeeps == ['m-1']
+
+
+def test_instance_is_not_maintained_while_it_moves() -> None:
+    """A wave falls due for an instance that is on its way to another pool.
+
+    The word of its next worker after the move would be taken for the word
+    after the maintenance.
+    """
+    fleet = ModelFleet(1)
+    fleet.instances.standby = {'spare'}
+    fleet.run(5)
+    fleet.submit('peak', make_step(40))
+    fleet.run(0.5)
+    assert fleet.instances.moves
+    _declare(fleet, names=('spare',))
+    fleet.run(2)
+    assert not fleet.instances.upkeeps
+    fleet.run(8)
+    assert fleet.instances.upkeeps
+
+
 def _count_stops(fleet: ModelFleet) -> int:
     return sum(line.startswith('run.stopped') for line in fleet.logged)
 
