Serve on where the port for metrics is taken

Found by reading. Change: it says so in its log and serves without metrics. The test fails before. Imports of one name stand on one line again.

--- a/src/sardinemast/daemon/_queued_output.py
+++ b/src/sardinemast/daemon/_queued_output.py
@@ -13,7 +13,7 @@
 from collections import deque
 from contextlib import suppress
 
-LINE_END = '\n'
+_LINE_END = '\n'
 # About four seconds of a leader at 200 starts a second, below 2 MB.
 _LINES_MAX = 4096
 # Lines a second on average, and how many more at once. A leader at 200 starts
@@ -78,7 +78,7 @@
         if dropped:
             self._dropped -= dropped
             told = {'level': 'warning', 'part': 'logs', 'text': 'logs.dropped'}
-            taken.append(json.dumps({**told, 'lines': dropped}) + LINE_END)
+            taken.append(json.dumps({**told, 'lines': dropped}) + _LINE_END)
         left = ''.join(taken).encode()
         while left:
             left = left[os.write(self._descriptor, left) :]
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -28,9 +28,7 @@
     OrderUpkeep,
     UpkeepAnswered,
 )
-from sardinemast.dispatch._outcomes import (
-    OrderOutcome,
-)
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._settings import DispatchSettings
 
 __all__ = (
--- a/src/sardinemast/dispatch/_contact.py
+++ b/src/sardinemast/dispatch/_contact.py
@@ -2,9 +2,7 @@
 
 from typing import NamedTuple
 
-from sardinemast.dispatch._events import (
-    ListedRun,
-)
+from sardinemast.dispatch._events import ListedRun
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.jobs import TaskKey, Worker
 
--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -6,9 +6,7 @@
     PaceRun,
     WorkerLooked,
 )
-from sardinemast.dispatch._outcomes import (
-    OrderOutcome,
-)
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._pacing import Pacing, has_fillers, has_servers
 from sardinemast.dispatch._reconcile import (
     collect_ends,
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -17,9 +17,7 @@
     OrderMove,
 )
 from sardinemast.dispatch._loads import PoolLoad
-from sardinemast.dispatch._outcomes import (
-    OrderOutcome,
-)
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._peak_history import recall_peaks
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -10,9 +10,7 @@
     StartRun,
 )
 from sardinemast.dispatch._order import get_order
-from sardinemast.dispatch._outcomes import (
-    OrderOutcome,
-)
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._pacing import has_fillers, has_servers
 from sardinemast.dispatch._planner import Planner, Standing
 from sardinemast.dispatch._state import DispatchState
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -3,10 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from sardinemast.dispatch._events import (
-    AdviceAnswered,
-    AskAdvice,
-)
+from sardinemast.dispatch._events import AdviceAnswered, AskAdvice
 from sardinemast.dispatch._order import get_order
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import StepKey, StepState, Worker
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -12,9 +12,7 @@
 )
 from sardinemast.dispatch._ledger import may_stop
 from sardinemast.dispatch._loads import NO_LOAD
-from sardinemast.dispatch._outcomes import (
-    OrderOutcome,
-)
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import UpkeepStatus, Wave, WaveItem, Worker
 from sardinemast.jobs.commands import NoteUpkeep
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -88,9 +88,15 @@
 
 def _tell_metrics(process: Process) -> None:
     address = process.settings.metrics
-    if address is not None:
-        teller = MetricsTeller(process.metrics)
+    if address is None:
+        return
+    teller = MetricsTeller(process.metrics)
+    try:
         SmallServer(teller.handle).listen(address)
+    except OSError as error:
+        # Whoever reads metrics sees that; callers must not do without the
+        # process because its port for them is taken.
+        _log.warning('No metrics at {}: {}.', address, error)
 
 
 def _reload(process: Process, path: Path) -> None:
--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -212,6 +212,12 @@
                 process.kill()
                 process.wait()
 
+    @contextmanager
+    def hold_metrics_port(self) -> Iterator[None]:
+        """Take the entry's port for metrics until the block is left."""
+        with socket.create_server((_ENTRY_HOST, self._metrics)):
+            yield
+
     def start(self, host: str) -> None:
         """Start the process of a host."""
         path = self._folder / f'{host}.yaml'
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -84,6 +84,15 @@
         assert len(fleet.worker.starts) == 4
 
 
+def test_process_serves_without_its_port_for_metrics(tmp_path: Path) -> None:
+    """Another program holds the port for metrics at the entry's address."""
+    fleet = PlatformFleet(tmp_path)
+    with fleet.hold_metrics_port(), fleet.run():
+        _found(fleet)
+        fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
+        fleet.wait_for_state(_JOB, 'done')
+
+
 def test_job_outlives_the_process_that_leads(tmp_path: Path) -> None:
     """The leader is killed while a job runs.
 
