--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -3,17 +3,20 @@
 from collections import deque
 from typing import Any, NamedTuple
 
+from builders.model_workers import (
+    ModelInstances,
+    ModelPolicy,
+    ModelWorker,
+    OrderSeen,
+)
 from sardinemast.dispatch import (
-    AdviceAnswered,
     AskAdvice,
     Dispatcher,
     DispatchEvent,
     DispatchOutput,
     DispatchSettings,
     InstancesListed,
-    ListedEnd,
     ListedInstance,
-    ListedRun,
     ListInstances,
     LogDecision,
     LookAnswer,
@@ -22,12 +25,9 @@
     OrderMove,
     OrderOutcome,
     OrderUpkeep,
-    PaceRun,
     Propose,
     RunAnswered,
     StartRun,
-    StopRun,
-    Ticket,
     UpkeepAnswered,
     WorkerLooked,
 )
@@ -115,111 +115,6 @@
     return step._replace(**changes)
 
 
-class ModelWorker:
-    """Do what a worker does, on a clock of its own that may be slow.
-
-    A dark one gets no orders; a mute one carries them out, and its answers
-    are lost.
-    """
-
-    def __init__(self, worker: Worker, rate: float = 1) -> None:
-        self.worker = worker
-        self.rate = rate
-        self.is_dark = False
-        self.is_mute = False
-        self.fence = 0
-        self.expires_ms: float = 0
-        self.running: dict[TaskKey, int] = {}
-        self.highest: dict[TaskKey, int] = {}
-        self.ends: list[ListedEnd] = []
-        self.paces: dict[TaskKey, int] = {}
-        self.gauges: dict[TaskKey, int] = {}
-        self.percent = 100
-        self.stop_delay_s: float = 0
-        self.stopping: dict[TaskKey, float] = {}
-        self._position = 0
-
-    def get_clock_ms(self, true_s: float) -> int:
-        """Give the worker's own time."""
-        return int(1_000_000 + true_s * self.rate * _MS)
-
-    def note_time(self, true_s: float) -> None:
-        """End what was told to stop, and all once the lease has ended."""
-        for stopped, due_s in tuple(self.stopping.items()):
-            if true_s >= due_s:
-                self.stopping.pop(stopped)
-                if stopped in self.running:
-                    self.end(stopped, 'stopped')
-        if self.running and self.get_clock_ms(true_s) > self.expires_ms:
-            for task in tuple(self.running):
-                self.end(task, 'lapsed')
-
-    def end(self, task: TaskKey, result: str, checkpoint: str = '') -> None:
-        """End a run and list its end."""
-        self._position += 1
-        number = self.running.pop(task)
-        self.ends.append(
-            ListedEnd(self._position, task, number, result, checkpoint),
-        )
-
-    def carry_out(self, order: Any, true_s: float) -> Any:
-        """Carry out an order, and give the outcome and a body."""
-        self.note_time(true_s)
-        if order.fence < self.fence:
-            return OrderOutcome.refused, 'fence'
-        self.fence = order.fence
-        if isinstance(order, LookAtWorker):
-            return OrderOutcome.done, self._look(order, true_s)
-        if isinstance(order, StartRun):
-            return self._start(order, true_s)
-        if isinstance(order, StopRun):
-            self._stop(order, true_s)
-        elif isinstance(order, PaceRun):
-            self.paces[order.task] = order.percent
-        return OrderOutcome.done, ''
-
-    def _look(self, order: LookAtWorker, true_s: float) -> LookAnswer:
-        self.expires_ms = max(self.expires_ms, order.expires_ms or 0)
-        self.ends = [one for one in self.ends if one.position > order.seen]
-        return LookAnswer(
-            self.worker.boot_ms,
-            self.get_clock_ms(true_s),
-            tuple(
-                ListedRun(
-                    task,
-                    number,
-                    '',
-                    self.percent,
-                    self.gauges.get(task, 0),
-                )
-                for task, number in self.running.items()
-            ),
-            tuple(self.ends),
-        )
-
-    def _start(self, order: StartRun, true_s: float) -> Any:
-        self.expires_ms = max(self.expires_ms, order.expires_ms)
-        if self.running.get(order.task) == order.number:
-            return OrderOutcome.done, ''
-        if order.number <= self.highest.get(order.task, 0):
-            return OrderOutcome.refused, 'old'
-        if order.expires_ms < self.get_clock_ms(true_s):
-            return OrderOutcome.refused, 'late'
-        self.highest[order.task] = order.number
-        self.running[order.task] = order.number
-        return OrderOutcome.done, ''
-
-    def _stop(self, order: StopRun, true_s: float) -> None:
-        self.highest[order.task] = max(
-            order.number,
-            self.highest.get(order.task, 0),
-        )
-        if self.running.get(order.task) == order.number:
-            due_s = true_s + self.stop_delay_s
-            self.stopping.setdefault(order.task, due_s)
-            self.note_time(true_s)
-
-
 class _Waiting(NamedTuple):
     """Hold an order that a worker has not answered yet."""
 
@@ -227,44 +122,6 @@
     due_s: float
 
 
-class ModelPolicy:
-    """Allow some workers, one question after the other; may be silent."""
-
-    def __init__(self) -> None:
-        self.allowed: set[str] = set()
-        self.questions: list[AskAdvice] = []
-        self.is_silent = False
-
-    def answer(self, asked: AskAdvice) -> AdviceAnswered:
-        """Give tickets for the workers that are allowed."""
-        tickets = tuple(
-            Ticket(worker.name, f'{asked.step}@{worker.name}')
-            for worker in asked.workers
-            if worker.name in self.allowed
-        )
-        return AdviceAnswered(asked.step, tickets, not self.is_silent)
-
-
-class OrderSeen(NamedTuple):
-    """Hold when an order for an instance came, and under which token."""
-
-    instance: str
-    token: int
-    at_s: float
-
-
-class ModelInstances:
-    """Hold what instances were ordered, and which refuse, are down or off."""
-
-    def __init__(self) -> None:
-        self.seen: list[OrderSeen] = []
-        self.upkeeps: list[str] = []
-        self.moves: list[OrderMove] = []
-        self.refused: set[str] = set()
-        self.down: set[str] = set()
-        self.standby: set[str] = set()
-
-
 class ModelFleet:
     """Run a leader's dispatcher over a log, and workers that it orders.
 
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -3,21 +3,10 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, rule
 
-from builders.workers import (
-    CORE,
-    TEAM,
-    ModelFleet,
-    make_catalog,
-    make_step,
-    make_worker,
-)
+from builders.election_rules import ElectionRules
+from builders.workers import CORE, TEAM, make_catalog, make_step, make_worker
 from sardinemast.jobs import NO_SIZE, TaskKey
 from sardinemast.jobs.commands import CancelJob, PutCatalog
 
@@ -26,15 +15,12 @@
 _WORKERS = 3
 
 
-class Dispatching(RuleBasedStateMachine):
+class Dispatching(ElectionRules):
     """Do to leaders and workers what may happen to them, in any order."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.fleet = ModelFleet(_WORKERS)
-        self.boots = 1
+        super().__init__(_WORKERS)
         self.done: set[TaskKey] = set()
-        self.jobs = 0
 
     @initialize()
     def limit_team(self) -> None:
@@ -100,36 +86,11 @@
             if model is self.fleet.workers[model.worker.name]:
                 model.carry_out(order, self.fleet.now_s)
 
-    @rule()
-    def hold(self) -> None:
-        """Let the log stand still, or commit what has waited."""
-        self.fleet.is_held = not self.fleet.is_held
-        if not self.fleet.is_held:
-            self.fleet.commit_held()
-
-    @rule(kept=st.integers(0, 3))
-    def elect(self, kept: int) -> None:
-        """Let another leader begin; the log may have some proposals."""
-        commands = list(self.fleet.proposed)[:kept]
-        self.fleet.elect()
-        for command in commands:
-            self.fleet.commit(command)
-
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.5, 7.0]))
     def wait(self, seconds: float) -> None:
         """Let time pass."""
         self.fleet.run(seconds)
 
-    @invariant()
-    def runs_once(self) -> None:
-        """Check that no task runs at two workers at once."""
-        running = [
-            task
-            for model in self.fleet.workers.values()
-            for task in model.running
-        ]
-        assert len(running) == len(set(running))
-
     @invariant()
     def stays_in_limit(self) -> None:
         """Check that what the log has running stays within the limit."""
--- a/tests/dispatch/test_maintenance_fuzz.py
+++ b/tests/dispatch/test_maintenance_fuzz.py
@@ -5,14 +5,11 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, rule
 
-from builders.workers import ModelFleet, ModelWorker, OrderSeen, make_step
+from builders.election_rules import ElectionRules
+from builders.model_workers import ModelWorker, OrderSeen
+from builders.workers import make_step
 from sardinemast.jobs import TaskKey
 from sardinemast.jobs.commands import DeclareWave, RegisterWorker
 
@@ -24,17 +21,14 @@
 _APART_S = 3.0
 
 
-class Maintaining(RuleBasedStateMachine):
+class Maintaining(ElectionRules):
     """Empty, maintain and move instances while leaders come and go."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.fleet = ModelFleet(_WORKERS)
+        super().__init__(_WORKERS)
         self.fleet.instances.standby = {'s-0', 's-1'}
         for model in self.fleet.workers.values():
             model.stop_delay_s = 0.4
-        self.boots = 1
-        self.jobs = 0
         self.waves = 0
 
     @initialize()
@@ -101,21 +95,6 @@
             for task in tuple(model.running)[:1]:
                 model.end(task, 'failed')
 
-    @rule(kept=st.integers(0, 3))
-    def elect(self, kept: int) -> None:
-        """Let another leader begin; the log may have some proposals."""
-        commands = list(self.fleet.proposed)[:kept]
-        self.fleet.elect()
-        for command in commands:
-            self.fleet.commit(command)
-
-    @rule()
-    def hold(self) -> None:
-        """Let the log stand still, or commit what has waited."""
-        self.fleet.is_held = not self.fleet.is_held
-        if not self.fleet.is_held:
-            self.fleet.commit_held()
-
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.5, 5.0]))
     def wait(self, seconds: float) -> None:
         """Let time pass."""
@@ -133,16 +112,6 @@
                 is_apart = after.at_s >= before.at_s + _APART_S
                 assert is_apart or after.token == before.token
 
-    @invariant()
-    def runs_once(self) -> None:
-        """Check that no task runs at two workers at once."""
-        running = [
-            task
-            for model in self.fleet.workers.values()
-            for task in model.running
-        ]
-        assert len(running) == len(set(running))
-
     @invariant()
     def stops_one_at_a_time(self) -> None:
         """Check that no order is on its way to stop two lasting tasks."""
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -5,7 +5,8 @@
 users' workers for five to eight seconds.
 """
 
-from builders.workers import ModelFleet, ModelWorker, make_step
+from builders.model_workers import ModelWorker
+from builders.workers import ModelFleet, make_step
 from sardinemast.jobs import TaskKey
 
 TASK = TaskKey('job', 0, 0, 0)
