Tell whether an entry holds keys, and wait for that in tests

Cause: an entry serves as soon as it has a lease, and votes on keys only once it has heard the other holders. Frozen between the two, entry-1 was missed by entry-3, and one vote of three was left (idempotency.E004 in every answer, seen in one of 188 runs, twenty at a time). The refusal itself is as designed; nobody could see when it is over.

Ruled out: a claim left behind (that answers E003 or E006), a broken stream to the control process (the logs show none before the end), the processor (60 runs of a script that froze the entry likewise found all holders whole).

/-/health and 'sardinemast health' now tell it, and the process tests wait for it. A test stops an entry before another has heard it, and sees the refusal, the page, and the end of both. Another run of the 188 failed since two tests side by side drew one port: each worker of pytest has ports of its own now. A test that fails prints the ends of its processes' logs.

--- a/src/sardinemast/cli/queries.py
+++ b/src/sardinemast/cli/queries.py
@@ -82,10 +82,19 @@
         except OSError as error:
             found[address] = f'no answer: {error}'
             continue
-        found[address] = 'serving' if answer.get('is_ready') else 'not serving'
+        found[address] = _describe_health(answer)
     return found
 
 
+def _describe_health(answer: dict[str, Any]) -> str:
+    if not answer.get('is_ready'):
+        return 'not serving'
+    # A rolling restart that goes on now leaves two holders of a key away.
+    if not answer.get('holds_keys'):
+        return 'serving, does not hold keys yet'
+    return 'serving'
+
+
 def latencies(*entries: str) -> dict[str, Any]:
     """Merge the latencies of entries, by team, service and upstream.
 
--- a/src/sardinemast/idempotency/_core.py
+++ b/src/sardinemast/idempotency/_core.py
@@ -78,6 +78,10 @@
         self._synced_s = float('-inf')
         self._outputs: list[IdempotencyOutput] = []
 
+    def holds_keys(self, now_s: float) -> bool:
+        """Tell whether this entry has heard what other holders know."""
+        return self._holder.is_complete(now_s)
+
     def step(
         self,
         event: IdempotencyEvent,
--- a/src/sardinemast/idempotency/_holder.py
+++ b/src/sardinemast/idempotency/_holder.py
@@ -53,6 +53,10 @@
             return ()
         return tuple(sorted(self._missing or ()))
 
+    def is_complete(self, now_s: float) -> bool:
+        """Tell whether this entry votes on every key that it holds."""
+        return self._missing is not None and not self.get_missing(now_s)
+
     def expire(self, now_s: float) -> None:
         """Forget what is past its time."""
         self._records.expire(now_s)
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -62,6 +62,9 @@
     def is_ready(self) -> bool:
         """Tell whether the entry may serve."""
 
+    def holds_keys(self) -> bool:
+        """Tell whether the entry votes on idempotency keys."""
+
 
 class _PageHandler(RequestHandler):
     """Serve a page of the entry itself."""
@@ -115,11 +118,17 @@
     """Tell the balancer whether to send requests here."""
 
     def get(self) -> None:
-        """Answer 200 with a lease and 503 without."""
+        """Answer 200 with a lease and 503 without.
+
+        An entry that does not hold keys yet serves all the same: the other
+        holders are enough. Only one more that stops then would be missed.
+        """
         is_ready = self._shell.is_ready()
         if not is_ready:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
-        self.finish({'is_ready': is_ready})
+        self.finish(
+            {'is_ready': is_ready, 'holds_keys': self._shell.holds_keys()},
+        )
 
 
 class _CallerServer(HTTPServerConnectionDelegate):
--- a/src/sardinemast/shell/_entry.py
+++ b/src/sardinemast/shell/_entry.py
@@ -71,6 +71,7 @@
         self.client = UpstreamClient()
         self.measures = EntryMeasures()
         self.peers = EntryPeers(identity, access)
+        self.holds_keys = self.peers.holds_keys
         self.control = ControlStream(
             identity,
             settings.controls,
--- a/src/sardinemast/shell/_entry_peers.py
+++ b/src/sardinemast/shell/_entry_peers.py
@@ -29,11 +29,11 @@
 
     def __init__(self, identity: Identity, access: Access) -> None:
         own = idempotency.Member(identity.name, identity.incarnation)
-        core = idempotency.IdempotencyCore(own, time.monotonic())
+        self._core = idempotency.IdempotencyCore(own, time.monotonic())
         self.loop = CoreLoop[
             idempotency.IdempotencyEvent,
             idempotency.IdempotencyOutput,
-        ](core.step, self._execute, idempotency.Tick)
+        ](self._core.step, self._execute, idempotency.Tick)
         self._identity = identity
         self._access = access
         self._epoch = 0
@@ -42,6 +42,10 @@
         self._outboxes: dict[str, PeerLink] = {}
         self._deciding: dict[int, Decide] = {}
 
+    def holds_keys(self) -> bool:
+        """Tell whether another entry may stop without keys being refused."""
+        return self._core.holds_keys(time.monotonic())
+
     @asynccontextmanager
     async def listen(self, host: str) -> AsyncIterator[Address]:
         """Keep a port for other entries open, and give its address."""
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -1,5 +1,6 @@
 """Real processes on loopback for tests."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -22,7 +23,14 @@
 
 _PATIENCE_S = 30.0
 _POLL_S = 0.05
+_LOG_SHOWN = 4000
 _PORTS = range(10_000, 32_000)
+# Tests that run side by side draw from parts of their own: a port is free
+# between its choice and the start of its process, and another test's fleet
+# would take it. The process then says that its address is in use.
+_PARTS = 16
+_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+_OWN_PORTS = _PORTS[_WORKER % _PARTS :: _PARTS]
 
 
 class Fleet:
@@ -137,6 +145,12 @@
         """Send a signal to a process."""
         self.processes[name].send_signal(number)
 
+    def print_logs(self) -> None:
+        """Print the end of each log, for a failure that may not come again."""
+        for path in sorted(self.folder.glob('*.log')):
+            shown = path.read_text()[-_LOG_SHOWN:]
+            sys.stdout.write(f'--- {path.name}\n{shown}\n')
+
     def _detour(self, name: str, control: dict[str, Any]) -> dict[str, Any]:
         port = self.detours.get((name, control['name']))
         return {**control, 'peer': {'port': port}} if port else control
@@ -159,6 +173,9 @@
         fleet.start(name)
     try:
         yield fleet
+    except BaseException:
+        fleet.print_logs()
+        raise
     finally:
         for process in fleet.processes.values():
             process.kill()
@@ -214,7 +231,7 @@
     with ExitStack() as stack:
         sockets: list[socket.socket] = []
         while len(sockets) < count:
-            port = SystemRandom().choice(_PORTS)
+            port = SystemRandom().choice(_OWN_PORTS)
             with suppress(OSError):
                 server = socket.create_server(('127.0.0.1', port))
                 sockets.append(stack.enter_context(server))
--- a/tests/processes/test_requests.py
+++ b/tests/processes/test_requests.py
@@ -81,6 +81,13 @@
     for name in fleet.entry_names:
         address = fleet.get_entry(name)
         wait_for(partial(_is_served, address, key))
+        # An entry serves before it has heard the others' keys. If another one
+        # is lost in between, both are missed, and keys are refused.
+        wait_for(partial(_holds_keys, address))
+
+
+def _holds_keys(address: str) -> bool:
+    return bool(json.loads(call(address, '/-/health').body)['holds_keys'])
 
 
 def _is_served(address: str, key: str) -> bool:
@@ -125,9 +132,11 @@
     assert _count_runs(upstream) == 1
 
 
-def _get_served(address: str, key: str) -> HTTPResponse | None:
+def _get_served(address: str, key: str) -> HTTPResponse:
     response = _book(address, key)
-    return response if response.code == 200 else None
+    if response.code != HTTPStatus.OK:
+        raise OSError(f'{address}: {response.code} {response.body!r}')
+    return response
 
 
 def test_entry_killed_between_sent_and_answer(fleet: Fleet) -> None:
@@ -169,6 +178,30 @@
     assert _count_runs(upstream) == 1
 
 
+def test_entry_that_has_not_heard_a_frozen_one_holds_no_keys(
+    fleet: Fleet,
+) -> None:
+    """An entry starts anew while another one is frozen.
+
+    It may have held keys that only the frozen one still knows, so it serves
+    but has no vote: of three holders one is left, and a booking with a key
+    is refused. Whoever restarts entries in turn sees it on the health page.
+    """
+    key = _declare(fleet)
+    _start(fleet, 'enrolment')
+    _wait_until_served(fleet, key)
+    fleet.kill('entry-3')
+    fleet.signal('entry-1', signal.SIGSTOP)
+    fleet.start('entry-3')
+    address = fleet.get_entry('entry-3')
+    wait_for(partial(_is_served, address, key))
+    assert not _holds_keys(address)
+    assert _get_code(_book(address, key)) == 'idempotency.E004'
+    fleet.signal('entry-1', signal.SIGCONT)
+    wait_for(partial(_holds_keys, address))
+    wait_for(partial(_get_served, address, key))
+
+
 def test_misbehaving_upstreams(fleet: Fleet) -> None:
     """Upstreams break their answers in every way.
 
--- a/tests/shell/test_caller_http.py
+++ b/tests/shell/test_caller_http.py
@@ -38,6 +38,9 @@
     def is_ready(self) -> bool:
         return True
 
+    def holds_keys(self) -> bool:
+        return True
+
     def is_stopping(self) -> bool:
         return False
 
