Count a filler's room by one rule everywhere

Cause, found by reading: the planner counts a filler without its processors, while tickets were asked for, and stragglers stopped, only where its whole size had room. Where other tasks take all processors, a filler on a queue with a policy never began, and one that hung was left alone. Both are shown by tests that failed before. Step.room_size is now the one rule, Step. allows_labels another, and JobsState gives job and queue of a step.

A worker that the policy has denied is not asked about again: its answer does not change, only tickets run out.

--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -47,7 +47,7 @@
 def _count_waiting(state: JobsState) -> _Figures:
     counted: Counter[str] = Counter()
     for step in state.ready.values():
-        counted[state.jobs[step.key.job].queue.pool] += len(step.waiting)
+        counted[state.get_queue(step).pool] += len(step.waiting)
     return _make_figures(counted)
 
 
--- a/src/sardinemast/dispatch/_measure.py
+++ b/src/sardinemast/dispatch/_measure.py
@@ -18,7 +18,7 @@
         load = loads.get(pool, NO_LOAD)
         loads[pool] = _add_contact(state, load, contact, now_s)
     for step in state.jobs.ready.values():
-        pool = state.jobs.jobs[step.key.job].queue.pool
+        pool = state.jobs.get_queue(step).pool
         loads[pool] = _add_step(loads.get(pool, NO_LOAD), step)
     return loads
 
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -7,7 +7,6 @@
 from sardinemast.jobs import (
     NO_SIZE,
     JobsState,
-    JobState,
     Size,
     StepState,
     TaskKey,
@@ -65,10 +64,7 @@
         return tuple(self._starts)
 
     def _get_pool(self, step: StepState) -> str:
-        return self._get_job(step).queue.pool
-
-    def _get_job(self, step: StepState) -> JobState:
-        return self._state.jobs[step.key.job]
+        return self._state.get_queue(step).pool
 
     def _place_step(self, step: StepState) -> None:
         if step.step.is_gang:
@@ -125,9 +121,8 @@
         worker = self._pick(step, index, on_worker, rack)
         if worker is None:
             return None
-        size = _get_taken(step)
-        self._free[worker] = self._free[worker].plus(size, -1)
-        team = self._get_job(step).team
+        self._free[worker] = self._free[worker].plus(step.step.room_size, -1)
+        team = self._state.get_job(step).team
         used = self._used_by_team.get(team, NO_SIZE)
         self._used_by_team[team] = used.plus(step.step.size)
         self._starts.append(
@@ -136,7 +131,7 @@
         return worker
 
     def _has_team_room(self, step: StepState) -> bool:
-        job = self._get_job(step)
+        job = self._state.get_job(step)
         team = self._state.teams.get(job.team)
         if team is None:
             return True
@@ -153,7 +148,7 @@
         on_worker: dict[str, int],
         rack: str,
     ) -> str | None:
-        size = _get_taken(step)
+        size = step.step.room_size
         task = step.get_task(index)
         best: tuple[tuple[float, ...], str] | None = None
         for standing in self._by_pool[self._get_pool(step)]:
@@ -185,12 +180,6 @@
     return counted
 
 
-def _get_taken(step: StepState) -> Size:
-    if step.step.is_filler:
-        return step.step.size._replace(millicores=0)
-    return step.step.size
-
-
 def _is_suited(
     step: StepState,
     worker: Worker,
@@ -198,7 +187,7 @@
     rack: str,
 ) -> bool:
     wanted = step.step
-    if wanted.required_label and wanted.required_label not in worker.labels:
+    if not wanted.allows_labels(worker.labels):
         return False
     if wanted.worker_max and on_worker[worker.name] >= wanted.worker_max:
         return False
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -164,13 +164,13 @@
         self._planned_s = now_s
 
         def order(step: StepState) -> tuple[float, ...]:
-            return get_order(state.jobs.jobs[step.key.job], step, now_ms)
+            return get_order(state.jobs.get_job(step), step, now_ms)
 
         def is_allowed(step: StepState, worker: Worker) -> bool:
             return self._tickets.is_allowed(step, worker, now_s)
 
         pools = {
-            state.jobs.jobs[step.key.job].queue.pool
+            state.jobs.get_queue(step).pool
             for step in state.jobs.ready.values()
             if step.waiting
         }
@@ -230,7 +230,7 @@
                 start.number,
                 contact.fence,
                 contact.grant(now_s),
-                self._state.jobs.jobs[start.task.job].request.spec,
+                self._state.jobs.get_job(step).request.spec,
                 _get_checkpoint(step, start.task.position),
                 self._state.settings.answer_s,
                 self._tickets.find(step, contact.worker, now_s),
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -86,7 +86,7 @@
 
     def get_advice(self, step: StepState) -> Advice | None:
         """Give the policy that a step's queue asks, if there is one."""
-        return self.jobs.jobs[step.key.job].queue.advice
+        return self.jobs.get_queue(step).advice
 
     def get_runs(self, worker: str) -> dict[TaskKey, int]:
         """Give the runs that the log has at a worker."""
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -101,7 +101,7 @@
                 self._state.stop(contact, task, number, now_s)
 
     def _learn(self, worker: str, step: StepState, factor: float) -> None:
-        queue = self._state.jobs.jobs[step.key.job].queue.name
+        queue = self._state.jobs.get_queue(step).name
         usual = self._usual.get(queue, 1)
         self._usual[queue] = usual + (factor - usual) * _LEARNING
         if factor < _SOUND_FACTOR * usual:
@@ -133,7 +133,7 @@
         step = self._state.jobs.find_step(task)
         if step is None or task in contact.stopping:
             return False
-        queue = self._state.jobs.jobs[task.job].queue.name
+        queue = self._state.jobs.get_queue(step).name
         usual_s = step.step.estimate_ms / _MS * self._usual.get(queue, 1)
         if since_s < _PATIENCE * usual_s + _PATIENCE_S:
             return False
@@ -162,7 +162,7 @@
         return step is not None and any(
             other.worker.pool == contact.worker.pool
             and other.is_usable(now_s, has_runs=True)
-            and step.step.size.fits(state.jobs.get_free(other.worker))
+            and step.step.room_size.fits(state.jobs.get_free(other.worker))
             for other in state.contacts.values()
             if other is not contact
         )
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -115,7 +115,7 @@
         return sorted(
             waiting,
             key=lambda step: get_order(
-                state.jobs.jobs[step.key.job],
+                state.jobs.get_job(step),
                 step,
                 now_ms,
             ),
@@ -127,14 +127,15 @@
         workers: tuple[Worker, ...],
         now_s: float,
     ) -> tuple[Worker, ...]:
-        pool = self._state.jobs.jobs[step.key.job].queue.pool
-        label = step.step.required_label
+        jobs = self._state.jobs
+        pool = jobs.get_queue(step).pool
+        wanted = step.step
         fitting = [
             worker
             for worker in workers
             if worker.pool == pool
-            and (not label or label in worker.labels)
-            and step.step.size.fits(self._state.jobs.get_free(worker))
+            and wanted.allows_labels(worker.labels)
+            and wanted.room_size.fits(jobs.get_free(worker))
         ]
         if any(self.find(step, worker, now_s) for worker in fitting):
             return ()
@@ -144,7 +145,7 @@
             if self._find_known(step.key, worker, now_s) is None
         ]
         unknown.sort(
-            key=lambda worker: self._state.jobs.get_free(worker).millicores,
+            key=lambda worker: jobs.get_free(worker).millicores,
             reverse=True,
         )
         return tuple(unknown[:_ASKED_MAX])
@@ -172,4 +173,6 @@
         known = self._known.get(step, {}).get(worker.name)
         if known is None or known.boot_ms != worker.boot_ms:
             return None
-        return known if now_s < known.until_s else None
+        # Who may run a step does not change; only tickets run out.
+        is_denied = not known.ticket
+        return known if is_denied or now_s < known.until_s else None
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -190,7 +190,7 @@
     end: RunEnd,
 ) -> None:
     state.remove_run(step, index)
-    job = state.jobs[step.key.job]
+    job = state.get_job(step)
     if job.is_over:
         return
     if end is RunEnd.done and not step.step.is_lasting:
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -34,6 +34,17 @@
     is_filler: bool = False
     may_miss: int = 0
 
+    @property
+    def room_size(self) -> Size:
+        """Give what a task takes of its worker's room."""
+        if self.is_filler:
+            return self.size._replace(millicores=0)
+        return self.size
+
+    def allows_labels(self, labels: tuple[str, ...]) -> bool:
+        """Tell whether a worker with these labels may run a task."""
+        return not self.required_label or self.required_label in labels
+
 
 class JobRequest(NamedTuple):
     """Describe a whole job as its caller declares it.
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -203,6 +203,14 @@
         steps = job.steps[task.occurrence]
         return steps[task.step] if task.step < len(steps) else None
 
+    def get_job(self, step: StepState) -> JobState:
+        """Give the job of a step."""
+        return self.jobs[step.key.job]
+
+    def get_queue(self, step: StepState) -> Queue:
+        """Give the queue of a step's job."""
+        return self.jobs[step.key.job].queue
+
     def get_free(self, worker: Worker) -> Size:
         """Give the room of a worker that no run takes."""
         return worker.room.plus(
@@ -225,11 +233,8 @@
         self._charge(step, run.worker, -1)
 
     def _charge(self, step: StepState, worker: str, sign: int) -> None:
-        size = step.step.size
-        team = self.jobs[step.key.job].team
+        team = self.get_job(step).team
         used = self.usage.by_team.get(team, NO_SIZE)
-        self.usage.by_team[team] = used.plus(size, sign)
-        if step.step.is_filler:
-            size = size._replace(millicores=0)
+        self.usage.by_team[team] = used.plus(step.step.size, sign)
         taken = self.usage.by_worker.get(worker, NO_SIZE)
-        self.usage.by_worker[worker] = taken.plus(size, sign)
+        self.usage.by_worker[worker] = taken.plus(step.step.room_size, sign)
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -120,3 +120,22 @@
     known = len(fleet.started)
     fleet.run(2.2)
     assert len(fleet.started) == known
+
+
+def test_filler_that_stands_still_starts_where_processors_are_full() -> None:
+    """A filler hangs while other tasks take all processors elsewhere.
+
+    Its own are not counted, so that it has room there; judged by its whole
+    size it would hang until the worker is well again.
+    """
+    fleet = ModelFleet()
+    fleet.run(1)
+    fleet.submit('job', make_step(2, estimate_ms=600, is_filler=True))
+    fleet.run(0.2)
+    stuck = fleet.workers[fleet.get_runs(TASK)[0]]
+    stuck.percent = 3
+    fleet.submit('busy', make_step(8, estimate_ms=9000))
+    fleet.run(3.5)
+    places = fleet.get_runs(TASK)
+    assert len(places) == 1
+    assert places != [stuck.worker.name]
--- a/tests/dispatch/test_tickets.py
+++ b/tests/dispatch/test_tickets.py
@@ -89,3 +89,30 @@
     fleet.run(2)
     assert len(fleet.policy.questions) == 2
     assert len(model.running) == 4
+
+
+def test_filler_gets_tickets_where_processors_are_full() -> None:
+    """A filler's processors are not counted, and other tasks take them all.
+
+    Asked only about workers with room for its whole size, the policy never
+    hears of it, and the caller waits for a job that never begins.
+    """
+    fleet = _make_fleet(1)
+    fleet.policy.allowed = {'w-0'}
+    fleet.submit('busy', make_step(4))
+    fleet.run(1)
+    fleet.submit('job', make_step(2, is_filler=True))
+    fleet.run(1)
+    assert fleet.get_runs(TASK) == ['w-0']
+
+
+def test_denied_worker_is_not_asked_about_again() -> None:
+    """The policy's answer about a worker does not change, nor runs out.
+
+    Asked about the same workers again and again, it has less time for steps
+    that it was not asked about yet.
+    """
+    fleet = _make_fleet()
+    fleet.submit('job', make_step())
+    fleet.run(2 * _VALID_MS / 1000)
+    assert len(fleet.policy.questions) == 1
