Soak real processes under faults from outside

tests/soak runs five control processes and three entries as separate processes behind proxies on loopback, with workers, callers, operators and a service for instances of its own, and checks the promises by what these have seen. Faults are drawn from a seed and overlap.

So that a fault may lie between two processes only, a process of a cluster can listen at, and dial from, an address that is not the one that others dial (cluster.bind_host): what a fleet behind translated addresses needs as well.

Found by it: a control process ended by itself. Cause: a reload was signalled while the process was loading its libraries, when nobody takes the signal yet. Ruled out: an error (the log has no line after the start). For the first 20 ms of an interpreter no program can do so.

PlatformFleet and the soak share how processes are started and signalled.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo run test check bench soak capacity lock clean reference
+.PHONY: setup demo run test check bench soak fault-soak capacity lock clean reference
 
 setup: $(STAMP)
 
@@ -41,6 +41,10 @@
 soak: setup
 	HYPOTHESIS_PROFILE=soak $(BIN)/pytest -n 8 -m fuzz
 
+# Real processes under faults from outside; those that fail keep their logs.
+fault-soak: setup
+	cd tests && ../$(BIN)/python -m soak --known --fresh=50
+
 lock: setup
 	$(BIN)/uv pip compile --quiet --all-extras --generate-hashes --no-header --no-emit-index-url pyproject.toml -o requirements.lock
 	$(BIN)/uv pip compile --quiet --generate-hashes --no-header --no-emit-index-url pyproject.toml -o deploy/requirements.txt
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -61,12 +61,22 @@
 
     The founders begin the cluster; others ask them to be taken in. So many
     replicas may be lost at once as ``failures_tolerated`` says. Without
-    ``may_found`` an empty folder only joins.
+    ``may_found`` an empty folder only joins. Others dial ``own``. Where
+    addresses are translated between, it listens at ``bind_host`` and dials
+    from there.
     """
 
     own: ControlAddress
     failures_tolerated: int
     may_found: bool
+    bind_host: str = ''
+
+    @property
+    def listening(self) -> ControlAddress:
+        """Give where this process itself listens."""
+        if not self.bind_host:
+            return self.own
+        return get_control_address(self.bind_host, self.own.peer.port)
 
 
 class ProcessSettings(NamedTuple):
@@ -127,6 +137,7 @@
 _CLUSTER = record(
     {
         'host': Field(text()),
+        'bind_host': Field(text(), ''),
         'port': Field(number(1, _HIGHEST_PORT - 1, is_whole=True)),
         'founders': Field(list_of(text())),
         'failures_tolerated': Field(number(0, is_whole=True), 1),
@@ -255,6 +266,7 @@
         get_control_address(found['host'], found['port']),
         found['failures_tolerated'],
         found['may_found'] == 'true',
+        found['bind_host'],
     )
 
 
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -48,7 +48,7 @@
             self.identity,
             settings.controls,
             settings.cluster,
-            Access(settings.security),
+            Access(settings.security, settings.cluster.bind_host),
         )
         self.metrics = ProcessMetrics()
         self.stopping = asyncio.Event()
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -87,7 +87,11 @@
             self.core.replica,
             self.core.state,
         )
-        self._access = Access(settings.security)
+        cluster = settings.cluster
+        self._access = Access(
+            settings.security,
+            cluster.bind_host if cluster else '',
+        )
         self.desk = OperatorDesk(self.core, identity, self._access)
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
             self._step,
@@ -323,7 +327,7 @@
     cluster a disk that refuses is tried again, since this process also
     passes calls on to the others; meanwhile it answers no peer.
     """
-    own = _get_own_address(settings)
+    own = _get_listening(settings)
     while True:
         try:
             await _run_once(settings, identity, extras, own)
@@ -347,9 +351,9 @@
         _check_discarded(group)
 
 
-def _get_own_address(settings: ProcessSettings) -> ControlAddress:
+def _get_listening(settings: ProcessSettings) -> ControlAddress:
     if settings.cluster is not None:
-        return settings.cluster.own
+        return settings.cluster.listening
     return next(one for one in settings.controls if one.name == settings.name)
 
 
--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -45,12 +45,15 @@
     context = access.create_client_context()
     scheme = 'wss' if context else 'ws'
     url = f'{scheme}://{address.host}:{address.port}{path}'
+    options = dict(LINK_OPTIONS)
+    if access.source_host:
+        options['local_addr'] = (access.source_host, 0)
     async with connect(
         url,
         open_timeout=open_timeout_s,
         proxy=None,
         ssl=context,
-        **LINK_OPTIONS,
+        **options,
     ) as link:
         yield link
 
--- a/src/sardinemast/shell/_security.py
+++ b/src/sardinemast/shell/_security.py
@@ -62,10 +62,16 @@
     """Decide who may connect to this process, and as whom it connects.
 
     Without settings for security everybody may; the check of settings allows
-    that on loopback addresses only.
+    that on loopback addresses only. Where ``source_host`` is set, connections
+    to other processes come from that address.
     """
 
-    def __init__(self, security: Security | None) -> None:
+    def __init__(
+        self,
+        security: Security | None,
+        source_host: str = '',
+    ) -> None:
+        self.source_host = source_host
         self._security = security
         self._credentials: ServerCredentials | None = None
         if security is not None:
--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -1,12 +1,7 @@
 """Real processes on the platform's protocol, with a worker of our own."""
 
 import json
-import os
-import resource
-import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -16,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from builders.platform_processes import PlatformProcesses
 from builders.processes import find_ports
 
 _HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
@@ -178,13 +174,6 @@
         """Say nothing."""
 
 
-def _copy(process: subprocess.Popen[bytes], path: Path) -> None:
-    """Write what a process says to a file, until it ends."""
-    with path.open('ab', buffering=0) as log:
-        for line in process.stdout or ():
-            log.write(line)
-
-
 class PlatformFleet:
     """Run three control processes and an entry, and call them."""
 
@@ -197,7 +186,7 @@
         self._readiness = ports[1]
         self._operators = ports[2]
         self.worker = StandinWorker(ports[3], 0.2)
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.processes = PlatformProcesses(folder)
 
     @contextmanager
     def run(self) -> Iterator[None]:
@@ -208,9 +197,7 @@
             with self.worker.serve():
                 yield
         finally:
-            for process in self._processes.values():
-                process.kill()
-                process.wait()
+            self.processes.kill_all()
 
     @contextmanager
     def hold_metrics_port(self) -> Iterator[None]:
@@ -220,45 +207,7 @@
 
     def start(self, host: str) -> None:
         """Start the process of a host."""
-        path = self._folder / f'{host}.yaml'
-        path.write_text(self._make_settings(host))
-        process = subprocess.Popen(
-            (sys.executable, '-m', 'sardinemast.platform'),
-            env={**os.environ, 'SARDINEMAST_BOOT': str(path)},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
-        self._processes[host] = process
-        # By a pipe, so that a limit on the process's files spares its log.
-        log = self._folder / f'{host}.log'
-        threading.Thread(target=_copy, args=(process, log)).start()
-
-    def stop(self, host: str, signal_number: int = signal.SIGTERM) -> int:
-        """Send a signal and wait for the end."""
-        process = self._processes.pop(host)
-        process.send_signal(signal_number)
-        return process.wait(_WAIT_S)
-
-    def limit_files(self, host: str, size: int) -> None:
-        """Have writes beyond a size refused, as by a full disk."""
-        resource.prlimit(
-            self._processes[host].pid,
-            resource.RLIMIT_FSIZE,
-            (size, resource.RLIM_INFINITY),
-        )
-
-    def is_running(self, host: str) -> bool:
-        """Tell whether the process of a host has not ended."""
-        return self._processes[host].poll() is None
-
-    def wait_for_log(self, host: str, text: str) -> None:
-        """Wait until a process has logged a text."""
-        due_s = time.monotonic() + _WAIT_S
-        while time.monotonic() < due_s:
-            if text in (self._folder / f'{host}.log').read_text():
-                return
-            time.sleep(_POLL_S)
-        raise TimeoutError(f'{host} does not say {text!r}.')
+        self.processes.start(host, self._make_settings(host))
 
     def call(
         self,
@@ -321,26 +270,24 @@
         """Give the hosts of the control processes."""
         return _HOSTS
 
-    def _make_settings(self, host: str) -> str:
+    def _make_settings(self, host: str) -> dict[str, Any]:
         role = 'entry' if host == _ENTRY_HOST else 'control'
-        return json.dumps(
-            {
-                'name': host,
-                'roles': [role],
-                'data_centre': 'rennes',
-                'data_folder': str(self._folder / host),
-                'network': 'private',
-                'callers': f'{host}:{self._callers}',
-                'readiness': f'{host}:{self._readiness}',
-                'operators': f'{host}:{self._operators}',
-                'cluster': {
-                    'host': host,
-                    'port': self._port,
-                    'founders': list(_HOSTS),
-                    'failures_tolerated': 1,
-                },
-                'advice': self.worker.address,
-                'metrics': f'{host}:{self._metrics}',
-                'logs': {'format': 'json'},
+        return {
+            'name': host,
+            'roles': [role],
+            'data_centre': 'rennes',
+            'data_folder': str(self._folder / host),
+            'network': 'private',
+            'callers': f'{host}:{self._callers}',
+            'readiness': f'{host}:{self._readiness}',
+            'operators': f'{host}:{self._operators}',
+            'cluster': {
+                'host': host,
+                'port': self._port,
+                'founders': list(_HOSTS),
+                'failures_tolerated': 1,
             },
-        )
+            'advice': self.worker.address,
+            'metrics': f'{host}:{self._metrics}',
+            'logs': {'format': 'json'},
+        }
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -2,12 +2,26 @@
 
 import resource
 import signal
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
 from builders.platform_fleets import PlatformFleet, make_config
 
 _JOB = '/seats/5c0e7a21d94b36f8'
+# Tells, in place of the process itself, whether the signal is ignored, and
+# whether libraries were loaded before that.
+_SHOW_SIGNAL = """
+import runpy, signal, sys, types
+run = types.ModuleType('sardinemast.platform._run')
+ignored = signal.SIG_IGN
+run.main = lambda: print(
+    signal.getsignal(signal.SIGHUP) == ignored, 'tornado' in sys.modules
+)
+sys.modules[run.__name__] = run
+runpy.run_module('sardinemast.platform', run_name='__main__')
+"""
 
 
 def _make_chain() -> dict[str, Any]:
@@ -112,7 +126,7 @@
             body=fleet.worker.describe(2),
             host=fleet.get_controls()[1],
         )['heartbeat_addr'].partition(':')[0]
-        fleet.stop(leader, signal.SIGKILL)
+        fleet.processes.stop(leader, signal.SIGKILL)
         fleet.wait_for(200, 'GET', _JOB)
         fleet.wait_for_state(_JOB, 'done')
         assert len(fleet.worker.starts) == 4
@@ -124,7 +138,7 @@
     with fleet.run():
         _found(fleet)
         for host in fleet.get_controls():
-            fleet.stop(host, signal.SIGKILL)
+            fleet.processes.stop(host, signal.SIGKILL)
         for host in fleet.get_controls():
             fleet.start(host)
         read = fleet.wait_for(
@@ -143,14 +157,14 @@
     with fleet.run():
         _found(fleet)
         host = fleet.get_controls()[1]
-        fleet.limit_files(host, 1)
+        fleet.processes.limit_files(host, 1)
         fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
-        fleet.wait_for_log(host, 'The disk is tried again')
-        assert fleet.is_running(host)
+        fleet.processes.wait_for_log(host, 'The disk is tried again')
+        assert fleet.processes.is_running(host)
         fleet.wait_for(200, 'GET', '/config', host=host)
-        fleet.limit_files(host, resource.RLIM_INFINITY)
+        fleet.processes.limit_files(host, resource.RLIM_INFINITY)
         fleet.wait_for_state(_JOB, 'done')
-        assert fleet.is_running(host)
+        assert fleet.processes.is_running(host)
 
 
 def test_entry_answers_until_it_stops(tmp_path: Path) -> None:
@@ -159,4 +173,19 @@
     with fleet.run():
         _found(fleet)
         fleet.wait_for(410, 'GET', _JOB)
-        assert fleet.stop('127.0.0.4') == 0
+        assert fleet.processes.stop('127.0.0.4') == 0
+
+
+def test_process_takes_no_harm_from_a_reload_while_it_loads() -> None:
+    """Settings change, and their signal comes while a process is starting.
+
+    Nobody would take the signal while the libraries load, and the process
+    would end; callers at that entry see their connections refused.
+    """
+    shown = subprocess.run(
+        (sys.executable, '-c', _SHOW_SIGNAL),
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert shown.stdout.split() == ['True', 'False']
--- a/tests/shell/test_relay.py
+++ b/tests/shell/test_relay.py
@@ -40,7 +40,8 @@
     founders = tuple(
         get_control_address(host, port) for host in (_FIRST, _SECOND)
     )
-    cluster = Cluster(get_control_address('127.0.0.1', port), 1, may_found=True)
+    own = get_control_address('127.0.0.1', port)
+    cluster = Cluster(own, 1, may_found=True)
     relay = LeaderRelay(identity, founders, cluster, Access(None))
     running = asyncio.create_task(relay.run())
     try:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Faults from outside on real processes, and the promises checked meanwhile."""
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,305 @@
+"""Faults from outside, drawn from a seed: they come in series and overlap."""
+
+import asyncio
+import shutil
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from random import Random
+from types import MappingProxyType
+from typing import NamedTuple
+
+from soak.ledger import Ledger
+from soak.proxies import Harm, Pair
+from soak.site import Site
+
+_GAP_S = (0.1, 2.0)
+_LASTS_S = (0.3, 4.0)
+# A copy that was lost must have caught up before the next may be lost.
+_DISK_PAUSE_S = 9.0
+_FULL_BYTES = 1
+_POLL_S = 0.01
+_NO_LIMIT = -1
+_TORN = b'\xa5\x01torn'
+
+
+class Fault(NamedTuple):
+    """Hold one fault: what happens to whom, from when and for how long."""
+
+    kind: str
+    at_s: float
+    lasts_s: float
+    target: int
+
+
+def draw_faults(random: Random, length_s: float) -> tuple[Fault, ...]:
+    """Give the faults of a run, the first one first."""
+    faults = []
+    at_s = random.uniform(*_GAP_S)
+    while at_s < length_s:
+        faults.append(
+            Fault(
+                random.choice(tuple(KINDS)),
+                round(at_s, 2),
+                round(random.uniform(*_LASTS_S), 2),
+                random.randrange(1000),
+            ),
+        )
+        at_s += random.uniform(*_GAP_S)
+    return tuple(faults)
+
+
+class Injector:
+    """Carry out faults on a site, each in a task of its own."""
+
+    def __init__(self, site: Site, ledger: Ledger, say: Callable[..., None]):
+        self.site = site
+        self._ledger = ledger
+        self._say = say
+        self._disk_free_s = float('-inf')
+        # One fault at a time ends and starts a process; others wait for it.
+        self._locks = {name: asyncio.Lock() for name in site.names}
+
+    async def run(self, faults: tuple[Fault, ...]) -> None:
+        """Carry out all, and come back when the last is over."""
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                tasks.create_task(self._run_one(fault))
+
+    def pick(self, fault: Fault, names: tuple[str, ...]) -> str:
+        """Give the process that a fault is meant for."""
+        return names[fault.target % len(names)]
+
+    async def kill(self, fault: Fault) -> None:
+        """Kill a process; it starts again after a while."""
+        name = self.pick(fault, self.site.names)
+        await self._end(name, signal.SIGKILL, fault.lasts_s)
+
+    async def stop(self, fault: Fault) -> None:
+        """Tell a process to stop; it starts again after a while."""
+        name = self.pick(fault, self.site.names)
+        await self._end(name, signal.SIGTERM, fault.lasts_s)
+
+    async def kill_controls(self, fault: Fault) -> None:
+        """Kill all control processes at once."""
+        async with asyncio.TaskGroup() as tasks:
+            for name in self.site.controls:
+                tasks.create_task(self._end(name, signal.SIGKILL, 0.5))
+
+    async def freeze(self, fault: Fault) -> None:
+        """Pause a process, and let it go on."""
+        name = self.pick(fault, self.site.names)
+        async with self._locks[name]:
+            self.site.processes.send_signal(name, signal.SIGSTOP)
+            await asyncio.sleep(fault.lasts_s)
+            self.site.processes.send_signal(name, signal.SIGCONT)
+
+    async def reload(self, fault: Fault) -> None:
+        """Tell a process that its settings have changed, several times."""
+        name = self.pick(fault, self.site.names)
+        async with self._locks[name]:
+            # For its first 20 ms an interpreter can take no signal; whoever
+            # starts processes has to start such a one again.
+            while not self.site.processes.has_hold_of(name, signal.SIGHUP):
+                await asyncio.sleep(_POLL_S)
+            for _ in range(3):
+                self.site.processes.send_signal(name, signal.SIGHUP)
+                await asyncio.sleep(0.1)
+
+    async def lose_disk(self, fault: Fault) -> None:
+        """Kill a control process and empty its folder."""
+        now_s = time.monotonic()
+        if now_s < self._disk_free_s:
+            return
+        self._disk_free_s = now_s + fault.lasts_s + _DISK_PAUSE_S
+        name = self.pick(fault, self.site.controls)
+        await self._end(
+            name,
+            signal.SIGKILL,
+            fault.lasts_s,
+            lambda: shutil.rmtree(self.site.get_folder(name)),
+        )
+
+    async def tear_log(self, fault: Fault) -> None:
+        """Kill a control process whose last write was cut in the middle."""
+        name = self.pick(fault, self.site.controls)
+
+        def tear() -> None:
+            path = self.site.get_log(name)
+            if path.exists():
+                with path.open('ab') as log:
+                    log.write(_TORN)
+
+        await self._end(name, signal.SIGKILL, fault.lasts_s, tear)
+
+    async def fill_disk(self, fault: Fault) -> None:
+        """Have a control process's writes refused for a while."""
+        name = self.pick(fault, self.site.controls)
+        async with self._locks[name]:
+            self.site.processes.limit_files(name, _FULL_BYTES)
+            await asyncio.sleep(fault.lasts_s)
+            with suppress(OSError):
+                self.site.processes.limit_files(name, _NO_LIMIT)
+
+    async def delay(self, fault: Fault) -> None:
+        """Delay all that is sent to a process."""
+        name = self.pick(fault, self.site.controls)
+        harms = [
+            self.site.proxies.get_harm(Pair(other, name))
+            for other in ('', *self.site.names)
+        ]
+        for harm in harms:
+            harm.delay_s = 0.05
+        await asyncio.sleep(fault.lasts_s)
+        for harm in harms:
+            harm.delay_s = 0
+
+    async def cut(self, fault: Fault) -> None:
+        """Cut a control process off from all other processes."""
+        name = self.pick(fault, self.site.controls)
+        harms = self._list_harms(name)
+        await self._hold(fault, harms, forward=1, back=1)
+
+    async def cut_one_way(self, fault: Fault) -> None:
+        """Let nothing of what others send reach a control process."""
+        name = self.pick(fault, self.site.controls)
+        dialled = [
+            harm for pair, harm in self._pair_up(name) if pair[1] == name
+        ]
+        dialling = [
+            harm for pair, harm in self._pair_up(name) if pair[0] == name
+        ]
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._hold(fault, dialled, forward=1))
+            tasks.create_task(self._hold(fault, dialling, back=1))
+
+    async def cut_pair(self, fault: Fault) -> None:
+        """Cut two control processes off from each other only."""
+        names = self.site.controls
+        first = self.pick(fault, names)
+        second = names[(names.index(first) + 1) % len(names)]
+        pairs = (Pair(first, second), Pair(second, first))
+        harms = [self.site.proxies.get_harm(pair) for pair in pairs]
+        await self._hold(fault, harms, forward=1, back=1)
+
+    async def reset(self, fault: Fault) -> None:
+        """Reset all connections of a process."""
+        self.site.proxies.reset(self.pick(fault, self.site.names))
+
+    async def forget(self, fault: Fault) -> None:
+        """Let the open connections of a process go silent for good."""
+        self.site.proxies.forget(self.pick(fault, self.site.names))
+
+    async def silence_worker(self, fault: Fault) -> None:
+        """Let a worker answer nobody, and run on."""
+        worker = self.site.pick_worker(fault.target)
+        worker.is_silent = True
+        await asyncio.sleep(2 * fault.lasts_s)
+        worker.is_silent = False
+
+    async def make_worker_late(self, fault: Fault) -> None:
+        """Let a worker carry orders out late, without an answer."""
+        worker = self.site.pick_worker(fault.target)
+        worker.late_share = 0.3
+        await asyncio.sleep(2 * fault.lasts_s)
+        worker.late_share = 0
+
+    async def slow_worker(self, fault: Fault) -> None:
+        """Let a worker's tasks crawl."""
+        worker = self.site.pick_worker(fault.target)
+        worker.slowness = 6
+        await asyncio.sleep(2 * fault.lasts_s)
+        worker.slowness = 1
+
+    async def crash_worker(self, fault: Fault) -> None:
+        """Let a worker crash, and another life begin at its address."""
+        worker = self.site.pick_worker(fault.target)
+        if worker.life is not None:
+            worker.begin(worker.life.pool)
+
+    async def drain_worker(self, fault: Fault) -> None:
+        """Let a worker drain, end, and begin anew."""
+        worker = self.site.pick_worker(fault.target)
+        life = worker.life
+        if life is None:
+            return
+        life.is_draining = True
+        await asyncio.sleep(2 + fault.lasts_s)
+        if worker.life is life:
+            worker.begin(life.pool)
+
+    async def _run_one(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        self._note('fault', fault, is_begun=True)
+        try:
+            await KINDS[fault.kind](self, fault)
+        finally:
+            self._note('fault.over', fault, is_begun=False)
+
+    def _note(self, event: str, fault: Fault, *, is_begun: bool) -> None:
+        self._say(event, kind=fault.kind, target=fault.target)
+        self._ledger.note_fault(time.monotonic(), is_begun=is_begun)
+
+    async def _end(
+        self,
+        name: str,
+        number: int,
+        lasts_s: float,
+        meanwhile: Callable[[], None] | None = None,
+    ) -> None:
+        async with self._locks[name]:
+            await asyncio.to_thread(self.site.processes.stop, name, number)
+            if meanwhile is not None:
+                meanwhile()
+            await asyncio.sleep(lasts_s)
+            self.site.start(name)
+
+    def _pair_up(self, name: str) -> list[tuple[Pair, Harm]]:
+        others = [other for other in self.site.names if other != name]
+        pairs = [Pair(name, other) for other in others]
+        pairs += [Pair(other, name) for other in others]
+        return [(pair, self.site.proxies.get_harm(pair)) for pair in pairs]
+
+    def _list_harms(self, name: str) -> list[Harm]:
+        return [harm for _, harm in self._pair_up(name)]
+
+    async def _hold(
+        self,
+        fault: Fault,
+        harms: list[Harm],
+        *,
+        forward: int = 0,
+        back: int = 0,
+    ) -> None:
+        for harm in harms:
+            harm.hold(forward=forward, back=back)
+        await asyncio.sleep(fault.lasts_s)
+        for healed in harms:
+            healed.hold(forward=-forward, back=-back)
+        await self.site.proxies.apply()
+
+
+KINDS = MappingProxyType[str, Callable[[Injector, Fault], Awaitable[None]]](
+    {
+        'process.kill': Injector.kill,
+        'process.stop': Injector.stop,
+        'process.freeze': Injector.freeze,
+        'process.reload': Injector.reload,
+        'controls.kill': Injector.kill_controls,
+        'disk.lose': Injector.lose_disk,
+        'disk.tear': Injector.tear_log,
+        'disk.fill': Injector.fill_disk,
+        'link.delay': Injector.delay,
+        'link.cut': Injector.cut,
+        'link.one_way': Injector.cut_one_way,
+        'link.pair': Injector.cut_pair,
+        'link.reset': Injector.reset,
+        'link.forget': Injector.forget,
+        'worker.silent': Injector.silence_worker,
+        'worker.late': Injector.make_worker_late,
+        'worker.slow': Injector.slow_worker,
+        'worker.crash': Injector.crash_worker,
+        'worker.drain': Injector.drain_worker,
+    },
+)
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,149 @@
+"""One run: processes, traffic and faults from a seed, and a verdict."""
+
+import asyncio
+import json
+import time
+from collections.abc import Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from soak.calls import Caller
+from soak.faults import Injector, draw_faults
+from soak.ledger import Bounds, Ledger
+from soak.site import Site, Sizes
+from soak.traffic import TEAMS, Catalog, Traffic
+
+_CAP_MILLICORES = 24_000
+_STARTED_S = 20.0
+_SETTLE_S = 30.0
+_POLL_S = 0.2
+_THREADS = 64
+
+
+class Verdict(NamedTuple):
+    """Hold what a run has shown."""
+
+    seed: int
+    broken: tuple[str, ...]
+    faults: int
+    jobs: int
+    accepted: int
+    done: int
+    version: int
+
+
+async def run_seed(
+    seed: int,
+    length_s: float,
+    folder: Path,
+    sizes: Sizes,
+) -> Verdict:
+    """Run the processes through the faults of a seed."""
+    # Each caller, worker and operator may block a thread for its time-out.
+    # Connections that wait for a thread meanwhile would seem to be cut.
+    asyncio.get_running_loop().set_default_executor(
+        ThreadPoolExecutor(_THREADS)
+    )
+    caps = {team: _CAP_MILLICORES for team in TEAMS}
+    ledger = Ledger(Bounds(), caps)
+    site = Site(folder, sizes, ledger, seed)
+    random = Random(seed)
+    faults = draw_faults(random, length_s)
+    entries, controls = site.get_addresses()
+    traffic = Traffic(ledger, Catalog(caps), entries, controls, random)
+    with (folder / 'soak.log').open('a') as log:
+        say = _make_say(log)
+        injector = Injector(site, ledger, say)
+        try:
+            version = await _run(site, traffic, injector, faults, length_s)
+        finally:
+            await site.end()
+        for text in ledger.broken:
+            say('broken', text=text)
+    return _judge(seed, ledger, len(faults), version)
+
+
+async def _run(
+    site: Site,
+    traffic: Traffic,
+    injector: Injector,
+    faults: Any,
+    length_s: float,
+) -> int:
+    caller = Caller()
+    await site.begin()
+    async with asyncio.timeout(_STARTED_S):
+        while not await traffic.put_catalog(caller, []):
+            await asyncio.sleep(_POLL_S)
+    tasks = _start_traffic(site, traffic)
+    try:
+        version = await _play(traffic, caller, injector.run(faults), length_s)
+    finally:
+        for task in tasks:
+            task.cancel()
+    caller.close()
+    traffic.ledger.finish(version)
+    return version
+
+
+async def _play(
+    traffic: Traffic,
+    caller: Caller,
+    faults: Coroutine[Any, Any, None],
+    length_s: float,
+) -> int:
+    async with asyncio.TaskGroup() as group:
+        group.create_task(faults)
+        group.create_task(asyncio.sleep(length_s))
+    traffic.is_over = True
+    due_s = time.monotonic() + _SETTLE_S
+    while traffic.ledger.list_unfinished() and time.monotonic() < due_s:
+        await asyncio.sleep(_POLL_S)
+    return await _read_at_last(traffic, caller, due_s)
+
+
+def _start_traffic(site: Site, traffic: Traffic) -> list[asyncio.Task[None]]:
+    jobs = [traffic.submit_jobs() for _ in range(site.sizes.callers)]
+    beats = [traffic.announce(worker) for worker in site.workers.values()]
+    leases = [traffic.check_leases(worker) for worker in site.workers.values()]
+    others = [traffic.configure(), traffic.maintain(site.instances)]
+    others.append(site.watch())
+    return [
+        asyncio.create_task(work) for work in (*jobs, *beats, *leases, *others)
+    ]
+
+
+async def _read_at_last(
+    traffic: Traffic,
+    caller: Caller,
+    due_s: float,
+) -> int:
+    while True:
+        version = await traffic.read_catalog(caller)
+        if version or time.monotonic() > due_s:
+            return version
+        await asyncio.sleep(_POLL_S)
+
+
+def _make_say(log: Any) -> Any:
+    def say(event: str, **details: Any) -> None:
+        line = {'at': time.time(), 'event': event, **details}
+        log.write(json.dumps(line) + '\n')
+        log.flush()
+
+    return say
+
+
+def _judge(seed: int, ledger: Ledger, faults: int, version: int) -> Verdict:
+    jobs = ledger.jobs.values()
+    return Verdict(
+        seed,
+        tuple(ledger.broken),
+        faults,
+        len(jobs),
+        sum(job.is_accepted for job in jobs),
+        sum(job.is_done for job in jobs),
+        version,
+    )
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,195 @@
+"""The processes of one run, the proxies before them and what they meet."""
+
+import asyncio
+import signal
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from builders.platform_processes import PlatformProcesses
+from builders.processes import find_ports
+from sardinemast.conf import Address
+from soak.instances import POOL, STANDBY, Instances
+from soak.ledger import Ledger
+from soak.proxies import Proxies
+from soak.workers import Worker
+
+# Others dial the first kind of address, and the processes listen at the second.
+_OUTSIDE = '127.0.1.{}'
+_INSIDE = '127.0.2.{}'
+_ENTRY = '127.0.3.{}'
+_WORKER = '127.0.4.{}'
+_INSTANCES = '127.0.5.1'
+_WATCH_S = 0.2
+
+
+class Sizes(NamedTuple):
+    """Hold how many processes and stand-ins a run has."""
+
+    controls: int = 5
+    entries: int = 3
+    workers: int = 8
+    standby: int = 2
+    callers: int = 8
+
+    @property
+    def failures_tolerated(self) -> int:
+        """Give how many control processes may be lost at once."""
+        return (self.controls - 1) // 2
+
+
+class Ports(NamedTuple):
+    """Hold the ports, the same at each address."""
+
+    cluster: int
+    operators: int
+    callers: int
+    worker: int
+
+
+class Site:
+    """Hold the processes and all that they speak with."""
+
+    def __init__(self, folder: Path, sizes: Sizes, ledger: Ledger, seed: int):
+        self.controls = tuple(
+            _OUTSIDE.format(place + 1) for place in range(sizes.controls)
+        )
+        self.entries = tuple(
+            _ENTRY.format(place + 1) for place in range(sizes.entries)
+        )
+        self.processes = PlatformProcesses(folder)
+        self.proxies = Proxies(
+            {self._get_inside(name): name for name in self.names},
+        )
+        self._folder = folder
+        self._ledger = ledger
+        self.sizes = sizes
+        self._ports = _find_ports()
+        self._started: set[str] = set()
+        self.workers = self._make_workers(ledger, Random(seed))
+        self.instances = Instances(
+            Address(_INSTANCES, self._ports.worker),
+            self.workers,
+            ledger,
+        )
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Give the names of all processes."""
+        return (*self.controls, *self.entries)
+
+    def get_addresses(self) -> tuple[tuple[Address, ...], tuple[Address, ...]]:
+        """Give where callers, and where workers and operators call."""
+        ports = self._ports
+        return (
+            tuple(Address(name, ports.callers) for name in self.entries),
+            tuple(Address(name, ports.operators) for name in self.controls),
+        )
+
+    async def begin(self) -> None:
+        """Start all."""
+        for name in self.controls:
+            inside = self._get_inside(name)
+            for port in (self._ports.cluster, self._ports.operators):
+                await self.proxies.listen(name, (name, port), (inside, port))
+        for place, instance in enumerate(self.workers):
+            is_spare = place >= self.sizes.workers
+            self.instances.put(instance, STANDBY if is_spare else POOL)
+        for process in self.names:
+            self.start(process)
+
+    async def end(self) -> None:
+        """Stop all that was started here."""
+        for name in self.processes.ids:
+            self.processes.send_signal(name, signal.SIGCONT)
+        self.processes.kill_all()
+        await self.proxies.close()
+        for worker in self.workers.values():
+            await worker.stop()
+        await self.instances.stop()
+
+    def start(self, name: str) -> None:
+        """Start a process, with the leave to found a cluster only once."""
+        self.processes.start(name, self._make_settings(name))
+        self._started.add(name)
+
+    async def watch(self) -> None:
+        """Start processes again that end by themselves, which none should."""
+        while True:
+            await asyncio.sleep(_WATCH_S)
+            for name, code in self.processes.list_ended().items():
+                self._ledger.note_ended(name, code)
+                self.start(name)
+
+    def pick_worker(self, target: int) -> Worker:
+        """Give the worker that a fault is meant for."""
+        return tuple(self.workers.values())[target % len(self.workers)]
+
+    def get_folder(self, name: str) -> Path:
+        """Give the data folder of a process."""
+        return self._folder / f'data-{name}'
+
+    def get_log(self, name: str) -> Path:
+        """Give the file that a control process adds its records to."""
+        return self.get_folder(name) / 'replica' / 'log.wal'
+
+    def _make_workers(
+        self, ledger: Ledger, random: Random
+    ) -> dict[str, Worker]:
+        numbers = count(1)
+        total = self.sizes.workers + self.sizes.standby
+        return {
+            f'm-{place}': Worker(
+                f'm-{place}',
+                Address(_WORKER.format(place + 1), self._ports.worker),
+                ledger,
+                random,
+                lambda: f'i-{next(numbers)}',
+            )
+            for place in range(total)
+        }
+
+    def _make_settings(self, name: str) -> dict[str, Any]:
+        ports = self._ports
+        cluster: dict[str, Any] = {
+            'host': name,
+            'port': ports.cluster,
+            'founders': list(self.controls[:3]),
+            'failures_tolerated': self.sizes.failures_tolerated,
+            'may_found': name not in self._started,
+            'bind_host': self._get_inside(name),
+        }
+        settings: dict[str, Any] = {
+            'name': name,
+            'data_centre': 'rennes',
+            'data_folder': str(self.get_folder(name)),
+            'network': 'private',
+            'instances': f'{_INSTANCES}:{ports.worker}',
+            'cluster': cluster,
+            'logs': {'format': 'json'},
+        }
+        if name in self.entries:
+            return {
+                **settings,
+                'roles': ['entry'],
+                'callers': f'{name}:{ports.callers}',
+                'readiness': f'{name}:{ports.operators}',
+            }
+        return {
+            **settings,
+            'roles': ['control'],
+            'operators': f'{self._get_inside(name)}:{ports.operators}',
+        }
+
+    def _get_inside(self, name: str) -> str:
+        # Nobody dials an entry but callers, who use its own address.
+        if name in self.entries:
+            return name
+        return _INSIDE.format(self.controls.index(name) + 1)
+
+
+def _find_ports() -> Ports:
+    # Behind the cluster's port operators' own interface needs the next one.
+    found = find_ports(4)
+    return Ports(*found)
--- /dev/null
+++ b/tests/soak/test_seeds.py
@@ -0,0 +1,22 @@
+"""Short runs of the soak; ``python -m soak --fresh=50`` runs long ones."""
+
+import asyncio
+from pathlib import Path
+
+from soak.run import run_seed
+from soak.site import Sizes
+
+_SIZES = Sizes(controls=3, entries=2, workers=4, standby=1, callers=4)
+_LENGTH_S = 8.0
+
+
+def test_promises_hold_through_the_faults_of_a_seed(tmp_path: Path) -> None:
+    """Processes are killed, paused, cut off and told to stop meanwhile.
+
+    Callers use open connections until their process is gone, and send again
+    what had no answer.
+    """
+    verdict = asyncio.run(run_seed(7, _LENGTH_S, tmp_path, _SIZES))
+    assert verdict.broken == ()
+    assert verdict.faults > 5
+    assert verdict.done > 10
--- /dev/null
+++ b/tests/soak/traffic.py
@@ -0,0 +1,319 @@
+"""What callers, workers and operators do while faults happen."""
+
+import asyncio
+import time
+from random import Random
+from typing import Any
+
+from sardinemast.conf import Address
+from soak.calls import Answer, Caller
+from soak.instances import POOL, STANDBY, Instances
+from soak.ledger import Ledger, Step
+from soak.workers import Worker
+
+QUEUE = '/seats/'
+TEAMS = ('breizh', 'algo')
+_DONE = 200
+_REFUSED = frozenset((429, 503))
+_INVALID = range(400, 500)
+_AGAIN_S = 0.25
+_PAUSE_S = (0.02, 0.5)
+_TASK_MS = (50, 900)
+_MILLICORES = (500, 2000)
+_CANCELLED_SHARE = 0.1
+_BEAT_S = 0.5
+_CHANGE_S = (0.4, 1.5)
+_TRIES = 40
+_REVOKED_SHARE = 0.15
+_BAD_SHARE = 0.15
+_WAVE_S = (3.0, 6.0)
+_WAVE_CAP = 2
+_WAVE_DUE_S = 10
+
+
+class Catalog:
+    """Hold the configuration as the operators want it."""
+
+    def __init__(self, caps: dict[str, int]) -> None:
+        self.version = 0
+        self.keys = {team: [f'{team}-0'] for team in TEAMS}
+        self.retired: list[str] = []
+        self._caps = caps
+
+    def change(self, random: Random) -> list[str]:
+        """Go on by a version, and give the keys that it takes away."""
+        self.version += random.randint(1, 3)
+        if random.random() >= _REVOKED_SHARE:
+            return []
+        team = random.choice(TEAMS)
+        gone = self.keys[team]
+        self.keys[team] = [f'{team}-{self.version}']
+        self.retired.extend(gone)
+        return gone
+
+    def make_body(self) -> dict[str, Any]:
+        """Give the whole configuration."""
+        route = {
+            'name': 'seats',
+            'host': 'h.example',
+            'prefix': QUEUE,
+            'service': POOL,
+            'timeout_ms': 3000,
+            'slo_ms': 600,
+            'attempts': 3,
+            'stretch': 2,
+        }
+        return {
+            'version': self.version,
+            'routes': [route],
+            'services': [{'name': POOL}, {'name': STANDBY, 'standby': True}],
+            'tenants': [
+                {'name': team, 'keys': keys, 'cap': {'cpu': self._caps[team]}}
+                for team, keys in self.keys.items()
+            ],
+        }
+
+
+class Traffic:
+    """Run callers, workers' announcements and operators, until stopped.
+
+    All pick among the addresses by lot, and send what had no clear answer
+    again, to any of them.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        catalog: Catalog,
+        entries: tuple[Address, ...],
+        controls: tuple[Address, ...],
+        random: Random,
+    ) -> None:
+        self.is_over = False
+        self.ledger = ledger
+        self._catalog = catalog
+        self._entries = entries
+        self._controls = controls
+        self._random = random
+        self._names = 0
+
+    async def submit_jobs(self) -> None:
+        """Be a caller: submit, read and cancel one job after the other."""
+        caller = Caller()
+        while not self.is_over:
+            await asyncio.sleep(self._random.uniform(*_PAUSE_S))
+            name = await self._submit(caller)
+            if name and self._random.random() < _CANCELLED_SHARE:
+                await self._cancel(caller, name)
+            elif name:
+                await self._read(caller, name)
+        caller.close()
+
+    async def announce(self, worker: Worker) -> None:
+        """Be a worker that announces itself, at first to anybody."""
+        caller = Caller()
+        known: Address | None = None
+        while not self.is_over:
+            await asyncio.sleep(_BEAT_S)
+            worker.check_lease()
+            life = worker.life
+            if life is None or worker.is_silent:
+                continue
+            body = worker.describe()
+            answer = await caller.call(
+                known or self._random.choice(self._controls),
+                'PUT',
+                f'/instances/{life.name}',
+                body,
+            )
+            known = None
+            if answer.code == _DONE:
+                host, _, port = answer.body['heartbeat_addr'].partition(':')
+                known = Address(host, int(port))
+                if body['state'] == 'draining':
+                    self.ledger.note_draining(life.name, time.monotonic())
+        caller.close()
+
+    async def check_leases(self, worker: Worker) -> None:
+        """Have a worker end its runs once their lease is over."""
+        while not self.is_over:
+            await asyncio.sleep(_PAUSE_S[0])
+            worker.check_lease()
+
+    async def configure(self) -> None:
+        """Be an operator that changes the configuration again and again."""
+        caller = Caller()
+        while not self.is_over:
+            await asyncio.sleep(self._random.uniform(*_CHANGE_S))
+            if self._random.random() < _BAD_SHARE:
+                await self._send_bad(caller)
+            gone = self._catalog.change(self._random)
+            await self.put_catalog(caller, gone)
+            await self.read_catalog(caller)
+        caller.close()
+
+    async def put_catalog(self, caller: Caller, gone: list[str]) -> bool:
+        """Send the configuration until somebody confirms it."""
+        body = self._catalog.make_body()
+        for _ in range(_TRIES):
+            answer = await self._ask_control(caller, 'PUT', '/config', body)
+            if answer.code == _DONE:
+                now_s = time.monotonic()
+                self.ledger.note_version(body['version'], now_s)
+                for key in gone:
+                    self.ledger.note_revoked(key, now_s)
+                return True
+            await asyncio.sleep(_AGAIN_S)
+        return False
+
+    async def read_catalog(self, caller: Caller) -> int:
+        """Read the configuration somewhere; 0 where nobody is sure of it."""
+        answer = await self._ask_control(caller, 'GET', '/config')
+        if answer.code != _DONE:
+            return 0
+        version = int(answer.body['version'])
+        self.ledger.note_read(version, answer.sent_s)
+        return version
+
+    async def maintain(self, instances: Instances) -> None:
+        """Be an operator that has instances maintained, in waves."""
+        caller = Caller()
+        wave = 0
+        while not self.is_over:
+            await asyncio.sleep(self._random.uniform(*_WAVE_S))
+            wave += 1
+            names = sorted(instances.pools)
+            chosen = self._random.sample(names, len(names) // 2)
+            instances.maintained[wave] = set()
+            instances.caps[wave] = _WAVE_CAP
+            await self._run_wave(caller, wave, chosen, instances)
+        caller.close()
+
+    async def _run_wave(
+        self,
+        caller: Caller,
+        wave: int,
+        chosen: list[str],
+        instances: Instances,
+    ) -> None:
+        body = {
+            'wave': wave,
+            'machines': chosen,
+            'deadline_s': _WAVE_DUE_S,
+            'cap': _WAVE_CAP,
+        }
+        while not self.is_over:
+            answer = await self._ask_control(
+                caller, 'POST', '/wave-start', body
+            )
+            if answer.code == _DONE:
+                break
+            await asyncio.sleep(_AGAIN_S)
+        for _ in range(_TRIES):
+            read = await self._ask_control(caller, 'GET', f'/wave-get/{wave}')
+            if read.code == _DONE and read.body['state'] == 'done':
+                missing = set(chosen) - instances.maintained[wave]
+                self.ledger.note_wave_done(wave, missing)
+                return
+            await asyncio.sleep(_AGAIN_S)
+
+    async def _send_bad(self, caller: Caller) -> None:
+        body = self._catalog.make_body()
+        body['version'] += 1
+        body['routes'][0]['service'] = 'nobody'
+        answer = await self._ask_control(caller, 'PUT', '/config', body)
+        if answer.code == _DONE:
+            self.ledger.broken.append('CONFIG: an invalid one is confirmed.')
+
+    async def _submit(self, caller: Caller) -> str:
+        """Submit a job until the answer is clear; give the name of one taken.
+
+        Now and then a key is used that was taken away before.
+        """
+        self._names += 1
+        name = f'{self._names:016x}'
+        team = self._random.choice(TEAMS)
+        keys = self._catalog.keys[team] + self._catalog.retired
+        key = self._random.choice([*keys, keys[0], keys[0]])
+        steps = self._make_steps()
+        self.ledger.note_submitted(name, team, steps)
+        for _ in range(_TRIES):
+            answer = await self._ask_entry(
+                caller, 'POST', name, self._make_job(steps), key
+            )
+            self.ledger.note_answer(name, answer.code)
+            self.ledger.note_key_used(key, answer.code, answer.sent_s)
+            if answer.code == _DONE:
+                return name
+            if answer.code in _REFUSED or answer.code in _INVALID:
+                return ''
+            await asyncio.sleep(_AGAIN_S)
+        return ''
+
+    async def _read(self, caller: Caller, name: str) -> None:
+        key = self._get_key(name)
+        for _ in range(_TRIES):
+            answer = await self._ask_entry(caller, 'GET', name, None, key)
+            if answer.code in {_DONE, 410}:
+                state = answer.body['state'] if answer.body else ''
+                self.ledger.note_state(name, answer.code, state)
+                if state != 'queued':
+                    return
+            await asyncio.sleep(_AGAIN_S)
+
+    async def _cancel(self, caller: Caller, name: str) -> None:
+        key = self._get_key(name)
+        for _ in range(_TRIES):
+            answer = await self._ask_entry(caller, 'DELETE', name, None, key)
+            if answer.code in {_DONE, 410}:
+                self.ledger.note_cancelled(name, time.monotonic())
+                return
+            await asyncio.sleep(_AGAIN_S)
+
+    def _get_key(self, name: str) -> str:
+        return self._catalog.keys[self.ledger.jobs[name].team][0]
+
+    def _make_steps(self) -> tuple[Step, ...]:
+        random = self._random
+        first = Step(random.randint(1, 4), random.randint(*_MILLICORES))
+        if random.choice((True, False)):
+            return (first,)
+        second = Step(random.randint(1, 2), first.millicores, (0,))
+        return (first, second)
+
+    def _make_job(self, steps: tuple[Step, ...]) -> dict[str, Any]:
+        duration_ms = self._random.randint(*_TASK_MS)
+        return {
+            'spec': f'{duration_ms}:{steps[0].millicores}',
+            'phases': [
+                {
+                    'count': step.task_count,
+                    'cpu': step.millicores,
+                    'mem_mb': 8,
+                    'est_ms': duration_ms,
+                    'deps': list(step.needs),
+                }
+                for step in steps
+            ],
+        }
+
+    async def _ask_entry(
+        self,
+        caller: Caller,
+        method: str,
+        name: str,
+        body: Any,
+        key: str,
+    ) -> Answer:
+        address = self._random.choice(self._entries)
+        return await caller.call(address, method, f'{QUEUE}{name}', body, key)
+
+    async def _ask_control(
+        self,
+        caller: Caller,
+        method: str,
+        path: str,
+        body: Any = None,
+    ) -> Answer:
+        address = self._random.choice(self._controls)
+        return await caller.call(address, method, path, body)
