Charge jobs of the soak to the team whose key they come with

Traced: the soak's callers now and then used a key that had been taken away, and chose among those of both teams, so that the ledger charged a job to another team than the system did. Workers of the soak also took all tasks to be of one size where they guard their room. Nothing of the system is changed.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -37,7 +37,7 @@
     def __init__(self, caps: dict[str, int]) -> None:
         self.version = 0
         self.keys = {team: [f'{team}-0'] for team in TEAMS}
-        self.retired: list[str] = []
+        self.retired: dict[str, list[str]] = {team: [] for team in TEAMS}
         self._caps = caps
 
     def change(self, random: Random) -> list[str]:
@@ -48,7 +48,7 @@
         team = random.choice(TEAMS)
         gone = self.keys[team]
         self.keys[team] = [f'{team}-{self.version}']
-        self.retired.extend(gone)
+        self.retired[team].extend(gone)
         return gone
 
     def make_body(self) -> dict[str, Any]:
@@ -233,7 +233,7 @@
         self._names += 1
         name = f'{self._names:016x}'
         team = self._random.choice(TEAMS)
-        keys = self._catalog.keys[team] + self._catalog.retired
+        keys = self._catalog.keys[team] + self._catalog.retired[team]
         key = self._random.choice([*keys, keys[0], keys[0]])
         steps = self._make_steps()
         self.ledger.note_submitted(name, team, steps)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -35,6 +35,7 @@
         self.pool = pool
         self.born_ms = int(time.time() * _MS)
         self.running: dict[str, int] = {}
+        self.sizes: dict[str, int] = {}
         self.highest: dict[str, int] = {}
         self.ended: list[list[Any]] = []
         self.end_count = 0
@@ -169,10 +170,11 @@
         if body['expires_ms'] < life.get_clock_ms():
             return _make_reply(life, 409, reason='late')
         duration_ms, millicores = map(int, body['spec'].split(':'))
-        if (len(life.running) + 1) * millicores > CORES:
+        if sum(life.sizes.values()) + millicores > CORES:
             return _make_reply(life, 409, reason='room')
         life.highest[task] = run
         life.running[task] = run
+        life.sizes[task] = millicores
         self._ledger.note_start(life.name, read_task(task), time.monotonic())
         self._spawn(self._work(life, task, run, duration_ms / _MS))
         return _make_reply(life, 200)
@@ -220,6 +222,7 @@
 
     def _finish(self, life: Life, task: str, how: str) -> None:
         run = life.running.pop(task)
+        life.sizes.pop(task)
         key = read_task(task)
         self._ledger.note_end(life.name, key, is_done=how == 'done')
         life.end_count += 1
