Plan in a full pool without looking at each worker for each step

Cause: on the grown sites a queue's peak asks for 1.7 times what its pool holds. Each end then led to a plan that held some 200 waiting steps against 45 workers each, and looked up the step of each running task for what it disturbs: half a processor at the leader.

Change: a size that found no room in a pool is remembered while a plan is made, and steps that are not smaller are left out; fillers and serving tasks are counted by worker when runs start and end; stragglers keep the step of a run.

--- a/src/sardinemast/dispatch/_looks.py
+++ b/src/sardinemast/dispatch/_looks.py
@@ -7,7 +7,7 @@
     WorkerLooked,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._pacing import Pacing, has_fillers, has_servers
+from sardinemast.dispatch._pacing import Pacing
 from sardinemast.dispatch._reconcile import (
     collect_ends,
     find_lost,
@@ -176,12 +176,9 @@
             self.let_go(contact)
 
     def _get_wait_ms(self, contact: Contact) -> int:
-        tasks = contact.listed.keys()
-        jobs = self._state.jobs
-        is_watched = has_fillers(jobs, iter(tasks)) and has_servers(
-            jobs,
-            iter(tasks),
-        )
+        name = contact.worker.name
+        usage = self._state.jobs.usage
+        is_watched = usage.fillers[name] and usage.servers[name]
         settings = self._state.settings
         return settings.watch_ms if is_watched else settings.wait_ms
 
--- a/src/sardinemast/dispatch/_pacing.py
+++ b/src/sardinemast/dispatch/_pacing.py
@@ -32,6 +32,8 @@
     ) -> None:
         """Judge the tails that a worker has just told."""
         name = contact.worker.name
+        if not state.usage.fillers[name] and name not in self._percents:
+            return
         worst = max(_list_tails(state, contact), default=0)
         changed_s = self._changed_s.get(name, float('-inf'))
         if now_s < changed_s + SETTLE_S:
@@ -49,6 +51,8 @@
     ) -> list[tuple[TaskKey, int, int]]:
         """Give each filler whose speed differs: task, run, percent."""
         name = contact.worker.name
+        if not state.usage.fillers[name]:
+            return []
         percent = self._percents.get(name, FULL_PERCENT)
         wanted = []
         for task, listed in contact.listed.items():
@@ -69,16 +73,6 @@
         self._sent[(worker, task, number)] = percent
 
 
-def has_fillers(state: JobsState, tasks: Iterator[TaskKey]) -> bool:
-    """Tell whether one of the tasks fills unused room."""
-    return any(_is_filler(state, task) for task in tasks)
-
-
-def has_servers(state: JobsState, tasks: Iterator[TaskKey]) -> bool:
-    """Tell whether one of the tasks serves users of its own."""
-    return any(_get_limit_ms(state, task) for task in tasks)
-
-
 def _list_tails(state: JobsState, contact: Contact) -> Iterator[float]:
     for task, listed in contact.listed.items():
         limit_ms = _get_limit_ms(state, task)
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -2,8 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
-
 from sardinemast.jobs import (
     NO_SIZE,
     JobsState,
@@ -18,21 +16,13 @@
 _STARTS_MAX = 256
 
 
-class Standing(NamedTuple):
-    """Hold a worker that may get tasks, and whom they would disturb there."""
-
-    worker: Worker
-    has_servers: bool = False
-    has_fillers: bool = False
-
-
 class Planner:
     """Choose starts on a picture of the free room."""
 
     def __init__(
         self,
         state: JobsState,
-        standings: Iterable[Standing],
+        workers: Iterable[Worker],
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
         is_allowed: Callable[[StepState, Worker], bool],
@@ -42,11 +32,12 @@
         self._is_avoided = is_avoided
         self._is_allowed = is_allowed
         self._free: dict[str, Size] = {}
-        self._by_pool: dict[str, list[Standing]] = defaultdict(list)
-        for standing in standings:
-            worker = standing.worker
+        self._by_pool: dict[str, list[Worker]] = defaultdict(list)
+        self._unfit: dict[str, list[Size]] = defaultdict(list)
+        self._is_trying = False
+        for worker in workers:
             self._free[worker.name] = state.get_free(worker)
-            self._by_pool[worker.pool].append(standing)
+            self._by_pool[worker.pool].append(worker)
         self._used_by_team = dict(state.usage.by_team)
         self._starts: list[RunStart] = []
 
@@ -67,6 +58,8 @@
         return self._state.get_queue(step).pool
 
     def _place_step(self, step: StepState) -> None:
+        if self._is_too_large(step):
+            return
         if step.step.is_gang:
             self._place_gang(step)
             return
@@ -83,13 +76,14 @@
         if step.running:
             return
         racks = self._get_racks(step) if step.step.is_same_rack else ['']
-        for rack in racks:
-            if self._try_gang(step, rack):
-                return
+        # What is too large beside half a gang may fit when that gives way.
+        self._is_trying = True
+        any(self._try_gang(step, rack) for rack in racks)
+        self._is_trying = False
 
     def _get_racks(self, step: StepState) -> list[str]:
-        standings = self._by_pool[self._get_pool(step)]
-        racks = sorted({one.worker.rack for one in standings})
+        workers = self._by_pool[self._get_pool(step)]
+        racks = sorted({worker.rack for worker in workers})
         racks.sort(key=lambda rack: rack != step.step.data_rack)
         # Far apart is slow, but a gang that fits no rack must run somewhere.
         return [*racks, '']
@@ -151,10 +145,14 @@
         size = step.step.room_size
         task = step.get_task(index)
         best: tuple[tuple[float, ...], str] | None = None
-        for standing in self._by_pool[self._get_pool(step)]:
-            worker = standing.worker
-            if not size.fits(self._free[worker.name]):
-                continue
+        roomy = [
+            worker
+            for worker in self._by_pool[self._get_pool(step)]
+            if size.fits(self._free[worker.name])
+        ]
+        if not roomy and not self._is_trying:
+            self._unfit[self._get_pool(step)].append(size)
+        for worker in roomy:
             if not _is_suited(step, worker, on_worker, rack):
                 continue
             if not self._is_allowed(step, worker):
@@ -163,7 +161,7 @@
                 _is_crowded(step, on_worker[worker.name]),
                 self._is_avoided(task, worker.name),
                 _is_far(step, worker),
-                _is_disturbed(step, standing),
+                self._is_disturbed(step, worker),
                 # Tasks are packed, so that whole workers stay empty for wide
                 # steps, for other pools and to be switched off.
                 self._free[worker.name].millicores,
@@ -173,6 +171,25 @@
         return best[1] if best else None
 
 
+    def _is_too_large(self, step: StepState) -> bool:
+        """Tell whether the pool lacked room for a smaller task before.
+
+        Room only gets less while starts are chosen. In a peak hundreds of
+        steps wait for a full pool, and to look for each at each worker took
+        half of a processor with 45 workers a pool; an end that waited behind
+        such a plan was known late.
+        """
+        size = step.step.room_size
+        unfit = self._unfit[self._get_pool(step)]
+        return any(smaller.fits(size) for smaller in unfit)
+
+    def _is_disturbed(self, step: StepState, worker: Worker) -> bool:
+        usage = self._state.usage
+        if step.step.is_filler:
+            return usage.servers[worker.name] > 0
+        return step.step.tail_limit_ms > 0 and usage.fillers[worker.name] > 0
+
+
 def _count_by_worker(step: StepState) -> dict[str, int]:
     counted: dict[str, int] = defaultdict(int)
     for run in step.running.values():
@@ -204,9 +221,3 @@
 def _is_far(step: StepState, worker: Worker) -> bool:
     rack = step.step.data_rack
     return bool(rack) and rack != worker.rack
-
-
-def _is_disturbed(step: StepState, standing: Standing) -> bool:
-    if step.step.is_filler:
-        return standing.has_servers
-    return step.step.tail_limit_ms > 0 and standing.has_fillers
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -11,8 +11,7 @@
 )
 from sardinemast.dispatch._order import get_order
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._pacing import has_fillers, has_servers
-from sardinemast.dispatch._planner import Planner, Standing
+from sardinemast.dispatch._planner import Planner
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._tickets import Tickets
 from sardinemast.jobs import RunEnd, StepKey, StepState, TaskKey, Worker
@@ -176,34 +175,30 @@
         }
         if not pools:
             return ()
-        standings = tuple(self._list_standings(pools, now_s))
-        self._tickets.ask((one.worker for one in standings), now_s, now_ms)
+        workers = tuple(self._list_usable(pools, now_s))
+        self._tickets.ask(workers, now_s, now_ms)
         return Planner(
             state.jobs,
-            standings,
+            workers,
             order,
             self._is_avoided,
             is_allowed,
         ).choose()
 
-    def _list_standings(
+    def _list_usable(
         self,
         pools: set[str],
         now_s: float,
-    ) -> Iterator[Standing]:
+    ) -> Iterator[Worker]:
         # Most pools have no task that waits; at 1,900 workers to go through
         # them all took 2 ms a plan, with several plans for each start.
         state = self._state
         for name, contact in state.contacts.items():
             if contact.worker.pool not in pools:
                 continue
-            tasks = state.get_runs(name)
-            if contact.is_usable(now_s, has_runs=bool(tasks)):
-                yield Standing(
-                    contact.worker,
-                    has_servers(state.jobs, iter(tasks)),
-                    has_fillers(state.jobs, iter(tasks)),
-                )
+            has_runs = bool(state.get_runs(name))
+            if contact.is_usable(now_s, has_runs=has_runs):
+                yield contact.worker
 
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_at.get(task, ())
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -39,6 +39,7 @@
 class _Seen(NamedTuple):
     number: int
     since_s: float
+    step: StepState
 
 
 _SeenRuns = dict[TaskKey, _Seen]
@@ -68,21 +69,21 @@
         known = self._seen.get(contact.worker.name, {})
         for over in ends:
             seen = known.get(over.task)
-            step = self._state.jobs.find_step(over.task)
-            if seen is None or step is None or not step.step.estimate_ms:
+            if seen is None or over.end is not RunEnd.done:
                 continue
-            if over.end is RunEnd.done and seen.number == over.number:
+            if seen.number == over.number:
                 taken_s = now_s - seen.since_s
-                factor = taken_s * _MS / step.step.estimate_ms
-                self._learn(contact.worker.name, step, factor)
+                factor = taken_s * _MS / seen.step.step.estimate_ms
+                self._learn(contact.worker.name, seen.step, factor)
 
     def judge(self, contact: Contact, now_s: float) -> None:
         """Stop the runs at a worker that are sooner done elsewhere."""
         seen = self._follow(contact, now_s)
         slow = [
             task
-            for task in seen
-            if self._is_slow(contact, task, now_s - seen[task].since_s)
+            for task, one in seen.items()
+            if task not in contact.stopping
+            and self._is_slow(one, contact.listed[task].percent, now_s)
         ]
         if len(slow) < _PROOF_RUNS:
             return
@@ -113,31 +114,24 @@
         known = self._seen.get(name, {})
         seen: _SeenRuns = {}
         for task, run in contact.listed.items():
-            step = self._state.jobs.find_step(task)
-            if step is None or not _is_judged(step, contact):
-                continue
             before = known.get(task)
             if before is None or before.number != run.number:
+                step = self._state.jobs.find_step(task)
+                if step is None or not _is_judged(step, contact):
+                    continue
                 begun_s = _get_begin_s(contact, task, run.number, now_s)
-                before = _Seen(run.number, begun_s)
+                before = _Seen(run.number, begun_s, step)
             seen[task] = before
         self._seen[name] = seen
         return seen
 
-    def _is_slow(
-        self,
-        contact: Contact,
-        task: TaskKey,
-        since_s: float,
-    ) -> bool:
-        step = self._state.jobs.find_step(task)
-        if step is None or task in contact.stopping:
-            return False
-        queue = self._state.jobs.get_queue(step).name
-        usual_s = step.step.estimate_ms / _MS * self._usual.get(queue, 1)
+    def _is_slow(self, seen: _Seen, percent: float, now_s: float) -> bool:
+        since_s = now_s - seen.since_s
+        queue = self._state.jobs.get_queue(seen.step).name
+        usual_s = seen.step.step.estimate_ms / _MS * self._usual.get(queue, 1)
         if since_s < _PATIENCE * usual_s + _PATIENCE_S:
             return False
-        done = max(contact.listed[task].percent, 1)
+        done = max(percent, 1)
         rest_s = since_s * (_WHOLE_PERCENT - done) / done
         return rest_s > _REST_FACTOR * usual_s + _REST_S
 
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -161,7 +161,7 @@
         if step is not None:
             _end_run(state, step, task.position, RunEnd.lost)
     state.runs.pop(worker.name, None)
-    state.usage.by_worker.pop(worker.name, None)
+    state.usage.forget_worker(worker.name)
 
 
 def _open(state: JobsState, job: JobState, occurrence: int) -> None:
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -1,5 +1,6 @@
 """Replicated state of jobs, queues and workers."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from sardinemast.jobs._records import (
@@ -151,11 +152,34 @@
 
 
 class Usage:
-    """Hold what runs take, by worker and by team."""
+    """Hold what runs take, by worker and by team.
+
+    ``fillers`` and ``servers`` count the runs at each worker that fill unused
+    room, and those that serve users of their own and are disturbed by these.
+    """
 
     def __init__(self) -> None:
         self.by_worker: dict[str, Size] = {}
         self.by_team: dict[str, Size] = {}
+        self.fillers: Counter[str] = Counter()
+        self.servers: Counter[str] = Counter()
+
+    def charge(self, step: Step, worker: str, team: str, sign: int) -> None:
+        """Count a run with 1, and its end with -1."""
+        used = self.by_team.get(team, NO_SIZE)
+        self.by_team[team] = used.plus(step.size, sign)
+        taken = self.by_worker.get(worker, NO_SIZE)
+        self.by_worker[worker] = taken.plus(step.room_size, sign)
+        if step.is_filler:
+            self.fillers[worker] += sign
+        if step.tail_limit_ms:
+            self.servers[worker] += sign
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker whose runs have all ended."""
+        self.by_worker.pop(worker, None)
+        self.fillers.pop(worker, None)
+        self.servers.pop(worker, None)
 
 
 class JobsState:
@@ -234,7 +258,4 @@
 
     def _charge(self, step: StepState, worker: str, sign: int) -> None:
         team = self.get_job(step).team
-        used = self.usage.by_team.get(team, NO_SIZE)
-        self.usage.by_team[team] = used.plus(step.step.size, sign)
-        taken = self.usage.by_worker.get(worker, NO_SIZE)
-        self.usage.by_worker[worker] = taken.plus(step.step.room_size, sign)
+        self.usage.charge(step.step, worker, team, sign)
--- /dev/null
+++ b/tests/dispatch/test_planner_load.py
@@ -0,0 +1,99 @@
+"""Plans while far more tasks wait than a full pool has room for.
+
+The pattern: a queue asks for five times its mean for 4.5 s, which is 1.7 times
+what its pool of 45 workers holds, so that some 200 steps of eight wide tasks
+wait at the end of the peak (the sizes of `term-enrol`).
+"""
+
+from collections import Counter
+
+import pytest
+
+from builders.workers import POOL, QUEUE, make_catalog, make_step, make_worker
+from sardinemast.dispatch._planner import Planner
+from sardinemast.jobs import JobRequest, JobsState, Size, apply_command
+from sardinemast.jobs.commands import (
+    PutCatalog,
+    RecordRuns,
+    RegisterWorker,
+    RunStart,
+    SubmitJob,
+)
+
+_WORKERS = 45
+_CORES = 64
+_WIDE = Size(13_000, 1)
+_STEPS = 200
+
+
+def _make_state(worker_count: int = _WORKERS) -> JobsState:
+    state = JobsState()
+    apply_command(PutCatalog(make_catalog(), b''), state, 1)
+    for number in range(worker_count):
+        worker = make_worker(number, cores=_CORES)
+        apply_command(RegisterWorker(worker), state, 1)
+    return state
+
+
+def _submit(state: JobsState, name: str, count: int, size: Size) -> None:
+    request = JobRequest('', (make_step(count, size=size),))
+    apply_command(SubmitJob(name, QUEUE, '', request, 0), state, 1)
+
+
+def _plan(state: JobsState) -> tuple[RunStart, ...]:
+    workers = [one for one in state.workers.values() if one.pool == POOL]
+    return Planner(
+        state,
+        workers,
+        lambda step: (state.get_job(step).log_index,),
+        lambda task, worker: False,
+        lambda step, worker: True,
+    ).choose()
+
+
+def test_full_pool_is_looked_through_once_a_plan(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each end in the peak leads to a plan over all that waits.
+
+    When every waiting step was held against every worker, a plan took 12 ms,
+    ends were known late, and parents' bookings with them.
+    """
+    state = _make_state()
+    for number in range(_STEPS):
+        _submit(state, f'job-{number}', 8, _WIDE)
+    apply_command(RecordRuns((), _plan(state)), state, 2)
+    calls: Counter[str] = Counter()
+    fits = Size.fits
+
+    def count_fits(size: Size, room: Size) -> bool:
+        calls['fits'] += 1
+        return fits(size, room)
+
+    monkeypatch.setattr(Size, 'fits', count_fits)
+    assert not _plan(state)
+    assert calls['fits'] < 2 * (_WORKERS + _STEPS)
+
+
+def test_small_task_starts_behind_one_that_is_too_large() -> None:
+    """What is left of a worker is too little for the first in the line."""
+    state = _make_state(1)
+    _submit(state, 'wide', 5, _WIDE)
+    _submit(state, 'small', 1, Size(9000, 1))
+    starts = [str(start.task) for start in _plan(state)]
+    assert starts == [f'wide.0.0.{place}' for place in range(4)] + [
+        'small.0.0.0'
+    ]
+
+
+def test_gang_that_does_not_fit_hides_no_room() -> None:
+    """Half of a gang takes all room in a trial, and gives it back.
+
+    A task that came later would wait beside empty workers.
+    """
+    state = _make_state(1)
+    step = make_step(9, size=_WIDE, is_gang=True)
+    request = JobRequest('', (step,))
+    apply_command(SubmitJob('gang', QUEUE, '', request, 0), state, 1)
+    _submit(state, 'wide', 1, _WIDE)
+    assert [start.task.job for start in _plan(state)] == ['wide']
