Let as many instances come to a large pool as its peak lacks

Cause: eight instances at most were under way to a pool, which is a whole pool on the two sites of today and a fifth of one on the grown ones. A peak there lasts 4.5 s, a move takes 1.5 to 2.4 s, and 26 were lacking. Test: a pool of 40 with 30 spare instances; 8 were ordered within a second before, 30 after.

--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -31,7 +31,10 @@
 # after this the move is forgotten, and the instance counted where it is.
 _UNDER_WAY_S = 5.0
 _SWITCH_OFF_S = 2.0
-_TAKEN_AT_ONCE = 8
+# So many are under way to a pool at least; a large one may get as many as it
+# has. Loads are measured several times before the first of them has come, and
+# a mistaken measure must not empty the other pools.
+_COMING_MIN = 8
 # A worker that has just run something may get the next task of the same job.
 _IDLE_S = 1.0
 # A move that was refused (the instance may still be moving) is left so long.
@@ -158,15 +161,11 @@
         coming = sum(
             move.pool == pool for move in self._under_way.values()
         ) + sum(target == pool for target in self._chosen.values())
-        needed = count_needed(
-            pool,
-            load,
-            self._get_need(pool),
-            peaks,
-            now_s,
-        )
+        need = self._get_need(pool)
+        needed = count_needed(pool, load, need, peaks, now_s)
         have = load.workers - going + coming
-        return min(needed - have, _TAKEN_AT_ONCE - coming)
+        coming_max = max(need.usual, _COMING_MIN)
+        return min(needed - have, coming_max - coming)
 
     def _balance(
         self,
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -170,7 +170,6 @@
                 best = (cost, worker.name)
         return best[1] if best else None
 
-
     def _is_too_large(self, step: StepState) -> bool:
         """Tell whether the pool lacked room for a smaller task before.
 
--- a/tests/dispatch/test_moves.py
+++ b/tests/dispatch/test_moves.py
@@ -78,3 +78,17 @@
     _elect_and_fill(fleet)
     fleet.run(_SETTLE_S - 0.5)
     assert not fleet.instances.moves
+
+
+def test_large_pool_gets_what_its_peak_lacks_in_one_go() -> None:
+    """A pool of 40 workers peaks, and asks for 1.7 times what it holds.
+
+    The pattern: queues that peak in turns of 4.5 s, in a fleet of 180. Eight
+    instances at a time, enough for pools of eight, took two turns to come.
+    """
+    fleet = ModelFleet(40)
+    fleet.instances.standby = {f'spare-{number}' for number in range(30)}
+    fleet.run(10)
+    fleet.submit('peak', make_step(70 * 4))
+    fleet.run(1)
+    assert len(fleet.instances.moves) == 30
