--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+
 from sardinemast.jobs import (
     NO_SIZE,
     JobsState,
