Keep queue and estimate of a followed run, not its step

A job may be forgotten 240 s after it was over while a worker that was cut off lists a run of it. Its queue would not be found, and the leader's step would end with an error. Found by reading; behaviour is otherwise the same.

--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -79,7 +79,9 @@
         racks = self._get_racks(step) if step.step.is_same_rack else ['']
         # What is too large beside half a gang may fit when that gives way.
         self._is_trying = True
-        any(self._try_gang(step, rack) for rack in racks)
+        for rack in racks:
+            if self._try_gang(step, rack):
+                break
         self._is_trying = False
 
     def _get_racks(self, step: StepState) -> list[str]:
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -37,9 +37,12 @@
 
 
 class _Seen(NamedTuple):
+    """Hold a run that is followed; its job may be forgotten before it ends."""
+
     number: int
     since_s: float
-    step: StepState
+    queue: str
+    estimate_ms: int
 
 
 _SeenRuns = dict[TaskKey, _Seen]
@@ -73,8 +76,8 @@
                 continue
             if seen.number == over.number:
                 taken_s = now_s - seen.since_s
-                factor = taken_s * _MS / seen.step.step.estimate_ms
-                self._learn(contact.worker.name, seen.step, factor)
+                factor = taken_s * _MS / seen.estimate_ms
+                self._learn(contact.worker.name, seen.queue, factor)
 
     def judge(self, contact: Contact, now_s: float) -> None:
         """Stop the runs at a worker that are sooner done elsewhere."""
@@ -101,8 +104,7 @@
                 )
                 self._state.stop(contact, task, number, now_s)
 
-    def _learn(self, worker: str, step: StepState, factor: float) -> None:
-        queue = self._state.jobs.get_queue(step).name
+    def _learn(self, worker: str, queue: str, factor: float) -> None:
         usual = self._usual.get(queue, 1)
         self._usual[queue] = usual + (factor - usual) * _LEARNING
         if factor < _SOUND_FACTOR * usual:
@@ -120,15 +122,19 @@
                 if step is None or not _is_judged(step, contact):
                     continue
                 begun_s = _get_begin_s(contact, task, run.number, now_s)
-                before = _Seen(run.number, begun_s, step)
+                before = _Seen(
+                    run.number,
+                    begun_s,
+                    self._state.jobs.get_queue(step).name,
+                    step.step.estimate_ms,
+                )
             seen[task] = before
         self._seen[name] = seen
         return seen
 
     def _is_slow(self, seen: _Seen, percent: float, now_s: float) -> bool:
         since_s = now_s - seen.since_s
-        queue = self._state.jobs.get_queue(seen.step).name
-        usual_s = seen.step.step.estimate_ms / _MS * self._usual.get(queue, 1)
+        usual_s = seen.estimate_ms / _MS * self._usual.get(seen.queue, 1)
         if since_s < _PATIENCE * usual_s + _PATIENCE_S:
             return False
         done = max(percent, 1)
