--- a/bench/starts.py
+++ b/bench/starts.py
@@ -264,7 +264,8 @@
     per_start = found.log_bytes / max(found.starts, 1)
     cpu_us = 1_000_000 * found.cpu_s / max(found.starts, 1)
     sys.stdout.write(
-        f'{workers:>5} workers, {name}: {found.starts / _SECONDS:.0f} starts/s, '
+        f'{workers:>5} workers, {name}: '
+        f'{found.starts / _SECONDS:.0f} starts/s, '
         f'{per_start:.0f} bytes a start in {found.entries} entries, '
         f'{cpu_us:.0f} us a start\n',
     )
