Know from the log how long ago an instance was ordered

Cause: after all control processes had lost power, their leader held every instance back for 3.8 s, since none of them had seen when the log named it. Ruled out: the election (0.75 s after the start) and workers that are heard late (all within 0.02 s after it).

An instance whose last order is older than the settling time and 4.5 s of doubt about clocks may be ordered at once, as may one that was never ordered.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -77,6 +77,7 @@
     def tick(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
         """Do what time has made due."""
         self._state.outputs = []
+        self._state.now_ms = now_ms
         self._open_due(now_ms)
         if now_s >= self._passed_s + _PASS_EVERY_S:
             self._passed_s = now_s
@@ -97,6 +98,7 @@
     ) -> list[DispatchOutput]:
         """Take an answer of a worker, or of who runs the instances."""
         self._state.outputs = []
+        self._state.now_ms = now_ms
         if isinstance(event, UpkeepAnswered):
             self._upkeep.take_answer(event, now_s)
         elif isinstance(event, MoveAnswered):
@@ -120,6 +122,7 @@
     ) -> list[DispatchOutput]:
         """Go on after a command of the log was applied."""
         self._state.outputs = []
+        self._state.now_ms = now_ms
         self._state.is_changed = True
         if isinstance(command, RecordRuns):
             if self._starts.take_recorded(command, now_s):
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -246,7 +246,7 @@
         lasts_s = _SWITCH_OFF_S if is_off else _UNDER_WAY_S
         self._under_way[instance] = _UnderWay(pool, now_s + lasts_s)
         self._state.moving.add(instance)
-        self._state.propose(NoteMove(instance, pool))
+        self._state.propose(NoteMove(instance, pool, self._state.now_ms))
 
     def _follow(self, now_s: float) -> None:
         arrived = {
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -21,7 +21,8 @@
     emptied for ``empty_max_s`` at most, the longest of usual tasks. An instance
     whose successor is not heard after ``upkeep_max_s`` is counted as back, and
     one that refuses and is listed as down for ``lost_after_s`` as lost for
-    good: racks were dark for ten seconds.
+    good: racks were dark for ten seconds. Times of day of two processes differ
+    by ``clock_doubt_s`` at most, jumps of both included.
     """
 
     lease_ms: int = 5000
@@ -37,6 +38,7 @@
     forget_s: float = 20.0
     margin_s: float = 0.3
     settle_s: float = 3.8
+    clock_doubt_s: float = 4.5
     empty_max_s: float = 3.5
     order_again_s: float = 1.0
     upkeep_max_s: float = 8.0
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -30,7 +30,7 @@
 
     ``ends`` is what workers have told and the log does not have yet. With
     ``is_changed`` room or tasks may have come since the last plan. ``moving``
-    are the instances that change their pool.
+    are the instances that change their pool. ``now_ms`` is the time of day.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
@@ -38,6 +38,7 @@
         self.jobs = JobsState()
         self.term = 0
         self.started_s: float = 0
+        self.now_ms = 0
         self.outputs: list[DispatchOutput] = []
         self.contacts: dict[str, Contact] = {}
         self.ends: dict[TaskKey, RunOver] = {}
@@ -70,10 +71,12 @@
 
     def is_settled(self, instance: str, now_s: float) -> bool:
         """Tell whether no earlier leader's order for an instance may come."""
-        last_s = self.order_times.get_last_s(instance)
         # An order for maintenance is repeated until it is answered.
         if self._is_ordered(instance):
-            last_s = self.started_s
+            return now_s >= self.started_s + self.settings.settle_s
+        if self._is_long_past(instance):
+            return True
+        last_s = self.order_times.get_last_s(instance)
         return now_s >= min(self.started_s, last_s) + self.settings.settle_s
 
     def propose(self, command: Command) -> None:
@@ -149,6 +152,22 @@
             for step in job.iterate_steps():
                 self.stop_step(step, now_s)
 
+    def _is_long_past(self, instance: str) -> bool:
+        """Tell whether the last order for an instance was long ago, by date.
+
+        A process that starts again has not seen when the log named which
+        instance. After all have lost power in a peak, pools would lack room
+        for the whole settling time, although the instances that stand by
+        were switched off long before. Times of day may be off or jump, so
+        that they count only with much to spare.
+        """
+        noted_ms = self.jobs.ordered_ms.get(instance)
+        if noted_ms is None:
+            return True
+        settings = self.settings
+        needed_s = settings.settle_s + settings.clock_doubt_s
+        return noted_ms > 0 and self.now_ms >= noted_ms + needed_s * _MS
+
     def _is_ordered(self, instance: str) -> bool:
         return any(
             item.instance == instance and item.status is UpkeepStatus.ordered
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -312,7 +312,13 @@
                 wave=wave.number,
             )
             self._state.propose(
-                NoteUpkeep(wave.number, instance, status, boot_ms),
+                NoteUpkeep(
+                    wave.number,
+                    instance,
+                    status,
+                    boot_ms,
+                    self._state.now_ms,
+                ),
             )
 
 
--- a/src/sardinemast/jobs/_apply_plans.py
+++ b/src/sardinemast/jobs/_apply_plans.py
@@ -27,6 +27,7 @@
     log_index: int,
 ) -> None:
     """Note how far an instance of a wave is."""
+    state.ordered_ms[command.instance] = command.noted_ms
     wave = state.waves.get(command.wave)
     if wave is None:
         return
@@ -49,5 +50,6 @@
     log_index: int,
 ) -> None:
     """Note that an instance is moved."""
+    state.ordered_ms[command.instance] = command.noted_ms
     # An instance that stood by has no home; it goes where it is needed.
     state.homes.setdefault(command.instance, '')
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -55,6 +55,7 @@
     workers: tuple[Worker, ...] = ()
     waves: tuple[Wave, ...] = ()
     homes: Mapping[str, str] = MappingProxyType({})
+    ordered_ms: Mapping[str, int] | None = None
 
 
 EMPTY_IMAGE = JobsImage()
@@ -70,6 +71,7 @@
         tuple(state.workers.values()),
         tuple(state.waves.values()),
         dict(state.homes),
+        dict(state.ordered_ms),
     )
 
 
@@ -81,6 +83,7 @@
     state.runs = {name: {} for name in state.workers}
     state.waves = {wave.number: wave for wave in image.waves}
     state.homes = dict(image.homes)
+    state.ordered_ms = _load_order_times(image)
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
@@ -93,6 +96,14 @@
     return state
 
 
+def _load_order_times(image: JobsImage) -> dict[str, int]:
+    if image.ordered_ms is None:
+        # An older version took the snapshot; any instance may have had an
+        # order a moment before.
+        return dict.fromkeys(image.homes, 0)
+    return dict(image.ordered_ms)
+
+
 def _dump_job(job: JobState) -> JobImage:
     return JobImage(
         job.name,
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -188,7 +188,9 @@
     ``ready`` holds the steps whose tasks may start. ``runs`` holds, by
     worker, each task that may still run there. ``ended`` holds jobs that are
     over, the first one first. ``homes`` holds, by instance, the pool that it
-    was in before it was first moved.
+    was in before it was first moved. ``ordered_ms`` holds, by instance, the
+    time of day at which an order for it was last noted, 0 where only an older
+    version knew it.
     """
 
     def __init__(self) -> None:
@@ -206,6 +208,7 @@
         self.usage = Usage()
         self.waves: dict[int, Wave] = {}
         self.homes: dict[str, str] = {}
+        self.ordered_ms: dict[str, int] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Put a catalog in force; live jobs follow their queues."""
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -93,19 +93,27 @@
 
 
 class NoteUpkeep(NamedTuple):
-    """Note how far the maintenance of an instance is."""
+    """Note how far the maintenance of an instance is.
+
+    ``noted_ms`` is the leader's time of day, 0 in entries of old versions.
+    """
 
     wave: int
     instance: str
     status: UpkeepStatus
     boot_ms: int = 0
+    noted_ms: int = 0
 
 
 class NoteMove(NamedTuple):
-    """Note that an instance is to change its pool, before it is ordered."""
+    """Note that an instance is to change its pool, before it is ordered.
+
+    ``noted_ms`` is the leader's time of day, 0 in entries of old versions.
+    """
 
     instance: str
     pool: str
+    noted_ms: int = 0
 
 
 Command = (
