Find a worker that crawls before its runs are overdue

Cause: a run counted as slow once it had taken 2.5 times its usual time, 5.5 s for the claims' tasks of 2.1 s; by then its job was late. How far a run is tells its speed after a moment.

Change: two runs of different steps at one worker, each at least 0.25 s old and due to take three times its usual time by how far it is, prove it slow.

--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -27,6 +27,10 @@
 _REST_S = 0.5
 # A task that crawls everywhere is slow itself.
 _RUNS_MAX = 2
+# How far a run is tells its speed only after a moment; sound ones seem to need
+# up to twice their declared time.
+_FIRST_S = 0.25
+_CRAWL_FACTOR = 3.0
 # The worker is tried again after this, twice as long each time.
 _AVOID_S = 2.0
 _DOUBLINGS_MAX = 3
@@ -82,12 +86,7 @@
     def judge(self, contact: Contact, now_s: float) -> None:
         """Stop the runs at a worker that are sooner done elsewhere."""
         seen = self._follow(contact, now_s)
-        slow = [
-            task
-            for task, one in seen.items()
-            if task not in contact.stopping
-            and self._is_slow(one, contact.listed[task].percent, now_s)
-        ]
+        slow = self._list_slow(contact, seen, now_s)
         if len(slow) < _PROOF_RUNS:
             return
         self._avoid(contact, now_s)
@@ -132,14 +131,42 @@
         self._seen[name] = seen
         return seen
 
+    def _list_slow(
+        self,
+        contact: Contact,
+        seen: _SeenRuns,
+        now_s: float,
+    ) -> list[TaskKey]:
+        slow = [
+            task
+            for task, one in seen.items()
+            if task not in contact.stopping
+            and self._is_slow(one, contact.listed[task].percent, now_s)
+        ]
+        # What a caller declares for a step is wrong for all of its tasks, so
+        # that two of one step prove nothing before they are overdue.
+        if len({task[:-1] for task in slow}) >= _PROOF_RUNS:
+            return slow
+        return [task for task in slow if self._is_overdue(seen[task], now_s)]
+
     def _is_slow(self, seen: _Seen, percent: float, now_s: float) -> bool:
         since_s = now_s - seen.since_s
-        usual_s = seen.estimate_ms / _MS * self._usual.get(seen.queue, 1)
-        if since_s < _PATIENCE * usual_s + _PATIENCE_S:
-            return False
         done = max(percent, 1)
-        rest_s = since_s * (_WHOLE_PERCENT - done) / done
-        return rest_s > _REST_FACTOR * usual_s + _REST_S
+        whole_s = since_s * _WHOLE_PERCENT / done
+        usual_s = self._get_usual_s(seen)
+        # A worker that crawls shows it long before its runs are overdue, by
+        # how far they are. To wait for that cost a job most of its time.
+        crawls = since_s >= _FIRST_S and whole_s >= _CRAWL_FACTOR * usual_s
+        if not crawls and not self._is_overdue(seen, now_s):
+            return False
+        return whole_s - since_s > _REST_FACTOR * usual_s + _REST_S
+
+    def _is_overdue(self, seen: _Seen, now_s: float) -> bool:
+        patience_s = _PATIENCE * self._get_usual_s(seen) + _PATIENCE_S
+        return now_s - seen.since_s >= patience_s
+
+    def _get_usual_s(self, seen: _Seen) -> float:
+        return seen.estimate_ms / _MS * self._usual.get(seen.queue, 1)
 
     def _avoid(self, contact: Contact, now_s: float) -> None:
         name = contact.worker.name
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -48,6 +48,43 @@
     assert slow.worker.name not in places
 
 
+def _start_long(fleet: ModelFleet, *jobs: str) -> ModelWorker:
+    """Start one task of 3 s a job; they stand packed on one worker."""
+    fleet.run(1)
+    for job in jobs:
+        fleet.submit(job, make_step(2 // len(jobs), estimate_ms=3000))
+    fleet.run(0.2)
+    places = {one.worker.name for one in fleet.started}
+    assert len(places) == 1
+    return fleet.workers[places.pop()]
+
+
+def test_worker_that_crawls_is_known_before_its_runs_are_overdue() -> None:
+    """Two claims' long tasks are at two hundredths after more than a second.
+
+    Until they were overdue 7.8 s went by, and both claims were late.
+    """
+    fleet = ModelFleet()
+    slow = _start_long(fleet, 'one', 'two')
+    slow.percent = 2
+    fleet.run(2.5)
+    started = fleet.started[2:]
+    assert len(started) == 2
+    assert all(one.worker.name != slow.worker.name for one in started)
+
+
+def test_step_declared_far_too_short_proves_no_slow_worker() -> None:
+    """Both tasks of one step take ten times what their caller declares.
+
+    Stopped and started elsewhere, they would take as long there.
+    """
+    fleet = ModelFleet()
+    worker = _start_long(fleet, 'one')
+    worker.percent = 2
+    fleet.run(2.5)
+    assert len(fleet.started) == 2
+
+
 def test_task_that_is_nearly_done_is_left_alone() -> None:
     """A task takes longer than declared, as many do, and is nearly done.
 
