Pack lasting tasks, and open with half of a pool's workers

A pool that had not peaked kept all of its workers, and five small lasting tasks a pool were spread over five workers, so that none of these could be switched off afterwards.

Change: lasting tasks are packed as all others are. Until its first peak, and while one is due, a pool keeps half of its usual workers. Room for 1.15 times instead of 1.3 times what a peak asks for. These are settings now, checked and listed (pool_sizes).

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,6 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
+from sardinemast.dispatch import PoolPolicy
 
 _HIGHEST_PORT = 65535
 _port = number(0, _HIGHEST_PORT, is_whole=True)
@@ -86,7 +87,7 @@
     ``readiness``, and ``operators`` is where the platform's own calls come.
     Whoever runs the instances is asked at ``instances``, the outside policy
     of queues that have one at ``advice``. ``metrics`` is where this process
-    tells its own.
+    tells its own. A leader sizes pools by ``pool_sizes``.
     """
 
     name: str
@@ -103,6 +104,7 @@
     instances: Address | None = None
     advice: Address | None = None
     metrics: Address | None = None
+    pool_sizes: PoolPolicy = PoolPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -144,6 +146,12 @@
         'may_found': Field(choice('true', 'false'), 'true'),
     },
 )
+_POOL_SIZES = MappingProxyType(
+    {
+        name: Field(number(0, is_whole=isinstance(default, int)), default)
+        for name, default in PoolPolicy()._asdict().items()
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -163,6 +171,10 @@
         'network': Field(choice('open', 'private'), 'open'),
         'security': Field(_SECURITY, None),
         'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
+        'pool_sizes': Field(
+            record(_POOL_SIZES),
+            MappingProxyType(get_defaults(_POOL_SIZES)),
+        ),
     },
 )
 
@@ -248,6 +260,7 @@
         instances=_build_address(found['instances']),
         advice=_build_address(found['advice']),
         metrics=_build_address(found['metrics']),
+        pool_sizes=PoolPolicy(**found['pool_sizes']),
     )
 
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -29,7 +29,7 @@
     UpkeepAnswered,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
 
 __all__ = (
     'AdviceAnswered',
@@ -51,6 +51,7 @@
     'OrderOutcome',
     'OrderUpkeep',
     'PaceRun',
+    'PoolPolicy',
     'Propose',
     'RunAnswered',
     'StartRun',
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -35,8 +35,6 @@
 # has. Loads are measured several times before the first of them has come, and
 # a mistaken measure must not empty the other pools.
 _COMING_MIN = 8
-# A worker that has just run something may get the next task of the same job.
-_IDLE_S = 1.0
 # A move that was refused (the instance may still be moving) is left so long.
 _REFUSED_S = 1.5
 
@@ -162,7 +160,14 @@
             move.pool == pool for move in self._under_way.values()
         ) + sum(target == pool for target in self._chosen.values())
         need = self._get_need(pool)
-        needed = count_needed(pool, load, need, peaks, now_s)
+        needed = count_needed(
+            pool,
+            load,
+            need,
+            peaks,
+            now_s,
+            self._state.settings.pools,
+        )
         have = load.workers - going + coming
         coming_max = max(need.usual, _COMING_MIN)
         return min(needed - have, coming_max - coming)
@@ -173,11 +178,13 @@
         lacking: dict[str, int],
         now_s: float,
     ) -> None:
+        # A worker that has just run something may get the next task of a job.
+        idle_s = self._state.settings.pools.idle_s
         spare = {
             pool: [
                 worker
                 for worker in load.empty
-                if now_s >= self._idle_since_s[worker.name] + _IDLE_S
+                if now_s >= self._idle_since_s[worker.name] + idle_s
             ][: max(-lacking[pool], 0)]
             for pool, load in loads.items()
         }
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -161,12 +161,13 @@
             if not self._is_allowed(step, worker):
                 continue
             cost = (
-                _is_crowded(step, on_worker[worker.name]),
                 self._is_avoided(task, worker.name),
                 _is_far(step, worker),
                 self._is_disturbed(step, worker),
                 # Tasks are packed, so that whole workers stay empty for wide
-                # steps, for other pools and to be switched off.
+                # steps, for other pools and to be switched off. Lasting ones
+                # too: spread over workers, to empty one of them sooner for
+                # maintenance, a few small ones keep a whole pool on all day.
                 self._free[worker.name].millicores,
             )
             if best is None or (cost, worker.name) < best:
@@ -213,13 +214,6 @@
     return not rack or worker.rack == rack
 
 
-def _is_crowded(step: StepState, running: int) -> bool:
-    # With more tasks of a lasting step on one worker than may be away at
-    # once, the worker could not be emptied for maintenance in one go.
-    may_miss = step.step.may_miss
-    return step.step.is_lasting and 0 < may_miss <= running
-
-
 def _is_far(step: StepState, worker: Worker) -> bool:
     rack = step.step.data_rack
     return bool(rack) and rack != worker.rack
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -3,6 +3,25 @@
 from typing import NamedTuple
 
 
+class PoolPolicy(NamedTuple):
+    """Say how many workers a pool keeps.
+
+    Until its first peak a pool keeps ``opening_share`` of its usual workers:
+    enough for the two seconds that others need to come. In a peak it has room
+    for ``rise_factor`` times what is asked for; as long as it lacks less than
+    ``short_share`` of its room, tasks that end make that good. Between peaks
+    it keeps room for ``calm_factor`` times what it runs, and ``calm_spare``
+    workers more. One that runs nothing for ``idle_s`` may be moved.
+    """
+
+    opening_share: float = 0.5
+    rise_factor: float = 1.15
+    short_share: float = 0.15
+    calm_factor: float = 2.0
+    calm_spare: int = 1
+    idle_s: float = 1.0
+
+
 class DispatchSettings(NamedTuple):
     """Set the times; each is bounded by what workers promise.
 
@@ -43,3 +62,4 @@
     order_again_s: float = 1.0
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
+    pools: PoolPolicy = PoolPolicy()
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -136,7 +136,11 @@
         process.settings.instances,
         process.settings.advice,
     )
-    extras = ControlExtras(gateway, DispatchSettings(), process.metrics)
+    extras = ControlExtras(
+        gateway,
+        DispatchSettings(pools=process.settings.pool_sizes),
+        process.metrics,
+    )
     async with asyncio.TaskGroup() as tasks:
         running = [
             tasks.create_task(gateway.run()),
--- a/tests/dispatch/test_planner_load.py
+++ b/tests/dispatch/test_planner_load.py
@@ -51,6 +51,23 @@
     ).choose()
 
 
+def test_lasting_tasks_of_all_jobs_stand_on_few_workers() -> None:
+    """Four jobs with five small tasks each that run all day.
+
+    Spread one a worker they kept twenty workers on, for work that fits on
+    two, since a worker that runs something can't be switched off.
+    """
+    state = _make_state()
+    step = make_step(5, size=Size(6_000, 1), is_lasting=True, may_miss=1)
+    for number in range(4):
+        request = JobRequest('spec', (step,))
+        submitted = SubmitJob(f'job-{number}', QUEUE, 'breizh', request, 0)
+        apply_command(submitted, state, 1)
+    starts = _plan(state)
+    assert len(starts) == 20
+    assert len({start.worker for start in starts}) == 2
+
+
 def test_full_pool_is_looked_through_once_a_plan(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
