Give a pool at most twice its usual workers

They were missing elsewhere, and cost 16 moves there and back.

Change: at most twice the usual workers, and room for lasting tasks; a setting (most_factor). What a pool has already stays.

--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -45,7 +45,10 @@
     if peaks.is_peak(pool):
         more = max(more, _count_ahead(load, size, policy))
     if more > 0:
-        return load.workers + more
+        return max(
+            load.workers,
+            min(load.workers + more, _count_most(load, need, policy)),
+        )
     calm = _count_calm(load, size, policy)
     opening = ceil(need.usual * policy.opening_share)
     if peaks.is_peak(pool):
@@ -57,6 +60,13 @@
     return min(calm, max(need.usual, load.workers))
 
 
+def _count_most(load: PoolLoad, need: PoolNeed, policy: PoolPolicy) -> int:
+    # What waits after an outage, and the first step of wide jobs, ask for more
+    # than is of use: they are done when those that were asked for come.
+    lasting = max(load.lasting, 0) / need.worker_millicores
+    return ceil(need.usual * policy.most_factor + lasting)
+
+
 def _count_missing(
     load: PoolLoad,
     worker_millicores: int,
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -9,7 +9,8 @@
     Until its first peak a pool keeps ``opening_share`` of its usual workers:
     enough for the two seconds that others need to come. In a peak it has room
     for ``rise_factor`` times what is asked for; as long as it lacks less than
-    ``short_share`` of its room, tasks that end make that good. Between peaks
+    ``short_share`` of its room, tasks that end make that good. More than
+    ``most_factor`` times its usual workers it gets not. Between peaks
     it keeps room for ``calm_factor`` times what it runs, and ``calm_spare``
     workers more. One that runs nothing for ``idle_s`` may be moved.
     """
@@ -17,6 +18,7 @@
     opening_share: float = 0.5
     rise_factor: float = 1.15
     short_share: float = 0.15
+    most_factor: float = 2.0
     calm_factor: float = 2.0
     calm_spare: int = 1
     idle_s: float = 1.0
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -87,6 +87,20 @@
     assert _count('a', full, PeakBook(), 3) == 11
 
 
+def test_pool_gets_no_more_than_twice_its_usual_workers() -> None:
+    """Control was away for two seconds, and all that came meanwhile waits.
+
+    By the time that workers for all of it have come, most of it is done. They
+    were missing in the pool whose peak came next.
+    """
+    piled = PoolLoad(room=512_000, free=0, wanted=1_900_000, workers=8)
+    assert _count('a', piled, PeakBook(), 3) == 2 * _NEED.usual + 8
+    calm = piled._replace(passing=512_000)
+    assert _count('a', calm, PeakBook(), 3) == 2 * _NEED.usual
+    more = calm._replace(workers=20)
+    assert _count('a', more, PeakBook(), 3) == 20
+
+
 def test_pools_shrink_once_the_queues_have_stopped_peaking() -> None:
     """Traffic ends, and the peak that a pool waits for never comes.
 
