Let a pool grow that no instance began in

Cause: the bound of twice the usual workers is nothing where the usual number is none, as in a pool all of whose instances came from elsewhere. Found by reading the change; the test failed before.

Change: there the bound counts from the workers that the pool has.

--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -64,7 +64,9 @@
     # What waits after an outage, and the first step of wide jobs, ask for more
     # than is of use: they are done when those that were asked for come.
     lasting = max(load.lasting, 0) / need.worker_millicores
-    return ceil(need.usual * policy.most_factor + lasting)
+    # A pool that none of its instances began in has no usual number.
+    usual = need.usual or load.workers
+    return ceil(usual * policy.most_factor + lasting)
 
 
 def _count_missing(
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -101,6 +101,16 @@
     assert _count('a', more, PeakBook(), 3) == 20
 
 
+def test_pool_that_no_instance_began_in_can_grow() -> None:
+    """All of its instances came from elsewhere, so that none is usual there.
+
+    Bound by twice nothing, it got no help whatever waited for it.
+    """
+    full = PoolLoad(room=128_000, free=0, wanted=64_000, workers=2)
+    need = _NEED._replace(usual=0)
+    assert count_needed('a', full, need, PeakBook(), 3, _POLICY) == 3
+
+
 def test_pools_shrink_once_the_queues_have_stopped_peaking() -> None:
     """Traffic ends, and the peak that a pool waits for never comes.
 
