--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -9,10 +9,10 @@
     Until its first peak a pool keeps ``opening_share`` of its usual workers:
     enough for the two seconds that others need to come. In a peak it has room
     for ``rise_factor`` times what is asked for; as long as it lacks less than
-    ``short_share`` of its room, tasks that end make that good. More than
-    ``most_factor`` times its usual workers it gets not. Between peaks
-    it keeps room for ``calm_factor`` times what it runs, and ``calm_spare``
-    workers more. One that runs nothing for ``idle_s`` may be moved.
+    ``short_share`` of its room, tasks that end make that good. It gets at most
+    ``most_factor`` times its usual workers. Between peaks it keeps room for
+    ``calm_factor`` times what it runs, and ``calm_spare`` workers more. A
+    worker that runs nothing for ``idle_s`` may be moved.
     """
 
     opening_share: float = 0.5
--- a/src/sardinemast/model/_troubles.py
+++ b/src/sardinemast/model/_troubles.py
@@ -13,11 +13,12 @@
 if TYPE_CHECKING:
     from sardinemast.model._fleet import VirtualFleet
 
+# Lengths and shares as on the users' heaviest days.
 _RACK_DARK_S = 7.0
 _CUT_S = 6.0
 _SICK_S = 5.0
 _SICK_SHARE = 0.12
-_CRAWL = 8.0
+_CRAWL_FACTOR = 8.0
 _WAVE_SHARE = 0.44
 _WAVE_CAP = 8
 _WAVE_S = 25.0
@@ -96,7 +97,7 @@
 
 
 def _make_crawl(instance: ModelInstance, is_sick: bool) -> None:
-    instance.slowness = _CRAWL if is_sick else 1
+    instance.slowness = _CRAWL_FACTOR if is_sick else 1
     if instance.worker is not None:
         instance.worker.slowness = instance.slowness
 
