Take out of the model what nothing reads, and forget ends in one place

Cause: read the whole change once more. The count of decisions was written and never read, the answer's delay was never given, and ends that were seen were dropped twice, when a look came and when it was answered.

No daemon runs the model.

--- a/src/sardinemast/model/_fleet.py
+++ b/src/sardinemast/model/_fleet.py
@@ -1,6 +1,5 @@
 """Play a day in virtual time: the real dispatcher over model workers."""
 
-from collections import Counter
 from random import Random
 
 from sardinemast.dispatch import (
@@ -58,7 +57,6 @@
         self.state = JobsState()
         self.arrivals = draw_arrivals(day, self.rng)
         self.instances = Instances(day, self.clock, self._register)
-        self.decisions: Counter[str] = Counter()
         self.dispatcher = Dispatcher(settings)
         self._settings = settings
         self._follower = Dispatcher(settings)
@@ -239,7 +237,5 @@
         for output in outputs:
             if isinstance(output, Propose):
                 self._propose(output.command)
-            elif isinstance(output, LogDecision):
-                self.decisions[output.event] += 1
-            else:
+            elif not isinstance(output, LogDecision):
                 self._orders.send(output, answer)
--- a/src/sardinemast/model/_orders.py
+++ b/src/sardinemast/model/_orders.py
@@ -57,8 +57,8 @@
     def send(self, order: DispatchOutput, answer: Answer) -> None:
         """Have an order arrive after its way, and its answer come back."""
 
-        def reply(event: DispatchEvent, delay_s: float = _WAY_S) -> None:
-            self._clock.call_later(delay_s, lambda: answer(event))
+        def reply(event: DispatchEvent) -> None:
+            self._clock.call_later(_WAY_S, lambda: answer(event))
 
         def arrive() -> None:
             if isinstance(order, LookAtWorker):
@@ -98,7 +98,7 @@
         model = self._find(name)
         if model is None:
             return
-        model.ends = [one for one in model.ends if one.position > order.seen]
+        model.forget_ends(order.seen)
         if model.ends or not order.wait_ms:
             tell()
         else:
--- a/src/sardinemast/model/_workers.py
+++ b/src/sardinemast/model/_workers.py
@@ -72,10 +72,13 @@
         """Note that the worker can be reached again."""
         self.is_dark = False
 
+    def forget_ends(self, seen: int) -> None:
+        """Forget the ends up to one that the leader has recorded."""
+        self.ends = [one for one in self.ends if one.position > seen]
+
     def look(self, order: LookAtWorker, now_s: float) -> LookAnswer:
-        """Answer a look; ends that were seen are forgotten."""
+        """Answer a look."""
         self._fence = max(self._fence, order.fence)
-        self.ends = [one for one in self.ends if one.position > order.seen]
         listed = tuple(
             ListedRun(task, run.number, '', run.get_percent(now_s))
             for task, run in self.running.items()
