Give no port of a test twice

test_misbehaving_upstreams once gave up waiting for the pool 'crossed': its upstream was never announced. The test draws nine ports one by one, and each draw only asked whether the port was free at that moment.

The port behind a pair was in another test process's part, since parts were interleaved; parts are blocks now. The soak's cluster port gets the free port behind it that its operators' interface needs, a slip known before.

--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -5,14 +5,14 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from http.client import HTTPConnection
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
 
 from builders.platform_processes import PlatformProcesses
-from builders.processes import find_ports
+from builders.processes import find_port_pair, find_ports
 
 _HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
 _ENTRY_HOST = '127.0.0.4'
@@ -42,14 +42,6 @@
     }
 
 
-def _find_pair() -> int:
-    """Give a free port behind which the next one is free too."""
-    while True:
-        port = find_ports(1)[0]
-        with suppress(OSError), socket.create_server(('127.0.0.1', port + 1)):
-            return port
-
-
 class StandinWorker:
     """Run tasks by the platform's protocol, each for its estimated time.
 
@@ -179,7 +171,7 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._port = _find_pair()
+        self._port = find_port_pair()
         ports = find_ports(5)
         self._metrics = ports[4]
         self._callers = ports[0]
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager, suppress
 from functools import partial
@@ -29,8 +30,12 @@
 # between its choice and the start of its process, and another test's fleet
 # would take it. The process then says that its address is in use.
 _PARTS = 16
+_PART_PORTS = len(_PORTS) // _PARTS
 _WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
-_OWN_PORTS = _PORTS[_WORKER % _PARTS :: _PARTS]
+_FIRST_OWN = _PORTS[_WORKER % _PARTS * _PART_PORTS]
+_OWN_PORTS = range(_FIRST_OWN, _FIRST_OWN + _PART_PORTS)
+# For the same reason none is given twice before most of the part was given.
+_given: deque[int] = deque(maxlen=_PART_PORTS // 2)
 
 
 class Fleet:
@@ -226,13 +231,27 @@
     A port of the system's own range may go to any connection between this
     call and the start of the process that it is meant for.
     """
-    # All sockets stay open until the last port is known, so that no port is
-    # given twice.
-    with ExitStack() as stack:
-        sockets: list[socket.socket] = []
-        while len(sockets) < count:
-            port = SystemRandom().choice(_OWN_PORTS)
-            with suppress(OSError):
-                server = socket.create_server(('127.0.0.1', port))
-                sockets.append(stack.enter_context(server))
-        return [one.getsockname()[1] for one in sockets]
+    return [_draw_ports(1) for _ in range(count)]
+
+
+def find_port_pair() -> int:
+    """Give a free port behind which the next one is free too."""
+    return _draw_ports(2)
+
+
+def _draw_ports(count: int) -> int:
+    """Give the first of so many free ports in a row."""
+    while True:
+        first = SystemRandom().choice(_OWN_PORTS[:-count])
+        wanted = range(first, first + count)
+        if not any(port in _given for port in wanted) and _are_free(wanted):
+            _given.extend(wanted)
+            return first
+
+
+def _are_free(ports: range) -> bool:
+    with suppress(OSError), ExitStack() as stack:
+        for port in ports:
+            stack.enter_context(socket.create_server(('127.0.0.1', port)))
+        return True
+    return False
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from builders.platform_processes import PlatformProcesses
-from builders.processes import find_ports
+from builders.processes import find_port_pair, find_ports
 from sardinemast.conf import Address
 from soak.instances import POOL, STANDBY, Instances
 from soak.ledger import Ledger
@@ -191,5 +191,4 @@
 
 def _find_ports() -> Ports:
     # Behind the cluster's port operators' own interface needs the next one.
-    found = find_ports(4)
-    return Ports(*found)
+    return Ports(find_port_pair(), *find_ports(3))
