Parse answers of upstreams with a C parser, on asyncio's own transport

Ruled out: the curl client (a compiler or more memory), a client library with its own pool (our rules for reuse are ours to prove).

Change: one asyncio protocol a connection around httptools, with the same rules as before; orders to workers write their few headers themselves and no longer pass the filter for callers' headers. What comes while nothing was asked is seen by the protocol itself, so the read ahead of one byte is gone. A connection that carried HEAD is not used again, since the parser would wait for a body.

--- a/src/sardinemast/platform/_exchanges.py
+++ b/src/sardinemast/platform/_exchanges.py
@@ -1,26 +1,25 @@
 """Exchanges with workers and services of the platform, over HTTP."""
 
-from collections.abc import Mapping
 from http import HTTPStatus
-from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import msgspec
 from logbook import Logger
-from tornado.httputil import HTTPHeaders
 
 from sardinemast.dispatch import OrderOutcome
 from sardinemast.membership import Announcement
 from sardinemast.platform._wire import DECODE_ERRORS, decode
 from sardinemast.platform._worker_bodies import ListsBody
 from sardinemast.routing import AttemptResult, StartAttempt
-from sardinemast.shell import Attempt, CallerRequest, UpstreamClient
+from sardinemast.shell import RawAttempt, UpstreamClient, encode_request
+
+Header = tuple[str, str]
 
 _log = Logger('workers')
 # A worker takes this many connections at once.
 _CONNECTIONS_MAX = 64
 _CERTAIN = frozenset((AttemptResult.answered, AttemptResult.failed))
-_NO_HEADERS = MappingProxyType[str, str]({})
+_JSON_HEADER = ('Content-Type', 'application/json')
 
 
 class Reply(NamedTuple):
@@ -47,22 +46,22 @@
         start: StartAttempt,
         path: str,
         body: dict[str, Any],
-        headers: Mapping[str, str] = _NO_HEADERS,
-    ) -> Attempt:
+        *headers: Header,
+    ) -> RawAttempt:
         """Post a body, and give the answer or what is known."""
-        request = CallerRequest(
+        request = encode_request(
             'POST',
             path,
-            HTTPHeaders({'Content-Type': 'application/json', **headers}),
+            start.upstream,
+            (_JSON_HEADER, *headers),
             msgspec.json.encode(body),
-            self.own_host,
         )
-        return await self._client.send(start, request)
+        return await self._client.exchange(start, request)
 
-    async def get(self, start: StartAttempt, path: str) -> Attempt:
+    async def get(self, start: StartAttempt, path: str) -> RawAttempt:
         """Read a path, and give the answer or what is known."""
-        request = CallerRequest('GET', path, HTTPHeaders(), b'', self.own_host)
-        return await self._client.send(start, request)
+        request = encode_request('GET', path, start.upstream, (), b'')
+        return await self._client.exchange(start, request)
 
 
 def make_attempt(
@@ -81,7 +80,7 @@
     )
 
 
-def judge(attempt: Attempt) -> Reply:
+def judge(attempt: RawAttempt) -> Reply:
     """Tell what became of an order by how its request ended."""
     if attempt.attempt_result is AttemptResult.not_sent:
         return Reply(OrderOutcome.not_sent)
--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -30,7 +30,7 @@
 from sardinemast.platform._wire import DECODE_ERRORS, decode
 from sardinemast.platform._worker_bodies import GrantedBody, MachinesBody
 from sardinemast.routing import StartAttempt
-from sardinemast.shell import Attempt
+from sardinemast.shell import RawAttempt
 
 _log = Logger('services')
 # A list that goes on beyond this is not believed: several times the fleet of
@@ -146,12 +146,15 @@
     ) -> Reply:
         if self._instances is None:
             return Reply(OrderOutcome.not_sent)
-        headers = {
-            'X-Lease-Holder': self._exchanges.own_host,
-            'X-Fence-Token': str(order.token),
-        }
         start = _make_start(self._instances, order.timeout_s, valid_until_s)
-        return judge(await self._exchanges.post(start, path, body, headers))
+        attempt = await self._exchanges.post(
+            start,
+            path,
+            body,
+            ('X-Lease-Holder', self._exchanges.own_host),
+            ('X-Fence-Token', str(order.token)),
+        )
+        return judge(attempt)
 
 
 def _make_start(
@@ -165,7 +168,7 @@
     return make_attempt(service, timeout_s, valid_until_s)
 
 
-def _read_body(attempt: Attempt, expected: type[_Body]) -> _Body | None:
+def _read_body(attempt: RawAttempt, expected: type[_Body]) -> _Body | None:
     if attempt.answer is None or attempt.answer.code != HTTPStatus.OK:
         return None
     try:
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -200,8 +200,8 @@
     ) -> Reply:
         upstream = _make_announcement(order.worker)
         start = make_attempt(upstream, order.timeout_s, valid_until_s)
-        headers = {'X-Expect-Instance': order.worker.name}
-        return judge(await self._exchanges.post(start, path, body, headers))
+        expected = ('X-Expect-Instance', order.worker.name)
+        return judge(await self._exchanges.post(start, path, body, expected))
 
 
 def _make_announcement(worker: Worker) -> Announcement:
--- a/src/sardinemast/shell/__init__.py
+++ b/src/sardinemast/shell/__init__.py
@@ -7,22 +7,22 @@
 from sardinemast.shell._relay import LeaderRelay
 from sardinemast.shell._security import Access, create_client_context
 from sardinemast.shell._upstream_client import (
-    Attempt,
-    CallerRequest,
+    RawAttempt,
     UpstreamClient,
+    encode_request,
 )
 
 __all__ = (
     'Access',
-    'Attempt',
-    'CallerRequest',
     'ControlExtras',
     'Identity',
     'LeaderRelay',
+    'RawAttempt',
     'UpstreamClient',
     'WorkerGateway',
     'create_client_context',
     'create_identity',
+    'encode_request',
     'run_control',
     'run_entry',
 )
--- a/src/sardinemast/shell/_caller_http.py
+++ b/src/sardinemast/shell/_caller_http.py
@@ -24,8 +24,8 @@
 from sardinemast.membership import Announcement, is_sound
 from sardinemast.shell._arrivals import encode_refusal, refuse_malformed
 from sardinemast.shell._caller_exchange import CallerDesk, CallerExchange
-from sardinemast.shell._connections import MAX_HEAD_BYTES
 from sardinemast.shell._headers import OUTCOME_HEADER
+from sardinemast.shell._http_connection import MAX_HEAD_BYTES
 from sardinemast.shell._identity import Identity
 from sardinemast.shell._measures import EntryMeasures
 from sardinemast.shell._operator_http import TimelineHandler
--- a/src/sardinemast/shell/_connections.py
+++ b/src/sardinemast/shell/_connections.py
@@ -1,87 +1,12 @@
 """Connections to upstreams, kept only while they show life."""
 
-import asyncio
-import socket
 import time
 from collections import deque
-from collections.abc import Awaitable
-from typing import Any
-
-from tornado.iostream import IOStream, StreamClosedError
 
 from sardinemast.membership import Announcement
+from sardinemast.shell._http_connection import HttpConnection
 
 FRESH_S = 2.0
-MAX_HEAD_BYTES = 32768
-_READ_CHUNK_BYTES = 8192
-_UNACKNOWLEDGED_MS = 2000
-
-
-class UpstreamStream(IOStream):
-    """Read one byte ahead while idle, so that no stray byte goes unseen.
-
-    An upstream that sends more than its answer, or answers late, leaves bytes
-    on the connection. The next caller would get them as its own answer. The
-    byte read ahead tells that apart: before a request is written it must not
-    have arrived.
-    """
-
-    def __init__(self) -> None:
-        super().__init__(
-            socket.socket(),
-            read_chunk_size=_READ_CHUNK_BYTES,
-        )
-        self.is_reused = False
-        self.idle_since_s: float = 0
-        self.first_byte: asyncio.Future[bytes] | None = None
-        # Packets that a broken path swallows are never acknowledged. The
-        # system then ends the connection, also while the upstream works on.
-        self.socket.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _UNACKNOWLEDGED_MS,
-        )
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    def watch(self) -> None:
-        """Read ahead; the next answer starts with the byte."""
-        self.first_byte = asyncio.ensure_future(self.read_bytes(1))
-
-    def is_silent(self) -> bool:
-        """Tell whether nothing has come, neither a byte nor the end."""
-        if self.closed() or self.first_byte is None or self.first_byte.done():
-            return False
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    def read_until_regex(
-        self,
-        regex: Any,
-        max_bytes: int | None = None,
-    ) -> Awaitable[bytes]:
-        """Read a head, beginning with the byte that was read ahead."""
-        first_byte = self.first_byte
-        self.first_byte = None
-        if first_byte is None:
-            return super().read_until_regex(regex, max_bytes)
-        return self._read_rest(first_byte, regex, max_bytes)
-
-    def set_nodelay(self, value: bool) -> None:
-        """Keep the option as it was set at the start."""
-
-    async def _read_rest(
-        self,
-        first_byte: asyncio.Future[bytes],
-        regex: Any,
-        max_bytes: int | None,
-    ) -> bytes:
-        head = await first_byte
-        return head + await self.read_until_regex(regex, max_bytes)
 
 
 class ConnectionPool:
@@ -89,8 +14,9 @@
 
     def __init__(self, upstream: Announcement) -> None:
         self.upstream = upstream
-        self._idle: deque[UpstreamStream] = deque()
-        self._open: set[UpstreamStream] = set()
+        self._idle: deque[HttpConnection] = deque()
+        self._open: set[HttpConnection] = set()
+        self._opening = 0
         self._is_closed = False
 
     def is_for(self, upstream: Announcement) -> bool:
@@ -102,7 +28,7 @@
             upstream.port,
         )
 
-    def take_idle(self) -> UpstreamStream | None:
+    def take_idle(self) -> HttpConnection | None:
         """Give the connection that showed life last, if that was lately.
 
         What lies between may have lost track of an older one; a request
@@ -110,44 +36,40 @@
         """
         self.drop_stale(time.monotonic())
         while self._idle:
-            stream = self._idle.pop()
-            if stream.is_silent():
-                stream.is_reused = True
-                return stream
-            self.drop(stream)
+            connection = self._idle.pop()
+            if connection.is_silent():
+                connection.is_reused = True
+                return connection
+            self.drop(connection)
         return None
 
-    async def open(self, limit: int) -> UpstreamStream:
+    async def open(self, limit: int) -> HttpConnection:
         """Connect anew, or raise ``OSError``."""
-        if len(self._open) >= limit:
+        if len(self._open) + self._opening >= limit:
             raise ConnectionError('All connections are in use.')
-        stream = UpstreamStream()
-        self._open.add(stream)
-        try:
-            await stream.connect((self.upstream.host, self.upstream.port))
-            stream.watch()
-        except BaseException:
-            self.drop(stream)
-            raise
-        return stream
-
-    def give_back(self, stream: UpstreamStream) -> None:
-        """Keep a connection whose exchange is whole."""
-        if self._is_closed or stream.closed():
-            self.drop(stream)
-            return
+        self._opening += 1
         try:
-            stream.watch()
-        except StreamClosedError:
-            self.drop(stream)
+            connection = await HttpConnection.connect(
+                self.upstream.host,
+                self.upstream.port,
+            )
+        finally:
+            self._opening -= 1
+        self._open.add(connection)
+        return connection
+
+    def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection whose exchange is over, if it may be kept."""
+        if self._is_closed or not connection.may_reuse:
+            self.drop(connection)
             return
-        stream.idle_since_s = time.monotonic()
-        self._idle.append(stream)
+        connection.idle_since_s = time.monotonic()
+        self._idle.append(connection)
 
-    def drop(self, stream: UpstreamStream) -> None:
+    def drop(self, connection: HttpConnection) -> None:
         """Close a connection."""
-        self._open.discard(stream)
-        stream.close()
+        self._open.discard(connection)
+        connection.close()
 
     def drop_idle(self) -> None:
         """Close all connections without an exchange."""
--- /dev/null
+++ b/src/sardinemast/shell/_http_connection.py
@@ -0,0 +1,251 @@
+"""One connection to an upstream, with one exchange at a time."""
+
+import asyncio
+import socket
+from contextlib import suppress
+from typing import NamedTuple, Self
+
+from httptools import (
+    HttpParserCallbackError,
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpResponseParser,
+)
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_HEAD_BYTES = 32768
+_UNACKNOWLEDGED_MS = 2000
+_FIRST_FINAL_CODE = 200
+# An upstream that goes on sending heads before the final one never answers.
+_HEADS_MAX = 10
+_BODYLESS_CODES = frozenset((204, 304))
+_KEPT_VERSION = '1.1'
+_ENCODING = 'latin-1'
+
+Header = tuple[str, str]
+
+
+class RawRequest(NamedTuple):
+    """Hold a request as bytes, and whether its answer has no body."""
+
+    encoded: bytes
+    is_head: bool = False
+
+
+class RawAnswer(NamedTuple):
+    """Hold a whole answer."""
+
+    code: int
+    reason: str
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class HttpConnection(asyncio.Protocol):
+    """Write one request after the other, and collect each whole answer.
+
+    Bytes or an end that come while nothing was asked belong to no request.
+    The next caller would get them as its own answer, so that the connection
+    is not used again.
+    """
+
+    def __init__(self) -> None:
+        self.is_reused = False
+        self.idle_since_s: float = 0
+        self._socket: socket.socket | None = None
+        self._transport: asyncio.Transport | None = None
+        self._parser = HttpResponseParser(self)
+        self._waiting: asyncio.Future[RawAnswer | None] | None = None
+        self._is_head = False
+        self._may_reuse = True
+        self._heads = 0
+        self._start_answer()
+
+    @classmethod
+    async def connect(cls, host: str, port: int) -> Self:
+        """Connect, or raise ``OSError``."""
+        loop = asyncio.get_running_loop()
+        opened = _make_socket()
+        connection = cls()
+        connection._socket = opened
+        try:
+            await loop.sock_connect(opened, (host, port))
+            await loop.create_connection(lambda: connection, sock=opened)
+        except BaseException:
+            opened.close()
+            raise
+        return connection
+
+    @property
+    def may_reuse(self) -> bool:
+        """Tell whether the connection may carry another exchange."""
+        return self._may_reuse and self._waiting is None
+
+    def is_silent(self) -> bool:
+        """Tell whether nothing has come, neither a byte nor the end."""
+        if not self._may_reuse or self._socket is None:
+            return False
+        try:
+            # What has come may not have been read by the event loop yet.
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def begin(self, request: RawRequest) -> asyncio.Future[RawAnswer | None]:
+        """Write a request; what is given has no answer where it broke off."""
+        waiting = asyncio.get_running_loop().create_future()
+        if self._transport is None or self._transport.is_closing():
+            waiting.set_result(None)
+            return waiting
+        self._waiting = waiting
+        self._is_head = request.is_head
+        self._heads = 0
+        self._start_answer()
+        self._transport.write(request.encoded)
+        return waiting
+
+    def time_out(self) -> None:
+        """End an exchange that has taken too long with ``TimeoutError``."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(TimeoutError())
+        self._may_reuse = False
+
+    def close(self) -> None:
+        """Close at once; an exchange that is under way breaks off."""
+        self._may_reuse = False
+        if self._transport is not None:
+            self._transport.abort()
+        self._end(None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that nothing more can come."""
+        self._may_reuse = False
+        self._socket = None
+        self._end(None)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what has come."""
+        if self._waiting is None:
+            self.close()
+            return
+        if not self._has_head:
+            self._unparsed_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except HttpParserCallbackError:
+            self.close()
+            raise
+        except (HttpParserError, HttpParserUpgrade):
+            # No answer; behind a whole one it spoils the connection alone.
+            self.close()
+        if self._unparsed_bytes > MAX_HEAD_BYTES and not self._has_head:
+            self.close()
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; one that nobody asked for spoils the rest."""
+        self._heads += 1
+        self._start_answer()
+        if self._waiting is None or self._heads > _HEADS_MAX:
+            self.close()
+
+    def on_status(self, reason: bytes) -> None:
+        """Take a part of the reason."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.decode(_ENCODING), text.decode(_ENCODING)))
+        self._head_bytes += len(name) + len(text)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.close()
+
+    def on_headers_complete(self) -> None:
+        """Check that the answer says where it ends."""
+        self._code = self._parser.get_status_code()
+        if self._code < _FIRST_FINAL_CODE:
+            return
+        self._has_head = True
+        if self._is_head:
+            # The parser would wait for a body that does not come.
+            self._may_reuse = False
+            self._finish()
+        elif not self._has_end():
+            self.close()
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        self._body += part
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self.close()
+
+    def on_message_complete(self) -> None:
+        """Hand the answer over, if it is the final one."""
+        if self._code < _FIRST_FINAL_CODE or self._is_head:
+            return
+        is_kept = self._parser.should_keep_alive()
+        if not is_kept or self._parser.get_http_version() != _KEPT_VERSION:
+            self._may_reuse = False
+        self._finish()
+
+    def _start_answer(self) -> None:
+        self._code = 0
+        self._reason = b''
+        self._headers: list[Header] = []
+        self._body = bytearray()
+        self._has_head = False
+        self._head_bytes = 0
+        self._unparsed_bytes = 0
+
+    def _has_end(self) -> bool:
+        # A body that ends with the connection looks whole when it is cut.
+        if self._code in _BODYLESS_CODES:
+            return True
+        headers = {name.lower(): text for name, text in self._headers}
+        if 'transfer-encoding' in headers:
+            return 'content-length' not in headers
+        with suppress(KeyError, ValueError):
+            return int(headers['content-length']) <= MAX_ANSWER_BYTES
+        return False
+
+    def _finish(self) -> None:
+        # An answer to a request that is still on its way is no answer to the
+        # whole of it: it may belong to an exchange before, or to a part.
+        if self._transport is None or self._transport.get_write_buffer_size():
+            self.close()
+            return
+        self._end(
+            RawAnswer(
+                self._code,
+                self._reason.decode(_ENCODING),
+                tuple(self._headers),
+                bytes(self._body),
+            ),
+        )
+
+    def _end(self, answer: RawAnswer | None) -> None:
+        waiting = self._waiting
+        self._waiting = None
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+
+def _make_socket() -> socket.socket:
+    opened = socket.socket()
+    opened.setblocking(False)
+    # Packets that a broken path swallows are never acknowledged. The system
+    # then ends the connection, also while the upstream works on.
+    opened.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _UNACKNOWLEDGED_MS,
+    )
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return opened
--- a/src/sardinemast/shell/_upstream_client.py
+++ b/src/sardinemast/shell/_upstream_client.py
@@ -2,40 +2,26 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from tornado.http1connection import (
-    HTTP1Connection,
-    HTTP1ConnectionParameters,
-)
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
-from tornado.iostream import StreamClosedError
+from tornado.httputil import HTTPHeaders
 
 from sardinemast.entry import AttemptResult, StartAttempt
 from sardinemast.membership import Announcement
-from sardinemast.shell._connections import (
-    FRESH_S,
-    MAX_HEAD_BYTES,
-    ConnectionPool,
-    UpstreamStream,
-)
+from sardinemast.shell._connections import FRESH_S, ConnectionPool
 from sardinemast.shell._headers import filter_request_headers
+from sardinemast.shell._http_connection import (
+    Header,
+    HttpConnection,
+    RawAnswer,
+    RawRequest,
+)
 
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 _CONNECT_TIMEOUT_S = 1.0
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
-_BODYLESS_CODES = frozenset((204, 304))
 _FAILURE_CODES = frozenset((500, 502, 503, 504))
-_FIRST_FINAL_CODE = 200
-_PARAMETERS = HTTP1ConnectionParameters(
-    max_header_size=MAX_HEAD_BYTES,
-    max_body_size=MAX_ANSWER_BYTES,
-)
+_ENCODING = 'latin-1'
 
 
 class CallerRequest(NamedTuple):
@@ -64,72 +50,11 @@
     answer: UpstreamAnswer | None = None
 
 
-class _AnswerReader(HTTPMessageDelegate):
-    """Collect one answer, and tell whether it is whole and may be used."""
-
-    def __init__(self, stream: UpstreamStream, is_head: bool) -> None:
-        self.answer: UpstreamAnswer | None = None
-        self.has_failed = False
-        self.may_reuse = False
-        self._stream = stream
-        self._is_head = is_head
-        self._start = ResponseStartLine('', 0, '')
-        self._headers = HTTPHeaders()
-        self._parts: list[bytes] = []
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Take a head; those before the final one hold nothing of use."""
-        if not isinstance(start_line, ResponseStartLine):
-            raise TypeError(start_line)
-        self._start = start_line
-        self._headers = headers
-        if start_line.code >= _FIRST_FINAL_CODE and not self._has_end():
-            self._fail()
-
-    def data_received(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-        self._parts.append(chunk)
-
-    def finish(self) -> None:
-        """Note that the answer is whole."""
-        # An answer to a request that is still on its way is no answer to
-        # the whole of it: it may belong to an exchange before, or to a part.
-        if self._stream.writing():
-            self._fail()
-        if self.has_failed:
-            return
-        body = b''.join(self._parts)
-        self.answer = UpstreamAnswer(
-            self._start.code,
-            self._start.reason,
-            self._headers,
-            body,
-        )
-        self.may_reuse = (
-            self._start.version == 'HTTP/1.1'
-            and 'close' not in self._headers.get('Connection', '').lower()
-        )
-
-    def on_connection_close(self) -> None:
-        """Note that nothing more can come."""
-        self.has_failed = True
-
-    def _has_end(self) -> bool:
-        # A body that ends with the connection looks whole when it is cut.
-        return (
-            self._is_head
-            or self._start.code in _BODYLESS_CODES
-            or 'Content-Length' in self._headers
-            or 'Transfer-Encoding' in self._headers
-        )
+class RawAttempt(NamedTuple):
+    """Hold how an attempt ended, with the answer's headers as they came."""
 
-    def _fail(self) -> None:
-        self.has_failed = True
-        self._stream.close()
+    attempt_result: AttemptResult
+    answer: RawAnswer | None = None
 
 
 class UpstreamClient:
@@ -147,57 +72,61 @@
     async def send(
         self, start: StartAttempt, request: CallerRequest
     ) -> Attempt:
+        """Send a caller's request once, without its key and hop headers."""
+        headers = filter_request_headers(request.headers, request.remote_ip)
+        encoded = encode_request(
+            request.method,
+            request.uri,
+            start.upstream,
+            headers.get_all(),
+            request.body,
+        )
+        attempt = await self.exchange(start, encoded)
+        if attempt.answer is None:
+            return Attempt(attempt.attempt_result)
+        answer = attempt.answer
+        received = HTTPHeaders()
+        for header in answer.headers:
+            received.add(*header)
+        return Attempt(
+            attempt.attempt_result,
+            UpstreamAnswer(answer.code, answer.reason, received, answer.body),
+        )
+
+    async def exchange(
+        self,
+        start: StartAttempt,
+        request: RawRequest,
+    ) -> RawAttempt:
         """Send a request once, and give the whole answer or what is known."""
         due_s = time.monotonic() + start.timeout_s
         pool = self._get_pool(start.upstream)
         try:
-            stream = await self._get_stream(pool, start)
+            connection = await _get_connection(pool, start)
         except (OSError, TimeoutError):
-            return Attempt(AttemptResult.not_sent)
-        reader = _AnswerReader(stream, request.method == 'HEAD')
+            return RawAttempt(AttemptResult.not_sent)
+        # A process that was stopped after its core's decision goes on here,
+        # maybe an hour later. The key may be withdrawn and the limit given to
+        # others.
+        is_valid = time.monotonic() < start.valid_until_s
+        if not is_valid or not connection.is_silent():
+            pool.drop(connection)
+            return RawAttempt(AttemptResult.not_sent)
         left_s = due_s - time.monotonic()
-        if stream.is_reused and start.is_repeatable:
+        if connection.is_reused and start.is_repeatable:
             # Half the time is left for a fresh connection, in case that
             # something between has lost track of this one.
             left_s /= 2
         try:
-            async with asyncio.timeout(left_s):
-                attempt = await _exchange(stream, start, request, reader)
+            answer = await _await_answer(connection, request, left_s)
         except TimeoutError:
-            attempt = self._end_late(pool, stream)
-        finally:
-            # Whatever ends an exchange early leaves its answer under way;
-            # on a connection used again it would go to another caller.
-            if reader.answer is None or not reader.may_reuse:
-                pool.drop(stream)
-        if reader.answer is not None and reader.may_reuse:
-            pool.give_back(stream)
-        return attempt
-
-    async def _get_stream(
-        self,
-        pool: ConnectionPool,
-        start: StartAttempt,
-    ) -> UpstreamStream:
-        stream = pool.take_idle()
-        if stream is None:
-            async with asyncio.timeout(
-                min(_CONNECT_TIMEOUT_S, start.timeout_s)
-            ):
-                stream = await pool.open(start.connection_limit)
-        return stream
-
-    def _end_late(
-        self,
-        pool: ConnectionPool,
-        stream: UpstreamStream,
-    ) -> Attempt:
-        if not stream.is_reused:
-            return Attempt(AttemptResult.timed_out)
-        # The next attempt must not meet the same fate on a connection that
-        # takes the same way.
-        pool.drop_idle()
-        return Attempt(AttemptResult.silent)
+            pool.drop(connection)
+            return _end_late(pool, connection)
+        except asyncio.CancelledError:
+            pool.drop(connection)
+            raise
+        pool.give_back(connection)
+        return _judge(answer)
 
     def _get_pool(self, upstream: Announcement) -> ConnectionPool:
         pool = self._pools.get(upstream.instance)
@@ -214,39 +143,63 @@
             pool.drop_stale(now_s)
 
 
-async def _exchange(
-    stream: UpstreamStream,
+def encode_request(
+    method: str,
+    uri: str,
+    upstream: Announcement,
+    headers: Iterable[Header],
+    body: bytes,
+) -> RawRequest:
+    """Write a request out, or raise ``ValueError`` for a broken line."""
+    lines = [f'{method} {uri} HTTP/1.1']
+    lines.append(f'Host: {upstream.host}:{upstream.port}')
+    lines.extend(f'{name}: {text}' for name, text in headers)
+    if body or method in _BODY_METHODS:
+        lines.append(f'Content-Length: {len(body)}')
+    head = '\r\n'.join(lines)
+    # Whatever ends a line early would begin a header, or another request.
+    if head.count('\n') >= len(lines) or head.count('\r') >= len(lines):
+        raise ValueError('A line of the request holds another one.')
+    encoded = f'{head}\r\n\r\n'.encode(_ENCODING)
+    return RawRequest(encoded + body, method == 'HEAD')
+
+
+async def _get_connection(
+    pool: ConnectionPool,
     start: StartAttempt,
-    request: CallerRequest,
-    reader: _AnswerReader,
-) -> Attempt:
-    # A process that was stopped after its core's decision goes on here, maybe
-    # an hour later. The key may be withdrawn and the limit given to others.
-    is_valid = time.monotonic() < start.valid_until_s
-    if not is_valid or not stream.is_silent():
-        return Attempt(AttemptResult.not_sent)
-    connection = HTTP1Connection(stream, is_client=True, params=_PARAMETERS)
+) -> HttpConnection:
+    connection = pool.take_idle()
+    if connection is not None:
+        return connection
+    async with asyncio.timeout(min(_CONNECT_TIMEOUT_S, start.timeout_s)):
+        return await pool.open(start.connection_limit)
+
+
+async def _await_answer(
+    connection: HttpConnection,
+    request: RawRequest,
+    left_s: float,
+) -> RawAnswer | None:
+    answered = connection.begin(request)
+    ending = asyncio.get_running_loop().call_later(left_s, connection.time_out)
     try:
-        _write(connection, start.upstream, request)
-        await connection.read_response(reader)
-    except StreamClosedError:
-        return Attempt(AttemptResult.broken)
-    if reader.answer is None:
-        return Attempt(AttemptResult.broken)
-    if reader.answer.code in _FAILURE_CODES:
-        return Attempt(AttemptResult.failed, reader.answer)
-    return Attempt(AttemptResult.answered, reader.answer)
-
-
-def _write(
-    connection: HTTP1Connection,
-    upstream: Announcement,
-    request: CallerRequest,
-) -> None:
-    headers = filter_request_headers(request.headers, request.remote_ip)
-    headers['Host'] = f'{upstream.host}:{upstream.port}'
-    if request.body or request.method in _BODY_METHODS:
-        headers['Content-Length'] = str(len(request.body))
-    start_line = RequestStartLine(request.method, request.uri, 'HTTP/1.1')
-    connection.write_headers(start_line, headers, request.body)
-    connection.finish()
+        return await answered
+    finally:
+        ending.cancel()
+
+
+def _end_late(pool: ConnectionPool, connection: HttpConnection) -> RawAttempt:
+    if not connection.is_reused:
+        return RawAttempt(AttemptResult.timed_out)
+    # The next attempt must not meet the same fate on a connection that takes
+    # the same way.
+    pool.drop_idle()
+    return RawAttempt(AttemptResult.silent)
+
+
+def _judge(answer: RawAnswer | None) -> RawAttempt:
+    if answer is None:
+        return RawAttempt(AttemptResult.broken)
+    if answer.code in _FAILURE_CODES:
+        return RawAttempt(AttemptResult.failed, answer)
+    return RawAttempt(AttemptResult.answered, answer)
--- a/tests/shell/test_upstream_client.py
+++ b/tests/shell/test_upstream_client.py
@@ -17,8 +17,8 @@
 )
 from sardinemast.routing import AttemptResult
 from sardinemast.shell import _connections
+from sardinemast.shell._http_connection import MAX_ANSWER_BYTES
 from sardinemast.shell._upstream_client import (
-    MAX_ANSWER_BYTES,
     Attempt,
     UpstreamClient,
 )
