Keep the free room of workers in order, and find workers by place

Cause: each plan went over all usable workers of the pools that had work, once for the picture and once for each task; stragglers, measures, moves, upkeeps and registrations went over all workers again.

Change: the state keeps each pool's workers sorted by free processors and finds workers by instance and address; a plan copies that picture and asks of a worker only when it comes to it whether it may be used. The longest chains of a job are worked out once. Decisions stay the same: the fullest worker that is not avoided, far or disturbed, then by name.

--- a/bench/starts.py
+++ b/bench/starts.py
@@ -48,9 +48,11 @@
 
 _STEP_S = 0.02
 _SECONDS = 6.0
+_ANNOUNCE_EVERY_S = 1.5
 _POOLS = 4
 _MIB = 1024 * 1024
 _MS = 1000
+_WHOLE_PERCENT = 100
 
 
 class Measured(NamedTuple):
@@ -78,6 +80,11 @@
 _PEAK = _Load(19, (_WIDE, _WIDE._replace(depends_on=(0,))), 1.3, pools=1)
 
 
+class _Running(NamedTuple):
+    number: int
+    begun_s: float
+
+
 class _Ending(NamedTuple):
     worker: str
     task: TaskKey
@@ -96,11 +103,12 @@
         self.starts = 0
         self._log_index = 0
         self._now_s: float = 0
+        self._announced_s: float = 0
         self._dispatcher = Dispatcher(DispatchSettings())
         self._outputs: deque[DispatchOutput] = deque()
         self._running: deque[_Ending] = deque()
         self._waiting: dict[str, LookAtWorker] = {}
-        self._listed: dict[str, dict[TaskKey, int]] = {}
+        self._listed: dict[str, dict[TaskKey, _Running]] = {}
         self._ended: dict[str, list[ListedEnd]] = {}
         self._positions: dict[str, int] = {}
         names = [f'pool-{number}' for number in range(_POOLS)]
@@ -143,11 +151,19 @@
     def _pass_time(self, seconds: float) -> None:
         for _ in range(round(seconds / _STEP_S)):
             self._now_s += _STEP_S
+            self._announce()
             while self._running and self._running[0].due_s <= self._now_s:
                 self._end(self._running.popleft())
             now_ms = int(self._now_s * _MS)
             self._take(self._dispatcher.tick(self._now_s, now_ms))
 
+    def _announce(self) -> None:
+        # Idle workers say nothing else, and get nothing new once silent.
+        if self._now_s >= self._announced_s + _ANNOUNCE_EVERY_S:
+            self._announced_s = self._now_s
+            for name in self.state.workers:
+                self._dispatcher.note_announced(name, self._now_s)
+
     def _commit(self, command: Command) -> list[DispatchOutput]:
         payload = COMMANDS.encode(command)
         decoded = COMMANDS.decode(payload)
@@ -175,7 +191,8 @@
         name = order.worker.name
         due_s = self._now_s + self._load.run_s
         self._running.append(_Ending(name, order.task, order.number, due_s))
-        self._listed.setdefault(name, {})[order.task] = order.number
+        running = _Running(order.number, self._now_s)
+        self._listed.setdefault(name, {})[order.task] = running
         answered = RunAnswered(
             name,
             order.task,
@@ -204,8 +221,8 @@
         kept = [one for one in ended if one.position > order.seen]
         self._ended[name] = kept
         running = tuple(
-            ListedRun(task, number)
-            for task, number in self._listed.get(name, {}).items()
+            ListedRun(task, one.number, '', self._get_percent(one))
+            for task, one in self._listed.get(name, {}).items()
         )
         answer = LookAnswer(1, self._get_clock_ms(), running, tuple(kept))
         return self._step(
@@ -234,6 +251,10 @@
         now_ms = int(self._now_s * _MS)
         return self._dispatcher.step(event, self._now_s, now_ms)
 
+    def _get_percent(self, running: _Running) -> int:
+        since_s = self._now_s - running.begun_s
+        return min(int(_WHOLE_PERCENT * since_s / self._load.run_s), 99)
+
     def _get_clock_ms(self) -> int:
         return _MS + int(self._now_s * _MS)
 
--- a/src/sardinemast/dispatch/_measure.py
+++ b/src/sardinemast/dispatch/_measure.py
@@ -1,54 +1,70 @@
 """Measure the loads of all pools, now and then."""
 
+from collections import defaultdict
+
 from sardinemast.dispatch._contact import Contact
-from sardinemast.dispatch._loads import NO_LOAD, PoolLoad
+from sardinemast.dispatch._loads import PoolLoad
 from sardinemast.dispatch._state import DispatchState
-from sardinemast.jobs import StepState
+from sardinemast.jobs import StepState, Worker
 
 # Short against the second or two that a move takes, long against the time
 # that the measure itself takes.
 MEASURE_EVERY_S = 0.15
 
 
+class _Tally:
+    """Sum up one pool."""
+
+    def __init__(self) -> None:
+        self.room = 0
+        self.free = 0
+        self.wanted = 0
+        self.passing = 0
+        self.workers = 0
+        self.empty: list[Worker] = []
+
+    def add_contact(
+        self,
+        state: DispatchState,
+        contact: Contact,
+        now_s: float,
+    ) -> None:
+        worker = contact.worker
+        runs = state.get_runs(worker.name)
+        if not contact.is_usable(now_s, has_runs=bool(runs)):
+            # A resting one is back in a moment, from maintenance.
+            self.workers += contact.is_resting
+            return
+        self.room += worker.room.millicores
+        self.free += max(state.jobs.get_free(worker).millicores, 0)
+        self.workers += 1
+        if not runs:
+            self.empty.append(worker)
+
+    def add_step(self, step: StepState) -> None:
+        if step.step.is_filler:
+            return
+        millicores = step.step.size.millicores
+        self.wanted += len(step.waiting) * millicores
+        if not step.step.is_lasting:
+            self.passing += len(step.running) * millicores
+
+    def sum_up(self) -> PoolLoad:
+        return PoolLoad(
+            self.room,
+            self.free,
+            self.wanted,
+            self.passing,
+            self.workers,
+            tuple(self.empty),
+        )
+
+
 def measure_pools(state: DispatchState, now_s: float) -> dict[str, PoolLoad]:
     """Give the load of each pool that has workers or work."""
-    loads: dict[str, PoolLoad] = {}
+    tallies: dict[str, _Tally] = defaultdict(_Tally)
     for contact in state.contacts.values():
-        pool = contact.worker.pool
-        load = loads.get(pool, NO_LOAD)
-        loads[pool] = _add_contact(state, load, contact, now_s)
+        tallies[contact.worker.pool].add_contact(state, contact, now_s)
     for step in state.jobs.ready.values():
-        pool = state.jobs.get_queue(step).pool
-        loads[pool] = _add_step(loads.get(pool, NO_LOAD), step)
-    return loads
-
-
-def _add_contact(
-    state: DispatchState,
-    load: PoolLoad,
-    contact: Contact,
-    now_s: float,
-) -> PoolLoad:
-    worker = contact.worker
-    runs = state.get_runs(worker.name)
-    if not contact.is_usable(now_s, has_runs=bool(runs)):
-        # A resting one is back in a moment, from maintenance.
-        return load._replace(workers=load.workers + contact.is_resting)
-    free = state.jobs.get_free(worker).millicores
-    return load._replace(
-        room=load.room + worker.room.millicores,
-        free=load.free + max(free, 0),
-        workers=load.workers + 1,
-        empty=load.empty if runs else (*load.empty, worker),
-    )
-
-
-def _add_step(load: PoolLoad, step: StepState) -> PoolLoad:
-    if step.step.is_filler:
-        return load
-    millicores = step.step.size.millicores
-    passing = 0 if step.step.is_lasting else len(step.running)
-    return load._replace(
-        wanted=load.wanted + len(step.waiting) * millicores,
-        passing=load.passing + passing * millicores,
-    )
+        tallies[state.jobs.get_queue(step).pool].add_step(step)
+    return {pool: tally.sum_up() for pool, tally in tallies.items()}
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -6,6 +6,7 @@
 workers are moved.
 """
 
+from collections import Counter
 from itertools import chain
 from operator import itemgetter
 from typing import NamedTuple
@@ -56,6 +57,7 @@
         self._idle_since_s: dict[str, float] = {}
         self._standby: dict[str, None] = {}
         self._refused_s: dict[tuple[str, str], float] = {}
+        self._needs: dict[str, PoolNeed] = {}
 
     def start_term(self) -> None:
         """Forget what was under way in a former term."""
@@ -69,6 +71,7 @@
     def tick(self, now_s: float, now_ms: int) -> None:
         """Move workers where the loads, measured just now, call for it."""
         loads = self._state.loads
+        self._needs = self._measure_needs(loads)
         peaks = self._note_peaks(loads, now_s, now_ms)
         self._follow(now_s)
         self._send_chosen(now_s)
@@ -122,7 +125,7 @@
         now_s: float,
         now_ms: int,
     ) -> PeakBook:
-        rooms = {pool: self._get_need(pool).room for pool in loads}
+        rooms = {pool: self._needs[pool].room for pool in loads}
         if self._peaks is None:
             jobs = self._state.jobs
             self._peaks = recall_peaks(jobs, rooms, now_s, now_ms)
@@ -134,15 +137,19 @@
         self._peaks.pool_count = len({queue.pool for queue in queues})
         return self._peaks
 
-    def _get_need(self, pool: str) -> PoolNeed:
-        homes = self._state.jobs.homes.values()
-        usual = sum(home == pool for home in homes)
-        rooms = (
-            contact.worker.room.millicores
-            for contact in self._state.contacts.values()
-            if contact.worker.pool == pool
-        )
-        return PoolNeed(usual, max(rooms, default=0))
+    def _measure_needs(
+        self,
+        loads: dict[str, PoolLoad],
+    ) -> dict[str, PoolNeed]:
+        usual = Counter(self._state.jobs.homes.values())
+        largest: dict[str, int] = {}
+        for contact in self._state.contacts.values():
+            pool = contact.worker.pool
+            millicores = contact.worker.room.millicores
+            largest[pool] = max(largest.get(pool, 0), millicores)
+        return {
+            pool: PoolNeed(usual[pool], largest.get(pool, 0)) for pool in loads
+        }
 
     def _count_lacking(
         self,
@@ -151,15 +158,14 @@
         peaks: PeakBook,
         now_s: float,
     ) -> int:
+        leaving = map(self._state.jobs.places.find_newest, self._under_way)
         going = sum(
-            worker.pool == pool
-            for worker in self._state.jobs.workers.values()
-            if worker.instance in self._under_way
+            worker is not None and worker.pool == pool for worker in leaving
         )
         coming = sum(
             move.pool == pool for move in self._under_way.values()
         ) + sum(target == pool for target in self._chosen.values())
-        need = self._get_need(pool)
+        need = self._needs[pool]
         needed = count_needed(
             pool,
             load,
@@ -256,28 +262,26 @@
         self._state.propose(NoteMove(instance, pool, self._state.now_ms))
 
     def _follow(self, now_s: float) -> None:
-        arrived = {
-            worker.instance: worker.pool
-            for worker in self._state.jobs.workers.values()
-        }
         for instance, move in tuple(self._under_way.items()):
-            is_there = arrived.get(instance) == move.pool
+            worker = self._state.jobs.places.find_newest(instance)
+            is_there = worker is not None and worker.pool == move.pool
             if is_there or now_s > move.until_s:
                 self._end(instance)
 
     def _end(self, instance: str) -> None:
         self._under_way.pop(instance, None)
         self._state.moving.discard(instance)
-        for contact in self._state.contacts.values():
-            if contact.worker.instance == instance:
+        for worker in self._state.jobs.places.list_on_instance(instance):
+            contact = self._state.contacts.get(worker.name)
+            if contact is not None:
                 contact.is_resting = False
 
     def _forget_moved(self, answered: MoveAnswered) -> None:
         # It ran nothing, so that nothing is lost if it should still be there;
         # then its next word brings it back.
-        for worker in self._state.jobs.workers.values():
-            is_moved = worker.instance == answered.instance
-            if is_moved and worker.pool != answered.pool:
+        places = self._state.jobs.places
+        for worker in places.list_on_instance(answered.instance):
+            if worker.pool != answered.pool:
                 gone = ForgetWorker(worker.name, worker.boot_ms)
                 self._state.propose(gone)
 
--- a/src/sardinemast/dispatch/_peak_history.py
+++ b/src/sardinemast/dispatch/_peak_history.py
@@ -8,7 +8,6 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from sardinemast.dispatch._order import get_chains_ms
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.jobs import JobsState, JobState
 
@@ -51,7 +50,7 @@
         for step in job.request.steps
         if not (step.is_lasting or step.is_filler)
     )
-    chain_ms = max(get_chains_ms(job.request.steps))
+    chain_ms = max(job.chains_ms)
     first = job.submitted_ms // _SLICE_MS
     count = chain_ms // _SLICE_MS + 1
     for place in range(first, first + count):
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,7 +1,7 @@
 """Choose which tasks start now, and on which workers."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator
 
 from sardinemast.jobs import (
     NO_SIZE,
@@ -18,12 +18,15 @@
 
 
 class Planner:
-    """Choose starts on a picture of the free room."""
+    """Choose starts on a picture of the free room.
+
+    ``is_usable`` tells of a worker whether new runs may start there.
+    """
 
     def __init__(
         self,
         state: JobsState,
-        workers: Iterable[Worker],
+        is_usable: Callable[[str], bool],
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
         is_allowed: Callable[[StepState, Worker], bool],
@@ -32,22 +35,18 @@
         self._order = order
         self._is_avoided = is_avoided
         self._is_allowed = is_allowed
-        self._free: dict[str, Size] = {}
-        self._by_pool: dict[str, list[Worker]] = defaultdict(list)
+        self._is_usable = is_usable
+        self._usable: dict[str, bool] = {}
+        self._free = state.usage.free.copy()
         self._unfit: dict[str, list[Size]] = defaultdict(list)
         self._is_trying = False
-        for worker in workers:
-            self._free[worker.name] = state.get_free(worker)
-            self._by_pool[worker.pool].append(worker)
         self._used_by_team = dict(state.usage.by_team)
         self._starts: list[RunStart] = []
 
     def choose(self) -> tuple[RunStart, ...]:
         """Choose what starts now, the most pressing first."""
         candidates = [
-            step
-            for step in self._state.ready.values()
-            if step.waiting and self._by_pool.get(self._get_pool(step))
+            step for step in self._state.ready.values() if step.waiting
         ]
         for step in sorted(candidates, key=self._order):
             if len(self._starts) >= _STARTS_MAX:
@@ -85,14 +84,20 @@
         self._is_trying = False
 
     def _get_racks(self, step: StepState) -> list[str]:
-        workers = self._by_pool[self._get_pool(step)]
-        racks = sorted({worker.rack for worker in workers})
+        names = self._free.list_workers(self._get_pool(step))
+        racks = sorted(
+            {
+                self._state.workers[name].rack
+                for name in names
+                if self._check_usable(name)
+            },
+        )
         racks.sort(key=lambda rack: rack != step.step.data_rack)
         # Far apart is slow, but a gang that fits no rack must run somewhere.
         return [*racks, '']
 
     def _try_gang(self, step: StepState, rack: str) -> bool:
-        kept_free = dict(self._free)
+        kept_free = self._free.copy()
         kept_used = dict(self._used_by_team)
         kept_starts = list(self._starts)
         on_worker = _count_by_worker(step)
@@ -118,7 +123,7 @@
         worker = self._pick(step, index, on_worker, rack)
         if worker is None:
             return None
-        self._free[worker] = self._free[worker].plus(step.step.room_size, -1)
+        self._free.change(worker, step.step.room_size, -1)
         team = self._state.get_job(step).team
         used = self._used_by_team.get(team, NO_SIZE)
         self._used_by_team[team] = used.plus(step.step.size)
@@ -145,35 +150,49 @@
         on_worker: dict[str, int],
         rack: str,
     ) -> str | None:
-        size = step.step.room_size
         task = step.get_task(index)
-        best: tuple[tuple[float, ...], str] | None = None
-        roomy = [
-            worker
-            for worker in self._by_pool[self._get_pool(step)]
-            if size.fits(self._free[worker.name])
-        ]
-        if not roomy and not self._is_trying:
-            self._unfit[self._get_pool(step)].append(size)
-        for worker in roomy:
+        best: tuple[tuple[bool, ...], str] | None = None
+        has_room = False
+        for worker in self._iterate_roomy(step):
+            has_room = True
             if not _is_suited(step, worker, on_worker, rack):
                 continue
             if not self._is_allowed(step, worker):
                 continue
+            # Tasks are packed: the fullest worker with room comes first, so
+            # that whole workers stay empty for wide steps, for other pools
+            # and to be switched off. Lasting ones too: spread over workers,
+            # to empty one of them sooner for maintenance, a few small ones
+            # keep a whole pool on all day.
             cost = (
                 self._is_avoided(task, worker.name),
                 _is_far(step, worker),
                 self._is_disturbed(step, worker),
-                # Tasks are packed, so that whole workers stay empty for wide
-                # steps, for other pools and to be switched off. Lasting ones
-                # too: spread over workers, to empty one of them sooner for
-                # maintenance, a few small ones keep a whole pool on all day.
-                self._free[worker.name].millicores,
             )
-            if best is None or (cost, worker.name) < best:
+            if best is None or cost < best[0]:
                 best = (cost, worker.name)
+            if not any(cost):
+                break
+        if not has_room and not self._is_trying:
+            self._unfit[self._get_pool(step)].append(step.step.room_size)
         return best[1] if best else None
 
+    def _iterate_roomy(self, step: StepState) -> Iterator[Worker]:
+        """Give the usable workers with room for a task, the fullest first."""
+        for name in self._free.iterate_fitting(
+            self._get_pool(step),
+            step.step.room_size,
+        ):
+            if self._check_usable(name):
+                yield self._state.workers[name]
+
+    def _check_usable(self, name: str) -> bool:
+        known = self._usable.get(name)
+        if known is None:
+            known = self._is_usable(name)
+            self._usable[name] = known
+        return known
+
     def _is_too_large(self, step: StepState) -> bool:
         """Tell whether the pool lacked room for a smaller task before.
 
--- a/src/sardinemast/dispatch/_starts.py
+++ b/src/sardinemast/dispatch/_starts.py
@@ -1,7 +1,6 @@
 """Ends and starts of runs on their way through the log."""
 
 from collections import defaultdict
-from collections.abc import Iterator
 
 from sardinemast.dispatch._contact import Contact, SentStart
 from sardinemast.dispatch._events import (
@@ -161,6 +160,8 @@
             return ()
         state.is_changed = False
         self._planned_s = now_s
+        if not any(step.waiting for step in state.jobs.ready.values()):
+            return ()
 
         def order(step: StepState) -> tuple[float, ...]:
             return get_order(state.jobs.get_job(step), step, now_ms)
@@ -168,37 +169,24 @@
         def is_allowed(step: StepState, worker: Worker) -> bool:
             return self._tickets.is_allowed(step, worker, now_s)
 
-        pools = {
-            state.jobs.get_queue(step).pool
-            for step in state.jobs.ready.values()
-            if step.waiting
-        }
-        if not pools:
-            return ()
-        workers = tuple(self._list_usable(pools, now_s))
-        self._tickets.ask(workers, now_s, now_ms)
+        def is_usable(name: str) -> bool:
+            return self._is_usable(name, now_s)
+
+        self._tickets.ask(is_usable, now_s, now_ms)
         return Planner(
             state.jobs,
-            workers,
+            is_usable,
             order,
             self._is_avoided,
             is_allowed,
         ).choose()
 
-    def _list_usable(
-        self,
-        pools: set[str],
-        now_s: float,
-    ) -> Iterator[Worker]:
-        # Most pools have no task that waits; at 1,900 workers to go through
-        # them all took 2 ms a plan, with several plans for each start.
-        state = self._state
-        for name, contact in state.contacts.items():
-            if contact.worker.pool not in pools:
-                continue
-            has_runs = bool(state.get_runs(name))
-            if contact.is_usable(now_s, has_runs=has_runs):
-                yield contact.worker
+    def _is_usable(self, name: str, now_s: float) -> bool:
+        contact = self._state.contacts.get(name)
+        if contact is None:
+            return False
+        has_runs = bool(self._state.get_runs(name))
+        return contact.is_usable(now_s, has_runs=has_runs)
 
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_at.get(task, ())
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -186,12 +186,16 @@
     ) -> bool:
         state = self._state
         step = state.jobs.find_step(task)
-        return step is not None and any(
-            other.worker.pool == contact.worker.pool
-            and other.is_usable(now_s, has_runs=True)
-            and step.step.room_size.fits(state.jobs.get_free(other.worker))
-            for other in state.contacts.values()
-            if other is not contact
+        if step is None:
+            return False
+        fitting = state.jobs.usage.free.iterate_fitting(
+            contact.worker.pool,
+            step.step.room_size,
+        )
+        return any(
+            state.contacts[name].is_usable(now_s, has_runs=True)
+            for name in fitting
+            if name != contact.worker.name and name in state.contacts
         )
 
 
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -1,6 +1,6 @@
 """Tickets of an outside policy that allows only some workers to run a step."""
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from sardinemast.dispatch._events import AdviceAnswered, AskAdvice
@@ -63,20 +63,22 @@
 
     def ask(
         self,
-        workers: Iterable[Worker],
+        is_usable: Callable[[str], bool],
         now_s: float,
         now_ms: int,
     ) -> None:
         """Ask for the most pressing step that has no worker to start on."""
         if self._asked is not None or now_s < self._next_s:
             return
+        queues = self._state.jobs.catalog.queues
+        if all(queue.advice is None for queue in queues):
+            return
         steps = self._list_steps(now_ms)
         if not steps:
             self._known.clear()
             return
-        ready = tuple(workers)
         for step in steps:
-            named = self._choose_workers(step, ready, now_s)
+            named = self._choose_workers(step, is_usable, now_s)
             if named:
                 self._send(step, named)
                 return
@@ -124,18 +126,17 @@
     def _choose_workers(
         self,
         step: StepState,
-        workers: tuple[Worker, ...],
+        is_usable: Callable[[str], bool],
         now_s: float,
     ) -> tuple[Worker, ...]:
         jobs = self._state.jobs
         pool = jobs.get_queue(step).pool
         wanted = step.step
         fitting = [
-            worker
-            for worker in workers
-            if worker.pool == pool
-            and wanted.allows_labels(worker.labels)
-            and wanted.room_size.fits(jobs.get_free(worker))
+            jobs.workers[name]
+            for name in jobs.usage.free.iterate_fitting(pool, wanted.room_size)
+            if wanted.allows_labels(jobs.workers[name].labels)
+            and is_usable(name)
         ]
         if any(self.find(step, worker, now_s) for worker in fitting):
             return ()
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -58,9 +58,8 @@
             for wave in self._state.jobs.waves.values()
             if any(one.status is not UpkeepStatus.done for one in wave.items)
         ]
-        workers = _find_workers(self._state) if waves else {}
         for wave in waves:
-            self._go_on(wave, workers, now_s, now_ms)
+            self._go_on(wave, self._find_workers(wave), now_s, now_ms)
         for contact in self._state.contacts.values():
             if contact.is_resting or contact.worker.is_draining:
                 self._empty(contact, now_s)
@@ -123,6 +122,14 @@
         since_s = self._down_since_s.get(answered.instance, now_s)
         return now_s >= since_s + self._state.settings.lost_after_s
 
+    def _find_workers(self, wave: Wave) -> dict[str, Worker]:
+        """Give the newest worker of each instance of a wave that has one."""
+        found = {
+            item.instance: self._state.jobs.places.find_newest(item.instance)
+            for item in wave.items
+        }
+        return {name: worker for name, worker in found.items() if worker}
+
     def _go_on(
         self,
         wave: Wave,
@@ -320,15 +327,3 @@
                     self._state.now_ms,
                 ),
             )
-
-
-def _find_workers(state: DispatchState) -> dict[str, Worker]:
-    """Give the newest worker of each instance."""
-    found: dict[str, Worker] = {}
-    for worker in state.jobs.workers.values():
-        known = found.get(worker.instance)
-        if worker.instance and (
-            known is None or worker.boot_ms > known.boot_ms
-        ):
-            found[worker.instance] = worker
-    return found
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -99,27 +99,17 @@
         return
     # Runs of an earlier boot stay until the leader has looked: a start that
     # crossed the restart may have reached the new boot.
-    state.workers[worker.name] = worker
-    state.runs.setdefault(worker.name, {})
-    for other in tuple(state.workers.values()):
-        if _has_followed(worker, other):
+    state.put_worker(worker)
+    # An instance has one worker at a time, and so has an address. Without
+    # this the tasks of one that was replaced would wait for the end of its
+    # lease.
+    for other in state.places.list_beside(worker):
+        if worker.boot_ms > other.boot_ms:
             _forget_worker(state, other)
     if worker.instance:
         state.homes.setdefault(worker.instance, worker.pool)
 
 
-def _has_followed(worker: Worker, other: Worker) -> bool:
-    """Tell whether a worker lives where another one must have ended.
-
-    An instance has one worker at a time, and so has an address. Without this
-    the tasks of one that was replaced would wait for the end of its lease.
-    """
-    if worker.name == other.name or worker.boot_ms <= other.boot_ms:
-        return False
-    is_same = worker.instance and worker.instance == other.instance
-    return bool(is_same) or worker.address == other.address
-
-
 @apply_command.register
 def _apply_leaving(
     command: commands.ForgetWorker,
@@ -155,13 +145,11 @@
 
 
 def _forget_worker(state: JobsState, worker: Worker) -> None:
-    state.workers.pop(worker.name)
     for task in tuple(state.runs.get(worker.name, ())):
         step = state.find_step(task)
         if step is not None:
             _end_run(state, step, task.position, RunEnd.lost)
-    state.runs.pop(worker.name, None)
-    state.usage.forget_worker(worker.name)
+    state.drop_worker(worker.name)
 
 
 def _open(state: JobsState, job: JobState, occurrence: int) -> None:
--- /dev/null
+++ b/src/sardinemast/jobs/_chains.py
@@ -0,0 +1,13 @@
+"""Longest chains of work in a job."""
+
+from sardinemast.jobs._records import Step
+
+
+def get_chains_ms(steps: tuple[Step, ...]) -> tuple[int, ...]:
+    """Give for each step the longest chain of work that begins with it."""
+    chains = [step.estimate_ms for step in steps]
+    for number in reversed(range(len(steps))):
+        for needed in steps[number].depends_on:
+            chain_ms = steps[needed].estimate_ms + chains[number]
+            chains[needed] = max(chains[needed], chain_ms)
+    return tuple(chains)
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -79,8 +79,8 @@
     """Make a state from its record."""
     state = JobsState()
     state.put_catalog(image.catalog, image.source)
-    state.workers = {worker.name: worker for worker in image.workers}
-    state.runs = {name: {} for name in state.workers}
+    for worker in image.workers:
+        state.put_worker(worker)
     state.waves = {wave.number: wave for wave in image.waves}
     state.homes = dict(image.homes)
     state.ordered_ms = _load_order_times(image)
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from sardinemast.jobs._chains import get_chains_ms
+from sardinemast.jobs._free_room import FreeRoom
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     NO_SIZE,
@@ -18,6 +20,7 @@
     Wave,
     Worker,
 )
+from sardinemast.jobs._worker_places import WorkerPlaces
 from sardinemast.placement import Size
 
 
@@ -78,9 +81,14 @@
 
 
 class JobState:
-    """Hold one job, and the steps of each occurrence that has begun."""
+    """Hold one job, and the steps of each occurrence that has begun.
+
+    ``chains_ms`` holds, by step, the longest chain of declared work that
+    begins with it.
+    """
 
     __slots__ = (
+        'chains_ms',
         'is_done',
         'has_begun',
         'is_cancelled',
@@ -109,6 +117,7 @@
         self.request = request
         self.log_index = log_index
         self.submitted_ms = submitted_ms
+        self.chains_ms = get_chains_ms(request.steps)
         self.is_done = False
         self.has_begun = False
         self.is_cancelled = False
@@ -160,6 +169,7 @@
 
     def __init__(self) -> None:
         self.by_worker: dict[str, Size] = {}
+        self.free = FreeRoom()
         self.by_team: dict[str, Size] = {}
         self.fillers: Counter[str] = Counter()
         self.servers: Counter[str] = Counter()
@@ -170,13 +180,19 @@
         self.by_team[team] = used.plus(step.size, sign)
         taken = self.by_worker.get(worker, NO_SIZE)
         self.by_worker[worker] = taken.plus(step.room_size, sign)
+        self.free.change(worker, step.room_size, -sign)
         if step.is_filler:
             self.fillers[worker] += sign
         if step.tail_limit_ms:
             self.servers[worker] += sign
 
+    def put_worker(self, worker: Worker) -> None:
+        """Take in a worker, or what has changed of it."""
+        self.free.put(worker, self.by_worker.get(worker.name, NO_SIZE))
+
     def forget_worker(self, worker: str) -> None:
         """Drop a worker whose runs have all ended."""
+        self.free.drop(worker)
         self.by_worker.pop(worker, None)
         self.fillers.pop(worker, None)
         self.servers.pop(worker, None)
@@ -204,6 +220,7 @@
         self.live: dict[str, JobState] = {}
         self.ready: dict[StepKey, StepState] = {}
         self.workers: dict[str, Worker] = {}
+        self.places = WorkerPlaces()
         self.runs: dict[str, dict[TaskKey, int]] = {}
         self.usage = Usage()
         self.waves: dict[int, Wave] = {}
@@ -222,6 +239,22 @@
         for job in self.live.values():
             job.queue = self.queues.get(job.queue.name, job.queue)
 
+    def put_worker(self, worker: Worker) -> None:
+        """Take in a worker, or what has changed of it."""
+        known = self.workers.get(worker.name)
+        if known is not None:
+            self.places.drop(known)
+        self.workers[worker.name] = worker
+        self.places.put(worker)
+        self.runs.setdefault(worker.name, {})
+        self.usage.put_worker(worker)
+
+    def drop_worker(self, name: str) -> None:
+        """Forget a worker whose runs have all ended."""
+        self.places.drop(self.workers.pop(name))
+        self.runs.pop(name, None)
+        self.usage.forget_worker(name)
+
     def find_step(self, task: TaskKey) -> StepState | None:
         """Give the step of a task, where the job is known."""
         job = self.jobs.get(task.job)
@@ -240,10 +273,7 @@
 
     def get_free(self, worker: Worker) -> Size:
         """Give the room of a worker that no run takes."""
-        return worker.room.plus(
-            self.usage.by_worker.get(worker.name, NO_SIZE),
-            -1,
-        )
+        return self.usage.free.get(worker.name)
 
     def add_run(self, step: StepState, index: int, run: Run) -> None:
         """Take room for a run."""
--- a/tests/dispatch/test_planner_load.py
+++ b/tests/dispatch/test_planner_load.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from builders.workers import POOL, QUEUE, make_catalog, make_step, make_worker
+from builders.workers import QUEUE, make_catalog, make_step, make_worker
 from sardinemast.dispatch._planner import Planner
 from sardinemast.jobs import JobRequest, JobsState, Size, apply_command
 from sardinemast.jobs.commands import (
@@ -41,10 +41,9 @@
 
 
 def _plan(state: JobsState) -> tuple[RunStart, ...]:
-    workers = [one for one in state.workers.values() if one.pool == POOL]
     return Planner(
         state,
-        workers,
+        lambda worker: True,
         lambda step: (state.get_job(step).log_index,),
         lambda task, worker: False,
         lambda step, worker: True,
