Trim what the leader does for each event

Cause: by the profile of the large site's leader, 0.6 of 9.6 s went on the lease (once for each order, each from maps over all replicas), 0.8 on log lines, 1.0 on records into and out of CBOR, 0.4 on looking dispatching methods up, each of which makes a new function.

Change: the lease is asked for once for all orders of an event, and only where operators wait for an answer; plain fields of a record are copied without a call each; log lines are encoded by msgspec; methods that dispatch by type are looked up once. No decision changes.

--- a/src/sardinemast/consensus/_replication.py
+++ b/src/sardinemast/consensus/_replication.py
@@ -90,12 +90,12 @@
 
     def get_heard_s(self, now_s: float) -> float:
         """Give since when a majority is known to follow."""
-        own = {self._state.identity: now_s}
         heard = {
             identity: one.acknowledged_s
             for identity, one in self.progress.items()
         }
-        return self._state.get_agreed({**heard, **own})
+        heard[self._state.identity] = now_s
+        return self._state.get_agreed(heard)
 
     def has_heard(self, identity: str, now_s: float) -> bool:
         """Tell whether a member has answered lately."""
--- a/src/sardinemast/consensus/_state.py
+++ b/src/sardinemast/consensus/_state.py
@@ -83,15 +83,13 @@
         """Give the highest figure that a majority of voters has reached."""
         never = float('-inf')
         configuration = self.log.configuration
-        reached = sorted(
-            (
-                figures.get(member.identity, never)
-                for member in configuration.members
-                if member.is_voter
-            ),
-            reverse=True,
-        )
-        return reached[configuration.get_quorum_size() - 1]
+        reached = [
+            figures.get(member.identity, never)
+            for member in configuration.members
+            if member.is_voter
+        ]
+        reached.sort(reverse=True)
+        return reached[len(reached) // 2]
 
     def is_settled(self, now_s: float) -> bool:
         """Tell whether a leader that may trust its lease was heard."""
--- a/src/sardinemast/control/_call_desk.py
+++ b/src/sardinemast/control/_call_desk.py
@@ -57,6 +57,8 @@
         self._note_leaving = note_leaving
         self._waiting: dict[Any, list[Caller]] = defaultdict(list)
         self._sequences: dict[tuple[str, int], int] = {}
+        # Each look-up of a dispatching method makes a new function.
+        self._take_call = self._take
 
     def start_term(self) -> None:
         """Know of no announcements of a former term."""
@@ -76,7 +78,7 @@
         now_ms: int,
     ) -> None:
         """Answer a call now, or once its command is applied."""
-        answer = self._take(call, caller, now_s, now_ms)
+        answer = self._take_call(call, caller, now_s, now_ms)
         if answer is not None:
             self._answer(caller, answer)
 
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -108,6 +108,8 @@
             Leading(self.replica, self.is_leader, self._step_replica),
         )
         self._is_ready = False
+        # Each look-up of a dispatching method makes a new function.
+        self._handle_event = self._handle
 
     def is_leader(self, now_s: float) -> bool:
         """Tell whether this process may answer for the state now."""
@@ -116,7 +118,7 @@
     def step(self, event: ControlEvent, now_s: float) -> list[ControlOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs.clear()
-        self._handle(event, now_s)
+        self._handle_event(event, now_s)
         self._sessions.note_log(self.state.log_index, now_s)
         self._entry_desk.streams.send_fresh(now_s)
         self._answer_operators(now_s)
@@ -302,7 +304,7 @@
             self._outputs.append(AnswerOperator(request_id, answer))
 
     def _answer_operators(self, now_s: float) -> None:
-        if self.is_leader(now_s):
+        if self._pending.has_applied and self.is_leader(now_s):
             answers = self._pending.take_answers(
                 self.state,
                 self._sessions,
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -81,6 +81,8 @@
         self._gathered: list[CommandProposed] = []
         self._beat_due_s: float = 0
         self._has_ticked = False
+        # Each look-up of a dispatching method makes a new function.
+        self._handle_event = self._handle
 
     def start_term(self, now_s: float) -> None:
         """Lead from now on."""
@@ -114,7 +116,7 @@
 
     def handle(self, event: JobEvent, now_s: float) -> None:
         """Take what comes of callers and workers."""
-        self._handle(event, now_s)
+        self._handle_event(event, now_s)
 
     def note_restored(self, now_s: float) -> None:
         """Note that the state came as a whole, from a snapshot."""
@@ -180,13 +182,16 @@
             self._emit(outputs, now_s)
 
     def _emit(self, outputs: list[DispatchOutput], now_s: float) -> None:
+        if not outputs:
+            return
         until_s = self._leading.replica.get_lease_until_s(now_s)
+        may_order = self._leading.is_leader(now_s)
         for output in outputs:
             if isinstance(output, Propose):
                 self._gather(output.command, INTERNAL_REQUEST, now_s)
             elif isinstance(output, LogDecision):
                 self._context.outputs.append(output)
-            elif self._leading.is_leader(now_s):
+            elif may_order:
                 self._context.outputs.append(SendOrder(output, until_s))
             else:
                 self._note_unsent(output, now_s)
--- a/src/sardinemast/control/_operators.py
+++ b/src/sardinemast/control/_operators.py
@@ -32,6 +32,11 @@
         if accepted.proposal_id != INTERNAL_REQUEST:
             self._proposed[accepted.log_index] = accepted
 
+    @property
+    def has_applied(self) -> bool:
+        """Tell whether applied commands wait for their answers."""
+        return bool(self._applied)
+
     def note_applied(
         self,
         entry: LogEntry,
--- a/src/sardinemast/daemon/_logs.py
+++ b/src/sardinemast/daemon/_logs.py
@@ -1,10 +1,10 @@
 """Logs as text for people or as JSON lines for machines."""
 
 import atexit
-import json
 import sys
 from typing import Any
 
+import msgspec
 from logbook import (
     LogRecord,
     RotatingFileHandler,
@@ -47,7 +47,7 @@
 
 def format_json_line(record: LogRecord, handler: Any) -> str:
     """Give a log record as one line of JSON."""
-    return json.dumps(
+    line = msgspec.json.encode(
         {
             'time': record.time.isoformat(),
             'level': record.level_name.lower(),
@@ -56,3 +56,4 @@
             **record.extra,
         },
     )
+    return line.decode()
--- a/src/sardinemast/platform/_workers.py
+++ b/src/sardinemast/platform/_workers.py
@@ -45,6 +45,8 @@
         self._exchanges = Exchanges(own_host)
         self._services = ServiceOrders(self._exchanges, instances, advice)
         self._tasks: set[asyncio.Task[None]] = set()
+        # Each look-up of a dispatching method makes a new function.
+        self._carry_order = self._carry
 
     async def run(self) -> None:
         """Close connections that have gone stale, until cancelled."""
@@ -67,7 +69,7 @@
         valid_until_s: float,
         take: Callable[[ControlEvent], None],
     ) -> None:
-        event = await self._carry(order, valid_until_s)
+        event = await self._carry_order(order, valid_until_s)
         if event is not None:
             take(event)
 
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -96,6 +96,7 @@
         self.desk = OperatorDesk(self.core, identity, self._access)
         self.loop = CoreLoop[control.ControlEvent, control.ControlOutput](
             self._step,
+            # Looked up once: each look-up makes a new function.
             self._execute,
             _make_tick,
         )
--- a/src/sardinemast/wire/_codec.py
+++ b/src/sardinemast/wire/_codec.py
@@ -30,7 +30,11 @@
     if isinstance(record, Enum):
         return record.value
     if isinstance(record, tuple):
-        return [dump_plain(part) for part in record]
+        # Most parts are plain; a call for each took half of the time.
+        return [
+            part if part.__class__ in _PLAIN else dump_plain(part)
+            for part in record
+        ]
     if isinstance(record, Mapping):
         return {key: dump_plain(part) for key, part in record.items()}
     return record
@@ -148,10 +152,10 @@
         if plain.__class__ is not list or len(plain) != len(loaders):
             raise _mismatch(kind, plain)
         return kind(
-            *(
+            *[
                 load_part(part)
                 for load_part, part in zip(loaders, plain, strict=True)
-            )
+            ],
         )
 
     return load
