Maintain instances that stand by first, and bring in those that are due last

An instance without a worker counted as one of a pool of its own, and so did each that was down for maintenance just then, so that few of them got a turn while many were down. And one that stood by counted as down for 8 s, since it has no worker whose first word would tell that it is back, and held up others below the cap.

Ruled out: a worker that could not be emptied (neither ran anything lasting), refused orders (eight, all of a dark rack), the change of leader at 3.2 s.

Change: what stands by goes first and is bounded by the cap alone; the list of instances, asked for after one was taken down, tells when it is back; a pool that lacks room gets those that are not due first, and none that is down.

The test of a first word that comes late now keeps its instance away for longer, since the list would rightly show it as back.

--- a/src/sardinemast/dispatch/_instance_events.py
+++ b/src/sardinemast/dispatch/_instance_events.py
@@ -51,6 +51,7 @@
     """Ask for all instances, those that stand by included."""
 
     timeout_s: float
+    asked_s: float
 
 
 class ListedInstance(NamedTuple):
@@ -66,6 +67,7 @@
 
 
 class InstancesListed(NamedTuple):
-    """Hand over the list of instances."""
+    """Hand over the list of instances, as asked for at ``asked_s``."""
 
     instances: tuple[ListedInstance, ...]
+    asked_s: float
--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -23,7 +23,7 @@
 from sardinemast.dispatch._peaks import PeakBook
 from sardinemast.dispatch._pool_sizes import PoolNeed, count_needed
 from sardinemast.dispatch._state import DispatchState
-from sardinemast.jobs import Worker
+from sardinemast.jobs import UpkeepStatus, Worker
 from sardinemast.jobs.commands import ForgetWorker, NoteMove
 
 # The list changes only by own moves and by instances that come and go.
@@ -79,7 +79,7 @@
         if self._get_standby_pool() and now_s >= self._list_due_s:
             self._list_due_s = now_s + _LIST_EVERY_S
             timeout_s = self._state.settings.answer_s
-            self._state.outputs.append(ListInstances(timeout_s))
+            self._state.outputs.append(ListInstances(timeout_s, now_s))
         lacking = {
             pool: self._count_lacking(pool, load, peaks, now_s)
             for pool, load in loads.items()
@@ -210,13 +210,19 @@
                 self._choose(worker, standby_pool, now_s)
 
     def _bring_in(self, pool: str, wanted: int, now_s: float) -> int:
+        busy = self._state.list_upkeeps(UpkeepStatus.ordered, UpkeepStatus.down)
         ready = [
             name
             for name in self._standby
             if name not in self._under_way
+            and name not in busy
             and self._state.is_settled(name, now_s)
             and not self._is_refused(name, pool, now_s)
         ]
+        # One that is due for maintenance would be taken from the pool again
+        # in the middle of its peak.
+        due = self._state.list_upkeeps(UpkeepStatus.waiting)
+        ready.sort(key=due.__contains__)
         for name in ready[: max(wanted, 0)]:
             self._standby.pop(name)
             self._order(name, pool, now_s)
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -79,6 +79,15 @@
         last_s = self.order_times.get_last_s(instance)
         return now_s >= min(self.started_s, last_s) + self.settings.settle_s
 
+    def list_upkeeps(self, *wanted: UpkeepStatus) -> set[str]:
+        """Give the instances whose maintenance is that far."""
+        return {
+            item.instance
+            for wave in self.jobs.waves.values()
+            for item in wave.items
+            if item.status in wanted
+        }
+
     def propose(self, command: Command) -> None:
         """Put a command into the log."""
         self.outputs.append(Propose(command))
@@ -169,8 +178,4 @@
         return noted_ms > 0 and self.now_ms >= noted_ms + needed_s * _MS
 
     def _is_ordered(self, instance: str) -> bool:
-        return any(
-            item.instance == instance and item.status is UpkeepStatus.ordered
-            for wave in self.jobs.waves.values()
-            for item in wave.items
-        )
+        return instance in self.list_upkeeps(UpkeepStatus.ordered)
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -25,8 +25,9 @@
 _AT_ONCE = 3
 # A wave is planned to end so much before its deadline.
 _RESERVE_S = 4.0
-# While an instance refuses, it is looked up so often whether it is lost.
-_LIST_EVERY_S = 2.0
+# While an instance refuses, it is looked up so often whether it is lost, and
+# while one that stands by is down, whether it is back.
+_LIST_EVERY_S = 1.0
 
 
 class Upkeep:
@@ -42,6 +43,7 @@
         self._ordered_s: dict[tuple[int, str], float] = {}
         self._noting: dict[tuple[int, str], UpkeepStatus] = {}
         self._down_since_s: dict[str, float] = {}
+        self._taken_down_s: dict[tuple[int, str], float] = {}
         self._listed_s = float('-inf')
 
     def start_term(self) -> None:
@@ -50,6 +52,7 @@
         self._ordered_s.clear()
         self._noting.clear()
         self._down_since_s.clear()
+        self._taken_down_s.clear()
 
     def tick(self, now_s: float, now_ms: int) -> None:
         """Go on with each wave that is not done."""
@@ -73,6 +76,8 @@
         # and the answer is the same where that was before. The successor's
         # first word tells it.
         if answered.outcome is OrderOutcome.done:
+            place = (answered.wave, answered.instance)
+            self._taken_down_s.setdefault(place, now_s)
             self._note(
                 wave,
                 answered.instance,
@@ -97,11 +102,14 @@
         self._noting.pop((noted.wave, noted.instance), None)
 
     def take_list(self, listed: InstancesListed, now_s: float) -> None:
-        """Learn which instances are down or gone."""
+        """Learn which instances are down or gone, and which are back."""
         names = {one.name for one in listed.instances}
         down = {one.name for one in listed.instances if one.is_down}
+        up = {one.name for one in listed.instances if one.is_up}
         for wave in self._state.jobs.waves.values():
             for item in wave.items:
+                if item.instance in up:
+                    self._note_back(wave, item, listed.asked_s)
                 if item.instance in names - down:
                     self._down_since_s.pop(item.instance, None)
                 else:
@@ -115,12 +123,28 @@
         """
         if answered.outcome is not OrderOutcome.refused:
             return False
+        self._ask_for_list(now_s)
+        since_s = self._down_since_s.get(answered.instance, now_s)
+        return now_s >= since_s + self._state.settings.lost_after_s
+
+    def _ask_for_list(self, now_s: float) -> None:
         if now_s >= self._listed_s + _LIST_EVERY_S:
             self._listed_s = now_s
             timeout_s = self._state.settings.answer_s
-            self._state.outputs.append(ListInstances(timeout_s))
-        since_s = self._down_since_s.get(answered.instance, now_s)
-        return now_s >= since_s + self._state.settings.lost_after_s
+            self._state.outputs.append(ListInstances(timeout_s, now_s))
+
+    def _note_back(self, wave: Wave, item: WaveItem, asked_s: float) -> None:
+        """Note that an instance that stands by is back from maintenance.
+
+        It has no worker that would announce itself. A list that was asked for
+        before the instance was taken down may still show it as up.
+        """
+        if item.status is not UpkeepStatus.down or item.boot_ms:
+            return
+        place = (wave.number, item.instance)
+        taken_s = self._taken_down_s.get(place, float('inf'))
+        if asked_s > taken_s:
+            self._note(wave, item.instance, UpkeepStatus.done)
 
     def _find_workers(self, wave: Wave) -> dict[str, Worker]:
         """Give the newest worker of each instance of a wave that has one."""
@@ -164,6 +188,8 @@
             since_s = ordered_s or self._state.started_s
             if is_back or now_s >= since_s + settings.upkeep_max_s:
                 self._note(wave, item.instance, UpkeepStatus.done)
+            elif not item.boot_ms:
+                self._ask_for_list(now_s)
         elif now_s >= self._state.started_s + settings.settle_s:
             again_s = (ordered_s or float('-inf')) + settings.order_again_s
             if now_s >= again_s and self._is_ready(worker, now_s):
@@ -249,7 +275,11 @@
                 taken[pool] += 1
         for item in sorted(waiting, key=self._get_order(workers)):
             worker = workers.get(item.instance)
-            pool = worker.pool if worker else ''
+            if worker is None:
+                # Nobody misses one that stands by. In a pool it would be.
+                yield item
+                continue
+            pool = worker.pool
             allowed = 1 + int(by_pool[pool] * _TURN_S / left_s)
             if self._is_put_off(pool, by_pool[pool], left_s):
                 continue
--- a/src/sardinemast/model/__init__.py
+++ b/src/sardinemast/model/__init__.py
@@ -1,6 +1,6 @@
 """A model of the systems that the product serves, in virtual time."""
 
-from sardinemast.model._days import REGISTRY_DAY
+from sardinemast.model._days import ENROLMENT_DAY, REGISTRY_DAY
 from sardinemast.model._fleet import VirtualFleet
 from sardinemast.model._ledger import DayFigures, Weights
 from sardinemast.model._patterns import (
@@ -11,6 +11,7 @@
 )
 
 __all__ = (
+    'ENROLMENT_DAY',
     'REGISTRY_DAY',
     'DayFigures',
     'DayPattern',
--- a/src/sardinemast/model/_instances.py
+++ b/src/sardinemast/model/_instances.py
@@ -63,13 +63,14 @@
             on = sum(one.pool != STANDBY_POOL for one in self.all.values())
             self.worker_seconds += on * passed_s
 
-    def list_all(self) -> InstancesListed:
+    def list_all(self, asked_s: float) -> InstancesListed:
         """Give the list as whoever runs the instances gives it."""
         return InstancesListed(
             tuple(
                 ListedInstance(one.name, one.pool, one.is_up, one.is_down)
                 for one in self.all.values()
             ),
+            asked_s,
         )
 
     def move(self, name: str, pool: str) -> bool:
@@ -147,12 +148,8 @@
 
 
 def _make_instances(day: DayPattern) -> Iterator[ModelInstance]:
-    pools = [queue.pool for queue in day.queues]
-    names = [
-        pool
-        for pool in (*pools, STANDBY_POOL)
-        for _ in range(day.workers_a_pool)
-    ]
+    names = [queue.pool for queue in day.queues for _ in range(queue.workers)]
+    names.extend(STANDBY_POOL for _ in range(day.standby))
     for place, pool in enumerate(names):
         rack = place // day.workers_a_rack
         yield ModelInstance(f'm-{place}', pool, f'r-{rack}')
--- a/src/sardinemast/model/_orders.py
+++ b/src/sardinemast/model/_orders.py
@@ -75,7 +75,7 @@
                 is_done = self._instances.maintain(order.instance)
                 reply(_make_upkeep_answer(order, is_done=is_done))
             elif isinstance(order, ListInstances):
-                reply(self._instances.list_all())
+                reply(self._instances.list_all(order.asked_s))
 
         self._clock.call_later(_WAY_S, arrive)
 
--- a/src/sardinemast/model/_patterns.py
+++ b/src/sardinemast/model/_patterns.py
@@ -23,9 +23,7 @@
 _TEAM_WEIGHTS = (10, 6, 3, 2, 1, 1)
 _LARGEST_FACTOR = 3.0
 _CALL_TIMEOUT_MS = 3000
-# Sizes in memory, far from binding.
-_TASK_MIB = 512
-_SERVING_MIB = 8192
+_FILLER_MIB = 512
 # A step that asks for more than this share of its pool may run in waves.
 _WIDE_SHARE = 0.25
 
@@ -55,13 +53,17 @@
         return min(drawn, self.mean * _LARGEST_FACTOR)
 
 
+_SMALL_MEMORY_MIB = Sizes(512)
+
+
 class QueuePattern(NamedTuple):
-    """Describe what a queue's callers submit.
+    """Describe what a queue's callers submit, and the pool for it.
 
     ``jobs_per_s`` is the mean over a round of turns. ``declared_off`` spreads
     what callers declare around what a task takes; ``uneven`` spreads the
-    tasks of one step. Each pool also runs ``lasting`` tasks that serve, and
-    ``fillers`` beside them.
+    tasks of one step. The pool begins with ``workers``. It also runs
+    ``lasting`` tasks that serve, of which ``lasting_missing`` may be away,
+    and ``fillers`` beside them.
     """
 
     name: str
@@ -78,7 +80,11 @@
     failing_share: float = 0.002
     lasting: int = 5
     lasting_cores: float = 1.4
+    lasting_missing: int = 1
     fillers: int = 2
+    memory_mib: Sizes = _SMALL_MEMORY_MIB
+    lasting_mib: int = 8192
+    workers: int = 8
 
     @property
     def pool(self) -> str:
@@ -92,6 +98,7 @@
     Each queue's peak lasts ``peak_s`` from rise to end, begins
     ``turn_s`` after that of the queue before, and comes again when all had
     their turn. Between peaks a queue asks for ``rest_share`` of its mean.
+    A steep peak asks for the same from its first moment to its last.
     """
 
     queues: tuple[QueuePattern, ...]
@@ -99,7 +106,8 @@
     turn_s: float = 9.0
     peak_s: float = 10.0
     rest_share: float = 0.05
-    workers_a_pool: int = 8
+    is_steep: bool = False
+    standby: int = 8
     workers_a_rack: int = 4
     worker_cores: int = 16
     worker_memory_mib: int = 65_536
@@ -180,7 +188,8 @@
         yield _make_lasting(queue, rng)
     round_s = day.turn_s * len(day.queues)
     # The hump is a raised cosine: its top is twice the mean over its length.
-    top = 2 * queue.jobs_per_s * round_s / day.peak_s
+    height = 1 if day.is_steep else 2
+    top = height * queue.jobs_per_s * round_s / day.peak_s
     now_s: float = 0
     number = 0
     while True:
@@ -191,7 +200,7 @@
         rate = queue.jobs_per_s * day.rest_share
         if since_s < day.peak_s:
             angle = 2 * math.pi * since_s / day.peak_s
-            rate += top * (1 - math.cos(angle)) / 2
+            rate += top if day.is_steep else top * (1 - math.cos(angle)) / 2
         if rng.random() < rate / top:
             number += 1
             yield _draw_job(day, queue, f'{queue.name}-{number}', now_s, rng)
@@ -228,7 +237,7 @@
 ) -> Arrival:
     count = _round_up(queue.step_count.draw(rng))
     drawn = [_draw_step(queue, place, rng) for place in range(count)]
-    room = day.worker_cores * day.workers_a_pool * _WIDE_SHARE * _MS
+    room = day.worker_cores * queue.workers * _WIDE_SHARE * _MS
     chain_s = sum(one.get_length_s(room) for one in drawn)
     return Arrival(
         at_s,
@@ -250,7 +259,7 @@
     uneven = Sizes(1, queue.uneven)
     step = Step(
         count,
-        Size(max(millicores, 1), _TASK_MIB * _MIB),
+        Size(max(millicores, 1), int(queue.memory_mib.draw(rng)) * _MIB),
         estimate_ms=max(int(declared_s * _MS), 1),
         depends_on=(place - 1,) if place else (),
         image=queue.name,
@@ -268,15 +277,15 @@
 def _make_lasting(queue: QueuePattern, rng: Random) -> Arrival:
     serving = Step(
         queue.lasting,
-        Size(int(queue.lasting_cores * _MS), _SERVING_MIB * _MIB),
+        Size(int(queue.lasting_cores * _MS), queue.lasting_mib * _MIB),
         is_lasting=True,
-        may_miss=1,
+        may_miss=queue.lasting_missing,
         tail_limit_ms=100,
         image=f'{queue.name}-serving',
     )
     filler = Step(
         queue.fillers,
-        Size(int(queue.lasting_cores * _MS), _TASK_MIB * _MIB),
+        Size(int(queue.lasting_cores * _MS), _FILLER_MIB * _MIB),
         is_lasting=True,
         is_filler=True,
         image=f'{queue.name}-filler',
--- a/src/sardinemast/model/_troubles.py
+++ b/src/sardinemast/model/_troubles.py
@@ -20,7 +20,8 @@
 _SICK_SHARE = 0.12
 _CRAWL_FACTOR = 8.0
 _WAVE_SHARE = 0.44
-_WAVE_CAP = 8
+_CAP_SHARE = 0.39
+_CAP_LEAST = 8
 _WAVE_S = 25.0
 _WAVE_LATEST_S = 3.0
 # A lost leader's successor is elected and heard by all within this.
@@ -49,9 +50,10 @@
 ) -> dict[Trouble, Callable[[], None]]:
     names = sorted(fleet.instances.all)
     due = tuple(rng.sample(names, int(len(names) * _WAVE_SHARE)))
+    cap = max(int(len(due) * _CAP_SHARE), _CAP_LEAST)
     dark, cut, slow, failing = (rng.sample(names, len(names)) for _ in range(4))
     return {
-        Trouble.wave: lambda: fleet.declare_wave(due, _WAVE_CAP, _WAVE_S),
+        Trouble.wave: lambda: fleet.declare_wave(due, cap, _WAVE_S),
         Trouble.leader_lost: lambda: fleet.lose_leader(_ELECTION_S),
         Trouble.control_restarted: lambda: fleet.restart_control(_RESTART_S),
         Trouble.rack_dark: lambda: _darken_rack(fleet, dark),
--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -132,7 +132,7 @@
             listed.extend(map(make_instance, page.get('machines', [])))
             token = page.get('next_token') or ''
             if not token:
-                return InstancesListed(tuple(listed))
+                return InstancesListed(tuple(listed), order.asked_s)
             query = urlencode({'page_token': token})
             path = f'{_LIST_PATH}?{query}'
         return None
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -162,3 +162,4 @@
         self.refused: set[str] = set()
         self.down: set[str] = set()
         self.standby: set[str] = set()
+        self.away_until_s: dict[str, float] = {}
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -58,6 +58,8 @@
 KEY = 'key-of-breizh'
 CORE = 1000
 MIB = 1024 * 1024
+# An instance is away so long for maintenance.
+UPKEEP_S = 2.0
 _MS = 1000
 # The pool keeps all of its workers until it was seen to peak.
 _SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
@@ -294,6 +296,9 @@
         event: DispatchEvent | None = None
         if isinstance(order, OrderUpkeep):
             is_refused = order.instance in self.instances.refused
+            if not is_refused:
+                back_s = self.now_s + UPKEEP_S
+                self.instances.away_until_s[order.instance] = back_s
             event = UpkeepAnswered(
                 order.instance,
                 order.wave,
@@ -301,7 +306,7 @@
                 OrderOutcome.refused if is_refused else OrderOutcome.done,
             )
         elif isinstance(order, ListInstances):
-            event = InstancesListed(self._list_instances())
+            event = InstancesListed(self._list_instances(), order.asked_s)
         elif isinstance(order, AskAdvice):
             event = self.policy.answer(order)
         elif isinstance(order, OrderMove):
@@ -319,17 +324,22 @@
             ListedInstance(
                 name,
                 POOL,
-                is_up=name not in self.instances.down,
+                is_up=name not in self.instances.down
+                and not self._is_away(name),
                 is_down=name in self.instances.down,
             )
             for name in self.state.homes
         ]
         off = [
-            ListedInstance(name, STANDBY, is_up=True)
+            ListedInstance(name, STANDBY, is_up=not self._is_away(name))
             for name in sorted(self.instances.standby)
         ]
         return (*at_work, *off)
 
+    def _is_away(self, instance: str) -> bool:
+        back_s = self.instances.away_until_s.get(instance, 0)
+        return self.now_s < back_s
+
     def _answer_worker(self, order: Any) -> DispatchEvent | None:
         name = order.worker.name
         model = self.workers.get(name)
--- a/tests/dispatch/test_moves.py
+++ b/tests/dispatch/test_moves.py
@@ -150,3 +150,18 @@
     fleet.submit('peak', make_step(70 * 4))
     fleet.run(1)
     assert len(fleet.instances.moves) == 30
+
+
+def test_instance_that_is_due_for_maintenance_comes_last() -> None:
+    """A peak needs one of two instances, and one of them is due in a wave.
+
+    Brought in, it was taken out of the pool again in the middle of the peak,
+    or the wave had to wait for it and was late.
+    """
+    fleet = _make_full_fleet()
+    fleet.instances.standby = {'due', 'spare'}
+    fleet.run(16)
+    fleet.commit(DeclareWave(1, ('due',), 0, fleet.now_ms, fleet.now_ms))
+    fleet.submit('peak', make_step(10))
+    fleet.run(1)
+    assert [one.instance for one in fleet.instances.moves] == ['spare']
--- a/tests/dispatch/test_upkeep.py
+++ b/tests/dispatch/test_upkeep.py
@@ -1,6 +1,6 @@
 """Waves of maintenance, and what lasting tasks may miss."""
 
-from builders.workers import ModelFleet, make_step, make_worker
+from builders.workers import UPKEEP_S, ModelFleet, make_step, make_worker
 from sardinemast.jobs import TaskKey, UpkeepStatus, WaveItem
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -213,6 +213,8 @@
     _declare(fleet, cap=1, names=('m-1', 'm-2'))
     fleet.run(0.2)
     assert fleet.instances.upkeeps == ['m-1']
+    # It takes its time, and no list shows it as up.
+    fleet.instances.away_until_s['m-1'] = fleet.now_s + 10
     fleet.add_worker(make_worker(1, boot_ms=7))
     fleet.run(3)
     assert fleet.instances.upkeeps == ['m-1']
@@ -237,6 +239,40 @@
     assert fleet.instances.upkeeps
 
 
+def test_instances_that_stand_by_are_maintained_first() -> None:
+    """A wave holds instances of a busy pool and many that stand by.
+
+    Those that stood by were counted as one more pool, with all that were down
+    just then, and got their turn one by one. Two of 142 had been brought into
+    a peak by the time that theirs came, and the wave was late.
+    """
+    fleet = ModelFleet(_WORKERS)
+    spare = tuple(f'spare-{number}' for number in range(6))
+    fleet.instances.standby = set(spare)
+    fleet.run(5)
+    _declare(fleet, cap=8, names=(*_INSTANCES, *spare))
+    fleet.run(0.5)
+    assert set(spare) <= set(fleet.instances.upkeeps)
+
+
+def test_instance_that_stands_by_is_back_when_it_is_listed() -> None:
+    """One that stands by has no worker that tells when it is back.
+
+    Its turn was taken to last eight seconds where it took two, and others of
+    the wave waited for it.
+    """
+    fleet = ModelFleet(0)
+    fleet.instances.standby = {'spare-0', 'spare-1'}
+    fleet.run(5)
+    _declare(fleet, cap=1, names=('spare-0', 'spare-1'))
+    fleet.run(UPKEEP_S - 0.5)
+    assert len(fleet.instances.upkeeps) == 1
+    fleet.run(3)
+    assert len(fleet.instances.upkeeps) == 2
+    fleet.run(4)
+    assert not _list_left(fleet)
+
+
 def _count_stops(fleet: ModelFleet) -> int:
     return sum(line.startswith('run.stopped') for line in fleet.logged)
 
