Have what the last peak asked for when the next one begins

Peaks last 4.5 s and begin within a moment; an instance takes some 2 s, and was ordered as tasks piled up, so that the last ones came in a peak's second half and were off again soon after.

Hypothesis: a pool's next peak asks for about as much as its last one did, and its first one for as much as those of the queues before it. Brought in when the peak begins, and from 1.2 s before it is due again, instances cost little more and come in time.

What is learned is what the first 2.4 s of a peak ask for, which is less than its top where it rises slowly.

--- a/src/sardinemast/dispatch/_peaks.py
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -6,6 +6,7 @@
 """
 
 from itertools import pairwise
+from statistics import fmean
 
 # A peak asks for most of a pool's room, the time between for a few hundredths.
 _BEGIN_SHARE = 0.35
@@ -19,6 +20,9 @@
 # seconds of few jobs happen in the middle of it.
 _REJOIN_S = 2.0
 _KEPT = 8
+# What is asked for by the time that an instance ordered at the peak's start
+# could have come.
+_RISE_S = 2.4
 
 
 class _Pool:
@@ -29,6 +33,8 @@
         self.ended_s: float | None = None
         self.is_peak = False
         self.turned_s: float | None = None
+        self.shares: list[float] = []
+        self.asked_share: float | None = None
 
 
 class PeakBook:
@@ -41,6 +47,8 @@
     def note(self, pool: str, share: float, now_s: float) -> None:
         """Take which share of its room a pool's work asks for."""
         known = self._pools.setdefault(pool, _Pool())
+        if known.is_peak and now_s < known.starts_s[-1] + _RISE_S:
+            known.shares.append(share)
         is_turning = share < _END_SHARE
         if not known.is_peak:
             is_turning = share >= _BEGIN_SHARE
@@ -62,6 +70,29 @@
         known = self._pools.get(pool)
         return known is not None and bool(known.starts_s)
 
+    def is_beginning(self, pool: str, now_s: float, lead_s: float) -> bool:
+        """Tell whether a pool's peak has begun within the last moments."""
+        known = self._pools.get(pool)
+        if known is None or not known.is_peak:
+            return False
+        return now_s < known.starts_s[-1] + lead_s
+
+    def get_asked_share(self, pool: str) -> float:
+        """Give which share of its room the first moments of a peak ask for.
+
+        That of a pool without a whole peak is the mean of the others', or 0
+        where nothing is known.
+        """
+        known = self._pools.get(pool)
+        if known is not None and known.asked_share is not None:
+            return known.asked_share
+        seen = [
+            one.asked_share
+            for one in self._pools.values()
+            if one.asked_share is not None
+        ]
+        return fmean(seen) if seen else 0
+
     def get_next_start_s(self, pool: str) -> float:
         """Give when the pool's next peak begins at the earliest.
 
@@ -135,7 +166,16 @@
     known.turned_s = None
     if not known.is_peak:
         known.ended_s = since_s
+        if known.shares:
+            known.asked_share = _get_upper_mean(known.shares)
+        known.shares = []
         return
     ended_s = known.ended_s
     if ended_s is None or since_s > ended_s + _REJOIN_S:
         known.starts_s = [*known.starts_s, since_s][-_KEPT:]
+
+
+def _get_upper_mean(shares: list[float]) -> float:
+    """Give the mean of the upper half, without the rise and the end."""
+    ordered = sorted(shares)
+    return fmean(ordered[len(ordered) // 2 :])
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -10,6 +10,9 @@
 # A moved instance has a new worker after about two seconds; it has to be
 # there when the peak begins.
 _LEAD_S = 2.4
+# So long before a pool's next peak it gets what its last one asked for. The
+# rest of an instance's way falls into the first moments of the peak.
+_AHEAD_S = 1.2
 
 
 class PoolNeed(NamedTuple):
@@ -38,9 +41,45 @@
     peak may come at any moment, and they carry it until others are there. So
     does one whose peak is due or late, until the queues have stopped peaking.
     """
-    size = need.worker_millicores
-    if not size:
+    if not need.worker_millicores:
         return need.usual
+    asked = _count_asked(pool, load, need, peaks, now_s, policy)
+    if not _is_expected(pool, peaks, now_s):
+        return asked
+    expected = _count_expected(pool, load, need, peaks, policy)
+    return max(asked, min(expected, _count_most(load, need, policy)))
+
+
+def _is_expected(pool: str, peaks: PeakBook, now_s: float) -> bool:
+    """Tell whether a pool's peak begins about now."""
+    if peaks.is_peak(pool):
+        return peaks.is_beginning(pool, now_s, _LEAD_S)
+    if not peaks.has_peaked(pool) or peaks.has_stopped(now_s):
+        return False
+    return now_s >= peaks.get_next_start_s(pool) - _AHEAD_S
+
+
+def _count_expected(
+    pool: str,
+    load: PoolLoad,
+    need: PoolNeed,
+    peaks: PeakBook,
+    policy: PoolPolicy,
+) -> int:
+    """Give how many workers carry the next peak, by the size of the last."""
+    asked = policy.expected_factor * peaks.get_asked_share(pool) * need.room
+    return ceil((max(load.lasting, 0) + asked) / need.worker_millicores)
+
+
+def _count_asked(
+    pool: str,
+    load: PoolLoad,
+    need: PoolNeed,
+    peaks: PeakBook,
+    now_s: float,
+    policy: PoolPolicy,
+) -> int:
+    size = need.worker_millicores
     more = _count_missing(load, size, policy)
     if peaks.is_peak(pool):
         more = max(more, _count_ahead(load, size, policy))
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -13,6 +13,9 @@
     ``most_factor`` times its usual workers. Between peaks it keeps room for
     ``calm_factor`` times what it runs, and ``calm_spare`` workers more. A
     worker that runs nothing for ``idle_s`` may be moved.
+
+    When a peak begins, and right before it is due again, a pool gets room for
+    ``expected_factor`` times what the first moments of the last one asked for.
     """
 
     opening_share: float = 0.5
@@ -22,6 +25,7 @@
     calm_factor: float = 2.0
     calm_spare: int = 1
     idle_s: float = 1.0
+    expected_factor: float = 1.1
 
 
 class DispatchSettings(NamedTuple):
