--- a/src/sardinemast/model/_patterns.py
+++ b/src/sardinemast/model/_patterns.py
@@ -53,7 +53,7 @@
         return min(drawn, self.mean * _LARGEST_FACTOR)
 
 
-_SMALL_MEMORY_MIB = Sizes(512)
+_SMALL_MIB = 512
 
 
 class QueuePattern(NamedTuple):
@@ -82,7 +82,7 @@
     lasting_cores: float = 1.4
     lasting_missing: int = 1
     fillers: int = 2
-    memory_mib: Sizes = _SMALL_MEMORY_MIB
+    memory_mib: Sizes = Sizes(_SMALL_MIB)
     lasting_mib: int = 8192
     workers: int = 8
 
