Let a new leader keep its term: apply the log in steps, and share out streams

Beside that 719 streams were opened at that process in 2.2 s: an entry that finds no leader asked another process after 50 ms, and all entries came to each new leader at once, where most ran into their 0.25 s and tried again.

Ruled out: the disks (0.04 s to read the log), the votes themselves.

Change: committed entries are applied so many a step, and sockets have their turn between; the leader's work with workers and callers begins once the log of former terms is applied. An entry holds its stream to any control process, which passes calls on over its one stream to the leader; it stays there while a leader is elected, hears of the next one on it, and leaves a process that knows none for 1.5 s. It is not told a refusal by such a process where the call may have gone another way before. Workers go on to announce themselves to the process that they found instead of the leader.

--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -5,11 +5,14 @@
 from typing import NamedTuple
 
 from sardinemast import consensus, dispatch
+from sardinemast.control._apply_queue import ApplyQueue
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._entry_desk import EntryDesk
 from sardinemast.control._events import (
     AnswerOperator,
     AnswerRepair,
+    ApplyDue,
+    ContinueApplying,
     ControlEvent,
     ControlOutput,
     EntryConnected,
@@ -108,6 +111,7 @@
             Leading(self.replica, self.is_leader, self._step_replica),
         )
         self._is_ready = False
+        self._applying = ApplyQueue(self._apply)
         # Each look-up of a dispatching method makes a new function.
         self._handle_event = self._handle
 
@@ -118,11 +122,14 @@
     def step(self, event: ControlEvent, now_s: float) -> list[ControlOutput]:
         """Take an event and give the outputs, to be carried out in order."""
         self._outputs.clear()
+        self._applying.begin_step(now_s)
         self._handle_event(event, now_s)
         self._sessions.note_log(self.state.log_index, now_s)
         self._entry_desk.streams.send_fresh(now_s)
         self._answer_operators(now_s)
         self._take_snapshot(now_s)
+        if self._applying.must_continue():
+            self._outputs.append(ContinueApplying())
         return list(self._outputs)
 
     @singledispatchmethod
@@ -139,6 +146,10 @@
             self._grant_desk.tick(now_s)
             self._slot_desk.tick(now_s)
 
+    @_handle.register
+    def _handle_apply(self, event: ApplyDue, now_s: float) -> None:
+        self._applying.note_continued()
+
     @_handle.register
     def _handle_job_event(self, event: JobEvent, now_s: float) -> None:
         self._job_desk.handle(event, now_s)
@@ -237,8 +248,10 @@
 
     def _take_output(self, output: consensus.Output, now_s: float) -> None:
         if isinstance(output, consensus.ApplyEntry):
-            self._apply(output.entry, now_s)
+            self._applying.put(output.entry, now_s)
         elif isinstance(output, consensus.RestoreSnapshot):
+            # All that was committed before stands in the snapshot.
+            self._applying.clear()
             replace_state(self.state, output.snapshot.image)
             self._job_desk.note_restored(now_s)
         elif isinstance(output, consensus.ProposalAccepted):
@@ -258,7 +271,10 @@
         # The first entry of the own term shows that all entries of former
         # terms are applied; before that a leader may lack acknowledged ones.
         if entry.term == self.replica.term:
+            was_ready = self._is_ready
             self._is_ready = self.replica.role is consensus.Role.leader
+            if self._is_ready and not was_ready:
+                self._job_desk.start_term(now_s)
         self._entry_desk.streams.note_applied(applied)
 
     def _apply_command(
@@ -290,7 +306,6 @@
         self._slot_desk.start_term()
         if changed.role is consensus.Role.leader:
             self._entry_desk.start_term(changed.term, now_s)
-            self._job_desk.start_term(now_s)
             return
         self._job_desk.end_term()
         self._outputs.extend(
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -96,6 +96,10 @@
     """Have what was gathered written and synced together."""
 
 
+class ApplyDue(NamedTuple):
+    """Have more of the committed entries applied."""
+
+
 class OperatorAnswer(NamedTuple):
     """Answer an operator truthfully.
 
@@ -138,6 +142,10 @@
     """Hand over ``ProposalsDue`` a moment later."""
 
 
+class ContinueApplying(NamedTuple):
+    """Hand over ``ApplyDue`` once sockets had their turn."""
+
+
 class AnswerCall(NamedTuple):
     """Send the answer to a call."""
 
@@ -181,6 +189,7 @@
     | OperatorAsked
     | OperatorsAsked
     | RepairAsked
+    | ApplyDue
     | JobEvent
 )
 ControlOutput = (
@@ -192,5 +201,6 @@
     | SendToCaller
     | SendOrder
     | GatherProposals
+    | ContinueApplying
     | dispatch.LogDecision
 )
--- a/src/sardinemast/control/_job_desk.py
+++ b/src/sardinemast/control/_job_desk.py
@@ -9,7 +9,6 @@
     Event,
     ProposalsMade,
     Replica,
-    Role,
 )
 from sardinemast.control._call_desk import CallDesk, Caller
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
@@ -81,11 +80,13 @@
         self._gathered: list[CommandProposed] = []
         self._beat_due_s: float = 0
         self._has_ticked = False
+        self._is_leading = False
         # Each look-up of a dispatching method makes a new function.
         self._handle_event = self._handle
 
     def start_term(self, now_s: float) -> None:
-        """Lead from now on."""
+        """Lead from now on; all entries of former terms are applied."""
+        self._is_leading = True
         state = self._context.state.plans.jobs
         term = self._leading.replica.term
         self._dispatcher.start_term(state, term, now_s)
@@ -93,6 +94,7 @@
 
     def end_term(self) -> None:
         """Send all callers to the next leader."""
+        self._is_leading = False
         self._gathered.clear()
         self._calls.end_term()
         for stream_id in self._streams:
@@ -127,7 +129,7 @@
         if not isinstance(command, JobCommand):
             return
         self._dispatcher.note_logged(command, now_s)
-        if self._leading.replica.role is not Role.leader:
+        if not self._is_leading:
             return
         self._calls.note_applied(command)
         now_ms = self._clock.get_ms(now_s)
@@ -176,7 +178,7 @@
         event: DispatchEvent,
         now_s: float,
     ) -> None:
-        if self._leading.replica.role is Role.leader:
+        if self._is_leading:
             now_ms = self._clock.get_ms(now_s)
             outputs = self._dispatcher.step(event, now_s, now_ms)
             self._emit(outputs, now_s)
--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -41,11 +41,9 @@
     def __init__(
         self,
         relay: LeaderRelay,
-        port: int,
         metrics: ProcessMetrics,
     ) -> None:
         self._relay = relay
-        self._port = port
         self._metrics = metrics
 
     async def handle(self, request: HTTPServerRequest) -> Reply:
@@ -75,17 +73,18 @@
             )
         body = b''
         if answer.outcome is CallOutcome.done:
-            body = self._make_body(call, answer.status, answer.source)
+            body = _make_body(call, answer.status, answer.source)
         return make_reply(answer, body)
 
-    def _make_body(self, call: Call, status: str, source: bytes) -> bytes:
-        if isinstance(call, AnnounceWorker):
-            # The leader hears later words without a detour.
-            address = f'{self._relay.leader}:{self._port}'
-            return msgspec.json.encode({'heartbeat_addr': address})
-        if isinstance(call, ReadWave):
-            return msgspec.json.encode({'state': status})
-        return source
+
+def _make_body(call: Call, status: str, source: bytes) -> bytes:
+    if isinstance(call, AnnounceWorker):
+        # Workers go on to call any control process. Sent to the leader, the
+        # words of hundreds would take a tenth of its time.
+        return b'{}'
+    if isinstance(call, ReadWave):
+        return msgspec.json.encode({'state': status})
+    return source
 
 
 def _read_call(request: HTTPServerRequest) -> Call | None:
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -22,6 +22,7 @@
     Access,
     ControlExtras,
     LeaderRelay,
+    Way,
     create_identity,
     run_control,
 )
@@ -49,6 +50,7 @@
             settings.controls,
             settings.cluster,
             Access(settings.security, settings.cluster.bind_host),
+            Way.direct if 'control' in settings.roles else Way.passed,
         )
         self.metrics = ProcessMetrics()
         self.stopping = asyncio.Event()
@@ -124,11 +126,7 @@
 
 async def _run_control(process: Process) -> None:
     address = _get_address(process.settings.operators)
-    control_front = ControlFront(
-        process.relay,
-        address.port,
-        process.metrics,
-    )
+    control_front = ControlFront(process.relay, process.metrics)
     server = SmallServer(control_front.handle)
     server.listen(address)
     gateway = PlatformGateway(
@@ -140,6 +138,7 @@
         gateway,
         DispatchSettings(pools=process.settings.pool_sizes),
         process.metrics,
+        process.relay,
     )
     async with asyncio.TaskGroup() as tasks:
         running = [
--- a/src/sardinemast/shell/__init__.py
+++ b/src/sardinemast/shell/__init__.py
@@ -4,7 +4,7 @@
 from sardinemast.shell._entry import run_entry
 from sardinemast.shell._gateway import ControlExtras, WorkerGateway
 from sardinemast.shell._identity import Identity, create_identity
-from sardinemast.shell._relay import LeaderRelay
+from sardinemast.shell._relay import LeaderRelay, Way
 from sardinemast.shell._security import Access, create_client_context
 from sardinemast.shell._upstream_client import (
     RawAttempt,
@@ -19,6 +19,7 @@
     'LeaderRelay',
     'RawAttempt',
     'UpstreamClient',
+    'Way',
     'WorkerGateway',
     'create_client_context',
     'create_identity',
--- /dev/null
+++ b/src/sardinemast/shell/_call_passing.py
@@ -0,0 +1,92 @@
+"""Calls of entries that a control process passes on to the leader."""
+
+import asyncio
+from typing import Any
+
+from websockets.asyncio.server import ServerConnection
+
+from sardinemast.protocol import (
+    LEADER_MESSAGES,
+    LeaderBeat,
+    LeaderMessage,
+    NotLeader,
+    PassAnswer,
+    PassCall,
+    unpack_call,
+)
+from sardinemast.shell._identity import Identity
+from sardinemast.shell._links import Outbox, unseal_from
+from sardinemast.shell._relay import LeaderRelay
+from sardinemast.shell._security import Access
+
+# Streams take a control process that misses three beats for lost.
+_BEAT_S = 0.2
+# Longer than any caller waits; an entry gives its callers up by itself.
+_CALL_S = 10.0
+
+
+class CallPassing:
+    """Pass calls on to the leader, over the one stream of this process.
+
+    Each entry holds a stream to one control process, whichever leads. Held to
+    the leader itself, all would come to each new one at once: it had no time
+    left for its followers, lost its term, and they went on to the next one.
+    """
+
+    def __init__(
+        self,
+        relay: LeaderRelay,
+        identity: Identity,
+        access: Access,
+    ) -> None:
+        self._relay = relay
+        self._identity = identity
+        self._access = access
+
+    async def read(self, link: ServerConnection) -> None:
+        """Take calls until the stream ends."""
+        outbox = Outbox(link.send, self._identity)
+        calling: dict[int, asyncio.Task[None]] = {}
+        telling = [
+            asyncio.create_task(outbox.run()),
+            asyncio.create_task(self._tell_leader(outbox)),
+        ]
+        try:
+            async for frame in link:
+                self._take(link, frame, outbox, calling)
+        finally:
+            for task in (*telling, *calling.values()):
+                task.cancel()
+
+    def _take(
+        self,
+        link: ServerConnection,
+        frame: Any,
+        outbox: Outbox,
+        calling: dict[int, asyncio.Task[None]],
+    ) -> None:
+        envelope = unseal_from(link, frame, self._identity, self._access)
+        passed = unpack_call(envelope.body)
+        # After a change of leader an entry sends again what has no answer.
+        if passed.call_id in calling:
+            return
+        task = asyncio.create_task(self._pass_on(passed, outbox))
+        calling[passed.call_id] = task
+        task.add_done_callback(lambda _: calling.pop(passed.call_id))
+
+    async def _pass_on(self, passed: PassCall, outbox: Outbox) -> None:
+        answer = await self._relay.call(passed.call, _CALL_S)
+        _put(outbox, PassAnswer(passed.call_id, answer))
+
+    async def _tell_leader(self, outbox: Outbox) -> None:
+        while True:
+            message: LeaderMessage = NotLeader('')
+            if self._relay.is_connected:
+                relay = self._relay
+                message = LeaderBeat(relay.leader, relay.controls)
+            _put(outbox, message)
+            await asyncio.sleep(_BEAT_S)
+
+
+def _put(outbox: Outbox, message: LeaderMessage) -> None:
+    outbox.put(LEADER_MESSAGES.pack(message))
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -24,12 +24,14 @@
     ENTRY_MESSAGES,
     NotLeader,
 )
+from sardinemast.shell._call_passing import CallPassing
 from sardinemast.shell._caller_streams import CallerStreams
 from sardinemast.shell._gateway import NO_EXTRAS, ControlExtras
 from sardinemast.shell._identity import Identity, get_wall_ms
 from sardinemast.shell._links import (
     CALLS_PATH,
     LINK_OPTIONS,
+    PASS_PATH,
     Outbox,
     unseal_from,
 )
@@ -111,6 +113,9 @@
         self._outboxes: dict[int, Outbox] = {}
         self._peers = PeerLinks(settings, identity, self._access)
         self._callers = CallerStreams(identity, self._access, self.loop.put)
+        self._passing: CallPassing | None = None
+        if extras.relay is not None:
+            self._passing = CallPassing(extras.relay, identity, self._access)
 
     async def run(self, own: ControlAddress) -> None:
         """Serve peers, entries and operators until cancelled."""
@@ -168,6 +173,8 @@
                 await self._read_entry(link)
             elif path == CALLS_PATH:
                 await self._callers.read(link)
+            elif path == PASS_PATH and self._passing is not None:
+                await self._passing.read(link)
 
     async def _read_peer(self, link: ServerConnection) -> None:
         async for frame in link:
@@ -291,6 +298,14 @@
             control.ProposalsDue(),
         )
 
+    @_execute.register
+    def _execute_continue(self, output: control.ContinueApplying) -> None:
+        # What sockets have received meanwhile is read first.
+        asyncio.get_running_loop().call_soon(
+            self.loop.put,
+            control.ApplyDue(),
+        )
+
     @_execute.register
     def _execute_call_answer(
         self,
--- a/src/sardinemast/shell/_gateway.py
+++ b/src/sardinemast/shell/_gateway.py
@@ -6,6 +6,7 @@
 from sardinemast.control import ControlEvent, make_unsent
 from sardinemast.dispatch import DispatchOutput, DispatchSettings
 from sardinemast.metrics import ProcessMetrics
+from sardinemast.shell._relay import LeaderRelay
 
 
 class WorkerGateway(Protocol):
@@ -41,11 +42,15 @@
 
 
 class ControlExtras(NamedTuple):
-    """Hold what a control process is given besides its settings."""
+    """Hold what a control process is given besides its settings.
+
+    With a ``relay`` to the leader it also passes calls of entries on.
+    """
 
     gateway: WorkerGateway = NoWorkers()
     dispatching: DispatchSettings = DispatchSettings()
     metrics: ProcessMetrics | None = None
+    relay: LeaderRelay | None = None
 
 
 NO_EXTRAS = ControlExtras()
--- a/src/sardinemast/shell/_links.py
+++ b/src/sardinemast/shell/_links.py
@@ -21,6 +21,7 @@
 _RECONNECT_S = 0.2
 _HEARTBEAT_S = 1.0
 CALLS_PATH = '/calls'
+PASS_PATH = '/pass'
 
 LINK_OPTIONS: Mapping[str, Any] = MappingProxyType(
     {
--- a/src/sardinemast/shell/_relay.py
+++ b/src/sardinemast/shell/_relay.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import time
+from enum import StrEnum
 from itertools import count
+from random import Random
 from typing import NamedTuple
 
 from logbook import Logger
@@ -24,6 +26,7 @@
 from sardinemast.shell._links import (
     CALLS_PATH,
     LINK_ERRORS,
+    PASS_PATH,
     Outbox,
     open_link,
     unseal_from,
@@ -40,6 +43,9 @@
 # in turn with the others, it must not hold up the search for long; a
 # connection between data centres opens within some milliseconds.
 _OPEN_S = 0.25
+# A process that passes calls on and knows of no leader is left after this; it
+# may be cut off from those that elected one.
+_LEADERLESS_S = 1.5
 # A caller waits so long for a leader that is not known, a quarter of the
 # shortest target of about 0.6 s, and is refused with nothing sent.
 _UNSENT_S = 0.15
@@ -50,6 +56,17 @@
     answer: asyncio.Future[CallAnswer]
 
 
+class Way(StrEnum):
+    """How calls reach the leader.
+
+    A control process holds a stream to the leader itself, an entry one to any
+    control process that passes its calls on.
+    """
+
+    direct = CALLS_PATH
+    passed = PASS_PATH
+
+
 class LeaderRelay:
     """Pass calls to the leader over one stream, and on to the next leader.
 
@@ -64,15 +81,23 @@
         founders: tuple[ControlAddress, ...],
         cluster: Cluster,
         access: Access,
+        way: Way = Way.direct,
+        rng: Random | None = None,
     ) -> None:
         self.leader = ''
+        self.controls: tuple[str, ...] = ()
+        self._way = way
+        self._leaderless_s: float | None = None
         self._identity = identity
         self._port = cluster.own.peer.port
         self._access = access
         self._founders = [one.name for one in founders]
         self._names = list(self._founders)
+        # All begin at once, and must not come to the same process.
+        (rng or Random()).shuffle(self._names)
         self._call_ids = count(1)
         self._pending: dict[int, _Pending] = {}
+        self._resent: set[int] = set()
         self._outbox: Outbox | None = None
         self._led = asyncio.Event()
         self._is_reported = False
@@ -103,6 +128,7 @@
             return CallAnswer(CallOutcome.uncertain, text='No answer in time.')
         finally:
             self._pending.pop(call_id, None)
+            self._resent.discard(call_id)
 
     async def run(self) -> None:
         """Hold the stream until cancelled."""
@@ -113,6 +139,7 @@
             except _STREAM_ERRORS as error:
                 self._report(name, error)
             self._outbox = None
+            self._leaderless_s = None
             self._led.clear()
             self._turn(name)
             await asyncio.sleep(_RECONNECT_S)
@@ -143,7 +170,7 @@
     async def _read_leader(self, address: Address) -> None:
         async with open_link(
             address,
-            CALLS_PATH,
+            self._way,
             self._access,
             _OPEN_S,
         ) as link:
@@ -172,13 +199,27 @@
             )
             message = LEADER_MESSAGES.unpack(envelope.body)
             if isinstance(message, NotLeader):
-                self._prefer(message.leader)
-                return
+                if self._is_over(message):
+                    return
             if isinstance(message, LeaderBeat):
                 self._note_beat(message)
             elif isinstance(message, PassAnswer):
                 self._note_answer(message)
 
+    def _is_over(self, message: NotLeader) -> bool:
+        """Tell whether to look for the leader elsewhere."""
+        if self._way is Way.direct:
+            self._prefer(message.leader)
+            return True
+        # It will hear of the next leader soon. If each entry looked for that
+        # one among all control processes meanwhile, these would have no time
+        # left to elect it.
+        self._led.clear()
+        now_s = time.monotonic()
+        if self._leaderless_s is None:
+            self._leaderless_s = now_s
+        return now_s >= self._leaderless_s + _LEADERLESS_S
+
     def _prefer(self, leader: str) -> None:
         # The list is turned by one after each stream, so the leader is put
         # second to be first next time.
@@ -187,13 +228,17 @@
             self._names = [self._names[0], leader, *rest]
 
     def _note_beat(self, beat: LeaderBeat) -> None:
-        others = [one for one in beat.controls if one != beat.leader]
-        self._names = [beat.leader, *others]
+        first = beat.leader if self._way is Way.direct else self._names[0]
+        others = [one for one in beat.controls if one != first]
+        self._names = [first, *others]
+        self.controls = beat.controls
+        self._leaderless_s = None
         if not self._led.is_set():
             self.leader = beat.leader
             self._is_reported = False
             self._led.set()
             _log.info('The leader is {}.', beat.leader)
+            self._resent.update(self._pending)
             for pending in self._pending.values():
                 self._send(pending)
 
@@ -201,7 +246,16 @@
         pending = self._pending.get(passed.call_id)
         if pending is None or pending.answer.done():
             return
+        if not self._is_open(passed):
+            pending.answer.set_result(passed.answer)
+
+    def _is_open(self, passed: PassAnswer) -> bool:
+        """Tell whether an answer leaves open what became of the call."""
         # A leader that ends cannot tell what the next one does; the call is
         # sent to that one, and its answer tells.
-        if passed.answer.outcome is not CallOutcome.uncertain:
-            pending.answer.set_result(passed.answer)
+        if passed.answer.outcome is CallOutcome.uncertain:
+            return True
+        # Refused by a process that found no leader, the call may still run:
+        # another process may have passed it on before.
+        is_refused = passed.answer.outcome is CallOutcome.refused
+        return is_refused and passed.call_id in self._resent
--- a/tests/builders/platform_fleets.py
+++ b/tests/builders/platform_fleets.py
@@ -18,6 +18,7 @@
 _ENTRY_HOST = '127.0.0.4'
 _WORKER_HOST = '127.0.0.5'
 _WAIT_S = 20.0
+_LEADS = 'sardinemast_is_leader{of=""} 1.0'
 _POLL_S = 0.05
 _MS = 1000
 KEY = 'key-of-breizh'
@@ -248,6 +249,16 @@
             time.sleep(_POLL_S)
         raise TimeoutError(f'{method} {path}: {seen}')
 
+    def wait_for_leader(self) -> str:
+        """Give the control process that leads, as soon as one says so."""
+        due_s = time.monotonic() + _WAIT_S
+        while time.monotonic() < due_s:
+            for host in self.get_controls():
+                if _LEADS in self.read_metrics(host):
+                    return host
+            time.sleep(_POLL_S)
+        raise TimeoutError('No control process leads.')
+
     def wait_for_state(self, path: str, state: str) -> None:
         """Read a job until it is in the state."""
         due_s = time.monotonic() + _WAIT_S
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -119,13 +119,7 @@
         _found(fleet)
         fleet.wait_for(200, 'POST', _JOB, body=_make_chain())
         fleet.wait_for_state(_JOB, 'running')
-        leader = fleet.wait_for(
-            200,
-            'PUT',
-            f'/instances/{fleet.worker.name}',
-            body=fleet.worker.describe(2),
-            host=fleet.get_controls()[1],
-        )['heartbeat_addr'].partition(':')[0]
+        leader = fleet.wait_for_leader()
         fleet.processes.stop(leader, signal.SIGKILL)
         fleet.wait_for(200, 'GET', _JOB)
         fleet.wait_for_state(_JOB, 'done')
--- a/tests/shell/test_relay.py
+++ b/tests/shell/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Any
 
 from websockets.asyncio.server import ServerConnection, serve
@@ -20,21 +21,23 @@
     PassAnswer,
     unpack_call,
 )
-from sardinemast.shell import Access, LeaderRelay, create_identity
+from sardinemast.shell import Access, LeaderRelay, Way, create_identity
 from sardinemast.shell._identity import Identity, seal, unseal
 
 _FIRST = '127.0.0.2'
 _SECOND = '127.0.0.3'
 _CALL = JobCall(JobAction.read, 'h', '/q/1', 'k')
 _SOON_S = 0.8
+# A seed that leaves the two processes in their order.
+_FIRST_BEFORE_SECOND = 0
 Test = Callable[[int, LeaderRelay], Awaitable[None]]
 
 
-def _run(test: Test) -> None:
-    asyncio.run(_run_test(test))
+def _run(test: Test, way: Way = Way.direct) -> None:
+    asyncio.run(_run_test(test, way))
 
 
-async def _run_test(test: Test) -> None:
+async def _run_test(test: Test, way: Way) -> None:
     port = find_ports(1)[0]
     identity = create_identity('entry-1')
     founders = tuple(
@@ -42,7 +45,14 @@
     )
     own = get_control_address('127.0.0.1', port)
     cluster = Cluster(own, 1, may_found=True)
-    relay = LeaderRelay(identity, founders, cluster, Access(None))
+    relay = LeaderRelay(
+        identity,
+        founders,
+        cluster,
+        Access(None),
+        way,
+        Random(_FIRST_BEFORE_SECOND),
+    )
     running = asyncio.create_task(relay.run())
     try:
         await test(port, relay)
@@ -138,3 +148,74 @@
         assert answer.outcome is CallOutcome.refused
 
     _run(test)
+
+
+def test_entry_stays_with_a_process_that_awaits_the_next_leader() -> None:
+    """All control processes have lost power, and elect a leader just now.
+
+    Each of a hundred entries asked them in turn, twenty times a second. They
+    had no time left for each other's votes and heartbeats, and five leaders
+    in a row lost their terms.
+    """
+    identity = create_identity(_FIRST)
+    opened = 0
+
+    async def elect(link: ServerConnection) -> None:
+        nonlocal opened
+        opened += 1
+        for _ in range(4):
+            await _send(link, identity, NotLeader(''))
+            await asyncio.sleep(0.2)
+        await _beat(link, identity)
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        async with serve(elect, _FIRST, port), serve(elect, _SECOND, port):
+            async with asyncio.timeout(5):
+                await _wait_connected(relay)
+            assert opened == 1
+
+    _run(test, Way.passed)
+
+
+def test_entry_leaves_a_process_that_never_hears_of_a_leader() -> None:
+    """Its control process is cut off from the others, which have elected."""
+    identity = create_identity(_FIRST)
+
+    async def be_cut_off(link: ServerConnection) -> None:
+        while True:
+            await _send(link, identity, NotLeader(''))
+            await asyncio.sleep(0.1)
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        async with (
+            serve(be_cut_off, _FIRST, port),
+            serve(_lead(_SECOND, []), _SECOND, port),
+            asyncio.timeout(5),
+        ):
+            await _wait_connected(relay)
+
+    _run(test, Way.passed)
+
+
+def test_refusal_of_a_call_that_went_another_way_before_is_not_told() -> None:
+    """A process passes a booking on, and its stream to the entry breaks.
+
+    The next process knows of no leader and refuses. Told that nothing was
+    done, the family books again, and both bookings run.
+    """
+
+    async def take_and_break(link: ServerConnection) -> None:
+        identity = create_identity(_FIRST)
+        beating = asyncio.create_task(_beat(link, identity))
+        await link.recv()
+        beating.cancel()
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        second = _lead(_SECOND, [CallOutcome.refused])
+        async with serve(take_and_break, _FIRST, port):
+            await _wait_connected(relay)
+            async with serve(second, _SECOND, port):
+                answer = await relay.call(_CALL, 2)
+        assert answer.outcome is CallOutcome.uncertain
+
+    _run(test, Way.passed)
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -120,16 +120,16 @@
             if life is None or worker.is_silent:
                 continue
             body = worker.describe()
+            asked = known or self._random.choice(self._controls)
             answer = await caller.call(
-                known or self._random.choice(self._controls),
+                asked,
                 'PUT',
                 f'/instances/{life.name}',
                 body,
             )
             known = None
             if answer.code == _DONE:
-                host, _, port = answer.body['heartbeat_addr'].partition(':')
-                known = Address(host, int(port))
+                known = asked
                 if body['state'] == 'draining':
                     self.ledger.note_draining(life.name, time.monotonic())
         caller.close()
