Ask again for a list of instances that did not come

A new leader asks once what stands by and then every 15 s; when the first answer is lost it knows of nothing to bring in until then, but for what it switches off itself.

Change: the question is put again after a second until it is answered, and a list that does not come is logged.

--- a/src/sardinemast/dispatch/_moves.py
+++ b/src/sardinemast/dispatch/_moves.py
@@ -28,6 +28,9 @@
 
 # The list changes only by own moves and by instances that come and go.
 _LIST_EVERY_S = 15.0
+# A question without an answer is put again. A leader that does not know what
+# stands by brings nothing in.
+_LIST_AGAIN_S = 1.0
 # The successor of a moved worker announces itself within about two seconds;
 # after this the move is forgotten, and the instance counted where it is.
 _UNDER_WAY_S = 5.0
@@ -77,7 +80,7 @@
         self._send_chosen(now_s)
         self._note_idle(loads, now_s)
         if self._get_standby_pool() and now_s >= self._list_due_s:
-            self._list_due_s = now_s + _LIST_EVERY_S
+            self._list_due_s = now_s + _LIST_AGAIN_S
             timeout_s = self._state.settings.answer_s
             self._state.outputs.append(ListInstances(timeout_s, now_s))
         lacking = {
@@ -112,6 +115,7 @@
 
     def take_list(self, listed: InstancesListed) -> None:
         """Learn which instances stand by."""
+        self._list_due_s = listed.asked_s + _LIST_EVERY_S
         standby_pool = self._get_standby_pool()
         self._standby = {
             one.name: None
--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -128,6 +128,8 @@
             attempt = await self._exchanges.get(start, path)
             page = _read_body(attempt, MachinesBody)
             if page is None:
+                result = attempt.attempt_result
+                _log.warning('The instances were not listed: {}.', result)
                 return None
             listed.extend(map(make_instance, page.get('machines', [])))
             token = page.get('next_token') or ''
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -163,3 +163,4 @@
         self.down: set[str] = set()
         self.standby: set[str] = set()
         self.away_until_s: dict[str, float] = {}
+        self.lost_lists = 0
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -305,6 +305,8 @@
                 order.boot_ms,
                 OrderOutcome.refused if is_refused else OrderOutcome.done,
             )
+        elif isinstance(order, ListInstances) and self.instances.lost_lists:
+            self.instances.lost_lists -= 1
         elif isinstance(order, ListInstances):
             event = InstancesListed(self._list_instances(), order.asked_s)
         elif isinstance(order, AskAdvice):
--- a/tests/dispatch/test_moves.py
+++ b/tests/dispatch/test_moves.py
@@ -152,6 +152,19 @@
     assert len(fleet.instances.moves) == 30
 
 
+def test_leader_asks_again_for_a_list_that_it_did_not_get() -> None:
+    """The answer to a new leader's question for all instances is lost.
+
+    It did not know what stands by, and brought nothing into two peaks until
+    the next list fifteen seconds later.
+    """
+    fleet = _make_full_fleet()
+    fleet.instances.lost_lists = 2
+    _elect_and_fill(fleet)
+    fleet.run(4)
+    assert [one.instance for one in fleet.instances.moves] == ['spare']
+
+
 def test_instance_that_is_due_for_maintenance_comes_last() -> None:
     """A peak needs one of two instances, and one of them is due in a wave.
 
