--- a/src/sardinemast/dispatch/_peaks.py
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -26,7 +26,11 @@
 
 
 class _Pool:
-    """Hold the peaks of one pool."""
+    """Hold the peaks of one pool.
+
+    ``shares`` are those that the first moments of its peak ask for, while it
+    lasts, and ``asked_share`` is what they came to in its last whole peak.
+    """
 
     def __init__(self) -> None:
         self.starts_s: list[float] = []
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -40,6 +40,8 @@
     One that was never seen to peak keeps a part of its workers: its first
     peak may come at any moment, and they carry it until others are there. So
     does one whose peak is due or late, until the queues have stopped peaking.
+    Right before a peak, and in its first moments, a pool gets what the last
+    one asked for.
     """
     if not need.worker_millicores:
         return need.usual
--- a/src/sardinemast/model/_patterns.py
+++ b/src/sardinemast/model/_patterns.py
@@ -24,6 +24,7 @@
 _LARGEST_FACTOR = 3.0
 _CALL_TIMEOUT_MS = 3000
 _FILLER_MIB = 512
+_SMALL_MIB = 512
 # A step that asks for more than this share of its pool may run in waves.
 _WIDE_SHARE = 0.25
 
@@ -53,9 +54,6 @@
         return min(drawn, self.mean * _LARGEST_FACTOR)
 
 
-_SMALL_MIB = 512
-
-
 class QueuePattern(NamedTuple):
     """Describe what a queue's callers submit, and the pool for it.
 
--- a/src/sardinemast/shell/_http_connection.py
+++ b/src/sardinemast/shell/_http_connection.py
@@ -26,7 +26,7 @@
 
 
 class RawRequest(NamedTuple):
-    """Hold a request as bytes, and whether its answer has no body."""
+    """Hold a whole request as bytes; the answer to HEAD has no body."""
 
     encoded: bytes
     is_head: bool = False
--- a/src/sardinemast/shell/_relay.py
+++ b/src/sardinemast/shell/_relay.py
@@ -199,15 +199,15 @@
             )
             message = LEADER_MESSAGES.unpack(envelope.body)
             if isinstance(message, NotLeader):
-                if self._is_over(message):
+                if self._must_leave(message):
                     return
             if isinstance(message, LeaderBeat):
                 self._note_beat(message)
             elif isinstance(message, PassAnswer):
                 self._note_answer(message)
 
-    def _is_over(self, message: NotLeader) -> bool:
-        """Tell whether to look for the leader elsewhere."""
+    def _must_leave(self, message: NotLeader) -> bool:
+        """Note that there is no leader here; tell whether to go elsewhere."""
         if self._way is Way.direct:
             self._prefer(message.leader)
             return True
@@ -246,11 +246,11 @@
         pending = self._pending.get(passed.call_id)
         if pending is None or pending.answer.done():
             return
-        if not self._is_open(passed):
+        if not self._leaves_open(passed):
             pending.answer.set_result(passed.answer)
 
-    def _is_open(self, passed: PassAnswer) -> bool:
-        """Tell whether an answer leaves open what became of the call."""
+    def _leaves_open(self, passed: PassAnswer) -> bool:
+        """Tell whether an answer does not say what became of the call."""
         # A leader that ends cannot tell what the next one does; the call is
         # sent to that one, and its answer tells.
         if passed.answer.outcome is CallOutcome.uncertain:
