Say once when orders of an earlier leader are past, and reuse what the shell has

Cause, from reading the whole change again: whether an instance is settled was asked for each one that stands by, each 0.15 s and for each pool that lacks room, and each time went over all items of all waves, also long after the leader's own settling time, when the answer is always yes. That time was worked out in three places. The new connection had its own copy of the codes without a body, the platform its own copy of the type of a header.

Change: the state gives the moment once, and the answer is given at once from it on; before it the same rules hold (within that time the start of the term plus it lies ahead, so that only the last order's time counts). No decision changes.

--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -69,15 +69,22 @@
         lease_s = settings.lease_ms / _MS / (1 - settings.drift)
         return self.started_s + lease_s + settings.margin_s
 
+    @property
+    def settled_at_s(self) -> float:
+        """Give when no earlier leader's order for any instance may come."""
+        return self.started_s + self.settings.settle_s
+
     def is_settled(self, instance: str, now_s: float) -> bool:
         """Tell whether no earlier leader's order for an instance may come."""
+        if now_s >= self.settled_at_s:
+            return True
         # An order for maintenance is repeated until it is answered.
         if self._is_ordered(instance):
-            return now_s >= self.started_s + self.settings.settle_s
+            return False
         if self._is_long_past(instance):
             return True
         last_s = self.order_times.get_last_s(instance)
-        return now_s >= min(self.started_s, last_s) + self.settings.settle_s
+        return now_s >= last_s + self.settings.settle_s
 
     def list_upkeeps(self, *wanted: UpkeepStatus) -> set[str]:
         """Give the instances whose maintenance is that far."""
--- a/src/sardinemast/dispatch/_upkeep.py
+++ b/src/sardinemast/dispatch/_upkeep.py
@@ -166,8 +166,7 @@
             if item.status in _BUSY:
                 self._follow(wave, item, worker, now_s)
         # Without checked fences only time keeps two leaders' orders apart.
-        settled_s = self._state.started_s + self._state.settings.settle_s
-        if now_s >= settled_s:
+        if now_s >= self._state.settled_at_s:
             self._begin(wave, workers, now_s, now_ms)
 
     def _follow(
@@ -190,7 +189,7 @@
                 self._note(wave, item.instance, UpkeepStatus.done)
             elif not item.boot_ms:
                 self._ask_for_list(now_s)
-        elif now_s >= self._state.started_s + settings.settle_s:
+        elif now_s >= self._state.settled_at_s:
             again_s = (ordered_s or float('-inf')) + settings.order_again_s
             if now_s >= again_s and self._is_ready(worker, now_s):
                 self._ordered_s[place] = now_s
--- a/src/sardinemast/platform/_exchanges.py
+++ b/src/sardinemast/platform/_exchanges.py
@@ -11,9 +11,12 @@
 from sardinemast.platform._wire import DECODE_ERRORS, decode
 from sardinemast.platform._worker_bodies import ListsBody
 from sardinemast.routing import AttemptResult, StartAttempt
-from sardinemast.shell import RawAttempt, UpstreamClient, encode_request
-
-Header = tuple[str, str]
+from sardinemast.shell import (
+    Header,
+    RawAttempt,
+    UpstreamClient,
+    encode_request,
+)
 
 _log = Logger('workers')
 # A worker takes this many connections at once.
--- a/src/sardinemast/shell/__init__.py
+++ b/src/sardinemast/shell/__init__.py
@@ -3,6 +3,7 @@
 from sardinemast.shell._control import run_control
 from sardinemast.shell._entry import run_entry
 from sardinemast.shell._gateway import ControlExtras, WorkerGateway
+from sardinemast.shell._http_connection import Header
 from sardinemast.shell._identity import Identity, create_identity
 from sardinemast.shell._relay import LeaderRelay, Way
 from sardinemast.shell._security import Access, create_client_context
@@ -15,6 +16,7 @@
 __all__ = (
     'Access',
     'ControlExtras',
+    'Header',
     'Identity',
     'LeaderRelay',
     'RawAttempt',
--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -26,12 +26,12 @@
     OUTCOME_HEADER,
     filter_answer_headers,
 )
+from sardinemast.shell._http_connection import BODYLESS_CODES
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamAnswer
 
 _WRITE_TIMEOUT_S = 30.0
 _DISCARD_S = 1.0
 _LONGEST_DISCARDED_BYTES = 16_777_216
-_BODYLESS_CODES = frozenset((204, 304))
 
 CallerAnswer = UpstreamAnswer | Refusal
 Answer = Callable[[CallerAnswer], None]
@@ -168,7 +168,7 @@
 
     def _write_answer(self, answer: UpstreamAnswer) -> None:
         headers = filter_answer_headers(answer.headers)
-        if self._start.method != 'HEAD' and answer.code not in _BODYLESS_CODES:
+        if self._start.method != 'HEAD' and answer.code not in BODYLESS_CODES:
             headers['Content-Length'] = str(len(answer.body))
         self._write(answer.code, answer.reason, headers, answer.body)
 
--- a/src/sardinemast/shell/_http_connection.py
+++ b/src/sardinemast/shell/_http_connection.py
@@ -18,7 +18,7 @@
 _FIRST_FINAL_CODE = 200
 # An upstream that goes on sending heads before the final one never answers.
 _HEADS_MAX = 10
-_BODYLESS_CODES = frozenset((204, 304))
+BODYLESS_CODES = frozenset((204, 304))
 _KEPT_VERSION = '1.1'
 _ENCODING = 'latin-1'
 
@@ -206,7 +206,7 @@
 
     def _has_end(self) -> bool:
         # A body that ends with the connection looks whole when it is cut.
-        if self._code in _BODYLESS_CODES:
+        if self._code in BODYLESS_CODES:
             return True
         headers = {name.lower(): text for name, text in self._headers}
         if 'transfer-encoding' in headers:
