Evacuate and readmit data centres

Change: two commands of the log, answered once a majority has them, also when they are in force already, so that an order is never overtaken by an opposite one in flight. No task starts there (a start recorded and not sent is withdrawn), no standby instance there is brought in, entries send no request there, a wave takes its empty instances first, and its workers count as room for no pool. Running tasks are left alone. A name that is no site and never had a worker is refused (fleet.E018). The look for room elsewhere for a slow run now counts idle workers by their announcements, as planning does.

--- a/src/sardinemast/cli/_main.py
+++ b/src/sardinemast/cli/_main.py
@@ -24,6 +24,8 @@
         'repair-replica': commands.repair_replica,
         'restore': commands.restore,
         'forget-instance': commands.forget_instance,
+        'evacuate': commands.evacuate,
+        'readmit': commands.readmit,
         'show': queries.show,
         'history': queries.history,
         'diff': queries.diff,
--- a/src/sardinemast/cli/commands.py
+++ b/src/sardinemast/cli/commands.py
@@ -18,6 +18,7 @@
     WithdrawKey,
     digest_key,
 )
+from sardinemast.jobs.commands import EvacuateDataCentre, ReadmitDataCentre
 
 _KEY_BYTES = 32
 
@@ -143,6 +144,40 @@
     return send_command(get_controls(controls), command)
 
 
+def evacuate(
+    data_centre: str,
+    controls: str = '',
+    command_id: str = '',
+) -> dict[str, Any]:
+    """Send nothing more to a data centre, until it is readmitted.
+
+    Args:
+        data_centre: The name that its workers and entries announce.
+        controls: Operators' addresses of the control processes.
+        command_id: The id that was shown, to retry a command.
+
+    """
+    command = EvacuateDataCentre(make_id(command_id), str(data_centre))
+    return send_command(get_controls(controls), command)
+
+
+def readmit(
+    data_centre: str,
+    controls: str = '',
+    command_id: str = '',
+) -> dict[str, Any]:
+    """End the evacuation of a data centre.
+
+    Args:
+        data_centre: The name that its workers and entries announce.
+        controls: Operators' addresses of the control processes.
+        command_id: The id that was shown, to retry a command.
+
+    """
+    command = ReadmitDataCentre(make_id(command_id), str(data_centre))
+    return send_command(get_controls(controls), command)
+
+
 def repair_replica(name: str, controls: str = '') -> dict[str, Any]:
     """Make a replica set its data folder aside and join with an empty one.
 
--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -7,6 +7,7 @@
 
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import AnswerCall
+from sardinemast.fleet import is_known_data_centre
 from sardinemast.jobs import (
     Command,
     JobsState,
@@ -24,6 +25,7 @@
     Call,
     CallAnswer,
     CallOutcome,
+    ChangeEvacuation,
     JobAction,
     JobCall,
     ReadCatalog,
@@ -234,6 +236,22 @@
         self._propose(wave, caller)
         return None
 
+    @_handle.register
+    def _handle_evacuation(
+        self,
+        call: ChangeEvacuation,
+        caller: CallerId,
+        now_s: float,
+        now_ms: int,
+    ) -> CallAnswer | None:
+        name = call.data_centre
+        if not is_known_data_centre(self._context.state, name):
+            text = f'fleet.E018 Data centre {name!r} does not exist.'
+            return CallAnswer(CallOutcome.invalid, text=text)
+        # Also proposed if it is in force: an opposite command may be in flight.
+        self._propose(make_evacuation(call), caller)
+        return None
+
     @_handle.register
     def _handle_read_wave(
         self,
@@ -312,6 +330,15 @@
     return known.boot_ms == worker.boot_ms and known.is_draining
 
 
+def make_evacuation(
+    call: ChangeEvacuation,
+) -> commands.EvacuateDataCentre | commands.ReadmitDataCentre:
+    """Return the command of a call to evacuate or readmit a data centre."""
+    if call.is_evacuated:
+        return commands.EvacuateDataCentre('', call.data_centre)
+    return commands.ReadmitDataCentre('', call.data_centre)
+
+
 def _get_wait_key(command: Command) -> Any:
     """Return the key under which callers wait for a command."""
     if isinstance(command, commands.SubmitJob | commands.CancelJob):
@@ -322,4 +349,8 @@
         return (type(command), command.catalog.version, command.source)
     if isinstance(command, commands.DeclareWave):
         return (type(command), command.number)
+    if isinstance(
+        command, commands.EvacuateDataCentre | commands.ReadmitDataCentre
+    ):
+        return (type(command), *command)
     return None
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -22,6 +22,10 @@
         'catalog_version': {'': float(state.catalog.version)},
         'jobs_live': {'': float(len(state.live))},
         'workers': _count_workers(state),
+        'data_centre_evacuated': {
+            name: float(state.data_centres.is_evacuated(name))
+            for name in state.data_centres.known
+        },
         'runs': _count_runs(state),
         'tasks_waiting': _count_waiting(state),
         'team_millicores': {
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -27,10 +27,12 @@
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
     CancelJob,
+    EvacuateDataCentre,
     ForgetWorker,
     NoteMove,
     NoteUpkeep,
     OpenOccurrence,
+    ReadmitDataCentre,
     RecordRuns,
     RegisterWorker,
 )
@@ -131,16 +133,10 @@
                 self._poller.acknowledge_ends(now_s)
         elif isinstance(command, CancelJob):
             self._state.stop_job(command.name, now_s)
-        elif isinstance(command, ForgetWorker):
-            self._poller.handle_forgotten(command)
         elif isinstance(command, OpenOccurrence):
             self._opening.discard((command.job, command.occurrence))
-        elif isinstance(command, RegisterWorker):
-            self._poller.sync_sessions(now_s)
-        elif isinstance(command, NoteUpkeep):
-            self._maintenance.handle_applied(command)
-        elif isinstance(command, NoteMove):
-            self._balancer.handle_applied(command)
+        else:
+            self._handle_fleet_change(command, now_s)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
 
@@ -162,6 +158,20 @@
             session.is_leaving = True
             session.poll_state.due_s = now_s
 
+    def _handle_fleet_change(self, command: Command, now_s: float) -> None:
+        if isinstance(command, ForgetWorker):
+            self._poller.handle_forgotten(command)
+        elif isinstance(command, RegisterWorker):
+            self._poller.sync_sessions(now_s)
+        elif isinstance(command, NoteUpkeep):
+            self._maintenance.handle_applied(command)
+        elif isinstance(command, NoteMove):
+            self._balancer.handle_applied(command)
+        elif isinstance(command, EvacuateDataCentre):
+            self._state.log('data_centre.evacuated', command.data_centre)
+        elif isinstance(command, ReadmitDataCentre):
+            self._state.log('data_centre.readmitted', command.data_centre)
+
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
         for session in tuple(self._state.sessions.values()):
--- a/src/sardinemast/dispatch/_instance_events.py
+++ b/src/sardinemast/dispatch/_instance_events.py
@@ -64,6 +64,7 @@
     pool: str
     is_up: bool
     is_down: bool = False
+    data_centre: str = ''
 
 
 class InstancesListed(NamedTuple):
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -294,9 +294,8 @@
                 started[pool] += 1
         for item in sorted(waiting_items, key=self._make_sort_key(workers)):
             worker = workers.get(item.instance)
-            if worker is None:
-                # A standby instance serves nothing now, but may be activated
-                # for a peak later.
+            if worker is None or self._is_evacuated_and_empty(worker):
+                # It serves nothing now, but may be needed for a peak later.
                 yield item
                 continue
             pool = worker.pool
@@ -315,13 +314,17 @@
         can_defer = remaining_count * _CYCLE_S / _CATCH_UP_COUNT < remaining_s
         return can_defer and load.shortfall > 0
 
+    def _is_evacuated_and_empty(self, worker: Worker) -> bool:
+        has_runs = bool(self._state.get_runs(worker.name))
+        return self._state.is_evacuated(worker) and not has_runs
+
     def _make_sort_key(
         self,
         workers: dict[str, Worker],
     ) -> Callable[[WaveItem], tuple[bool, int, str]]:
         def get_sort_key(item: WaveItem) -> tuple[bool, int, str]:
             worker = workers.get(item.instance)
-            if worker is None:
+            if worker is None or self._is_evacuated_and_empty(worker):
                 return (False, 0, item.instance)
             runs = self._state.get_runs(worker.name)
             is_cordoned = worker.name in self._cordoned_at_s
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -54,7 +54,7 @@
         self._pending_moves: dict[str, _PendingMove] = {}
         self._planned_moves: dict[str, str] = {}
         self._idle_since_s: dict[str, float] = {}
-        self._standby: dict[str, None] = {}
+        self._standby: dict[str, str] = {}
         self._refused_at_s: dict[tuple[str, str], float] = {}
         self._baselines: dict[str, PoolBaseline] = {}
 
@@ -105,16 +105,16 @@
             self._refused_at_s[key] = now_s
             self._finish_move(event.instance)
         elif event.outcome is OrderOutcome.done:
-            self._propose_forget_workers(event)
             if event.pool == self._get_standby_pool():
-                self._standby[event.instance] = None
+                self._add_standby(event.instance)
+            self._propose_forget_workers(event)
 
     def handle_list(self, event: InstancesListed) -> None:
         """Update the set of available standby instances."""
         self._list_due_s = event.asked_s + _LIST_INTERVAL_S
         standby_pool = self._get_standby_pool()
         self._standby = {
-            one.name: None
+            one.name: one.data_centre
             for one in event.instances
             if one.pool == standby_pool and one.is_up
         }
@@ -222,6 +222,7 @@
             for name in self._standby
             if name not in self._pending_moves
             and name not in busy
+            and self._may_activate(name)
             and self._state.may_order(name, now_s)
             and not self._was_refused(name, pool, now_s)
         ]
@@ -235,6 +236,19 @@
             self._state.log('instance.brought_in', name, to_pool=pool)
         return len(ready[:wanted])
 
+    def _add_standby(self, instance: str) -> None:
+        worker = self._state.jobs.worker_index.find_newest(instance)
+        self._standby[instance] = worker.data_centre if worker else ''
+
+    def _may_activate(self, instance: str) -> bool:
+        """Check that a standby instance is in no evacuated data centre."""
+        data_centres = self._state.jobs.data_centres
+        data_centre = self._standby[instance]
+        if not data_centre:
+            # Nothing tells where the instance is until it is listed again.
+            return not data_centres.evacuated
+        return not data_centres.is_evacuated(data_centre)
+
     def _plan_move(self, worker: Worker, pool: str, now_s: float) -> bool:
         if not self._state.may_order(worker.instance, now_s):
             return False
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -186,10 +186,7 @@
 
     def _is_usable(self, name: str, now_s: float) -> bool:
         session = self._state.sessions.get(name)
-        if session is None:
-            return False
-        has_runs = bool(self._state.get_runs(name))
-        return session.is_usable(now_s, has_runs=has_runs)
+        return session is not None and self._state.is_usable(session, now_s)
 
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_workers.get(task, ())
@@ -198,8 +195,12 @@
         self, step: StepState, start: RunStart, now_s: float
     ) -> None:
         session = self._state.sessions.get(start.worker)
-        if session is None or not session.is_synced:
-            # The worker was lost while the start was being recorded.
+        is_withdrawn = session is None or self._state.is_evacuated(
+            session.worker
+        )
+        if session is None or is_withdrawn or not session.is_synced:
+            # The worker was lost, or its data centre evacuated, while the start
+            # was being recorded.
             lost_run = FinishedRun(start.task, start.number, RunEnd.lost)
             self._state.record_end(lost_run)
             return
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -19,6 +19,7 @@
     MaintenanceStatus,
     StepState,
     TaskKey,
+    Worker,
 )
 from sardinemast.jobs.commands import FinishedRun
 
@@ -97,6 +98,17 @@
             if item.status in wanted
         }
 
+    def is_usable(self, session: WorkerSession, now_s: float) -> bool:
+        """Check whether new runs may be started on a worker."""
+        if self.is_evacuated(session.worker):
+            return False
+        has_runs = bool(self.get_runs(session.worker.name))
+        return session.is_usable(now_s, has_runs=has_runs)
+
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Check whether a worker is in an evacuated data centre."""
+        return self.jobs.data_centres.is_evacuated(worker.data_centre)
+
     def propose(self, command: Command) -> None:
         """Propose a command for the log."""
         self.outputs.append(Propose(command))
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -209,7 +209,7 @@
             step.spec.reserved_size,
         )
         return any(
-            state.sessions[name].is_usable(now_s, has_runs=True)
+            state.is_usable(state.sessions[name], now_s)
             for name in fitting
             if name != session.worker.name and name in state.sessions
         )
--- a/src/sardinemast/fleet/_entry_updates.py
+++ b/src/sardinemast/fleet/_entry_updates.py
@@ -54,7 +54,9 @@
         recent_commands=(),
         history=(),
         placement=placement.EMPTY_IMAGE,
-        jobs=jobs.EMPTY_IMAGE,
+        jobs=jobs.EMPTY_IMAGE._replace(
+            evacuated=tuple(state.subsystems.jobs.data_centres.evacuated),
+        ),
     )
 
 
@@ -65,8 +67,8 @@
 ) -> EntryUpdate:
     """Return what entries are sent about an applied command.
 
-    Entries have no recent commands, no history and no grants of others.
-    Commands that depend on these are sent as their result.
+    Entries have no recent commands, no history, no workers and no grants of
+    others. Commands that depend on these are sent as their result.
     """
     if isinstance(command, ChangeGrants):
         teams = {change.team for change in command.changes}
@@ -76,6 +78,13 @@
             COMMANDS.encode(NoteTotals(totals)),
             _encode_grants_by_holder(state, command),
         )
+    if isinstance(
+        command,
+        jobs.commands.EvacuateDataCentre | jobs.commands.ReadmitDataCentre,
+    ):
+        names = tuple(state.subsystems.jobs.data_centres.evacuated)
+        noted = COMMANDS.encode(jobs.commands.NoteEvacuated(names))
+        return EntryUpdate(index, noted, {})
     if isinstance(command, AdvanceTime | placement.Command | jobs.Command):
         return EntryUpdate(index, b'', {})
     if isinstance(command, RestoreVersion):
--- a/src/sardinemast/fleet/_subsystem_commands.py
+++ b/src/sardinemast/fleet/_subsystem_commands.py
@@ -42,6 +42,26 @@
     return accept(state)
 
 
+def _execute_evacuation(
+    command: (
+        jobs.commands.EvacuateDataCentre | jobs.commands.ReadmitDataCentre
+    ),
+    state: FleetState,
+) -> Outcome:
+    name = command.data_centre
+    if not is_known_data_centre(state, name):
+        return refuse(
+            state, 'fleet.E018', f'Data centre {name!r} does not exist.'
+        )
+    return _execute_jobs(command, state)
+
+
+def is_known_data_centre(state: FleetState, name: str) -> bool:
+    """Check whether a data centre is a declared site or ever had a worker."""
+    known = state.subsystems.jobs.data_centres.known
+    return name in state.document.sites or name in known
+
+
 def _sync_pools(state: FleetState) -> None:
     # Entries route by the pools in the fleet's state, so these must follow
     # when maintenance moves an instance.
@@ -61,6 +81,12 @@
         execute_command.register(placement_class, _execute_placement)
     for jobs_class in jobs.COMMAND_CLASSES:
         execute_command.register(jobs_class, _execute_jobs)
+    execute_command.register(
+        jobs.commands.EvacuateDataCentre, _execute_evacuation
+    )
+    execute_command.register(
+        jobs.commands.ReadmitDataCentre, _execute_evacuation
+    )
 
 
 _register()
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -49,7 +49,11 @@
     AssignInstance,
     ForgetInstance,
 )
-OPERATOR_COMMANDS = MessageSet(*_OPERATOR_CLASSES)
+_EVACUATION_CLASSES = (
+    jobs.commands.EvacuateDataCentre,
+    jobs.commands.ReadmitDataCentre,
+)
+OPERATOR_COMMANDS = MessageSet(*_OPERATOR_CLASSES, *_EVACUATION_CLASSES)
 COMMANDS = MessageSet(
     *_OPERATOR_CLASSES,
     RegisterEntry,
--- a/src/sardinemast/fleet/queries.py
+++ b/src/sardinemast/fleet/queries.py
@@ -44,6 +44,7 @@
         'index': state.log_index,
         'version': state.version,
         'sites': _list_records(state.document.sites),
+        'data_centres': _list_data_centres(state),
         'pools': _list_records(state.document.pools),
         'teams': _list_records(state.document.teams),
         'keys': [
@@ -64,6 +65,15 @@
     }
 
 
+def _list_data_centres(state: FleetState) -> list[dict[str, Any]]:
+    data_centres = state.subsystems.jobs.data_centres
+    names = {*state.document.sites, *data_centres.known}
+    return [
+        {'name': name, 'is_evacuated': data_centres.is_evacuated(name)}
+        for name in sorted(names)
+    ]
+
+
 def diff_versions(
     state: FleetState,
     before: int,
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -143,6 +143,33 @@
 apply_command.register(commands.NoteMove, record_move)
 
 
+@apply_command.register
+def _apply_evacuation(
+    command: commands.EvacuateDataCentre,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    state.data_centres.change(command.data_centre, is_evacuated=True)
+
+
+@apply_command.register
+def _apply_readmission(
+    command: commands.ReadmitDataCentre,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    state.data_centres.change(command.data_centre, is_evacuated=False)
+
+
+@apply_command.register
+def _apply_evacuated(
+    command: commands.NoteEvacuated,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    state.data_centres.evacuated = dict.fromkeys(command.data_centres)
+
+
 def _remove_worker(state: JobsState, worker: Worker) -> None:
     for task in tuple(state.runs.get(worker.name, ())):
         step = state.find_step(task)
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -56,6 +56,8 @@
     waves: tuple[Wave, ...] = ()
     home_pools: Mapping[str, str] = MappingProxyType({})
     last_order_ms: Mapping[str, int] | None = None
+    data_centres: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 EMPTY_IMAGE = JobsImage()
@@ -72,6 +74,8 @@
         tuple(state.waves.values()),
         dict(state.home_pools),
         dict(state.last_order_ms),
+        tuple(state.data_centres.known),
+        tuple(state.data_centres.evacuated),
     )
 
 
@@ -84,6 +88,8 @@
     state.waves = {wave.number: wave for wave in image.waves}
     state.home_pools = dict(image.home_pools)
     state.last_order_ms = _load_order_times(image)
+    state.data_centres.known.update(dict.fromkeys(image.data_centres))
+    state.data_centres.evacuated = dict.fromkeys(image.evacuated)
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from sardinemast.jobs._critical_paths import compute_critical_paths_ms
+from sardinemast.jobs._data_centres import DataCentres
 from sardinemast.jobs._free_capacity import FreeCapacity
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
@@ -235,6 +236,7 @@
         self.waves: dict[int, Wave] = {}
         self.home_pools: dict[str, str] = {}
         self.last_order_ms: dict[str, int] = {}
+        self.data_centres = DataCentres()
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Activate a catalog and update the queues of live jobs."""
@@ -255,6 +257,7 @@
             self.worker_index.drop(known)
         self.workers[worker.name] = worker
         self.worker_index.put(worker)
+        self.data_centres.record(worker.data_centre)
         self.runs.setdefault(worker.name, {})
         self.usage.put_worker(worker)
 
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -116,6 +116,26 @@
     recorded_ms: int = 0
 
 
+class EvacuateDataCentre(NamedTuple):
+    """Send nothing more to the workers and upstreams of a data centre."""
+
+    command_id: str
+    data_centre: str
+
+
+class ReadmitDataCentre(NamedTuple):
+    """End the evacuation of a data centre."""
+
+    command_id: str
+    data_centre: str
+
+
+class NoteEvacuated(NamedTuple):
+    """Set which data centres are evacuated, as entries are told."""
+
+    data_centres: tuple[str, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -127,6 +147,9 @@
     | DeclareWave
     | NoteUpkeep
     | NoteMove
+    | EvacuateDataCentre
+    | ReadmitDataCentre
+    | NoteEvacuated
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -139,4 +162,7 @@
     DeclareWave,
     NoteUpkeep,
     NoteMove,
+    EvacuateDataCentre,
+    ReadmitDataCentre,
+    NoteEvacuated,
 )
--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -2,6 +2,7 @@
 
 import time
 from http import HTTPStatus
+from urllib.parse import unquote
 
 import msgspec
 from logbook import Logger
@@ -19,6 +20,7 @@
     BeginWave,
     Call,
     CallOutcome,
+    ChangeEvacuation,
     ReadCatalog,
     ReadWave,
     ReplaceCatalog,
@@ -29,6 +31,7 @@
 _log = Logger('control-http')
 _WORKERS_PATH = '/instances/'
 _WAVE_PATH = '/wave-get/'
+_EVACUATION_PATH = '/evacuate/'
 # Callers time out after 1 s, and later for a large body.
 _TIMEOUT_S = 0.9
 _LARGE_BODY_TIMEOUT_S = 2.5
@@ -93,11 +96,8 @@
     method, path = request.method, request.path
     if path.startswith(_WORKERS_PATH):
         return _read_worker_call(request, path[len(_WORKERS_PATH) :])
-    if path == '/config' and method == 'GET':
-        return ReadCatalog()
-    if path == '/config' and method == 'PUT':
-        catalog = make_catalog(decode(request.body, ConfigBody))
-        return ReplaceCatalog(catalog, request.body)
+    if path == '/config':
+        return _read_catalog_call(request)
     if path == '/wave-start' and method == 'POST':
         wave = decode(request.body, WaveBody)
         return BeginWave(
@@ -108,6 +108,18 @@
         )
     if path.startswith(_WAVE_PATH) and method == 'GET':
         return ReadWave(int(path[len(_WAVE_PATH) :]))
+    if path.startswith(_EVACUATION_PATH) and method in {'POST', 'DELETE'}:
+        name = unquote(path[len(_EVACUATION_PATH) :])
+        return ChangeEvacuation(name, is_evacuated=method == 'POST')
+    return None
+
+
+def _read_catalog_call(request: HTTPServerRequest) -> Call | None:
+    if request.method == 'GET':
+        return ReadCatalog()
+    if request.method == 'PUT':
+        catalog = make_catalog(decode(request.body, ConfigBody))
+        return ReplaceCatalog(catalog, request.body)
     return None
 
 
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -123,6 +123,7 @@
         body.get('pool', ''),
         body.get('state', '') == 'up',
         body.get('state', '') == 'down',
+        body.get('zone', ''),
     )
 
 
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -76,6 +76,8 @@
     # Service of the workers on this instance.
     pool: str
     state: str
+    # Data centre of the instance.
+    zone: str
 
 
 class TicketRow(NamedTuple):
--- a/src/sardinemast/protocol/_calls.py
+++ b/src/sardinemast/protocol/_calls.py
@@ -73,6 +73,13 @@
     number: int
 
 
+class ChangeEvacuation(NamedTuple):
+    """Evacuate a data centre, or readmit it."""
+
+    data_centre: str
+    is_evacuated: bool
+
+
 Call = (
     JobCall
     | AnnounceWorker
@@ -81,6 +88,7 @@
     | ReadCatalog
     | BeginWave
     | ReadWave
+    | ChangeEvacuation
 )
 
 
@@ -146,6 +154,7 @@
     ReadCatalog,
     BeginWave,
     ReadWave,
+    ChangeEvacuation,
 )
 LEADER_MESSAGES = MessageSet(PassAnswer, LeaderBeat, NotLeader)
 
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -166,5 +166,6 @@
         self.refused: set[str] = set()
         self.down: set[str] = set()
         self.standby: set[str] = set()
+        self.data_centres: dict[str, str] = {}
         self.away_until_s: dict[str, float] = {}
         self.lost_list_responses = 0
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -51,6 +51,8 @@
 
 POOL = 'booking'
 STANDBY = 'standby'
+DATA_CENTRE = 'rennes'
+OTHER_DATA_CENTRE = 'brest'
 # Response time of the external policy service.
 ADVICE_S = 0.3
 QUEUE = 'seats'
@@ -98,6 +100,7 @@
     boot_ms: int = 1,
     cores: int = 4,
     is_draining: bool = False,
+    data_centre: str = DATA_CENTRE,
 ) -> Worker:
     """Return a worker with its own address and instance."""
     return Worker(
@@ -105,7 +108,7 @@
         boot_ms,
         f'10.0.0.{number}:80',
         POOL,
-        'rennes',
+        data_centre,
         f'r-{number % 2}',
         ('a', f'r-{number % 2}'),
         Size(cores * CORE, 8192 * MIB),
@@ -148,6 +151,7 @@
         self.proposed: deque[Command] = deque()
         self.undelivered_orders: list[tuple[ModelWorker, Any]] = []
         self.started: list[StartRun] = []
+        self.started_evacuated: list[StartRun] = []
         self.policy = ModelPolicy()
         self.instances = ModelInstances()
         self.logged: list[str] = []
@@ -271,6 +275,9 @@
     def _send(self, order: Any) -> None:
         if isinstance(order, StartRun):
             self.started.append(order)
+            data_centre = order.worker.data_centre
+            if self.state.data_centres.is_evacuated(data_centre):
+                self.started_evacuated.append(order)
         due_s = self.now_s
         model = self.workers.get(order.worker.name)
         if model is None or model.is_unreachable:
@@ -339,7 +346,12 @@
             for name in self.state.home_pools
         ]
         off = [
-            ListedInstance(name, STANDBY, is_up=not self._is_away(name))
+            ListedInstance(
+                name,
+                STANDBY,
+                is_up=not self._is_away(name),
+                data_centre=self.instances.data_centres.get(name, DATA_CENTRE),
+            )
             for name in sorted(self.instances.standby)
         ]
         return (*at_work, *off)
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -6,13 +6,27 @@
 from hypothesis.stateful import initialize, invariant, rule
 
 from builders.election_rules import ElectionRules
-from builders.workers import CORE, TEAM, make_catalog, make_step, make_worker
+from builders.workers import (
+    CORE,
+    DATA_CENTRE,
+    OTHER_DATA_CENTRE,
+    TEAM,
+    make_catalog,
+    make_step,
+    make_worker,
+)
 from sardinemast.jobs import ZERO_SIZE, TaskKey
-from sardinemast.jobs.commands import CancelJob, PutCatalog
+from sardinemast.jobs.commands import (
+    CancelJob,
+    EvacuateDataCentre,
+    PutCatalog,
+    ReadmitDataCentre,
+)
 
 pytestmark = pytest.mark.fuzz
 _CAP = 5 * CORE
 _WORKERS = 3
+_DATA_CENTRES = (DATA_CENTRE, OTHER_DATA_CENTRE)
 
 
 class DispatchMachine(ElectionRules):
@@ -21,10 +35,13 @@
     def __init__(self) -> None:
         super().__init__(_WORKERS)
         self.done: set[TaskKey] = set()
+        self.fleet.add_worker(
+            make_worker(_WORKERS, data_centre=OTHER_DATA_CENTRE)
+        )
 
     @initialize()
     def limit_team(self) -> None:
-        """Limit the team to five of the twelve cores."""
+        """Limit the team to five of the sixteen cores."""
         self.fleet.commit(PutCatalog(make_catalog(2, cap=_CAP), b'{}'))
 
     @rule(widths=st.lists(st.integers(1, 4), min_size=1, max_size=3))
@@ -77,6 +94,16 @@
         self.last_boot_ms += 1
         self.fleet.add_worker(make_worker(number, boot_ms=self.last_boot_ms))
 
+    @rule(name=st.sampled_from(_DATA_CENTRES))
+    def evacuate(self, name: str) -> None:
+        """Evacuate a data centre."""
+        self.fleet.commit(EvacuateDataCentre('', name))
+
+    @rule(name=st.sampled_from(_DATA_CENTRES))
+    def readmit(self, name: str) -> None:
+        """Readmit a data centre."""
+        self.fleet.commit(ReadmitDataCentre('', name))
+
     @rule(index=st.integers(0, 50))
     def execute_late_order(self, index: int) -> None:
         """Execute an unanswered order late."""
@@ -118,9 +145,16 @@
                 before = job.steps[0][start.task.step - 1]
                 assert before.is_done
 
+    @invariant()
+    def starts_nothing_in_evacuated_data_centres(self) -> None:
+        """Check that no start is sent to an evacuated data centre."""
+        assert not self.fleet.started_evacuated
+
     def teardown(self) -> None:
         """Check that all jobs end once all workers are healthy."""
         fleet = self.fleet
+        for name in _DATA_CENTRES:
+            fleet.commit(ReadmitDataCentre('', name))
         fleet.is_held = False
         fleet.commit_held()
         for model in fleet.workers.values():
--- a/tests/processes/test_end_to_end.py
+++ b/tests/processes/test_end_to_end.py
@@ -10,6 +10,7 @@
 from builders import Fleet, run_fleet
 from builders.processes import call, wait_for
 from sardinemast.cli import commands, queries
+from sardinemast.cli.exceptions import CliError
 
 _BASE = """
 sites: {rennes: {region: brittany}}
@@ -75,6 +76,27 @@
         assert json.loads(response.body)['code'] == 'admission.E002'
 
 
+def test_evacuated_data_centre_gets_no_requests(fleet: Fleet) -> None:
+    """No entry sends a request to an evacuated data centre."""
+    key = _grant(fleet, 'evacuated')
+    address = fleet.get_entry_address(fleet.entry_names[0])
+    wait_for(partial(_get_roster, address, key))
+    answer = commands.evacuate('rennes', controls=fleet.controls)
+    assert answer['entries_in_force'] == answer['entries_total']
+    shown = queries.show(fleet.controls)['data_centres']
+    assert shown == [{'name': 'rennes', 'is_evacuated': True}]
+    assert _get_roster(address, key) is None
+    commands.readmit('rennes', controls=fleet.controls)
+    wait_for(partial(_get_roster, address, key))
+
+
+def test_unknown_data_centre_is_not_evacuated(fleet: Fleet) -> None:
+    """Refuse a mistyped name with a code, so that nobody relies on it."""
+    with pytest.raises(CliError) as refusal:
+        commands.evacuate('rennse', controls=fleet.controls)
+    assert refusal.value.code == 'fleet.E018'
+
+
 def test_events_of_all_processes_are_merged(fleet: Fleet) -> None:
     """The timeline includes events of control processes and entries."""
     addresses = f'{fleet.controls},{fleet.entries}'.split(',')
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -4,11 +4,14 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 from builders.platform_fleets import PlatformFleet, make_config
 
+# By then a worker that may be used has long got its tasks.
+_SETTLE_S = 3.0
 _JOB_PATH = '/seats/5c0e7a21d94b36f8'
 # Replaces the main function by one that prints whether SIGHUP is ignored and
 # whether Tornado is already imported.
@@ -138,6 +141,38 @@
         assert config == make_config()
 
 
+def test_evacuation_survives_full_restart(tmp_path: Path) -> None:
+    """No task starts in an evacuated data centre until it is readmitted.
+
+    All control processes are killed in between; a job handed in meanwhile
+    waits, and a mistyped name is refused.
+    """
+    fleet = PlatformFleet(tmp_path)
+    with fleet.run():
+        _configure(fleet)
+        hosts = fleet.get_controls()
+        fleet.wait_for(200, 'POST', '/evacuate/rennes', host=hosts[0])
+        assert fleet.call('POST', '/evacuate/rennse', host=hosts[1])[0] == 400
+        for host in hosts:
+            fleet.processes.stop(host, signal.SIGKILL)
+        for host in hosts:
+            fleet.start(host)
+        for host in hosts:
+            fleet.wait_for(200, 'GET', '/config', host=host)
+        leader = fleet.wait_for_leader()
+        gauge = 'sardinemast_data_centre_evacuated{of="rennes"} 1.0'
+        assert gauge in fleet.read_metrics(leader)
+        announcement = fleet.worker.describe(2)
+        path = f'/instances/{fleet.worker.name}'
+        fleet.wait_for(200, 'PUT', path, body=announcement, host=hosts[1])
+        fleet.wait_for(200, 'POST', _JOB_PATH, body=_make_job())
+        time.sleep(_SETTLE_S)
+        assert not fleet.worker.starts
+        fleet.wait_for(200, 'DELETE', '/evacuate/rennes', host=hosts[2])
+        fleet.wait_for_state(_JOB_PATH, 'done')
+        assert len(fleet.worker.starts) == 4
+
+
 def test_process_survives_full_disk(tmp_path: Path) -> None:
     """A control process keeps running while its disk is full.
 
