--- a/src/sardinemast/model/__init__.py
+++ b/src/sardinemast/model/__init__.py
@@ -1,6 +1,10 @@
 """Simulation of a fleet and its workload in virtual time."""
 
-from sardinemast.model._days import ENROLMENT_DAY, REGISTRY_DAY
+from sardinemast.model._days import (
+    ENROLMENT_DAY,
+    REGISTRY_DAY,
+    WIDE_STEPS_DAY,
+)
 from sardinemast.model._scoring import DayResults, ScoreWeights
 from sardinemast.model._simulation import FleetSimulation
 from sardinemast.model._workload import (
@@ -20,4 +24,5 @@
     'FleetSimulation',
     'QueuePattern',
     'ScoreWeights',
+    'WIDE_STEPS_DAY',
 )
--- a/src/sardinemast/model/_days.py
+++ b/src/sardinemast/model/_days.py
@@ -1,4 +1,4 @@
-"""Predefined days: one of large workers, one of small workers."""
+"""Predefined days: one of large workers, two of small workers."""
 
 from sardinemast.model._workload import DayPattern, Distribution, QueuePattern
 
@@ -66,6 +66,54 @@
     worker_memory_mib=131_072,
 )
 
+_SHORT_BOOKINGS = QueuePattern(
+    'bookings',
+    jobs_per_s=12.4,
+    task_duration_s=Distribution(1, 0.5),
+    step_count=Distribution(1.6, 0.4),
+    task_count=Distribution(8, 0.6),
+    task_cores=Distribution(1.4, 0.45),
+    task_memory_mib=Distribution(2000, 0.6),
+    job_value=0.37,
+    long_running_count=24,
+    long_running_cores=2.1,
+    long_running_memory_mib=7000,
+    long_running_max_unavailable=4,
+    worker_count=32,
+)
+_WIDE_PRICINGS = _SHORT_BOOKINGS._replace(
+    name='pricings',
+    jobs_per_s=3.88,
+    task_duration_s=Distribution(1.3, 0.5),
+    step_count=Distribution(2, 0.4),
+    task_cores=Distribution(3.1, 0.45),
+    task_memory_mib=Distribution(3200, 0.6),
+    job_value=1.34,
+    estimate_variation=0.2,
+    worker_count=36,
+)
+
+# Course enrolments on workers of 16 cores: square peaks as above, with longer
+# bookings and more jobs of two wide steps.
+WIDE_STEPS_DAY = DayPattern(
+    (
+        _SHORT_BOOKINGS,
+        _WIDE_PRICINGS,
+        _SHORT_BOOKINGS._replace(
+            name='trials', jobs_per_s=15.5, worker_count=40
+        ),
+        _WIDE_PRICINGS._replace(
+            name='enrolments', jobs_per_s=4.75, worker_count=44
+        ),
+    ),
+    peak_interval_s=4.5,
+    peak_duration_s=4.5,
+    has_square_peaks=True,
+    standby_count=28,
+    workers_per_rack=8,
+    worker_memory_mib=32_768,
+)
+
 # Warranty registry on workers of 16 cores: queues of many short jobs alternate
 # with queues of a few long ones.
 REGISTRY_DAY = DayPattern(
