Keep workers on for a steep first peak, and lend them meanwhile

Cause: before its first peak a pool held half of its workers; the others were off, so that the first 4 s of each first peak were late. Change: the other half stays on, but other pools may have it: a pool keeps the quantile of the demand seen at the start of other pools' peaks at which a worker costs as much until its own peak as it saves in late work. The demand at a peak's start is known 2.4 s into it, not at its end.

--- a/src/sardinemast/dispatch/_peaks.py
+++ b/src/sardinemast/dispatch/_peaks.py
@@ -19,15 +19,15 @@
 _MERGE_GAP_S = 2.0
 _STARTS_KEPT_MAX = 8
 # Start of a peak, until an instance ordered at its beginning has arrived.
-_ONSET_S = 2.4
+ONSET_S = 2.4
 
 
 class _PoolPeaks:
     """Hold the peaks of one pool.
 
     ``crossed_since_s`` is since when the demand has been beyond the threshold
-    of the next phase. ``onset_shares`` are the shares measured at the start
-    of the current peak, and ``onset_share`` sums up those of the last one.
+    of the next phase. ``onset_shares`` are the shares measured so far at the
+    start of the current peak, and ``onset_share`` sums up the last ones.
     """
 
     def __init__(self) -> None:
@@ -37,6 +37,7 @@
         self.crossed_since_s: float | None = None
         self.onset_shares: list[float] = []
         self.onset_share: float | None = None
+        self.last_onset: list[float] = []
 
 
 class PeakTracker:
@@ -49,8 +50,8 @@
     def record(self, pool: str, share: float, now_s: float) -> None:
         """Record a pool's demand as a share of its baseline capacity."""
         peaks = self._pools.setdefault(pool, _PoolPeaks())
-        if peaks.is_peaking and now_s < peaks.starts_s[-1] + _ONSET_S:
-            peaks.onset_shares.append(share)
+        if peaks.is_peaking:
+            _record_onset(peaks, share, now_s)
         is_crossing = share < _END_SHARE
         if not peaks.is_peaking:
             is_crossing = share >= _START_SHARE
@@ -80,7 +81,7 @@
         return now_s < peaks.starts_s[-1] + lead_s
 
     def get_onset_share(self, pool: str) -> float:
-        """Return the demand at the start of a pool's last complete peak.
+        """Return the demand at the start of a pool's last peak.
 
         For a pool without one, return the mean of the other pools, or 0 if
         there is none.
@@ -95,6 +96,37 @@
         ]
         return fmean(known_shares) if known_shares else 0
 
+    def get_onset_quantile(self, quantile: float) -> float | None:
+        """Return a quantile of the demand at the start of pools' last peaks.
+
+        Return ``None`` if no peak has been seen, and 0 for no quantile.
+        """
+        shares = sorted(
+            share for one in self._pools.values() for share in one.last_onset
+        )
+        if not shares:
+            return None
+        if quantile <= 0:
+            return 0
+        place = int(quantile * len(shares))
+        return shares[min(place, len(shares) - 1)]
+
+    def get_first_wait_s(self, now_s: float) -> float:
+        """Return the expected time until the first peak of a pool.
+
+        Pools that have not peaked are assumed to do so in turn, in any order.
+        """
+        starts_s = [
+            start_s
+            for peaks in self._pools.values()
+            for start_s in peaks.starts_s
+        ]
+        if not starts_s:
+            return 0
+        interval_s = max(self._get_interval_s() or 0, now_s - max(starts_s))
+        peaked = sum(bool(one.starts_s) for one in self._pools.values())
+        return interval_s * (max(self.pool_count - peaked, 0) + 1) / 2
+
     def get_next_start_s(self, pool: str) -> float:
         """Return the earliest expected start of a pool's next peak.
 
@@ -164,15 +196,27 @@
     peaks.crossed_since_s = None
     if not peaks.is_peaking:
         peaks.last_end_s = since_s
-        if peaks.onset_shares:
-            peaks.onset_share = _get_upper_mean(peaks.onset_shares)
-        peaks.onset_shares = []
+        _end_onset(peaks)
         return
     last_end_s = peaks.last_end_s
     if last_end_s is None or since_s > last_end_s + _MERGE_GAP_S:
         peaks.starts_s = [*peaks.starts_s, since_s][-_STARTS_KEPT_MAX:]
 
 
+def _record_onset(peaks: _PoolPeaks, share: float, now_s: float) -> None:
+    if now_s < peaks.starts_s[-1] + ONSET_S:
+        peaks.onset_shares.append(share)
+    else:
+        _end_onset(peaks)
+
+
+def _end_onset(peaks: _PoolPeaks) -> None:
+    if peaks.onset_shares:
+        peaks.onset_share = _get_upper_mean(peaks.onset_shares)
+        peaks.last_onset = peaks.onset_shares
+    peaks.onset_shares = []
+
+
 def _get_upper_mean(onset_shares: list[float]) -> float:
     """Return the mean of the upper half, which leaves out the ramps."""
     ordered = sorted(onset_shares)
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from itertools import chain
 from operator import itemgetter
 from typing import NamedTuple
 
@@ -20,7 +19,11 @@
 from sardinemast.dispatch._peak_history import replay_peaks
 from sardinemast.dispatch._peaks import PeakTracker
 from sardinemast.dispatch._pool_load import PoolLoad
-from sardinemast.dispatch._pool_sizes import PoolBaseline, count_workers_needed
+from sardinemast.dispatch._pool_sizes import (
+    PoolBaseline,
+    count_workers_kept,
+    count_workers_needed,
+)
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import MaintenanceStatus, Worker
 from sardinemast.jobs.commands import ForgetWorker, NoteMove
@@ -83,7 +86,7 @@
             pool: self._count_shortfall(pool, load, peaks, now_s)
             for pool, load in loads.items()
         }
-        self._balance(loads, shortfalls, now_s)
+        self._balance(loads, shortfalls, peaks, now_s)
 
     def handle_applied(self, command: NoteMove) -> None:
         """Send the order for a move once it is recorded in the log."""
@@ -186,18 +189,10 @@
         self,
         loads: dict[str, PoolLoad],
         shortfalls: dict[str, int],
+        peaks: PeakTracker,
         now_s: float,
     ) -> None:
-        # A worker that has just become idle may soon get another task of a job.
-        idle_s = self._state.settings.pools.idle_s
-        spare_workers = {
-            pool: [
-                worker
-                for worker in load.idle_workers
-                if now_s >= self._idle_since_s[worker.name] + idle_s
-            ][: max(-shortfalls[pool], 0)]
-            for pool, load in loads.items()
-        }
+        spare_workers = self._list_spare_workers(loads, shortfalls, now_s)
         for pool, wanted in sorted(
             shortfalls.items(),
             key=itemgetter(1),
@@ -208,10 +203,48 @@
             for workers in spare_workers.values():
                 while wanted > 0 and workers:
                     wanted -= self._plan_move(workers.pop(), pool, now_s)
-        standby_pool = self._get_standby_pool()
-        if standby_pool:
-            for worker in chain.from_iterable(spare_workers.values()):
-                self._plan_move(worker, standby_pool, now_s)
+        if self._get_standby_pool():
+            for name, spare in spare_workers.items():
+                kept = self._count_kept(name, loads[name], peaks, now_s)
+                surplus = max(loads[name].workers - kept, 0)
+                self._switch_off(spare[:surplus], now_s)
+
+    def _switch_off(self, workers: list[Worker], now_s: float) -> None:
+        for worker in workers:
+            self._plan_move(worker, self._get_standby_pool(), now_s)
+
+    def _list_spare_workers(
+        self,
+        loads: dict[str, PoolLoad],
+        shortfalls: dict[str, int],
+        now_s: float,
+    ) -> dict[str, list[Worker]]:
+        # A worker that has just become idle may soon get another task of a job.
+        idle_s = self._state.settings.pools.idle_s
+        return {
+            pool: [
+                worker
+                for worker in load.idle_workers
+                if now_s >= self._idle_since_s[worker.name] + idle_s
+            ][: max(-shortfalls[pool], 0)]
+            for pool, load in loads.items()
+        }
+
+    def _count_kept(
+        self,
+        pool: str,
+        load: PoolLoad,
+        peaks: PeakTracker,
+        now_s: float,
+    ) -> int:
+        return count_workers_kept(
+            pool,
+            load,
+            self._baselines[pool],
+            peaks,
+            now_s,
+            self._state.settings.pools,
+        )
 
     def _activate_standby(self, pool: str, wanted: int, now_s: float) -> int:
         busy = self._state.list_instances_by_status(
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -3,7 +3,7 @@
 from math import ceil
 from typing import NamedTuple
 
-from sardinemast.dispatch._peaks import PeakTracker
+from sardinemast.dispatch._peaks import ONSET_S, PeakTracker
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import PoolPolicy
 
@@ -48,6 +48,31 @@
     return max(demanded, min(expected, _count_max(load, baseline, policy)))
 
 
+def count_workers_kept(
+    pool: str,
+    load: PoolLoad,
+    baseline: PoolBaseline,
+    peaks: PeakTracker,
+    now_s: float,
+    policy: PoolPolicy,
+) -> int:
+    """Return how many workers stay on for a pool's first peak.
+
+    Until any pool has peaked, all of them do. The first peak may be like those
+    of other pools: of the demand at the start of those, the pool keeps the
+    quantile at which one more worker costs as much until the peak as it saves
+    in late work. Zero for a pool that has peaked, which has a forecast.
+    """
+    if peaks.has_peaked(pool):
+        return 0
+    late_share = peaks.get_first_wait_s(now_s) / (policy.late_factor * ONSET_S)
+    demanded = peaks.get_onset_quantile(1 - late_share)
+    if demanded is None:
+        return baseline.worker_count
+    expected = _count_for_share(demanded, load, baseline)
+    return min(expected, baseline.worker_count)
+
+
 def _is_peak_expected(pool: str, peaks: PeakTracker, now_s: float) -> bool:
     """Check whether a peak of the pool starts about now."""
     if peaks.is_peaking(pool):
@@ -65,11 +90,18 @@
     policy: PoolPolicy,
 ) -> int:
     """Return the workers needed at the start of the next peak."""
-    demanded = (
-        policy.expected_factor * peaks.get_onset_share(pool) * baseline.capacity
-    )
+    share = policy.expected_factor * peaks.get_onset_share(pool)
+    return _count_for_share(share, load, baseline)
+
+
+def _count_for_share(
+    share: float,
+    load: PoolLoad,
+    baseline: PoolBaseline,
+) -> int:
+    """Return the workers for long-running tasks and a share of the baseline."""
     return ceil(
-        (max(load.long_running_usage, 0) + demanded)
+        (max(load.long_running_usage, 0) + share * baseline.capacity)
         / baseline.worker_millicores
     )
 
@@ -92,13 +124,14 @@
             min(load.workers + extra, _count_max(load, baseline, policy)),
         )
     calm_count = _count_for_calm(load, worker_millicores, policy)
-    opening_count = ceil(baseline.worker_count * policy.opening_share)
     if peaks.is_peaking(pool):
         # As the peak fades, release workers to other pools.
+        opening_count = ceil(baseline.worker_count * policy.opening_share)
         return min(load.workers, max(opening_count, calm_count))
-    # A first or overdue peak may start at any time, so keep the opening share.
+    # A first or overdue peak may start at any time.
     is_due = now_s >= peaks.get_next_start_s(pool) - _MOVE_LEAD_S
     if is_due and not peaks.have_peaks_ended(now_s):
+        opening_count = ceil(baseline.worker_count * policy.opening_share)
         return max(opening_count, calm_count)
     return min(calm_count, max(baseline.worker_count, load.workers))
 
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -9,7 +9,10 @@
     The baseline of a pool is the number of instances that it started with.
 
     Before its first peak, a pool keeps ``opening_share`` of its baseline,
-    which carries the load until moved instances arrive. During a peak its
+    which carries the load until moved instances arrive. Workers beyond that
+    are lent to other pools; if none needs them, they stay on for as long as
+    late work at the start of a peak, which costs ``late_factor`` times as much
+    as an idle worker, would cost more. During a peak its
     capacity is ``rise_factor`` times the demand; a shortfall below
     ``short_share`` of the capacity is left to tasks that finish. A pool never
     grows beyond ``most_factor`` times its baseline, plus the workers that its
@@ -22,6 +25,7 @@
     """
 
     opening_share: float = 0.5
+    late_factor: float = 7.0
     rise_factor: float = 1.15
     short_share: float = 0.15
     most_factor: float = 2.0
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -11,7 +11,11 @@
 from sardinemast.dispatch._peak_history import replay_peaks
 from sardinemast.dispatch._peaks import PeakTracker
 from sardinemast.dispatch._pool_load import PoolLoad
-from sardinemast.dispatch._pool_sizes import PoolBaseline, count_workers_needed
+from sardinemast.dispatch._pool_sizes import (
+    PoolBaseline,
+    count_workers_kept,
+    count_workers_needed,
+)
 
 _POOLS = ('a', 'b', 'c', 'd')
 _PEAK_S = 4.5
@@ -61,6 +65,44 @@
     assert _count('d', calm, tracker, 6) == 4
 
 
+def _count_kept(tracker: PeakTracker, now_s: float) -> int:
+    calm = PoolLoad(capacity=512_000, free=500_000, workers=8)
+    return count_workers_kept('d', calm, _BASELINE, tracker, now_s, _POLICY)
+
+
+def test_workers_stay_on_until_a_peak_is_known() -> None:
+    """Keep all workers on while nothing tells what a peak asks."""
+    assert _count_kept(PeakTracker(), 3) == 8
+
+
+def test_workers_stay_on_for_a_steep_first_peak() -> None:
+    """Keep all workers on if other pools needed theirs at once.
+
+    The pattern: square peaks in turn, each shorter than two moves.
+    """
+    tracker = PeakTracker()
+    _record_peaks(tracker, 6, share=1.6)
+    assert _count_kept(tracker, 6) == 8
+
+
+def test_workers_do_not_stay_on_for_a_distant_first_peak() -> None:
+    """Keep fewer workers the longer a first peak is likely to take.
+
+    The pattern: pools that peak in turns of half a minute.
+    """
+    tracker = PeakTracker()
+    _record_peaks(tracker, 4, share=1.6)
+    assert _count_kept(tracker, 4) == 8
+    assert _count_kept(tracker, 30) < 8
+
+
+def test_workers_of_a_pool_that_peaked_do_not_stay_on() -> None:
+    """Leave a pool with a known period to the forecast of its next peak."""
+    tracker = PeakTracker()
+    _record_peaks(tracker, 20)
+    assert _count_kept(tracker, 20) == 0
+
+
 def test_pool_shrinks_between_peaks() -> None:
     """Keep few workers between peaks and more shortly before the next one."""
     tracker = PeakTracker()
