--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -24,6 +24,7 @@
     count_workers_kept,
     count_workers_needed,
 )
+from sardinemast.dispatch._standby import StandbyInstances
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import MaintenanceStatus, Worker
 from sardinemast.jobs.commands import ForgetWorker, NoteMove
@@ -57,7 +58,7 @@
         self._pending_moves: dict[str, _PendingMove] = {}
         self._planned_moves: dict[str, str] = {}
         self._idle_since_s: dict[str, float] = {}
-        self._standby: dict[str, str] = {}
+        self._standby = StandbyInstances(state)
         self._refused_at_s: dict[tuple[str, str], float] = {}
         self._baselines: dict[str, PoolBaseline] = {}
 
@@ -67,7 +68,7 @@
         self._list_due_s = 0
         self._pending_moves.clear()
         self._planned_moves.clear()
-        self._standby.clear()
+        self._standby.start_term()
         self._refused_at_s.clear()
 
     def tick(self, now_s: float, now_ms: int) -> None:
@@ -109,18 +110,13 @@
             self._finish_move(event.instance)
         elif event.outcome is OrderOutcome.done:
             if event.pool == self._get_standby_pool():
-                self._add_standby(event.instance)
+                self._standby.add(event.instance)
             self._propose_forget_workers(event)
 
     def handle_list(self, event: InstancesListed) -> None:
         """Update the set of available standby instances."""
         self._list_due_s = event.asked_s + _LIST_INTERVAL_S
-        standby_pool = self._get_standby_pool()
-        self._standby = {
-            one.name: one.data_centre
-            for one in event.instances
-            if one.pool == standby_pool and one.is_up
-        }
+        self._standby.handle_list(event, self._get_standby_pool())
 
     def _update_peaks(
         self,
@@ -252,10 +248,9 @@
         )
         ready = [
             name
-            for name in self._standby
+            for name in self._standby.list_allowed()
             if name not in self._pending_moves
             and name not in busy
-            and self._may_activate(name)
             and self._state.may_order(name, now_s)
             and not self._was_refused(name, pool, now_s)
         ]
@@ -264,24 +259,11 @@
         due = self._state.list_instances_by_status(MaintenanceStatus.waiting)
         ready.sort(key=due.__contains__)
         for name in ready[: max(wanted, 0)]:
-            self._standby.pop(name)
+            self._standby.remove(name)
             self._order_move(name, pool, now_s)
             self._state.log('instance.brought_in', name, to_pool=pool)
         return len(ready[:wanted])
 
-    def _add_standby(self, instance: str) -> None:
-        worker = self._state.jobs.worker_index.find_newest(instance)
-        self._standby[instance] = worker.data_centre if worker else ''
-
-    def _may_activate(self, instance: str) -> bool:
-        """Check that a standby instance is in no evacuated data centre."""
-        data_centres = self._state.jobs.data_centres
-        data_centre = self._standby[instance]
-        if not data_centre:
-            # Nothing tells where the instance is until it is listed again.
-            return not data_centres.evacuated
-        return not data_centres.is_evacuated(data_centre)
-
     def _plan_move(self, worker: Worker, pool: str, now_s: float) -> bool:
         if not self._state.may_order(worker.instance, now_s):
             return False
