--- a/src/sardinemast/dispatch/_standby.py
+++ b/src/sardinemast/dispatch/_standby.py
@@ -1,6 +1,6 @@
 """Instances of the standby pool, which may be switched on."""
 
-from sardinemast.dispatch._events import InstancesListed
+from sardinemast.dispatch._instance_events import InstancesListed
 from sardinemast.dispatch._state import DispatchState
 
 
