Time out starts sooner than polls

Change: a start times out after 0.3 s; the worker is polled under a higher fence then, and the task starts elsewhere.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -221,7 +221,7 @@
                 session.extend_lease(now_s),
                 self._state.jobs.get_job(step).request.spec,
                 _get_checkpoint(step, start.task.position),
-                self._state.settings.answer_s,
+                self._state.settings.start_answer_s,
                 self._tickets.get_ticket(step, session.worker, now_s),
             ),
         )
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -43,7 +43,9 @@
     be slow by the fraction ``drift``; ``margin_s`` is added before the leader
     treats a lease as expired. A poll waits up to ``wait_ms`` for a run to
     end, or ``watch_ms`` on workers that run best-effort tasks beside
-    latency-sensitive ones. A request times out after ``answer_s``; failed
+    latency-sensitive ones. A request times out after ``answer_s``, a start
+    after ``start_answer_s``: workers answer it at once, and until it times out
+    its task runs nowhere. Failed
     polls are retried after ``retry_s``, with a backoff up to ``retry_max_s``.
     A stop is repeated no sooner than after ``stop_again_s``.
 
@@ -70,6 +72,7 @@
     wait_ms: int = 1000
     watch_ms: int = 300
     answer_s: float = 0.8
+    start_answer_s: float = 0.3
     quiet_s: float = 1.9
     idle_quiet_s: float = 3.6
     stop_again_s: float = 0.5
--- /dev/null
+++ b/tests/dispatch/test_unanswered_starts.py
@@ -0,0 +1,35 @@
+"""Test how soon a task runs whose start has no answer.
+
+The pattern: a small share of all orders gets no answer, so that most wide
+steps have a task whose start is lost.
+"""
+
+from builders.workers import ModelFleet, make_step
+
+# A job meets its latency target if the task starts again within it.
+_TARGET_S = 0.6
+_STEP_S = 0.02
+
+
+def test_lost_start_is_repeated_within_the_latency_target() -> None:
+    """Start the task elsewhere before its job is late, and run it once.
+
+    The worker answers polls again by then, and carries out no late order.
+    """
+    fleet = ModelFleet(2)
+    fleet.run(4)
+    for model in fleet.workers.values():
+        model.is_unreachable = True
+    fleet.submit('wide', make_step(1))
+    submitted_s = fleet.now_s
+    while not fleet.undelivered_orders:
+        fleet.run(_STEP_S, _STEP_S)
+    for model in fleet.workers.values():
+        model.is_unreachable = False
+    while len(fleet.started) < 2:
+        fleet.run(_STEP_S, _STEP_S)
+    assert fleet.now_s - submitted_s < _TARGET_S
+    lost_worker, lost_order = fleet.undelivered_orders[0]
+    lost_worker.carry_out(lost_order, fleet.now_s)
+    fleet.run(_STEP_S, _STEP_S)
+    assert len(fleet.get_running_workers(lost_order.task)) == 1
