Settle an unanswered start by a poll at once

Cause: a start without an answer is settled by a poll under a higher fence. That poll was held back while a poll that waits up to 1 s for an end was under way, and then waited for an end itself: the task started again up to 2.9 s after its first start (test). Change: the poll is sent beside the earlier one and returns at once; an answer to a poll that a later one replaced is ignored.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -98,13 +98,17 @@
         # Until its ends are recorded, the worker would only repeat them.
         if session.end_cursor.reported > session.end_cursor.recorded:
             return
-        if session.poll_state.must_raise_fence:
+        is_raising = session.poll_state.must_raise_fence
+        if is_raising:
             session.raise_fence()
         # The lease of a worker that does not answer is not renewed: each retry
         # would delay the restart of its tasks elsewhere.
         is_responsive = session.is_synced and not session.poll_state.misses
-        wait_ms = self._get_wait_ms(session) if is_responsive else 0
+        # A poll that settles whether a start was executed returns at once.
+        may_wait = is_responsive and not is_raising
+        wait_ms = self._get_wait_ms(session) if may_wait else 0
         session.poll_state.is_pending = True
+        session.poll_state.sent_fence = session.fence
         self._state.outputs.append(
             PollWorker(
                 session.worker,
@@ -124,6 +128,9 @@
         now_s: float,
     ) -> list[FinishedRun]:
         """Process the result of a poll and return the ends that are new."""
+        if polled.fence < session.poll_state.sent_fence:
+            # A later poll has replaced this one.
+            return []
         session.poll_state.is_pending = False
         answer = polled.answer
         ends: list[FinishedRun] = []
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -140,7 +140,7 @@
             )
             session.last_heard_s = now_s
         elif event.outcome is OrderOutcome.unknown:
-            session.poll_state.must_raise_fence = True
+            session.poll_state.replace_pending()
             session.backoff.until_s = now_s + _AVOID_UNHEALTHY_S
         else:
             session.sent_starts.pop(event.task)
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -31,15 +31,21 @@
 
     ``misses`` counts polls without an answer since the last one that had one.
     ``must_raise_fence`` is set when a sent order may still be executed; the
-    next poll then uses a higher fence.
+    next poll then uses a higher fence. ``sent_fence`` is that of the last poll.
     """
 
     def __init__(self) -> None:
         self.is_pending = False
         self.must_raise_fence = False
+        self.sent_fence = 0
         self.due_s = float('-inf')
         self.misses = 0
 
+    def replace_pending(self) -> None:
+        """Let the next poll raise the fence without awaiting a pending one."""
+        self.must_raise_fence = True
+        self.is_pending = False
+
 
 class FailureBackoff:
     """Hold a worker's consecutive failures and the end of its backoff."""
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -1,7 +1,7 @@
 """Test leases, fencing of late orders, and changes of leader."""
 
 from builders.workers import POOL, ModelFleet, make_step, make_worker
-from sardinemast.dispatch import DispatchSettings, OrderOutcome
+from sardinemast.dispatch import DispatchSettings, OrderOutcome, StartRun
 from sardinemast.jobs import JobStatus, TaskKey
 from sardinemast.jobs.commands import RecordRuns
 
@@ -69,9 +69,13 @@
         model.is_unreachable = False
     fleet.run(8)
     assert len(fleet.get_running_workers(TASK)) == 1
+    late_starts = 0
     for model, order in fleet.undelivered_orders:
         outcome, _ = model.carry_out(order, fleet.now_s)
-        assert outcome is OrderOutcome.refused
+        if isinstance(order, StartRun):
+            late_starts += 1
+            assert outcome is OrderOutcome.refused
+    assert late_starts
     assert len(fleet.get_running_workers(TASK)) == 1
 
 
