--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -249,7 +249,7 @@
             text = f'fleet.E018 Data centre {name!r} does not exist.'
             return CallAnswer(CallOutcome.invalid, text=text)
         # Also proposed if it is in force: an opposite command may be in flight.
-        self._propose(make_evacuation(call), caller)
+        self._propose(_make_evacuation(call), caller)
         return None
 
     @_handle.register
@@ -330,7 +330,7 @@
     return known.boot_ms == worker.boot_ms and known.is_draining
 
 
-def make_evacuation(
+def _make_evacuation(
     call: ChangeEvacuation,
 ) -> commands.EvacuateDataCentre | commands.ReadmitDataCentre:
     """Return the command of a call to evacuate or readmit a data centre."""
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -191,16 +191,20 @@
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_workers.get(task, ())
 
+    def _may_send(self, session: WorkerSession) -> bool:
+        """Check whether a recorded start may be sent.
+
+        The worker may have been lost, or its data centre evacuated, while the
+        start was being recorded.
+        """
+        is_evacuated = self._state.is_evacuated(session.worker)
+        return session.is_synced and not is_evacuated
+
     def _send_start(
         self, step: StepState, start: RunStart, now_s: float
     ) -> None:
         session = self._state.sessions.get(start.worker)
-        is_withdrawn = session is None or self._state.is_evacuated(
-            session.worker
-        )
-        if session is None or is_withdrawn or not session.is_synced:
-            # The worker was lost, or its data centre evacuated, while the start
-            # was being recorded.
+        if session is None or not self._may_send(session):
             lost_run = FinishedRun(start.task, start.number, RunEnd.lost)
             self._state.record_end(lost_run)
             return
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -12,11 +12,12 @@
     which carries the load until moved instances arrive. Workers beyond that
     are lent to other pools; if none needs them, they stay on for as long as
     late work at the start of a peak, which costs ``late_factor`` times as much
-    as an idle worker, would cost more. During a peak its
-    capacity is ``rise_factor`` times the demand; a shortfall below
-    ``short_share`` of the capacity is left to tasks that finish. A pool never
-    grows beyond ``most_factor`` times its baseline, plus the workers that its
-    long-running tasks take. Between peaks it keeps capacity for
+    as an idle worker, would cost more.
+
+    During a peak its capacity is ``rise_factor`` times the demand; a shortfall
+    below ``short_share`` of the capacity is left to tasks that finish. A pool
+    never grows beyond ``most_factor`` times its baseline, plus the workers that
+    its long-running tasks take. Between peaks it keeps capacity for
     ``calm_factor`` times its load, plus ``calm_spare`` workers. A worker may
     be moved once it has been idle for ``idle_s``.
 
@@ -45,9 +46,9 @@
     end, or ``watch_ms`` on workers that run best-effort tasks beside
     latency-sensitive ones. A request times out after ``answer_s``, a start
     after ``start_answer_s``: workers answer it at once, and until it times out
-    its task runs nowhere. Failed
-    polls are retried after ``retry_s``, with a backoff up to ``retry_max_s``.
-    A stop is repeated no sooner than after ``stop_again_s``.
+    its task runs nowhere. Failed polls are retried after ``retry_s``, with a
+    backoff up to ``retry_max_s``. A stop is repeated no sooner than after
+    ``stop_again_s``.
 
     A worker that has been silent for ``quiet_s`` gets no new runs. Idle
     workers only send announcements, so ``idle_quiet_s`` applies to them. A
