Say once what an evacuation is, and restore what need not have changed

The two commands have one union, and the check of a data centre's name with its refusal (fleet.E018) and the list of names stand once.

--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -7,7 +7,7 @@
 
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import AnswerCall
-from sardinemast.fleet import is_known_data_centre
+from sardinemast.fleet import refuse_unknown_data_centre
 from sardinemast.jobs import (
     Command,
     JobsState,
@@ -244,9 +244,11 @@
         now_s: float,
         now_ms: int,
     ) -> CallAnswer | None:
-        name = call.data_centre
-        if not is_known_data_centre(self._context.state, name):
-            text = f'fleet.E018 Data centre {name!r} does not exist.'
+        refusal = refuse_unknown_data_centre(
+            self._context.state, call.data_centre
+        )
+        if refusal is not None:
+            text = f'{refusal.code} {refusal.text}'
             return CallAnswer(CallOutcome.invalid, text=text)
         # Also proposed if it is in force: an opposite command may be in flight.
         self._propose(_make_evacuation(call), caller)
@@ -330,9 +332,7 @@
     return known.boot_ms == worker.boot_ms and known.is_draining
 
 
-def _make_evacuation(
-    call: ChangeEvacuation,
-) -> commands.EvacuateDataCentre | commands.ReadmitDataCentre:
+def _make_evacuation(call: ChangeEvacuation) -> commands.EvacuationCommand:
     """Return the command of a call to evacuate or readmit a data centre."""
     if call.is_evacuated:
         return commands.EvacuateDataCentre('', call.data_centre)
@@ -349,8 +349,6 @@
         return (type(command), command.catalog.version, command.source)
     if isinstance(command, commands.DeclareWave):
         return (type(command), command.number)
-    if isinstance(
-        command, commands.EvacuateDataCentre | commands.ReadmitDataCentre
-    ):
+    if isinstance(command, commands.EvacuationCommand):
         return (type(command), *command)
     return None
--- a/src/sardinemast/dispatch/_load_measurement.py
+++ b/src/sardinemast/dispatch/_load_measurement.py
@@ -31,14 +31,15 @@
         worker = session.worker
         if state.is_evacuated(worker):
             return
-        if not state.is_usable(session, now_s):
+        runs = state.get_runs(worker.name)
+        if not session.is_usable(now_s, has_runs=bool(runs)):
             # A cordoned worker counts, since it returns after maintenance.
             self.workers += session.is_cordoned
             return
         self.capacity += worker.capacity.millicores
         self.free += max(state.jobs.get_free(worker).millicores, 0)
         self.workers += 1
-        if not state.get_runs(worker.name):
+        if not runs:
             self.idle_workers.append(worker)
 
     def add_step(self, step: StepState) -> None:
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -294,7 +294,7 @@
                 started[pool] += 1
         for item in sorted(waiting_items, key=self._make_sort_key(workers)):
             worker = workers.get(item.instance)
-            if worker is None or self._is_evacuated_and_empty(worker):
+            if worker is None or self._serves_nothing(worker):
                 # It serves nothing now, but may be needed for a peak later.
                 yield item
                 continue
@@ -314,7 +314,8 @@
         can_defer = remaining_count * _CYCLE_S / _CATCH_UP_COUNT < remaining_s
         return can_defer and load.shortfall > 0
 
-    def _is_evacuated_and_empty(self, worker: Worker) -> bool:
+    def _serves_nothing(self, worker: Worker) -> bool:
+        """Check whether a worker is evacuated and has no runs."""
         has_runs = bool(self._state.get_runs(worker.name))
         return self._state.is_evacuated(worker) and not has_runs
 
@@ -324,7 +325,7 @@
     ) -> Callable[[WaveItem], tuple[bool, int, str]]:
         def get_sort_key(item: WaveItem) -> tuple[bool, int, str]:
             worker = workers.get(item.instance)
-            if worker is None or self._is_evacuated_and_empty(worker):
+            if worker is None or self._serves_nothing(worker):
                 return (False, 0, item.instance)
             runs = self._state.get_runs(worker.name)
             is_cordoned = worker.name in self._cordoned_at_s
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -201,6 +201,8 @@
                     wanted -= self._plan_move(workers.pop(), pool, now_s)
         if self._get_standby_pool():
             for name, spare in spare_workers.items():
+                if not spare:
+                    continue
                 kept = self._count_kept(name, loads[name], peaks, now_s)
                 surplus = max(loads[name].workers - kept, 0)
                 self._switch_off(spare[:surplus], now_s)
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -124,14 +124,13 @@
             min(load.workers + extra, _count_max(load, baseline, policy)),
         )
     calm_count = _count_for_calm(load, worker_millicores, policy)
+    opening_count = ceil(baseline.worker_count * policy.opening_share)
     if peaks.is_peaking(pool):
         # As the peak fades, release workers to other pools.
-        opening_count = ceil(baseline.worker_count * policy.opening_share)
         return min(load.workers, max(opening_count, calm_count))
-    # A first or overdue peak may start at any time.
+    # A first or overdue peak may start at any time, so keep the opening share.
     is_due = now_s >= peaks.get_next_start_s(pool) - _MOVE_LEAD_S
     if is_due and not peaks.have_peaks_ended(now_s):
-        opening_count = ceil(baseline.worker_count * policy.opening_share)
         return max(opening_count, calm_count)
     return min(calm_count, max(baseline.worker_count, load.workers))
 
--- a/src/sardinemast/fleet/__init__.py
+++ b/src/sardinemast/fleet/__init__.py
@@ -29,7 +29,7 @@
     dump_state,
     load_state,
 )
-from sardinemast.fleet._subsystem_commands import is_known_data_centre
+from sardinemast.fleet._subsystem_commands import refuse_unknown_data_centre
 from sardinemast.fleet._time_commands import COMMAND_RETENTION_DAYS
 from sardinemast.fleet.commands import (
     COMMANDS,
@@ -110,8 +110,8 @@
     'get_grants',
     'get_pool',
     'is_known_command',
-    'is_known_data_centre',
     'load_state',
     'make_entry_update',
+    'refuse_unknown_data_centre',
     'replay_command',
 )
--- a/src/sardinemast/fleet/_entry_updates.py
+++ b/src/sardinemast/fleet/_entry_updates.py
@@ -78,10 +78,7 @@
             COMMANDS.encode(NoteTotals(totals)),
             _encode_grants_by_holder(state, command),
         )
-    if isinstance(
-        command,
-        jobs.commands.EvacuateDataCentre | jobs.commands.ReadmitDataCentre,
-    ):
+    if isinstance(command, jobs.commands.EvacuationCommand):
         names = tuple(state.subsystems.jobs.data_centres.evacuated)
         noted = COMMANDS.encode(jobs.commands.NoteEvacuated(names))
         return EntryUpdate(index, noted, {})
--- a/src/sardinemast/fleet/_state.py
+++ b/src/sardinemast/fleet/_state.py
@@ -167,6 +167,12 @@
             JobsState(),
         )
 
+    @property
+    def data_centres(self) -> set[str]:
+        """Return the declared sites and what else ever had a worker."""
+        known = self.subsystems.jobs.data_centres.known
+        return {*self.document.sites, *known}
+
 
 def dump_state(state: FleetState) -> FleetImage:
     """Return a snapshot of the state."""
--- a/src/sardinemast/fleet/_subsystem_commands.py
+++ b/src/sardinemast/fleet/_subsystem_commands.py
@@ -43,23 +43,21 @@
 
 
 def _execute_evacuation(
-    command: (
-        jobs.commands.EvacuateDataCentre | jobs.commands.ReadmitDataCentre
-    ),
+    command: jobs.commands.EvacuationCommand,
     state: FleetState,
 ) -> Outcome:
-    name = command.data_centre
-    if not is_known_data_centre(state, name):
-        return refuse(
-            state, 'fleet.E018', f'Data centre {name!r} does not exist.'
-        )
-    return _execute_jobs(command, state)
-
-
-def is_known_data_centre(state: FleetState, name: str) -> bool:
-    """Check whether a data centre is a declared site or ever had a worker."""
-    known = state.subsystems.jobs.data_centres.known
-    return name in state.document.sites or name in known
+    refusal = refuse_unknown_data_centre(state, command.data_centre)
+    return refusal or _execute_jobs(command, state)
+
+
+def refuse_unknown_data_centre(
+    state: FleetState,
+    name: str,
+) -> Outcome | None:
+    """Refuse a name that is no declared site and never had a worker."""
+    if name in state.data_centres:
+        return None
+    return refuse(state, 'fleet.E018', f'Data centre {name!r} does not exist.')
 
 
 def _sync_pools(state: FleetState) -> None:
--- a/src/sardinemast/fleet/commands.py
+++ b/src/sardinemast/fleet/commands.py
@@ -49,11 +49,11 @@
     AssignInstance,
     ForgetInstance,
 )
-_EVACUATION_CLASSES = (
+OPERATOR_COMMANDS = MessageSet(
+    *_OPERATOR_CLASSES,
     jobs.commands.EvacuateDataCentre,
     jobs.commands.ReadmitDataCentre,
 )
-OPERATOR_COMMANDS = MessageSet(*_OPERATOR_CLASSES, *_EVACUATION_CLASSES)
 COMMANDS = MessageSet(
     *_OPERATOR_CLASSES,
     RegisterEntry,
--- a/src/sardinemast/fleet/queries.py
+++ b/src/sardinemast/fleet/queries.py
@@ -67,10 +67,9 @@
 
 def _list_data_centres(state: FleetState) -> list[dict[str, Any]]:
     data_centres = state.subsystems.jobs.data_centres
-    names = {*state.document.sites, *data_centres.known}
     return [
         {'name': name, 'is_evacuated': data_centres.is_evacuated(name)}
-        for name in sorted(names)
+        for name in sorted(state.data_centres)
     ]
 
 
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -130,6 +130,9 @@
     data_centre: str
 
 
+EvacuationCommand = EvacuateDataCentre | ReadmitDataCentre
+
+
 class NoteEvacuated(NamedTuple):
     """Set which data centres are evacuated, as entries are told."""
 
--- a/src/sardinemast/routing/_picker.py
+++ b/src/sardinemast/routing/_picker.py
@@ -210,10 +210,10 @@
 
 
 def _is_usable(state: FleetState, one: Announcement, pool_name: str) -> bool:
-    # Both the state and the announcement must name the pool: after a move the
-    # announcement may still name the former one.
     if state.subsystems.jobs.data_centres.is_evacuated(one.data_centre):
         return False
+    # Both the state and the announcement must name the pool: after a move the
+    # announcement may still name the former one.
     placed = state.instances.get(one.instance)
     return (
         one.status is UpstreamStatus.serving
