Give durations and deadlines of jobs modules of their own

Cause: order of work, lateness and what is refused all need expected durations and deadlines, which only the order of steps computed, for itself.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -167,7 +167,9 @@
             return ()
 
         def order(step: StepState) -> tuple[float, ...]:
-            return get_step_priority(state.jobs.get_job(step), step, now_ms)
+            return get_step_priority(
+                state.jobs.get_job(step), step, state.durations, now_ms
+            )
 
         def is_allowed(step: StepState, worker: Worker) -> bool:
             return self._tickets.is_allowed(step, worker, now_s)
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from sardinemast.dispatch._durations import DurationEstimates
 from sardinemast.dispatch._events import (
     DispatchOutput,
     LogDecision,
@@ -48,6 +49,7 @@
         self.loads: dict[str, PoolLoad] = {}
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
+        self.durations = DurationEstimates()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -120,6 +120,7 @@
             key=lambda step: get_step_priority(
                 state.jobs.get_job(step),
                 step,
+                state.durations,
                 now_ms,
             ),
         )
