Settle commands of unknown outcome in a test by their id

Cause: test_earlier_version_is_restored failed once beside load with control.E002. Traced: control processes that stand still for 4 s during a command, as a starved machine makes them, give exactly this answer: a leader that has lost its term cannot tell the outcome. The text tells the operator to resend with the same id; the test sent once. Change: the test resends with the same id, and still wants exactly one version for each command. A new test takes the majority away during a command and checks that the resend takes effect once.

--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -20,6 +20,7 @@
 from tornado.httpclient import HTTPClient, HTTPRequest, HTTPResponse
 
 from builders.certificates import write_certificate
+from sardinemast.cli.exceptions import UnreachableError
 from sardinemast.exceptions import CodedError
 
 _TIMEOUT_S = 30.0
@@ -210,6 +211,18 @@
         time.sleep(_POLL_S)
 
 
+def settle(command: Callable[..., Any], *arguments: Any, **options: Any) -> Any:
+    """Send a command again with its id while its outcome is unknown."""
+    give_up_s = time.monotonic() + _TIMEOUT_S
+    while True:
+        try:
+            return command(*arguments, **options)
+        except UnreachableError:
+            if time.monotonic() > give_up_s:
+                raise
+        time.sleep(_POLL_S)
+
+
 def call(
     address: str,
     path: str,
--- a/tests/processes/test_end_to_end.py
+++ b/tests/processes/test_end_to_end.py
@@ -8,7 +8,7 @@
 import pytest
 
 from builders import Fleet, run_fleet
-from builders.processes import call, wait_for
+from builders.processes import call, settle, wait_for
 from sardinemast.cli import commands, queries
 from sardinemast.cli.exceptions import CliError
 
@@ -120,13 +120,18 @@
 
 
 def test_earlier_version_is_restored(fleet: Fleet, tmp_path: Path) -> None:
-    """Restoring a version creates a new one without differences."""
+    """Restoring a version creates a new one without differences.
+
+    A starved leader may lose its term during a command, whose outcome is then
+    unknown; sent again with its id, it takes effect once.
+    """
     base = tmp_path / 'base.yaml'
     base.write_text(_BASE.replace('limit: 9', 'limit: 8'))
     first = queries.show(fleet.controls)['version']
-    commands.apply(str(base), controls=fleet.controls)
+    options = {'controls': fleet.controls}
+    settle(commands.apply, str(base), command_id='lower', **options)
     changes = queries.diff(first, first + 1, fleet.controls)['changes']
     assert [one['path'] for one in changes] == ['teams.petits-pixels.limit']
-    commands.restore(first, controls=fleet.controls)
+    settle(commands.restore, first, command_id='restore', **options)
     remaining = queries.diff(first, first + 2, fleet.controls)['changes']
     assert remaining == []
--- a/tests/processes/test_replicas.py
+++ b/tests/processes/test_replicas.py
@@ -11,8 +11,9 @@
 import pytest
 
 from builders import Fleet, run_fleet
-from builders.processes import wait_for
+from builders.processes import settle, wait_for
 from sardinemast.cli import commands, queries
+from sardinemast.cli.exceptions import UnreachableError
 
 _BASE = """
 sites: {rennes: {region: brittany}}
@@ -111,6 +112,25 @@
     assert _get_leader(fleet) != leader
 
 
+def test_unknown_outcome_is_settled_by_resend(fleet: Fleet) -> None:
+    """Guard against a command that takes effect twice or not at all.
+
+    A leader without a majority cannot tell whether its command will take
+    effect; the operator resends it with the same id.
+    """
+    base = str(fleet.folder / 'base.yaml')
+    leader = _get_leader(fleet)
+    followers = [name for name in fleet.control_names if name != leader]
+    for name in followers:
+        fleet.signal(name, signal.SIGSTOP)
+    with pytest.raises(UnreachableError):
+        commands.apply(base, controls=fleet.controls, command_id='resent')
+    for name in followers:
+        fleet.signal(name, signal.SIGCONT)
+    settle(commands.apply, base, controls=fleet.controls, command_id='resent')
+    assert _get_version(fleet) == 2
+
+
 def test_deleted_folder_gets_new_identity(fleet: Fleet) -> None:
     """A replica that lost its data folder rejoins under a new identity.
 
