Let a starved soak go on until jobs are done

Traced with 24 busy processes beside it (load 50): the run kills two of three control processes after 1 s, and their successors take 17 s to start, longer than the 8 s of faults; meanwhile every submission is refused, truly. And the first configuration had version 0, which changes nothing, so that jobs were answered "unknown queue" until the first change. The first configuration has version 1.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -39,8 +39,13 @@
     length_s: float,
     folder: Path,
     sizes: Sizes,
+    min_done: int = 0,
 ) -> Verdict:
-    """Run a site under the faults that a seed yields, and check the rules."""
+    """Run a site under the faults that a seed yields, and check the rules.
+
+    Callers go on until ``min_done`` jobs are done, or time out: on a starved
+    machine, killed processes may take longer to start than faults last.
+    """
     # Each caller, worker and operator may block a thread until its timeout.
     # With too few threads, requests would queue and look like network faults.
     asyncio.get_running_loop().set_default_executor(
@@ -57,7 +62,9 @@
         log_event = _make_event_log(log)
         injector = Injector(site, ledger, log_event)
         try:
-            version = await _run(site, traffic, injector, faults, length_s)
+            version = await _run(
+                site, traffic, injector.run(faults), length_s, min_done
+            )
         finally:
             await site.stop_all()
         for text in ledger.broken:
@@ -68,9 +75,9 @@
 async def _run(
     site: Site,
     traffic: Traffic,
-    injector: Injector,
-    faults: Any,
+    faults: Coroutine[Any, Any, None],
     length_s: float,
+    min_done: int,
 ) -> int:
     caller = Caller()
     await site.start_all()
@@ -79,9 +86,7 @@
             await asyncio.sleep(_POLL_S)
     tasks = _start_traffic(site, traffic)
     try:
-        version = await _run_faults(
-            traffic, caller, injector.run(faults), length_s
-        )
+        version = await _run_faults(traffic, caller, faults, length_s, min_done)
     finally:
         for task in tasks:
             task.cancel()
@@ -95,10 +100,16 @@
     caller: Caller,
     faults: Coroutine[Any, Any, None],
     length_s: float,
+    min_done: int,
 ) -> int:
     async with asyncio.TaskGroup() as group:
         group.create_task(faults)
         group.create_task(asyncio.sleep(length_s))
+    deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
+    while _count_done(traffic.ledger) < min_done:
+        if time.monotonic() >= deadline_s:
+            break
+        await asyncio.sleep(_POLL_S)
     traffic.is_over = True
     deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
     while traffic.ledger.list_unfinished() and time.monotonic() < deadline_s:
@@ -151,6 +162,10 @@
         faults,
         len(jobs),
         sum(job.is_accepted for job in jobs),
-        sum(job.is_done for job in jobs),
+        _count_done(ledger),
         version,
     )
+
+
+def _count_done(ledger: Ledger) -> int:
+    return sum(job.is_done for job in ledger.jobs.values())
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -35,7 +35,8 @@
     """Store the configuration that operators want, with its version."""
 
     def __init__(self, caps: dict[str, int]) -> None:
-        self.version = 0
+        # A version must be higher than that of an empty fleet to take effect.
+        self.version = 1
         self.keys = {team: [f'{team}-0'] for team in TEAMS}
         self.revoked: dict[str, list[str]] = {team: [] for team in TEAMS}
         self._caps = caps
