Divide full pools among teams, and mark jobs beyond a team's rate

Cause: the dispatcher ignored who submitted a job. A team that sent a multiple of its usual load delayed the jobs of all others.

Change: a replicated token bucket for each team marks jobs beyond its rate when they are submitted. With team_shares.enabled, plans divide each full pool by weighted max-min and order steps by class. The model gets teams with rates, bursts of load and CONTENTION_DAY.

--- a/bench/starts.py
+++ b/bench/starts.py
@@ -21,6 +21,7 @@
     ReportedRun,
     StartAnswered,
     StartRun,
+    TeamShares,
     WorkerPolled,
     WorkerReport,
 )
@@ -35,6 +36,7 @@
     Size,
     Step,
     TaskKey,
+    Team,
     Worker,
     apply_command,
 )
@@ -49,6 +51,8 @@
 _SECONDS = 6.0
 _ANNOUNCE_INTERVAL_S = 1.5
 _POOLS = 4
+_TEAMS = 20
+_SETTINGS = DispatchSettings()
 _MIB = 1024 * 1024
 _MS = 1000
 _COMPLETE_PERCENT = 100
@@ -64,12 +68,13 @@
 
 
 class _Workload(NamedTuple):
-    """Describe the jobs submitted, and to how many of the pools."""
+    """Describe the jobs submitted, to how many pools, by how many teams."""
 
     jobs_per_s: float
     steps: tuple[Step, ...]
     run_s: float
     pools: int = _POOLS
+    teams: int = 0
 
 
 _EVEN_LOAD = _Workload(20, (Step(10, Size(2000, 512 * _MIB), 600),), 0.6)
@@ -95,7 +100,12 @@
 class _Simulation:
     """Simulate a dispatcher and workers that answer at once."""
 
-    def __init__(self, worker_count: int, load: _Workload) -> None:
+    def __init__(
+        self,
+        worker_count: int,
+        load: _Workload,
+        settings: DispatchSettings = _SETTINGS,
+    ) -> None:
         self._load = load
         self.state = JobsState()
         self.log_bytes = 0
@@ -104,7 +114,7 @@
         self._log_index = 0
         self._now_s: float = 0
         self._announced_s: float = 0
-        self._dispatcher = Dispatcher(DispatchSettings())
+        self._dispatcher = Dispatcher(settings)
         self._outputs: deque[DispatchOutput] = deque()
         self._scheduled_ends: deque[_ScheduledEnd] = deque()
         self._pending_polls: dict[str, PollWorker] = {}
@@ -116,7 +126,8 @@
             Queue(name, name, '/', name, 3000, 600) for name in names
         )
         pools = tuple(map(Pool, names))
-        self._commit(PutCatalog(Catalog(1, queues, pools, ()), b''))
+        teams = tuple(Team(f'team-{number}') for number in range(load.teams))
+        self._commit(PutCatalog(Catalog(1, queues, pools, teams), b''))
         for number in range(worker_count):
             self._commit(RegisterWorker(_make_worker(number)))
         self._dispatcher.start_term(self.state, 1, 0)
@@ -145,7 +156,10 @@
         request = JobRequest('x' * 400, self._load.steps)
         pool = f'pool-{number % self._load.pools}'
         now_ms = int(self._now_s * _MS)
-        command = SubmitJob(f'job-{number}', pool, '', request, now_ms)
+        team = ''
+        if self._load.teams:
+            team = f'team-{number % self._load.teams}'
+        command = SubmitJob(f'job-{number}', pool, team, request, now_ms)
         self._execute(self._commit(command))
 
     def _advance(self, seconds: float) -> None:
@@ -282,10 +296,29 @@
     for workers in (40, 200, 1900):
         _print_costs(workers, 'even load', _EVEN_LOAD)
     _print_costs(180, 'a peak', _PEAK_LOAD)
-
-
-def _print_costs(workers: int, name: str, load: _Workload) -> None:
-    measured = _Simulation(workers, load).run()
+    for name, settings in (
+        ('20 teams', _SETTINGS),
+        ('team shares', DispatchSettings(team_shares=TeamShares(enabled=True))),
+    ):
+        for load_name, load in (
+            ('even load', _EVEN_LOAD),
+            ('a peak', _PEAK_LOAD),
+        ):
+            _print_costs(
+                180,
+                f'{load_name}, {name}',
+                load._replace(teams=_TEAMS),
+                settings,
+            )
+
+
+def _print_costs(
+    workers: int,
+    name: str,
+    load: _Workload,
+    settings: DispatchSettings = _SETTINGS,
+) -> None:
+    measured = _Simulation(workers, load, settings).run()
     per_start = measured.log_bytes / max(measured.starts, 1)
     cpu_us = 1_000_000 * measured.cpu_s / max(measured.starts, 1)
     sys.stdout.write(
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import PoolPolicy, TeamShares
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,7 +87,8 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``.
+    at ``advice``. A leader sizes pools by ``pool_sizes``
+    and divides full pools among teams by ``team_shares``.
     """
 
     name: str
@@ -105,6 +106,7 @@
     advice: Address | None = None
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
+    team_shares: TeamShares = TeamShares()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -152,6 +154,16 @@
         for name, default in PoolPolicy()._asdict().items()
     },
 )
+# More for late work would make jobs late that could still be on time.
+_MAX_LATE_SHARE = 0.5
+_TEAM_SHARES = MappingProxyType(
+    {
+        'enabled': Field(choice('true', 'false'), 'false'),
+        'late_share': Field(
+            number(0, _MAX_LATE_SHARE), TeamShares().late_share
+        ),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -175,6 +187,10 @@
             record(_POOL_SIZES),
             MappingProxyType(get_defaults(_POOL_SIZES)),
         ),
+        'team_shares': Field(
+            record(_TEAM_SHARES),
+            MappingProxyType(get_defaults(_TEAM_SHARES)),
+        ),
     },
 )
 
@@ -261,6 +277,10 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
+        team_shares=TeamShares(
+            parsed['team_shares']['enabled'] == 'true',
+            parsed['team_shares']['late_share'],
+        ),
     )
 
 
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -1,6 +1,7 @@
 """Gauges of a control process for its metrics."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 
 from sardinemast.consensus import Replica, Role
 from sardinemast.fleet import FleetState
@@ -9,10 +10,15 @@
 _Figures = dict[str, float]
 
 
-def list_gauges(replica: Replica, fleet: FleetState) -> dict[str, _Figures]:
+def list_gauges(
+    replica: Replica,
+    fleet: FleetState,
+    list_leader_gauges: Callable[[], Mapping[str, _Figures]] = dict,
+) -> dict[str, _Figures]:
     """Return each gauge's values by label; unlabelled gauges use ``''``.
 
     A follower's values lag behind the leader's by about a heartbeat.
+    ``list_leader_gauges`` returns those that only a leader has.
     """
     state = fleet.subsystems.jobs
     return {
@@ -32,6 +38,8 @@
             team: float(used.millicores)
             for team, used in state.usage.by_team.items()
         },
+        'team_jobs_beyond_rate': _count_beyond_rate(state),
+        **list_leader_gauges(),
     }
 
 
@@ -55,5 +63,13 @@
     return _make_figures(counted)
 
 
+def _count_beyond_rate(state: JobsState) -> _Figures:
+    return _make_figures(
+        Counter(
+            job.team for job in state.live.values() if not job.is_within_rate
+        ),
+    )
+
+
 def _make_figures(counted: Counter[str]) -> _Figures:
     return {name: float(count) for name, count in counted.items()}
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -29,7 +29,11 @@
     OrderMove,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
+from sardinemast.dispatch._settings import (
+    DispatchSettings,
+    PoolPolicy,
+    TeamShares,
+)
 
 __all__ = (
     'AdviceAnswered',
@@ -55,6 +59,7 @@
     'StartAnswered',
     'StartRun',
     'StopRun',
+    'TeamShares',
     'ThrottleRun',
     'Ticket',
     'WorkerPolled',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -1,5 +1,7 @@
 """Turn events into orders for workers and instances, without I/O."""
 
+from collections import Counter
+
 from sardinemast.dispatch._events import (
     AdviceAnswered,
     DispatchEvent,
@@ -19,6 +21,7 @@
 from sardinemast.dispatch._maintenance import MaintenanceRunner
 from sardinemast.dispatch._polling import WorkerPoller
 from sardinemast.dispatch._pool_balancer import PoolBalancer
+from sardinemast.dispatch._rate_monitor import RateMonitor
 from sardinemast.dispatch._run_recorder import RunRecorder
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._state import DispatchState
@@ -35,6 +38,7 @@
     ReadmitDataCentre,
     RecordRuns,
     RegisterWorker,
+    SubmitJob,
 )
 
 # Bounds how late expired leases and polls to retry are noticed. A worker that
@@ -53,6 +57,7 @@
         self._stragglers = StragglerDetector(self._state)
         self._maintenance = MaintenanceRunner(self._state)
         self._balancer = PoolBalancer(self._state)
+        self._rates = RateMonitor(self._state)
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
@@ -158,6 +163,13 @@
             session.is_leaving = True
             session.poll_state.due_s = now_s
 
+    def list_gauges(self) -> dict[str, dict[str, float]]:
+        """Return the values by label of each gauge that a leader keeps."""
+        totals: Counter[str] = Counter()
+        for shares in self._state.team_shares.values():
+            totals.update(shares)
+        return {'team_share_millicores': dict(totals)}
+
     def _handle_fleet_change(self, command: Command, now_s: float) -> None:
         if isinstance(command, ForgetWorker):
             self._poller.handle_forgotten(command)
@@ -171,6 +183,8 @@
             self._state.log('data_centre.evacuated', command.data_centre)
         elif isinstance(command, ReadmitDataCentre):
             self._state.log('data_centre.readmitted', command.data_centre)
+        elif isinstance(command, SubmitJob):
+            self._rates.handle_submitted(command, now_s)
 
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -2,11 +2,15 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
 
+from sardinemast.dispatch._plan_shares import PlanShares, StepOrder
 from sardinemast.jobs import (
     ZERO_SIZE,
     JobsState,
     Size,
+    StepKey,
     StepState,
     TaskKey,
     Worker,
@@ -17,12 +21,19 @@
 _STARTS_MAX = 256
 
 
+class _PartialStep(NamedTuple):
+    """Hold the tasks of a step that are left, and its tasks by worker."""
+
+    waiting: list[int]
+    on_worker: dict[str, int]
+
+
 class Planner:
     """Plan starts on a copy of the free capacity.
 
     ``is_usable`` tells whether a worker may get new runs. ``is_avoided`` tells
     whether a task should rather not run on a worker, ``is_allowed`` whether a
-    step may run on it at all.
+    step may run on it at all. With ``shares``, these replace ``order``.
     """
 
     def __init__(
@@ -32,12 +43,15 @@
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
         is_allowed: Callable[[StepState, Worker], bool],
+        shares: PlanShares | None = None,
     ) -> None:
         self._state = state
         self._order = order
         self._is_avoided = is_avoided
         self._is_allowed = is_allowed
         self._is_usable = is_usable
+        self._shares = shares
+        self._partial: dict[StepKey, _PartialStep] = {}
         self._usable: dict[str, bool] = {}
         self._free = state.usage.free.copy()
         self._unplaceable_sizes: dict[str, list[Size]] = defaultdict(list)
@@ -50,12 +64,62 @@
         candidates = [
             step for step in self._state.ready.values() if step.waiting
         ]
+        if self._shares is not None:
+            placeable = self._shares.divide(candidates)
+            self._place_by_shares(placeable, self._shares)
+            return tuple(self._starts)
         for step in sorted(candidates, key=self._order):
             if len(self._starts) >= _STARTS_MAX:
                 break
             self._place_step(step)
         return tuple(self._starts)
 
+    def _place_by_shares(
+        self, candidates: list[StepState], shares: PlanShares
+    ) -> None:
+        queue = [
+            (shares.get_key(step), number, step)
+            for number, step in enumerate(candidates)
+        ]
+        heapify(queue)
+        while queue and len(self._starts) < _STARTS_MAX:
+            key, number, step = heappop(queue)
+            if self._is_known_unplaceable(step):
+                continue
+            is_current = shares.get_key(step) == key
+            if is_current and self._place_while_current(step, key, shares):
+                continue
+            heappush(queue, (shares.get_key(step), number, step))
+
+    def _place_while_current(
+        self, step: StepState, key: StepOrder, shares: PlanShares
+    ) -> bool:
+        """Place tasks while the step's key stays the same.
+
+        Return whether none of its tasks is left to be placed in this plan.
+        """
+        if step.spec.is_gang:
+            placed_count = len(self._starts)
+            self._place_gang(step)
+            shares.record_starts(step, len(self._starts) - placed_count)
+            return True
+        partial = self._partial.setdefault(
+            step.key,
+            _PartialStep(list(step.waiting), _count_by_worker(step)),
+        )
+        while partial.waiting:
+            worker = self._place_task(
+                step, partial.waiting[0], partial.on_worker, ''
+            )
+            if worker is None:
+                return True
+            partial.waiting.pop(0)
+            partial.on_worker[worker] += 1
+            shares.record_starts(step, 1)
+            if shares.get_key(step) != key:
+                break
+        return not partial.waiting
+
     def _get_pool(self, step: StepState) -> str:
         return self._state.get_queue(step).pool
 
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -1,6 +1,7 @@
 """Record starts and ends of runs in the log, then send the starts."""
 
 from collections import defaultdict
+from functools import cache
 
 from sardinemast.dispatch._events import (
     TICKET_REASON,
@@ -8,8 +9,10 @@
     StartRun,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
+from sardinemast.dispatch._plan_shares import PlanShares, PlanTime
 from sardinemast.dispatch._planner import Planner
 from sardinemast.dispatch._state import DispatchState
+from sardinemast.dispatch._step_facts import StepFactsCache
 from sardinemast.dispatch._step_priority import get_step_priority
 from sardinemast.dispatch._tickets import TicketCache
 from sardinemast.dispatch._worker_session import SentStart, WorkerSession
@@ -41,6 +44,7 @@
         self._recording: RecordRuns | None = None
         self._failed_workers: dict[TaskKey, set[str]] = defaultdict(set)
         self._last_planned_s: float = 0
+        self._step_facts = StepFactsCache()
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
@@ -174,17 +178,37 @@
         def is_allowed(step: StepState, worker: Worker) -> bool:
             return self._tickets.is_allowed(step, worker, now_s)
 
+        @cache
         def is_usable(name: str) -> bool:
             return self._is_usable(name, now_s)
 
         self._tickets.request_tickets(is_usable, now_s, now_ms)
-        return Planner(
+        shares: PlanShares | None = None
+        if state.settings.team_shares.enabled:
+            shares = PlanShares(
+                state.jobs,
+                PlanTime(state.durations, now_ms),
+                is_usable,
+                self._step_facts,
+                state.settings.team_shares.late_share,
+            )
+        starts = Planner(
             state.jobs,
             is_usable,
             order,
             self._is_avoided,
             is_allowed,
+            shares,
         ).choose()
+        if shares is not None:
+            self._record_shares(shares)
+        return starts
+
+    def _record_shares(self, shares: PlanShares) -> None:
+        """Keep the last shares of pools that are full, for metrics."""
+        last = self._state.team_shares
+        kept = {pool: last[pool] for pool in shares.full_pools & last.keys()}
+        self._state.team_shares = {**kept, **shares.get_shares()}
 
     def _is_usable(self, name: str, now_s: float) -> bool:
         session = self._state.sessions.get(name)
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -36,6 +36,16 @@
     expected_factor: float = 1.1
 
 
+class TeamShares(NamedTuple):
+    """Configure how teams share a pool that lacks capacity.
+
+    Of the capacity, ``late_share`` is for jobs that are late but still useful.
+    """
+
+    enabled: bool = False
+    late_share: float = 0
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -88,3 +98,4 @@
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
+    team_shares: TeamShares = TeamShares()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -1,6 +1,6 @@
 """State shared by the components of the dispatcher."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from sardinemast.dispatch._durations import DurationEstimates
 from sardinemast.dispatch._events import (
@@ -33,7 +33,8 @@
     ``pending_ends`` holds ends of runs that are not in the log yet.
     ``needs_planning`` is set when tasks or capacity may have been added since
     the last plan. ``moving`` holds the instances that are changing pools.
-    ``now_ms`` is the wall clock time.
+    ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
+    pool, the millicores of each team as of the last division.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
@@ -50,6 +51,7 @@
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
+        self.team_shares: dict[str, Mapping[str, float]] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -61,6 +63,7 @@
         self.needs_planning = True
         self.loads = {}
         self.moving.clear()
+        self.team_shares = {}
 
     @property
     def earlier_leases_end_s(self) -> float:
--- /dev/null
+++ b/src/sardinemast/dispatch/_step_facts.py
@@ -0,0 +1,89 @@
+"""Facts of waiting steps that stay the same from plan to plan."""
+
+from typing import NamedTuple
+
+from sardinemast.dispatch._durations import DurationEstimates
+from sardinemast.dispatch._job_deadlines import get_deadlines
+from sardinemast.jobs import JobsState, JobState, StepState
+
+# Bounds how long a changed estimate or catalog is not seen, and for how long
+# steps that have ended are kept.
+_KEEP_MS = 1000
+
+
+class StepFacts(NamedTuple):
+    """Hold what the order of a step depends on.
+
+    If the step starts after ``on_time_start_ms``, its job is expected to be
+    late; after ``useful_start_ms``, the job will be of no use.
+    """
+
+    step: StepState
+    job: JobState
+    pool: str
+    millicores: int
+    due_ms: float
+    useful_until_ms: float
+    on_time_start_ms: float
+    useful_start_ms: float
+
+
+class StepFactsCache:
+    """Keep the facts of waiting steps for a short time.
+
+    Deriving them for each waiting step would take most of a plan.
+    """
+
+    def __init__(self) -> None:
+        self._facts: dict[StepState, StepFacts] = {}
+        self._made_ms = 0
+
+    def list_facts(
+        self,
+        jobs: JobsState,
+        steps: list[StepState],
+        durations: DurationEstimates,
+        now_ms: int,
+    ) -> list[StepFacts]:
+        """Return the facts of each step."""
+        if not 0 <= now_ms - self._made_ms < _KEEP_MS:
+            self._facts.clear()
+            self._made_ms = now_ms
+        known = self._facts
+        for step in steps:
+            if step not in known:
+                known[step] = _make_facts(jobs.get_job(step), step, durations)
+        return [known[wanted] for wanted in steps]
+
+
+def is_finishing_late(
+    job: JobState,
+    step: StepState,
+    durations: DurationEstimates,
+    now_ms: int,
+) -> bool:
+    """Check whether the job of a running step is late in any case.
+
+    The step may have started long ago, so only what follows it counts.
+    """
+    due_ms = get_deadlines(job, step.key.occurrence, durations).due_ms
+    expected_ms = durations.get_expected_ms(job.queue.name, step.spec)
+    remaining_ms = durations.get_remaining_ms(job, step.key.step)
+    return now_ms + remaining_ms - expected_ms > due_ms
+
+
+def _make_facts(
+    job: JobState, step: StepState, durations: DurationEstimates
+) -> StepFacts:
+    due_ms, useful_until_ms = get_deadlines(job, step.key.occurrence, durations)
+    remaining_ms = durations.get_remaining_ms(job, step.key.step)
+    return StepFacts(
+        step,
+        job,
+        job.queue.pool,
+        step.spec.reserved_size.millicores,
+        due_ms,
+        useful_until_ms,
+        due_ms - remaining_ms,
+        useful_until_ms - remaining_ms,
+    )
--- a/src/sardinemast/grants/_shares.py
+++ b/src/sardinemast/grants/_shares.py
@@ -5,6 +5,7 @@
 from heapq import heapify, heapreplace
 from typing import NamedTuple
 
+from sardinemast.max_min import split_max_min
 from sardinemast.protocol import PoolAllotment, PoolUse, TeamAllotment, TeamUse
 
 _DEBT_REPAYMENT_S = 1.0
@@ -20,27 +21,6 @@
     limit: int
 
 
-def split_max_min(
-    capacity: float,
-    wanted: Mapping[str, float],
-    weights: Mapping[str, float],
-) -> dict[str, float]:
-    """Return each team's weighted max-min share, at most its demand."""
-    allocations: dict[str, float] = {}
-    remaining = capacity
-    by_relative_demand = sorted(
-        wanted, key=lambda team: wanted[team] / weights[team]
-    )
-    remaining_weight = sum(weights.values())
-    for team in by_relative_demand:
-        allocations[team] = min(
-            wanted[team], remaining * weights[team] / remaining_weight
-        )
-        remaining -= allocations[team]
-        remaining_weight -= weights[team]
-    return allocations
-
-
 class PoolShares:
     """Divide one pool's slots among the entries and teams of the fleet.
 
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -57,6 +57,7 @@
         log_index,
         command.submitted_ms,
     )
+    job.is_within_rate = state.teams.take_token(job)
     state.jobs[job.name] = job
     state.live[job.name] = job
     if not job.request.occurrences:
--- a/src/sardinemast/jobs/_free_capacity.py
+++ b/src/sardinemast/jobs/_free_capacity.py
@@ -73,6 +73,10 @@
         """Return all workers of a pool, the fullest first."""
         return [item.worker for item in self._by_pool.get(pool, [])]
 
+    def iterate_emptiest(self, pool: str) -> Iterator[FreeMillicores]:
+        """Yield the workers of a pool, the emptiest first."""
+        return reversed(self._by_pool.get(pool, []))
+
     def copy(self) -> 'FreeCapacity':
         """Return an independent copy, for planning."""
         copied = FreeCapacity()
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -14,6 +14,7 @@
     Worker,
 )
 from sardinemast.jobs._state import JobsState, JobState, StepState
+from sardinemast.jobs._teams import TokenBucket
 
 
 class StepImage(NamedTuple):
@@ -43,6 +44,7 @@
     is_cancelled: bool
     is_failed: bool
     steps: tuple[StepImage, ...]
+    is_within_rate: bool = True
 
 
 class JobsImage(NamedTuple):
@@ -58,6 +60,7 @@
     last_order_ms: Mapping[str, int] | None = None
     data_centres: tuple[str, ...] = ()
     evacuated: tuple[str, ...] = ()
+    token_buckets: Mapping[str, TokenBucket] = MappingProxyType({})
 
 
 EMPTY_IMAGE = JobsImage()
@@ -76,6 +79,7 @@
         dict(state.last_order_ms),
         tuple(state.data_centres.known),
         tuple(state.data_centres.evacuated),
+        dict(state.teams.buckets),
     )
 
 
@@ -83,6 +87,7 @@
     """Restore a state from a snapshot."""
     state = JobsState()
     state.put_catalog(image.catalog, image.source)
+    state.teams.buckets = dict(image.token_buckets)
     for worker in image.workers:
         state.put_worker(worker)
     state.waves = {wave.number: wave for wave in image.waves}
@@ -123,6 +128,7 @@
         job.is_cancelled,
         job.is_failed,
         tuple(map(_dump_step, job.iterate_steps())),
+        job.is_within_rate,
     )
 
 
@@ -152,6 +158,7 @@
     job.has_started = image.has_started
     job.is_cancelled = image.is_cancelled
     job.is_failed = image.is_failed
+    job.is_within_rate = image.is_within_rate
     state.jobs[job.name] = job
     for step_image in image.steps:
         if step_image.occurrence not in job.steps:
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -107,7 +107,8 @@
 class Team(NamedTuple):
     """Declare a team, its keys and the limit of what it may have running.
 
-    A field of ``cap`` that is 0 is no limit.
+    A field of ``cap`` that is 0 is no limit. ``weight`` is the team's share of
+    a full pool, ``jobs_per_s`` the rate of jobs that it is owed; 0 is no limit.
     """
 
     name: str
@@ -115,6 +116,7 @@
     priority: int = 0
     weight: float = 1
     cap: Size = ZERO_SIZE
+    jobs_per_s: float = 0
 
 
 class Catalog(NamedTuple):
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -1,6 +1,6 @@
 """Replicated state of jobs, queues and workers."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 
 from sardinemast.jobs._critical_paths import compute_critical_paths_ms
@@ -17,10 +17,10 @@
     Step,
     StepKey,
     TaskKey,
-    Team,
     Wave,
     Worker,
 )
+from sardinemast.jobs._teams import Teams
 from sardinemast.jobs._worker_index import WorkerIndex
 from sardinemast.placement import Size
 
@@ -90,7 +90,8 @@
     """Hold a job and the steps of each occurrence that has begun.
 
     ``critical_paths_ms`` holds, by step, the estimated length of the critical
-    path from the start of that step to the end of the job.
+    path from the start of that step to the end of the job. ``is_within_rate``
+    is false if the team had exceeded its rate when it submitted the job.
     """
 
     __slots__ = (
@@ -99,6 +100,7 @@
         'has_started',
         'is_cancelled',
         'is_failed',
+        'is_within_rate',
         'log_index',
         'name',
         'queue',
@@ -128,6 +130,7 @@
         self.has_started = False
         self.is_cancelled = False
         self.is_failed = False
+        self.is_within_rate = True
         self.steps: dict[int, list[StepState]] = {}
 
     @property
@@ -171,13 +174,15 @@
 
     ``best_effort_counts`` counts the best-effort runs on each worker.
     ``latency_sensitive_counts`` counts the runs that have a limit on their
-    tail latency, which best-effort runs may disturb.
+    tail latency, which best-effort runs may disturb. ``by_queue`` holds the
+    millicores of the tasks that end by themselves, by queue and team.
     """
 
     def __init__(self) -> None:
         self.by_worker: dict[str, Size] = {}
         self.free = FreeCapacity()
         self.by_team: dict[str, Size] = {}
+        self.by_queue: dict[str, Counter[str]] = defaultdict(Counter)
         self.best_effort_counts: Counter[str] = Counter()
         self.latency_sensitive_counts: Counter[str] = Counter()
 
@@ -222,8 +227,7 @@
     def __init__(self) -> None:
         self.catalog: Catalog = EMPTY_CATALOG
         self.source = b''
-        self.teams_by_key: dict[str, Team] = {}
-        self.teams: dict[str, Team] = {}
+        self.teams = Teams()
         self.queues: dict[str, Queue] = {}
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, None] = {}
@@ -242,10 +246,7 @@
         """Activate a catalog and update the queues of live jobs."""
         self.catalog = catalog
         self.source = source
-        self.teams = {team.name: team for team in catalog.teams}
-        self.teams_by_key = {
-            key: team for team in catalog.teams for key in team.keys
-        }
+        self.teams.replace(catalog.teams)
         self.queues = {queue.name: queue for queue in catalog.queues}
         for job in self.live.values():
             job.queue = self.queues.get(job.queue.name, job.queue)
@@ -302,5 +303,8 @@
         self._charge(step, run.worker, -1)
 
     def _charge(self, step: StepState, worker: str, sign: int) -> None:
-        team = self.get_job(step).team
-        self.usage.charge(step.spec, worker, team, sign)
+        job = self.get_job(step)
+        self.usage.charge(step.spec, worker, job.team, sign)
+        if not step.spec.is_long_running:
+            millicores = sign * step.spec.reserved_size.millicores
+            self.usage.by_queue[job.queue.name][job.team] += millicores
--- a/src/sardinemast/model/__init__.py
+++ b/src/sardinemast/model/__init__.py
@@ -1,6 +1,9 @@
 """Simulation of a fleet and its workload in virtual time."""
 
+from sardinemast.model._arrival_times import Period
+from sardinemast.model._bursts import LoadBurst
 from sardinemast.model._days import (
+    CONTENTION_DAY,
     ENROLMENT_DAY,
     REGISTRY_DAY,
     WIDE_STEPS_DAY,
@@ -15,6 +18,7 @@
 )
 
 __all__ = (
+    'CONTENTION_DAY',
     'ENROLMENT_DAY',
     'REGISTRY_DAY',
     'DayPattern',
@@ -22,6 +26,8 @@
     'Disruption',
     'Distribution',
     'FleetSimulation',
+    'LoadBurst',
+    'Period',
     'QueuePattern',
     'ScoreWeights',
     'WIDE_STEPS_DAY',
--- a/src/sardinemast/model/_days.py
+++ b/src/sardinemast/model/_days.py
@@ -1,4 +1,4 @@
-"""Predefined days: one of large workers, two of small workers."""
+"""Predefined days: two of large workers, two of small workers."""
 
 from sardinemast.model._workload import DayPattern, Distribution, QueuePattern
 
@@ -114,6 +114,63 @@
     worker_memory_mib=32_768,
 )
 
+# Peaks of five times the declared rate, in place of four in a cycle of four.
+_PEAK_SCALE = 1.25
+_LOOKUPS = QueuePattern(
+    'lookups',
+    jobs_per_s=9.0 * _PEAK_SCALE,
+    task_duration_s=Distribution(0.8, 0.5),
+    step_count=Distribution(1.6, 0.4),
+    task_count=Distribution(8, 0.6),
+    task_cores=Distribution(6.2, 0.45),
+    task_memory_mib=Distribution(13_000, 0.6),
+    job_value=0.4,
+    long_running_count=24,
+    long_running_cores=8.8,
+    long_running_memory_mib=61_000,
+    long_running_max_unavailable=3,
+    worker_count=32,
+)
+_RESERVATIONS = _LOOKUPS._replace(
+    name='reservations',
+    jobs_per_s=1.8 * _PEAK_SCALE,
+    task_duration_s=Distribution(1.7, 0.5),
+    step_count=Distribution(2, 0.4),
+    task_cores=Distribution(13, 0.45),
+    task_memory_mib=Distribution(38_000, 0.6),
+    job_value=2.2,
+    worker_count=36,
+)
+
+# Lookups and reservations of 20 teams on workers of 64 cores, with teams that
+# submit several times their usual load.
+CONTENTION_DAY = DayPattern(
+    (
+        _LOOKUPS,
+        _RESERVATIONS,
+        _LOOKUPS._replace(
+            name='checks', jobs_per_s=11.2 * _PEAK_SCALE, worker_count=39
+        ),
+        _RESERVATIONS._replace(
+            name='exchanges', jobs_per_s=2.2 * _PEAK_SCALE, worker_count=43
+        ),
+    ),
+    peak_interval_s=4.5,
+    peak_duration_s=4.5,
+    has_square_peaks=True,
+    standby_count=29,
+    workers_per_rack=8,
+    worker_cores=64,
+    worker_memory_mib=262_144,
+    # The sum is about the number of jobs per second of all queues.
+    team_weights=(
+        *(4.0, 3.2, 2.6, 2.1, 1.7, 1.4, 1.2, 1.0, 0.9, 0.8),
+        *(0.7, 0.6, 0.6, 0.5, 0.5, 0.4, 0.4, 0.3, 0.3, 0.2),
+    ),
+    team_rate_factor=1,
+    has_random_bursts=True,
+)
+
 # Warranty registry on workers of 16 cores: queues of many short jobs alternate
 # with queues of a few long ones.
 REGISTRY_DAY = DayPattern(
--- a/src/sardinemast/model/_scoring.py
+++ b/src/sardinemast/model/_scoring.py
@@ -31,11 +31,30 @@
     move: float = 0.00029
 
 
+class ServedShares(NamedTuple):
+    """Hold shares of the number of jobs: done on time, and late but useful.
+
+    ``worst_team`` is the share of the worst team's jobs that were done on time
+    or late, ``worst_queue`` that of the worst queue's.
+    """
+
+    on_time: float = 1
+    late: float = 0
+    worst_team: float = 1
+    worst_queue: float = 1
+
+    @property
+    def total(self) -> float:
+        """Return the share of jobs that were of use."""
+        return self.on_time + self.late
+
+
 class DayResults(NamedTuple):
     """Hold the results of a day.
 
     ``on_time`` is the earned share of the attainable value, ``worst_*`` that
     of the worst group, ``largest_jobs`` that of the jobs with the most work.
+    ``served`` counts all jobs, ``owed`` those within the rate of their team.
     """
 
     on_time: float
@@ -47,6 +66,8 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    served: ServedShares = ServedShares()
+    owed: ServedShares = ServedShares()
 
     def compute_score(self, weights: ScoreWeights) -> float:
         """Return the weighted value earned less the weighted costs."""
@@ -100,7 +121,8 @@
     """Hold what was recorded during a day.
 
     ``availability`` holds samples by queue: the share of its long-running
-    tasks that serve.
+    tasks that serve. ``beyond_rate`` holds the names of the jobs that their
+    teams submitted beyond their rates.
     """
 
     arrivals: tuple[Arrival, ...]
@@ -109,6 +131,7 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    beyond_rate: frozenset[str] = frozenset()
 
 
 def score_day(record: DayRecord) -> DayResults:
@@ -136,6 +159,11 @@
         round(record.worker_seconds, 1),
         record.moves,
         round(record.lost_core_s, 1),
+        _count_served(jobs, record.done_at_s),
+        _count_served(
+            [one for one in jobs if one.name not in record.beyond_rate],
+            record.done_at_s,
+        ),
     )
 
 
@@ -152,6 +180,23 @@
         yield _JobValue(one, attainable, attainable * share)
 
 
+def _count_served(
+    jobs: list[Arrival], done_at_s: dict[str, float]
+) -> ServedShares:
+    shares = [_get_earned_share(one, done_at_s.get(one.name)) for one in jobs]
+    values = [
+        _JobValue(one, 1, float(share > 0))
+        for one, share in zip(jobs, shares, strict=True)
+    ]
+    count = max(len(jobs), 1)
+    return ServedShares(
+        shares.count(1) / count,
+        shares.count(_LATE_VALUE_SHARE) / count,
+        _get_worst_ratio(values, _get_team),
+        _get_worst_ratio(values, _get_queue),
+    )
+
+
 def _find_largest(jobs: list[Arrival]) -> list[Arrival]:
     by_work = sorted(jobs, key=_get_work)
     return by_work[int(len(by_work) * (1 - _LARGEST_SHARE)) :]
@@ -175,6 +220,10 @@
     return arrival.team
 
 
+def _get_queue(arrival: Arrival) -> str:
+    return arrival.queue.name
+
+
 def _get_interval(arrival: Arrival) -> str:
     return str(int(arrival.at_s // _INTERVAL_S))
 
--- a/src/sardinemast/model/_simulation.py
+++ b/src/sardinemast/model/_simulation.py
@@ -70,6 +70,7 @@
         self._proposed: list[Command] = []
         self._done_at_s: dict[str, float] = {}
         self._availability: dict[str, list[float]] = {}
+        self._beyond_rate: set[str] = set()
 
     @property
     def now_ms(self) -> int:
@@ -90,6 +91,7 @@
                 self.instances.worker_seconds,
                 self.instances.move_count,
                 self.instances.lost_core_s,
+                frozenset(self._beyond_rate),
             ),
         )
 
@@ -224,6 +226,9 @@
     def _apply(self, command: Command) -> None:
         self._log_index += 1
         apply_command(command, self.state, self._log_index)
+        if isinstance(command, SubmitJob):
+            if not self.state.jobs[command.name].is_within_rate:
+                self._beyond_rate.add(command.name)
         self.dispatcher.record_order_time(command, self.clock.now_s)
         self._follower.record_order_time(command, self.clock.now_s)
 
--- a/src/sardinemast/model/_workload.py
+++ b/src/sardinemast/model/_workload.py
@@ -15,6 +15,8 @@
     Step,
     Team,
 )
+from sardinemast.model._arrival_times import draw_times
+from sardinemast.model._bursts import LoadBurst, draw_bursts
 
 STANDBY_POOL = 'standby'
 _MS = 1000
@@ -99,6 +101,11 @@
     peak of ``peak_duration_s`` starts each ``peak_interval_s``. Between its
     peaks a queue receives ``off_peak_ratio`` of its mean rate. Square peaks
     have a constant rate, others rise and fall as a raised cosine.
+
+    Teams submit jobs in proportion to ``team_weights``, by default those of
+    six teams. Each is owed ``team_rate_factor`` times its weight in jobs per
+    second; 0 is no limit. With ``has_random_bursts``, one to three teams and a
+    queue get a multiple of their usual load for some seconds.
     """
 
     queues: tuple[QueuePattern, ...]
@@ -114,6 +121,10 @@
     move_duration_s: float = 1.5
     maintenance_duration_s: float = 2.0
     disruptions: frozenset[Disruption] = frozenset()
+    team_weights: tuple[float, ...] = ()
+    team_rate_factor: float = 0
+    bursts: tuple[LoadBurst, ...] = ()
+    has_random_bursts: bool = False
 
 
 class ActualTask(NamedTuple):
@@ -158,8 +169,12 @@
     pools = [Pool(queue.pool) for queue in day.queues]
     standby = Pool(STANDBY_POOL, is_standby=True)
     teams = tuple(
-        Team(f'team-{index}', weight=weight)
-        for index, weight in enumerate(_TEAM_WEIGHTS)
+        Team(
+            f'team-{index}',
+            weight=weight,
+            jobs_per_s=weight * day.team_rate_factor,
+        )
+        for index, weight in enumerate(day.team_weights or _TEAM_WEIGHTS)
     )
     return Catalog(1, queues, (*pools, standby), teams)
 
@@ -168,16 +183,27 @@
     """Return random arrivals of a day in the order of their time."""
     cycle_s = day.peak_interval_s * len(day.queues)
     offset_s = rng.uniform(0, cycle_s)
+    peaks_at_s = {
+        queue.name: offset_s + index * day.peak_interval_s
+        for index, queue in enumerate(day.queues)
+    }
     drawn = [
         arrival
-        for index, queue in enumerate(day.queues)
-        for arrival in _draw_queue(
-            day, queue, offset_s + index * day.peak_interval_s, rng
-        )
+        for queue in day.queues
+        for arrival in _draw_queue(day, queue, peaks_at_s[queue.name], rng)
     ]
+    for number, burst in enumerate(_list_bursts(day, rng)):
+        drawn.extend(_draw_extra(day, burst, f'burst{number}', peaks_at_s, rng))
     return sorted(drawn)
 
 
+def _list_bursts(day: DayPattern, rng: Random) -> list[LoadBurst]:
+    bursts = list(day.bursts)
+    if day.has_random_bursts:
+        bursts.extend(draw_bursts(day, day.team_weights, rng))
+    return bursts
+
+
 def _draw_queue(
     day: DayPattern,
     queue: QueuePattern,
@@ -185,30 +211,45 @@
     rng: Random,
 ) -> Iterator[Arrival]:
     if queue.long_running_count:
-        yield _make_long_running(queue, rng)
-    cycle_s = day.peak_interval_s * len(day.queues)
-    # The maximum of a raised cosine is twice its mean.
-    max_to_mean = 1 if day.has_square_peaks else 2
-    max_rate = max_to_mean * queue.jobs_per_s * cycle_s / day.peak_duration_s
-    now_s: float = 0
-    number = 0
-    # Thinning of a Poisson process with the maximum rate.
-    while True:
-        now_s += rng.expovariate(max_rate)
-        if now_s >= day.duration_s:
-            return
-        since_s = (now_s - peak_at_s) % cycle_s
-        rate = queue.jobs_per_s * day.off_peak_ratio
-        if since_s < day.peak_duration_s:
-            angle = 2 * math.pi * since_s / day.peak_duration_s
-            rate += (
-                max_rate
-                if day.has_square_peaks
-                else max_rate * (1 - math.cos(angle)) / 2
-            )
-        if rng.random() < rate / max_rate:
-            number += 1
-            yield _draw_job(day, queue, f'{queue.name}-{number}', now_s, rng)
+        yield _make_long_running(day, queue, rng)
+    for number, at_s in enumerate(
+        draw_times(day, queue, peak_at_s, rng), start=1
+    ):
+        yield _draw_job(day, queue, f'{queue.name}-{number}', at_s, rng)
+
+
+def _draw_extra(
+    day: DayPattern,
+    burst: LoadBurst,
+    name: str,
+    peaks_at_s: dict[str, float],
+    rng: Random,
+) -> Iterator[Arrival]:
+    """Yield the jobs that a burst adds to the usual load."""
+    for queue in day.queues:
+        if burst.queue and burst.queue != queue.name:
+            continue
+        times = draw_times(
+            day,
+            queue,
+            peaks_at_s[queue.name],
+            rng,
+            period=burst.period,
+            scale=_get_extra_scale(day, burst),
+        )
+        for number, at_s in enumerate(times, start=1):
+            job_name = f'{queue.name}-{name}-{number}'
+            job = _draw_job(day, queue, job_name, at_s, rng)
+            if burst.team is not None:
+                job = job._replace(team=f'team-{burst.team}')
+            yield job
+
+
+def _get_extra_scale(day: DayPattern, burst: LoadBurst) -> float:
+    if burst.team is None:
+        return burst.factor - 1
+    weights = day.team_weights or _TEAM_WEIGHTS
+    return (burst.factor - 1) * weights[burst.team] / sum(weights)
 
 
 class _DrawnStep(NamedTuple):
@@ -248,7 +289,7 @@
         at_s,
         name,
         queue,
-        _draw_team(rng),
+        _draw_team(day, rng),
         JobRequest('spec', tuple(one.step for one in drawn)),
         tuple(one.tasks for one in drawn),
         queue.stretch * critical_path_s + queue.target_ms / _MS,
@@ -279,7 +320,9 @@
     return _DrawnStep(step, tasks)
 
 
-def _make_long_running(queue: QueuePattern, rng: Random) -> Arrival:
+def _make_long_running(
+    day: DayPattern, queue: QueuePattern, rng: Random
+) -> Arrival:
     serving = Step(
         queue.long_running_count,
         Size(
@@ -301,12 +344,13 @@
     steps = (serving, best_effort) if queue.best_effort_count else (serving,)
     name = f'{queue.name}-lasting'
     request = JobRequest('spec', steps)
-    return Arrival(-1, name, queue, _draw_team(rng), request, (), 0, 0)
+    team = _draw_team(day, rng)
+    return Arrival(-1, name, queue, team, request, (), 0, 0)
 
 
-def _draw_team(rng: Random) -> str:
-    indexes = range(len(_TEAM_WEIGHTS))
-    return f'team-{rng.choices(indexes, _TEAM_WEIGHTS)[0]}'
+def _draw_team(day: DayPattern, rng: Random) -> str:
+    weights = day.team_weights or _TEAM_WEIGHTS
+    return f'team-{rng.choices(range(len(weights)), weights)[0]}'
 
 
 def _round_to_positive(number: float) -> int:
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -215,4 +215,6 @@
         body.get('prio', 0),
         body.get('weight', 1),
         _make_size(body.get('cap', {})),
+        # The platform owes a team as many jobs per second as its weight.
+        body.get('weight', 0),
     )
