Test team shares and rates, and let each team run one task

Cause: a team whose share is less than a task waited for what larger teams with earlier deadlines left.

Change: a team with nothing running is entitled to one task; otherwise a task is entitled if the team stays within its share with it.

--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -154,7 +154,7 @@
         if is_late and job.is_within_rate and division.has_late_capacity():
             return _LATE_SHARE
         rank = _FIRST_CLASS + is_late
-        if not division.is_entitled(job.team):
+        if not division.is_entitled(job.team, facts.millicores):
             rank += _BEYOND_SHARE
         if not job.is_within_rate:
             rank += _BEYOND_RATE
--- a/src/sardinemast/dispatch/_pool_division.py
+++ b/src/sardinemast/dispatch/_pool_division.py
@@ -8,6 +8,8 @@
 
 _MIN_WEIGHT = 0.02
 _DEFAULT_WEIGHT = 1.0
+# Shares are sums of fractions, and may be less than a whole number by this.
+_ROUNDING = 1.0
 
 
 class PoolDivision:
@@ -37,13 +39,15 @@
         self.shares = split_max_min(capacity, wanted, weights)
         self.late_capacity = late_share * capacity
 
-    def is_entitled(self, team: str) -> bool:
-        """Check whether a team uses less than its share.
+    def is_entitled(self, team: str, millicores: int) -> bool:
+        """Check whether a team stays within its share with one more task.
 
-        The task that exceeds the share may still start, since a share may be
-        smaller than one task.
+        A team with nothing running may start a task that exceeds its share;
+        otherwise small teams would depend on what larger ones leave.
         """
-        return self.used[team] < self.shares.get(team, 0)
+        used = self.used[team]
+        share = self.shares.get(team, 0) + _ROUNDING
+        return not used or used + millicores <= share
 
     def has_late_capacity(self) -> bool:
         """Check whether late tasks use less than is set aside for them."""
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -6,7 +6,7 @@
 
 from sardinemast.checks import CheckError
 from sardinemast.conf import load_process_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import PoolPolicy, TeamShares
 
 _PROCESS = """
 name: c-1
@@ -44,3 +44,18 @@
     with pytest.raises(CheckError) as raised:
         load_process_file(path)
     assert len(raised.value.findings) == 3
+
+
+def test_team_shares_are_off_unless_enabled(tmp_path: Path) -> None:
+    """Guard against shares in fleets whose settings lack the section."""
+    settings = load_process_file(_write(tmp_path, ''))
+    assert settings.team_shares == TeamShares()
+    path = _write(tmp_path, 'team_shares: {enabled: true, late_share: 0.1}\n')
+    assert load_process_file(path).team_shares == TeamShares(True, 0.1)
+
+
+def test_excessive_late_share_is_reported(tmp_path: Path) -> None:
+    """Guard against a share for late work that makes all other work late."""
+    path = _write(tmp_path, 'team_shares: {late_share: 0.9}\n')
+    with pytest.raises(CheckError):
+        load_process_file(path)
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -165,3 +165,12 @@
     task = TaskKey('a.b', 1, 2, 3)
     assert parse_task_key(str(task)) == task
     assert parse_task_key('a.b.c') is None
+
+
+def test_rate_of_a_team_is_its_weight() -> None:
+    """Guard against teams without a rate, or with one they did not declare."""
+    tenants = [{'name': 'a', 'weight': 2.5}, {'name': 'b'}]
+    body = decode(_encode_config(tenants=tenants), ConfigBody)
+    rated, unlimited = make_catalog(body).teams
+    assert (rated.weight, rated.jobs_per_s) == (2.5, 2.5)
+    assert (unlimited.weight, unlimited.jobs_per_s) == (1, 0)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 
 from sardinemast.consensus import MESSAGES, AppendEntries, LogEntry
-from sardinemast.wire import WireError, decode_envelope
+from sardinemast.jobs import Team
+from sardinemast.wire import WireError, decode_envelope, load_plain
 
 
 def test_nested_records_round_trip() -> None:
@@ -21,3 +22,10 @@
     for decode in (decode_envelope, MESSAGES.decode):
         with pytest.raises(WireError, match=r'^wire\.E00\d'):
             decode(frame)
+
+
+def test_missing_last_fields_have_their_defaults() -> None:
+    """Guard against entries of older versions that cannot be decoded."""
+    assert load_plain(Team, ['breizh']) == Team('breizh')
+    with pytest.raises(WireError):
+        load_plain(Team, [])
