Learn durations of tasks from the ends of runs

With learning.enabled, DurationEstimates keeps a decayed histogram of the ratio of actual to declared durations by queue, image and stage, for at most 512 keys, and falls back to coarser keys and to the declared duration. Changed keys are noted in the log at most once a second (NoteDurations). Straggler detection uses them, and a task that fails on two workers that complete others of its image is held back. The model draws tails of long tasks.

JobsState.teams_by_key is private now, behind find_team.

--- /dev/null
+++ b/bench/durations.py
@@ -0,0 +1,112 @@
+"""Simulated days with declared and with learned durations.
+
+Prints, for each day, means over the seeds: the share of the attainable value
+that was earned, in all, by the worst queue, team and interval and by the
+largest jobs, the cost of workers and the core seconds of runs that were lost.
+Each day is run as it is, with tails of 3% of the tasks at seven times their
+duration, and with declared durations that are off by 0.9.
+"""
+
+import sys
+from collections.abc import Iterator, Mapping
+from itertools import product
+from multiprocessing import Pool
+from statistics import fmean
+from types import MappingProxyType
+from typing import NamedTuple
+
+from sardinemast.dispatch import DispatchSettings, LearningPolicy
+from sardinemast.model import (
+    ENROLMENT_DAY,
+    REGISTRY_DAY,
+    WIDE_STEPS_DAY,
+    DayPattern,
+    DayResults,
+    Disruption,
+    FleetSimulation,
+    ScoreWeights,
+)
+
+_SEEDS = range(6)
+# The days are independent, and each fills one processor core.
+_PROCESSES = 2
+_POLICIES = MappingProxyType(
+    {
+        'declared': LearningPolicy(),
+        'learned': LearningPolicy(is_enabled=True),
+        'learned, for order alone': LearningPolicy(
+            is_enabled=True, deadline_ends=0
+        ),
+    }
+)
+_FIELDS = (
+    'on_time',
+    'worst_queue',
+    'worst_team',
+    'worst_interval',
+    'largest_jobs',
+)
+
+
+class _Case(NamedTuple):
+    """Identify a day under a policy."""
+
+    day: str
+    policy: str
+    seed: int
+
+
+def main() -> None:
+    """Print the results of each day under each policy."""
+    days = dict(_iterate_days())
+    cases = [_Case(*case) for case in product(days, _POLICIES, _SEEDS)]
+    with Pool(_PROCESSES) as pool:
+        results = dict(zip(cases, pool.map(_run, cases, 1), strict=True))
+    _write('day', 'durations', *_FIELDS, 'score', 'lost core s')
+    for day in days:
+        for policy in _POLICIES:
+            _print_means(day, policy, results)
+
+
+def _iterate_days() -> Iterator[tuple[str, DayPattern]]:
+    for name, day in (
+        ('registry', REGISTRY_DAY),
+        ('enrolment', ENROLMENT_DAY),
+        ('wide steps', WIDE_STEPS_DAY),
+    ):
+        yield name, day
+        yield f'{name}, tails', _change_queues(day, tail_share=0.03)
+        yield f'{name}, off by 0.9', _change_queues(day, estimate_variation=0.9)
+    slow = frozenset((Disruption.workers_slow,))
+    yield 'registry, slow workers', REGISTRY_DAY._replace(disruptions=slow)
+
+
+def _change_queues(day: DayPattern, **changes: float) -> DayPattern:
+    queues = tuple(
+        queue._replace(**changes)  # type: ignore[arg-type]
+        for queue in day.queues
+    )
+    return day._replace(queues=queues)
+
+
+def _run(case: _Case) -> DayResults:
+    day = dict(_iterate_days())[case.day]
+    settings = DispatchSettings(learning=_POLICIES[case.policy])
+    return FleetSimulation(day, settings, case.seed).run()
+
+
+def _print_means(
+    day: str, policy: str, results: Mapping[_Case, DayResults]
+) -> None:
+    found = [results[_Case(day, policy, seed)] for seed in _SEEDS]
+    shares = [
+        f'{fmean(getattr(one, field) for one in found):.4f}'
+        for field in _FIELDS
+    ]
+    score = fmean(one.compute_score(ScoreWeights()) for one in found)
+    lost = fmean(one.lost_core_s for one in found)
+    _write(day, policy, *shares, f'{score:.4f}', f'{lost:.1f}')
+
+
+def _write(*cells: str) -> None:
+    sys.stdout.write(f'| {" | ".join(cells)} |\n')
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import LearningPolicy, PoolPolicy
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,7 +87,8 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``.
+    at ``advice``. A leader sizes pools by ``pool_sizes`` and learns durations
+    by ``learning``.
     """
 
     name: str
@@ -105,6 +106,7 @@
     advice: Address | None = None
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
+    learning: LearningPolicy = LearningPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -152,6 +154,15 @@
         for name, default in PoolPolicy()._asdict().items()
     },
 )
+_LEARNING = MappingProxyType(
+    {
+        'enabled': Field(choice('true', 'false'), 'false'),
+        'prior_ends': Field(number(1), LearningPolicy().prior_ends),
+        'deadline_ends': Field(
+            number(0, is_whole=True), LearningPolicy().deadline_ends
+        ),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -175,6 +186,9 @@
             record(_POOL_SIZES),
             MappingProxyType(get_defaults(_POOL_SIZES)),
         ),
+        'learning': Field(
+            record(_LEARNING), MappingProxyType(get_defaults(_LEARNING))
+        ),
     },
 )
 
@@ -261,6 +275,15 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
+        learning=_build_learning(parsed['learning']),
+    )
+
+
+def _build_learning(parsed: Any) -> LearningPolicy:
+    return LearningPolicy(
+        parsed['enabled'] == 'true',
+        parsed['prior_ends'],
+        parsed['deadline_ends'],
     )
 
 
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -32,6 +32,11 @@
             team: float(used.millicores)
             for team, used in state.usage.by_team.items()
         },
+        'learned_duration_ratio': {
+            key.queue: summary.ratio
+            for key, summary in state.durations.items()
+            if key.is_whole_queue
+        },
     }
 
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -29,7 +29,11 @@
     OrderMove,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
+from sardinemast.dispatch._settings import (
+    DispatchSettings,
+    LearningPolicy,
+    PoolPolicy,
+)
 
 __all__ = (
     'AdviceAnswered',
@@ -38,6 +42,7 @@
     'DispatchOutput',
     'DispatchSettings',
     'InstancesListed',
+    'LearningPolicy',
     'ListedInstance',
     'ListInstances',
     'LogDecision',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -1,5 +1,6 @@
 """Turn events into orders for workers and instances, without I/O."""
 
+from sardinemast.dispatch._duration_learner import DurationLearner
 from sardinemast.dispatch._events import (
     AdviceAnswered,
     DispatchEvent,
@@ -51,6 +52,7 @@
         self._tickets = TicketCache(self._state)
         self._recorder = RunRecorder(self._state, self._tickets)
         self._stragglers = StragglerDetector(self._state)
+        self._learner = DurationLearner(self._state)
         self._maintenance = MaintenanceRunner(self._state)
         self._balancer = PoolBalancer(self._state)
         self._last_measured_s: float = 0
@@ -91,6 +93,7 @@
             self._state.loads = measure_loads(self._state, now_s)
             self._balancer.tick(now_s, now_ms)
         self._maintenance.tick(now_s, now_ms)
+        self._learner.tick(now_s)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
 
@@ -189,6 +192,7 @@
         if isinstance(event, WorkerPolled):
             ends = self._poller.handle_polled(session, event, now_s)
             self._recorder.record_ends(session, ends, now_s)
+            self._learner.record_ends(session, ends, now_s)
             self._stragglers.record_ends(session, ends, now_s)
             if event.answer is not None:
                 self._stragglers.stop_stragglers(session, now_s)
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,7 +1,8 @@
 """Choose which tasks to start, and on which workers."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping, Set
+from types import MappingProxyType
 
 from sardinemast.jobs import (
     ZERO_SIZE,
@@ -15,6 +16,7 @@
 
 # Bounds the size of a command, which is synced and sent as a whole.
 _STARTS_MAX = 256
+_NOTHING_HELD: Mapping[str, Set[TaskKey]] = MappingProxyType({})
 
 
 class Planner:
@@ -22,7 +24,8 @@
 
     ``is_usable`` tells whether a worker may get new runs. ``is_avoided`` tells
     whether a task should rather not run on a worker, ``is_allowed`` whether a
-    step may run on it at all.
+    step may run on it at all. Of a job in ``held``, only the tasks listed there
+    may start.
     """
 
     def __init__(
@@ -32,11 +35,13 @@
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
         is_allowed: Callable[[StepState, Worker], bool],
+        held: Mapping[str, Set[TaskKey]] = _NOTHING_HELD,
     ) -> None:
         self._state = state
         self._order = order
         self._is_avoided = is_avoided
         self._is_allowed = is_allowed
+        self._held = held
         self._is_usable = is_usable
         self._usable: dict[str, bool] = {}
         self._free = state.usage.free.copy()
@@ -66,16 +71,25 @@
             self._place_gang(step)
             return
         on_worker = _count_by_worker(step)
-        for index in tuple(step.waiting):
+        for index in self._list_startable(step):
             worker = self._place_task(step, index, on_worker, '')
             if worker is None:
                 return
             on_worker[worker] += 1
 
+    def _list_startable(self, step: StepState) -> tuple[int, ...]:
+        waiting = tuple(step.waiting)
+        held_tasks = self._held.get(step.key.job)
+        if held_tasks is None:
+            return waiting
+        return tuple(
+            index for index in waiting if step.get_task(index) in held_tasks
+        )
+
     def _place_gang(self, step: StepState) -> None:
         # Members wait for each other while they occupy their workers, so a gang
         # starts as a whole or not at all.
-        if step.running:
+        if step.running or step.key.job in self._held:
             return
         racks = self._get_racks(step) if step.spec.is_same_rack else ['']
         # A failed attempt is rolled back, so it must not mark sizes as
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -166,9 +166,15 @@
         if not any(step.waiting for step in state.jobs.ready.values()):
             return ()
 
+        held = state.failing_tasks.held
+
         def order(step: StepState) -> tuple[float, ...]:
             return get_step_priority(
-                state.jobs.get_job(step), step, state.durations, now_ms
+                state.jobs.get_job(step),
+                step,
+                state.durations,
+                now_ms,
+                is_failing=step.key.job in held,
             )
 
         def is_allowed(step: StepState, worker: Worker) -> bool:
@@ -184,6 +190,7 @@
             order,
             self._is_avoided,
             is_allowed,
+            held,
         ).choose()
 
     def _is_usable(self, name: str, now_s: float) -> bool:
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -36,6 +36,19 @@
     expected_factor: float = 1.1
 
 
+class LearningPolicy(NamedTuple):
+    """Configure what is learned from the ends of runs.
+
+    A key with ``prior_ends`` ends counts as much as the coarser key, and the
+    coarsest as much as the declared duration. Deadlines follow learned
+    durations from ``deadline_ends`` ends on; with 0 they stay as declared.
+    """
+
+    is_enabled: bool = False
+    prior_ends: float = 16
+    deadline_ends: int = 50
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -88,3 +101,4 @@
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
+    learning: LearningPolicy = LearningPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -9,6 +9,7 @@
     Propose,
     StopRun,
 )
+from sardinemast.dispatch._failing_tasks import FailingTasks
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
@@ -49,7 +50,8 @@
         self.loads: dict[str, PoolLoad] = {}
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
-        self.durations = DurationEstimates()
+        self.durations = DurationEstimates(settings.learning)
+        self.failing_tasks = FailingTasks()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -61,6 +63,8 @@
         self.needs_planning = True
         self.loads = {}
         self.moving.clear()
+        self.durations.start_term(state.durations.values())
+        self.failing_tasks.start_term()
 
     @property
     def earlier_leases_end_s(self) -> float:
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -8,7 +8,7 @@
 
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._worker_session import WorkerSession
-from sardinemast.jobs import RunEnd, StepState, TaskKey
+from sardinemast.jobs import RunEnd, Step, StepState, TaskKey
 from sardinemast.jobs.commands import FinishedRun
 
 _MS = 1000
@@ -34,6 +34,9 @@
 _DOUBLINGS_MAX = 3
 # A run that ends within this multiple shows that its worker is healthy.
 _HEALTHY_FACTOR = 1.8
+# Where durations are learned, a worker is only slow if two of its runs take
+# longer than this share of their kind. A few tasks take a multiple anywhere.
+_USUAL_QUANTILE = 0.99
 # Weight of the latest run in the moving average of its queue.
 _LEARNING_RATE = 0.1
 
@@ -44,7 +47,7 @@
     number: int
     started_s: float
     queue: str
-    estimate_ms: int
+    spec: Step
 
 
 _TrackedRuns = dict[TaskKey, _TrackedRun]
@@ -78,10 +81,7 @@
                 continue
             if tracked.number == finished_run.number:
                 duration_s = now_s - tracked.started_s
-                factor = duration_s * _MS / tracked.estimate_ms
-                self._record_duration(
-                    session.worker.name, tracked.queue, factor
-                )
+                self._record_duration(session.worker.name, tracked, duration_s)
 
     def stop_stragglers(self, session: WorkerSession, now_s: float) -> None:
         """Stop slow runs on a worker that would finish sooner elsewhere."""
@@ -89,6 +89,8 @@
         slow = self._list_slow(session, tracked, now_s)
         if len(slow) < _SLOW_RUNS_MIN:
             return
+        if self._are_usual(session, slow, now_s):
+            return
         self._avoid(session, now_s)
         for task in slow:
             number = tracked[task].number
@@ -105,13 +107,16 @@
                 )
                 self._state.stop_run(session, task, number, now_s)
 
-    def _record_duration(self, worker: str, queue: str, factor: float) -> None:
-        usual_factor = self._duration_factors.get(queue, 1)
-        self._duration_factors[queue] = (
+    def _record_duration(
+        self, worker: str, tracked: _TrackedRun, duration_s: float
+    ) -> None:
+        if duration_s < _HEALTHY_FACTOR * self._get_expected_s(tracked):
+            self._slow_counts.pop(worker, None)
+        factor = duration_s * _MS / tracked.spec.estimate_ms
+        usual_factor = self._duration_factors.get(tracked.queue, 1)
+        self._duration_factors[tracked.queue] = (
             usual_factor + (factor - usual_factor) * _LEARNING_RATE
         )
-        if factor < _HEALTHY_FACTOR * usual_factor:
-            self._slow_counts.pop(worker, None)
 
     def _track_runs(self, session: WorkerSession, now_s: float) -> _TrackedRuns:
         """Update and return the tracked runs of a worker."""
@@ -129,7 +134,7 @@
                     run.number,
                     start_s,
                     self._state.jobs.get_queue(step).name,
-                    step.spec.estimate_ms,
+                    step.spec,
                 )
             tracked[task] = tracked_run
         self._tracked[name] = tracked
@@ -153,12 +158,31 @@
             return slow
         return [task for task in slow if self._is_overdue(tracked[task], now_s)]
 
+    def _are_usual(
+        self, session: WorkerSession, slow: list[TaskKey], now_s: float
+    ) -> bool:
+        """Check whether tasks are known to take that long on any worker."""
+        durations = self._state.durations
+        if not durations.is_learning:
+            return False
+        tracked = self._tracked[session.worker.name]
+        unusual = 0
+        for task in slow:
+            run = tracked[task]
+            total_s = _get_total_s(
+                run, session.reported_runs[task].percent, now_s
+            )
+            usual_ms = durations.get_quantile_ms(
+                run.queue, run.spec, _USUAL_QUANTILE
+            )
+            unusual += total_s * _MS > usual_ms
+        return unusual < _SLOW_RUNS_MIN
+
     def _is_slow(
         self, tracked: _TrackedRun, percent: float, now_s: float
     ) -> bool:
         elapsed_s = now_s - tracked.started_s
-        done = max(percent, 1)
-        total_s = elapsed_s * _FULL_PERCENT / done
+        total_s = _get_total_s(tracked, percent, now_s)
         expected_s = self._get_expected_s(tracked)
         # Progress reveals a slow worker long before its runs are overdue.
         is_progress_slow = (
@@ -178,11 +202,11 @@
         return now_s - tracked.started_s >= allowed_s
 
     def _get_expected_s(self, tracked: _TrackedRun) -> float:
-        return (
-            tracked.estimate_ms
-            / _MS
-            * self._duration_factors.get(tracked.queue, 1)
-        )
+        durations = self._state.durations
+        expected_ms = durations.get_expected_ms(tracked.queue, tracked.spec)
+        if not durations.is_learning:
+            expected_ms *= self._duration_factors.get(tracked.queue, 1)
+        return expected_ms / _MS
 
     def _avoid(self, session: WorkerSession, now_s: float) -> None:
         name = session.worker.name
@@ -215,6 +239,11 @@
         )
 
 
+def _get_total_s(tracked: _TrackedRun, percent: float, now_s: float) -> float:
+    """Return the duration of a run, projected from its progress."""
+    return (now_s - tracked.started_s) * _FULL_PERCENT / max(percent, 1)
+
+
 def _get_start_s(
     session: WorkerSession,
     task: TaskKey,
--- a/src/sardinemast/jobs/__init__.py
+++ b/src/sardinemast/jobs/__init__.py
@@ -2,6 +2,15 @@
 
 from sardinemast.jobs._apply import apply_command
 from sardinemast.jobs._checks import CatalogFinding, check_catalog
+from sardinemast.jobs._critical_paths import compute_longest_chains
+from sardinemast.jobs._durations import (
+    ANY_STAGE,
+    STAGE_MAX,
+    SUMMARIES_MAX,
+    DurationKey,
+    DurationSummary,
+    drop_excess_keys,
+)
 from sardinemast.jobs._images import (
     EMPTY_IMAGE,
     JobsImage,
@@ -34,13 +43,18 @@
 
 __all__ = (
     'COMMAND_CLASSES',
+    'ANY_STAGE',
     'EMPTY_CATALOG',
     'EMPTY_IMAGE',
+    'STAGE_MAX',
+    'SUMMARIES_MAX',
     'ZERO_SIZE',
     'Advice',
     'Catalog',
     'CatalogFinding',
     'Command',
+    'DurationKey',
+    'DurationSummary',
     'JobRequest',
     'JobState',
     'JobStatus',
@@ -62,6 +76,8 @@
     'Worker',
     'apply_command',
     'check_catalog',
+    'compute_longest_chains',
+    'drop_excess_keys',
     'dump_state',
     'load_state',
 )
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from sardinemast.jobs import commands
+from sardinemast.jobs._apply_durations import record_durations
 from sardinemast.jobs._apply_maintenance import (
     declare_wave,
     record_maintenance,
@@ -141,6 +142,7 @@
 apply_command.register(commands.DeclareWave, declare_wave)
 apply_command.register(commands.NoteUpkeep, record_maintenance)
 apply_command.register(commands.NoteMove, record_move)
+apply_command.register(commands.NoteDurations, record_durations)
 
 
 @apply_command.register
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -5,6 +5,7 @@
 
 from sardinemast.jobs._critical_paths import compute_critical_paths_ms
 from sardinemast.jobs._data_centres import DataCentres
+from sardinemast.jobs._durations import DurationKey, DurationSummary
 from sardinemast.jobs._free_capacity import FreeCapacity
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
@@ -216,13 +217,14 @@
     ``home_pools`` maps an instance to the pool of its first worker; it is
     empty for an instance that was first seen in a move. ``last_order_ms`` maps
     an instance to the Unix time of its latest maintenance or move order; 0 is
-    unknown, as in snapshots of older versions.
+    unknown, as in snapshots of older versions. ``durations`` holds what was
+    learned of run times, the least recently changed first.
     """
 
     def __init__(self) -> None:
         self.catalog: Catalog = EMPTY_CATALOG
         self.source = b''
-        self.teams_by_key: dict[str, Team] = {}
+        self._teams_by_key: dict[str, Team] = {}
         self.teams: dict[str, Team] = {}
         self.queues: dict[str, Queue] = {}
         self.jobs: dict[str, JobState] = {}
@@ -237,13 +239,14 @@
         self.home_pools: dict[str, str] = {}
         self.last_order_ms: dict[str, int] = {}
         self.data_centres = DataCentres()
+        self.durations: dict[DurationKey, DurationSummary] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Activate a catalog and update the queues of live jobs."""
         self.catalog = catalog
         self.source = source
         self.teams = {team.name: team for team in catalog.teams}
-        self.teams_by_key = {
+        self._teams_by_key = {
             key: team for team in catalog.teams for key in team.keys
         }
         self.queues = {queue.name: queue for queue in catalog.queues}
@@ -275,6 +278,10 @@
         steps = job.steps[task.occurrence]
         return steps[task.step] if task.step < len(steps) else None
 
+    def find_team(self, key: str) -> Team | None:
+        """Return the team that has a key, or None if there is none."""
+        return self._teams_by_key.get(key)
+
     def get_job(self, step: StepState) -> JobState:
         """Return the job of a step."""
         return self.jobs[step.key.job]
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinemast.jobs._durations import DurationSummary
 from sardinemast.jobs._records import (
     Catalog,
     JobRequest,
@@ -139,6 +140,12 @@
     data_centres: tuple[str, ...]
 
 
+class NoteDurations(NamedTuple):
+    """Replace the summaries of learned durations that changed."""
+
+    summaries: tuple[DurationSummary, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -153,6 +160,7 @@
     | EvacuateDataCentre
     | ReadmitDataCentre
     | NoteEvacuated
+    | NoteDurations
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -168,4 +176,5 @@
     EvacuateDataCentre,
     ReadmitDataCentre,
     NoteEvacuated,
+    NoteDurations,
 )
--- a/src/sardinemast/jobs/queries.py
+++ b/src/sardinemast/jobs/queries.py
@@ -16,7 +16,7 @@
 
 def find_team(state: JobsState, key: str) -> Team | None:
     """Return the team that owns the key."""
-    return state.teams_by_key.get(key)
+    return state.find_team(key)
 
 
 def count_queued_jobs(state: JobsState, queue: str) -> int:
--- a/src/sardinemast/model/_workload.py
+++ b/src/sardinemast/model/_workload.py
@@ -60,7 +60,8 @@
     ``jobs_per_s`` is the mean over a cycle of peaks. Two fields are
     coefficients of variation: ``estimate_variation`` of the declared around
     the mean duration of a step's tasks, ``duration_variation`` of the tasks
-    around that mean. The pool starts with ``worker_count`` workers. It also
+    around that mean. Of the tasks, ``tail_share`` take ``tail_factor`` times as
+    long. The pool starts with ``worker_count`` workers. It also
     runs ``long_running_count`` tasks, of which
     ``long_running_max_unavailable`` may be unavailable, and
     ``best_effort_count`` best-effort tasks.
@@ -85,6 +86,8 @@
     task_memory_mib: Distribution = Distribution(_DEFAULT_TASK_MIB)
     long_running_memory_mib: int = 8192
     worker_count: int = 8
+    tail_share: float = 0
+    tail_factor: float = 7
 
     @property
     def pool(self) -> str:
@@ -271,7 +274,7 @@
     )
     tasks = tuple(
         ActualTask(
-            mean_s * duration_factor.draw(rng),
+            mean_s * duration_factor.draw(rng) * _draw_tail(queue, rng),
             rng.random() < queue.failure_rate,
         )
         for _ in range(count)
@@ -279,6 +282,13 @@
     return _DrawnStep(step, tasks)
 
 
+def _draw_tail(queue: QueuePattern, rng: Random) -> float:
+    # Days without tails draw nothing, so that their jobs stay the same.
+    if queue.tail_share and rng.random() < queue.tail_share:
+        return queue.tail_factor
+    return 1
+
+
 def _make_long_running(queue: QueuePattern, rng: Random) -> Arrival:
     serving = Step(
         queue.long_running_count,
