Test learned durations, load older records and lower their cost

Trailing fields with defaults may now be missing; records without a required field, or with more fields, are refused as before.

--- a/bench/starts.py
+++ b/bench/starts.py
@@ -14,6 +14,7 @@
     DispatchEvent,
     DispatchOutput,
     DispatchSettings,
+    LearningPolicy,
     OrderOutcome,
     PollWorker,
     Propose,
@@ -52,6 +53,8 @@
 _MIB = 1024 * 1024
 _MS = 1000
 _COMPLETE_PERCENT = 100
+# The parts that a deployment enables.
+_SETTINGS = DispatchSettings(learning=LearningPolicy(is_enabled=True))
 
 
 class Measured(NamedTuple):
@@ -104,7 +107,7 @@
         self._log_index = 0
         self._now_s: float = 0
         self._announced_s: float = 0
-        self._dispatcher = Dispatcher(DispatchSettings())
+        self._dispatcher = Dispatcher(_SETTINGS)
         self._outputs: deque[DispatchOutput] = deque()
         self._scheduled_ends: deque[_ScheduledEnd] = deque()
         self._pending_polls: dict[str, PollWorker] = {}
--- a/src/sardinemast/dispatch/_durations.py
+++ b/src/sardinemast/dispatch/_durations.py
@@ -14,6 +14,8 @@
 # Estimates follow new ends this often, so that the paths of waiting jobs are
 # computed once for several plans.
 _REFRESH_INTERVAL_S = 0.25
+# Bounds the paths that are kept, also of jobs that have ended.
+_PATHS_MAX = 20_000
 
 
 class DurationEstimates:
@@ -22,15 +24,16 @@
     def __init__(self, policy: LearningPolicy) -> None:
         self.is_learning = policy.is_enabled
         self._policy = policy
-        self._table = DurationTable(policy.prior_ends)
-        self._paths_ms: dict[str, tuple[float, ...]] = {}
-        self._totals_ms: dict[str, float] = {}
+        self._table = DurationTable(policy)
+        # By the log index of jobs, since names may be used again.
+        self._paths_ms: dict[int, tuple[float, ...]] = {}
+        self._totals_ms: dict[int, float] = {}
         self._refreshed_s = float('-inf')
 
     def start_term(self, summaries: Iterable[DurationSummary]) -> None:
         """Start from what earlier leaders have put into the log."""
         self._table.restore(summaries if self.is_learning else ())
-        self._forget_answers()
+        self._forget_paths()
 
     def record_end(
         self, queue: str, step: Step, actual_ms: float, now_s: float
@@ -48,7 +51,9 @@
         """Let the estimates follow the ends recorded since."""
         if now_s >= self._refreshed_s + _REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
-            self._forget_answers()
+            is_full = len(self._paths_ms) > _PATHS_MAX
+            if self._table.refresh() or is_full:
+                self._forget_paths()
 
     def take_changed(self, count: int) -> list[DurationSummary]:
         """Return the summaries that are to be put into the log."""
@@ -58,7 +63,8 @@
         """Return the expected duration of a task of a step."""
         if not self.is_learning:
             return step.estimate_ms
-        return step.estimate_ms * self._table.get_ratio(make_key(queue, step))
+        key = make_key(queue, step)
+        return step.estimate_ms * self._table.get_ratio(key).ratio
 
     def get_quantile_ms(self, queue: str, step: Step, quantile: float) -> float:
         """Return the duration that this share of a step's tasks keeps to."""
@@ -84,36 +90,34 @@
         """
         if not (self.is_learning and self._policy.deadline_ends):
             return max(job.critical_paths_ms)
-        total_ms = self._totals_ms.get(job.name)
+        total_ms = self._totals_ms.get(job.log_index)
         if total_ms is None:
             paths_ms: tuple[float, ...] = job.critical_paths_ms
             if self._is_stable(job):
                 paths_ms = self._get_paths_ms(job)
             total_ms = max(paths_ms)
-            self._totals_ms[job.name] = total_ms
+            self._totals_ms[job.log_index] = total_ms
         return total_ms
 
     def _is_stable(self, job: JobState) -> bool:
         queue = job.queue.name
         return all(
             step.is_long_running
-            or self._table.get_ends(make_key(queue, step))
-            >= self._policy.deadline_ends
+            or self._table.get_ratio(make_key(queue, step)).is_stable
             for step in job.request.steps
         )
 
     def _get_paths_ms(self, job: JobState) -> tuple[float, ...]:
-        paths_ms = self._paths_ms.get(job.name)
+        paths_ms = self._paths_ms.get(job.log_index)
         if paths_ms is None:
             steps = job.request.steps
             queue = job.queue.name
             paths_ms = compute_longest_chains(
                 steps, [self.get_expected_ms(queue, step) for step in steps]
             )
-            self._paths_ms[job.name] = paths_ms
+            self._paths_ms[job.log_index] = paths_ms
         return paths_ms
 
-    def _forget_answers(self) -> None:
-        self._table.forget_answers()
+    def _forget_paths(self) -> None:
         self._paths_ms.clear()
         self._totals_ms.clear()
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -48,6 +48,7 @@
     started_s: float
     queue: str
     spec: Step
+    expected_ms: float
 
 
 _TrackedRuns = dict[TaskKey, _TrackedRun]
@@ -130,16 +131,18 @@
                 if step is None or not _is_comparable(step, session):
                     continue
                 start_s = _get_start_s(session, task, run.number, now_s)
-                tracked_run = _TrackedRun(
-                    run.number,
-                    start_s,
-                    self._state.jobs.get_queue(step).name,
-                    step.spec,
-                )
+                tracked_run = self._make_tracked(step, run.number, start_s)
             tracked[task] = tracked_run
         self._tracked[name] = tracked
         return tracked
 
+    def _make_tracked(
+        self, step: StepState, number: int, start_s: float
+    ) -> _TrackedRun:
+        queue = self._state.jobs.get_queue(step).name
+        expected_ms = self._state.durations.get_expected_ms(queue, step.spec)
+        return _TrackedRun(number, start_s, queue, step.spec, expected_ms)
+
     def _list_slow(
         self,
         session: WorkerSession,
@@ -182,7 +185,7 @@
         self, tracked: _TrackedRun, percent: float, now_s: float
     ) -> bool:
         elapsed_s = now_s - tracked.started_s
-        total_s = _get_total_s(tracked, percent, now_s)
+        total_s = elapsed_s * _FULL_PERCENT / max(percent, 1)
         expected_s = self._get_expected_s(tracked)
         # Progress reveals a slow worker long before its runs are overdue.
         is_progress_slow = (
@@ -202,9 +205,8 @@
         return now_s - tracked.started_s >= allowed_s
 
     def _get_expected_s(self, tracked: _TrackedRun) -> float:
-        durations = self._state.durations
-        expected_ms = durations.get_expected_ms(tracked.queue, tracked.spec)
-        if not durations.is_learning:
+        expected_ms = tracked.expected_ms
+        if not self._state.durations.is_learning:
             expected_ms *= self._duration_factors.get(tracked.queue, 1)
         return expected_ms / _MS
 
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -64,7 +64,7 @@
 MAINTENANCE_S = 2.0
 _MS = 1000
 # Keeps all workers in the pool until a peak of its load is known.
-_SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
+SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
 
 
 def make_catalog(
@@ -139,13 +139,20 @@
     committed.
     """
 
-    def __init__(self, worker_count: int = 2, **worker: Any) -> None:
+    def __init__(
+        self,
+        worker_count: int = 2,
+        *,
+        settings: DispatchSettings = SETTINGS,
+        **worker: Any,
+    ) -> None:
+        self._settings = settings
         self.now_s: float = 0
         self.term = 0
         self.log_length = 0
         self.state = JobsState()
-        self.dispatcher = Dispatcher(_SETTINGS)
-        self.follower = Dispatcher(_SETTINGS)
+        self.dispatcher = Dispatcher(self._settings)
+        self.follower = Dispatcher(self._settings)
         self.follower.reset_order_times(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
         self.is_held = False
@@ -199,7 +206,7 @@
         self.proposed.clear()
         self._waiting.clear()
         self.dispatcher = self.follower
-        self.follower = Dispatcher(_SETTINGS)
+        self.follower = Dispatcher(self._settings)
         self.follower.reset_order_times(self.now_s)
         self.dispatcher.start_term(self.state, self.term, self.now_s)
 
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -6,7 +6,7 @@
 
 from sardinemast.checks import CheckError
 from sardinemast.conf import load_process_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import LearningPolicy, PoolPolicy
 
 _PROCESS = """
 name: c-1
@@ -44,3 +44,15 @@
     with pytest.raises(CheckError) as raised:
         load_process_file(path)
     assert len(raised.value.findings) == 3
+
+
+def test_learning_is_off_unless_enabled(tmp_path: Path) -> None:
+    """Guard against learning that a settings file did not ask for."""
+    assert not load_process_file(_write(tmp_path, '')).learning.is_enabled
+    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 0}\n')
+    expected = LearningPolicy(is_enabled=True, deadline_ends=0)
+    assert load_process_file(path).learning == expected
+    path = _write(tmp_path, 'learning: {enabled: yes, prior_ends: 0}\n')
+    with pytest.raises(CheckError) as raised:
+        load_process_file(path)
+    assert len(raised.value.findings) == 2
--- /dev/null
+++ b/tests/dispatch/test_durations.py
@@ -0,0 +1,106 @@
+"""Test what the estimates learn from the ends of runs."""
+
+from random import Random
+
+import pytest
+
+from builders.durations import (
+    DECLARED_MS,
+    LearningRun,
+    draw_ratios,
+    make_learned_step,
+)
+from builders.workers import QUEUE
+from sardinemast.dispatch import LearningPolicy
+from sardinemast.dispatch._durations import DurationEstimates
+from sardinemast.jobs import SUMMARIES_MAX
+from sardinemast.jobs._durations import DURATION_KEYS_MAX
+
+
+@pytest.mark.parametrize('ratio', [0.1, 1.9])
+def test_estimates_off_by_ninety_percent_converge(ratio: float) -> None:
+    """Guard against estimates that stay near a wrong declaration."""
+    run = LearningRun()
+    run.learn(5, draw_ratios(ratio))
+    assert run.get_ratio() == pytest.approx(ratio, rel=0.15)
+
+
+def test_shift_shows_within_seconds() -> None:
+    """Guard against a memory so long that a shift of the work is missed."""
+    run = LearningRun()
+    run.learn(60, draw_ratios(1))
+    run.learn(5, draw_ratios(3))
+    assert run.get_ratio() > 2
+    run.learn(10, draw_ratios(3))
+    assert run.get_ratio() == pytest.approx(3, rel=0.1)
+
+
+def test_tails_show_in_quantiles_only() -> None:
+    """Guard against means that hide tails, or that follow them."""
+    run = LearningRun()
+    run.learn(30, draw_ratios(1, tail_share=0.03))
+    step = make_learned_step()
+    estimates = run.estimates
+    assert run.get_ratio() == pytest.approx(1.18, rel=0.2)
+    assert estimates.get_quantile_ms(QUEUE, step, 0.5) < 1.2 * DECLARED_MS
+    assert estimates.get_quantile_ms(QUEUE, step, 0.99) > 4 * DECLARED_MS
+
+
+def test_unknown_keys_fall_back_smoothly() -> None:
+    """Guard against jumps when a new image or step has its first ends."""
+    run = LearningRun()
+    assert run.get_ratio() == 1
+    run.learn(30, draw_ratios(2))
+    other_stage = make_learned_step(stage=2)
+    other_image = make_learned_step('b')
+    assert run.get_ratio(other_stage) == pytest.approx(2, rel=0.15)
+    assert run.get_ratio(other_image) == pytest.approx(2, rel=0.15)
+    run.learn(1 / 60, draw_ratios(9), other_image)
+    assert run.get_ratio(other_image) < 3
+
+
+def test_idle_queue_keeps_what_it_has_shown() -> None:
+    """Guard against a queue that starts each of its peaks from nothing."""
+    run = LearningRun()
+    run.learn(10, draw_ratios(2))
+    run.now_s += 600
+    run.learn(1 / 60, draw_ratios(2))
+    assert run.get_ratio() == pytest.approx(2, rel=0.15)
+
+
+def test_random_images_take_bounded_memory() -> None:
+    """Guard against growth with names that callers choose."""
+    run = LearningRun()
+    rng = Random(1)
+    for _ in range(4 * DURATION_KEYS_MAX):
+        image = f'image-{rng.random()}'
+        run.learn(1 / 60, draw_ratios(2), make_learned_step(image))
+    table = run.estimates._table
+    assert len(table._histograms) == DURATION_KEYS_MAX
+    assert len(run.estimates.take_changed(SUMMARIES_MAX)) == SUMMARIES_MAX
+    # The key of the queue outlasts those of its images.
+    assert run.get_ratio() == pytest.approx(2, rel=0.15)
+
+
+def test_summary_restores_the_estimates() -> None:
+    """Guard against a new leader that starts from nothing."""
+    run = LearningRun()
+    run.learn(30, draw_ratios(2, tail_share=0.03))
+    successor = DurationEstimates(LearningPolicy(is_enabled=True))
+    successor.start_term(run.estimates.take_changed(SUMMARIES_MAX))
+    step = make_learned_step()
+    for quantile in (0.5, 0.9, 0.99):
+        assert successor.get_quantile_ms(QUEUE, step, quantile) == (
+            run.estimates.get_quantile_ms(QUEUE, step, quantile)
+        )
+    assert successor.get_expected_ms(QUEUE, step) == pytest.approx(
+        run.estimates.get_expected_ms(QUEUE, step), rel=0.01
+    )
+
+
+def test_only_changed_keys_are_noted_again() -> None:
+    """Guard against a log that grows while no run ends."""
+    run = LearningRun()
+    run.learn(1, draw_ratios(2))
+    assert len(run.estimates.take_changed(SUMMARIES_MAX)) == 3
+    assert not run.estimates.take_changed(SUMMARIES_MAX)
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -1,5 +1,6 @@
 """Test the detection of slow workers and stuck runs."""
 
+from builders.durations import make_learning_fleet, run_to_end
 from builders.model_workers import ModelWorker
 from builders.workers import ModelFleet, make_step
 from sardinemast.jobs import TaskKey
@@ -151,3 +152,26 @@
     workers = fleet.get_running_workers(TASK)
     assert len(workers) == 1
     assert workers != [stuck_worker.worker.name]
+
+
+def test_tasks_that_take_long_anywhere_are_not_restarted() -> None:
+    """Guard against blaming a worker for the usual tails of its tasks."""
+    fleet = make_learning_fleet()
+    step = make_step(estimate_ms=2000)
+    for number in range(60):
+        tail = 6 if number % 15 == 0 else 1
+        run_to_end(fleet, f'job-{number}', step, 2 * tail)
+    for job in ('slow-1', 'slow-2'):
+        fleet.submit(job, step)
+    for percent in range(5, 85, 5):
+        _report_progress(fleet, percent)
+        fleet.run(0.6)
+    assert len(fleet.started) == 62
+    _report_progress(fleet, 1)
+    fleet.run(2)
+    assert len(fleet.started) > 62
+
+
+def _report_progress(fleet: ModelFleet, percent: int) -> None:
+    for model in fleet.workers.values():
+        model.percent = percent
--- a/tests/jobs/test_jobs_state.py
+++ b/tests/jobs/test_jobs_state.py
@@ -8,6 +8,8 @@
     make_worker,
 )
 from sardinemast.jobs import (
+    DurationKey,
+    DurationSummary,
     JobRequest,
     JobsImage,
     JobsState,
@@ -19,11 +21,13 @@
     dump_state,
     load_state,
 )
+from sardinemast.jobs._durations import DURATION_KEYS_MAX
 from sardinemast.jobs.commands import (
     CancelJob,
     Command,
     FinishedRun,
     ForgetWorker,
+    NoteDurations,
     PutCatalog,
     RecordRuns,
     RegisterWorker,
@@ -171,9 +175,30 @@
     log.submit(make_step(), name='other')
     log.start(_TASK)
     log.add(CancelJob('other'))
+    learned = DurationSummary(DurationKey(QUEUE), 2, 500, 900, 1, {3: 20})
+    log.add(NoteDurations((learned,)))
     plain = dump_plain(dump_state(log.state))
     copy = load_state(load_plain(JobsImage, plain))
     assert dump_state(copy) == dump_state(log.state)
     assert copy.ready.keys() == log.state.ready.keys()
     assert copy.usage.by_team == log.state.usage.by_team
     assert copy.usage.by_worker == log.state.usage.by_worker
+
+
+def test_snapshot_without_durations_loads() -> None:
+    """Guard against snapshots of older versions that can't be restored."""
+    plain = dump_plain(dump_state(_Log().state))
+    older = load_plain(JobsImage, plain[:-1])
+    assert not load_state(older).durations
+
+
+def test_durations_in_the_log_are_bounded() -> None:
+    """Guard against snapshots that grow with the images of callers."""
+    log = _Log()
+    queue = DurationKey(QUEUE)
+    log.add(NoteDurations((DurationSummary(queue),)))
+    for number in range(2 * DURATION_KEYS_MAX):
+        key = DurationKey(QUEUE, f'image-{number}')
+        log.add(NoteDurations((DurationSummary(key),)))
+    assert len(log.state.durations) == DURATION_KEYS_MAX
+    assert queue in log.state.durations
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -5,7 +5,13 @@
 from hypothesis import strategies as st
 
 from sardinemast.consensus import MESSAGES, AppendEntries, LogEntry
-from sardinemast.wire import WireError, decode_envelope
+from sardinemast.jobs import DurationKey, DurationSummary
+from sardinemast.wire import (
+    WireError,
+    decode_envelope,
+    dump_plain,
+    load_plain,
+)
 
 
 def test_nested_records_round_trip() -> None:
@@ -21,3 +27,16 @@
     for decode in (decode_envelope, MESSAGES.decode):
         with pytest.raises(WireError, match=r'^wire\.E00\d'):
             decode(frame)
+
+
+def test_only_fields_with_defaults_may_be_missing() -> None:
+    """Guard against records of older versions that can't be loaded.
+
+    A record without a required field, or with more fields, is still refused.
+    """
+    summary = DurationSummary(DurationKey('queue'))
+    plain = dump_plain(summary)
+    assert load_plain(DurationSummary, plain[:1]) == summary
+    for wrong in (plain[:0], [*plain, 0]):
+        with pytest.raises(WireError, match=r'^wire\.E002'):
+            load_plain(DurationSummary, wrong)
