--- a/bench/starts.py
+++ b/bench/starts.py
@@ -14,6 +14,7 @@
     DispatchEvent,
     DispatchOutput,
     DispatchSettings,
+    LearningPolicy,
     OrderOutcome,
     PollWorker,
     Propose,
@@ -52,10 +53,11 @@
 _ANNOUNCE_INTERVAL_S = 1.5
 _POOLS = 4
 _TEAMS = 20
-_SETTINGS = DispatchSettings()
 _MIB = 1024 * 1024
 _MS = 1000
 _COMPLETE_PERCENT = 100
+# The parts that a deployment enables.
+_SETTINGS = DispatchSettings(learning=LearningPolicy(enabled=True))
 
 
 class Measured(NamedTuple):
@@ -298,7 +300,10 @@
     _print_costs(180, 'a peak', _PEAK_LOAD)
     for name, settings in (
         ('20 teams', _SETTINGS),
-        ('team shares', DispatchSettings(team_shares=TeamShares(enabled=True))),
+        (
+            'team shares',
+            _SETTINGS._replace(team_shares=TeamShares(enabled=True)),
+        ),
     ):
         for load_name, load in (
             ('even load', _EVEN_LOAD),
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,8 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy, TeamShares
+from sardinemast.conf._policies import build_policies, make_policy_fields
+from sardinemast.dispatch import LearningPolicy, PoolPolicy, TeamShares
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,8 +88,7 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``
-    and divides full pools among teams by ``team_shares``.
+    at ``advice``. The other fields are policies of a leader's dispatcher.
     """
 
     name: str
@@ -107,6 +107,7 @@
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
     team_shares: TeamShares = TeamShares()
+    learning: LearningPolicy = LearningPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -148,22 +149,6 @@
         'may_found': Field(choice('true', 'false'), 'true'),
     },
 )
-_POOL_SIZES = MappingProxyType(
-    {
-        name: Field(number(0, is_whole=isinstance(default, int)), default)
-        for name, default in PoolPolicy()._asdict().items()
-    },
-)
-# More for late work would make jobs late that could still be on time.
-_MAX_LATE_SHARE = 0.5
-_TEAM_SHARES = MappingProxyType(
-    {
-        'enabled': Field(choice('true', 'false'), 'false'),
-        'late_share': Field(
-            number(0, _MAX_LATE_SHARE), TeamShares().late_share
-        ),
-    },
-)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -183,14 +168,7 @@
         'network': Field(choice('open', 'private'), 'open'),
         'security': Field(_SECURITY, None),
         'logs': Field(record(_LOGS), MappingProxyType(get_defaults(_LOGS))),
-        'pool_sizes': Field(
-            record(_POOL_SIZES),
-            MappingProxyType(get_defaults(_POOL_SIZES)),
-        ),
-        'team_shares': Field(
-            record(_TEAM_SHARES),
-            MappingProxyType(get_defaults(_TEAM_SHARES)),
-        ),
+        **make_policy_fields(),
     },
 )
 
@@ -276,11 +254,7 @@
         instances=_build_address(parsed['instances']),
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
-        pool_sizes=PoolPolicy(**parsed['pool_sizes']),
-        team_shares=TeamShares(
-            parsed['team_shares']['enabled'] == 'true',
-            parsed['team_shares']['late_share'],
-        ),
+        **build_policies(parsed),
     )
 
 
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -40,6 +40,11 @@
         },
         'team_jobs_beyond_rate': _count_beyond_rate(state),
         **list_leader_gauges(),
+        'learned_duration_ratio': {
+            key.queue: summary.ratio
+            for key, summary in state.durations.items()
+            if key.is_whole_queue
+        },
     }
 
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -31,6 +31,7 @@
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._settings import (
     DispatchSettings,
+    LearningPolicy,
     PoolPolicy,
     TeamShares,
 )
@@ -42,6 +43,7 @@
     'DispatchOutput',
     'DispatchSettings',
     'InstancesListed',
+    'LearningPolicy',
     'ListedInstance',
     'ListInstances',
     'LogDecision',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from sardinemast.dispatch._duration_learner import DurationLearner
 from sardinemast.dispatch._events import (
     AdviceAnswered,
     DispatchEvent,
@@ -55,6 +56,7 @@
         self._tickets = TicketCache(self._state)
         self._recorder = RunRecorder(self._state, self._tickets)
         self._stragglers = StragglerDetector(self._state)
+        self._learner = DurationLearner(self._state)
         self._maintenance = MaintenanceRunner(self._state)
         self._balancer = PoolBalancer(self._state)
         self._rates = RateMonitor(self._state)
@@ -96,6 +98,7 @@
             self._state.loads = measure_loads(self._state, now_s)
             self._balancer.tick(now_s, now_ms)
         self._maintenance.tick(now_s, now_ms)
+        self._learner.tick(now_s)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
 
@@ -203,6 +206,7 @@
         if isinstance(event, WorkerPolled):
             ends = self._poller.handle_polled(session, event, now_s)
             self._recorder.record_ends(session, ends, now_s)
+            self._learner.record_ends(session, ends, now_s)
             self._stragglers.record_ends(session, ends, now_s)
             if event.answer is not None:
                 self._stragglers.stop_stragglers(session, now_s)
--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -26,6 +26,10 @@
 StepOrder = tuple[float, ...]
 
 
+def _is_never_failing(step: StepState) -> bool:
+    return False
+
+
 class PlanTime(NamedTuple):
     """Hold the time of a plan and the durations that it assumes."""
 
@@ -39,7 +43,8 @@
     In a pool that has capacity for all its waiting tasks, steps have their
     usual order. The usage of a team grows with each planned start, so the keys
     of its steps may grow too. ``full_pools`` holds the pools that lack
-    capacity; those without any are not divided.
+    capacity; those without any are not divided. Steps for which ``is_failing``
+    is true come last in their class.
     """
 
     def __init__(
@@ -49,12 +54,14 @@
         is_usable: Callable[[str], bool],
         cache: StepFactsCache,
         late_share: float,
+        is_failing: Callable[[StepState], bool] = _is_never_failing,
     ) -> None:
         self._jobs = jobs
         self._time = plan_time
         self._is_usable = is_usable
         self._cache = cache
         self._late_share = late_share
+        self._is_failing = is_failing
         self.full_pools: set[str] = set()
         self._divisions: dict[str, PoolDivision] = {}
         self._facts: dict[StepState, StepFacts] = {}
@@ -94,6 +101,8 @@
         due_ms = facts.due_ms
         if rank == _LATE_SHARE:
             due_ms = facts.useful_until_ms
+        if self._is_failing(step):
+            due_ms = float('inf')
         return (job.queue.priority, rank, due_ms, job.log_index, step.key.step)
 
     def record_starts(self, step: StepState, count: int) -> None:
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -170,9 +170,18 @@
         if not any(step.waiting for step in state.jobs.ready.values()):
             return ()
 
+        held = state.failing_tasks.held
+
+        def is_failing(step: StepState) -> bool:
+            return step.key.job in held
+
         def order(step: StepState) -> tuple[float, ...]:
             return get_step_priority(
-                state.jobs.get_job(step), step, state.durations, now_ms
+                state.jobs.get_job(step),
+                step,
+                state.durations,
+                now_ms,
+                is_failing=is_failing(step),
             )
 
         def is_allowed(step: StepState, worker: Worker) -> bool:
@@ -191,6 +200,7 @@
                 is_usable,
                 self._step_facts,
                 state.settings.team_shares.late_share,
+                is_failing,
             )
         starts = Planner(
             state.jobs,
@@ -199,6 +209,7 @@
             self._is_avoided,
             is_allowed,
             shares,
+            held,
         ).choose()
         if shares is not None:
             self._record_shares(shares)
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -46,6 +46,19 @@
     late_share: float = 0
 
 
+class LearningPolicy(NamedTuple):
+    """Configure what is learned from the ends of runs.
+
+    A key with ``prior_ends`` ends counts as much as the coarser key, and the
+    coarsest as much as the declared duration. Deadlines follow learned
+    durations from ``deadline_ends`` ends on; with 0 they stay as declared.
+    """
+
+    enabled: bool = False
+    prior_ends: float = 16
+    deadline_ends: int = 50
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -99,3 +112,4 @@
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
     team_shares: TeamShares = TeamShares()
+    learning: LearningPolicy = LearningPolicy()
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from sardinemast.jobs._durations import DurationSummary
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     Catalog,
@@ -61,6 +62,7 @@
     data_centres: tuple[str, ...] = ()
     evacuated: tuple[str, ...] = ()
     token_buckets: Mapping[str, TokenBucket] = MappingProxyType({})
+    durations: tuple[DurationSummary, ...] = ()
 
 
 EMPTY_IMAGE = JobsImage()
@@ -80,6 +82,7 @@
         tuple(state.data_centres.known),
         tuple(state.data_centres.evacuated),
         dict(state.teams.buckets),
+        tuple(state.durations.values()),
     )
 
 
@@ -95,6 +98,7 @@
     state.last_order_ms = _load_order_times(image)
     state.data_centres.known.update(dict.fromkeys(image.data_centres))
     state.data_centres.evacuated = dict.fromkeys(image.evacuated)
+    state.durations = {one.key: one for one in image.durations}
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -5,6 +5,7 @@
 
 from sardinemast.jobs._critical_paths import compute_critical_paths_ms
 from sardinemast.jobs._data_centres import DataCentres
+from sardinemast.jobs._durations import DurationKey, DurationSummary
 from sardinemast.jobs._free_capacity import FreeCapacity
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
@@ -221,7 +222,8 @@
     ``home_pools`` maps an instance to the pool of its first worker; it is
     empty for an instance that was first seen in a move. ``last_order_ms`` maps
     an instance to the Unix time of its latest maintenance or move order; 0 is
-    unknown, as in snapshots of older versions.
+    unknown, as in snapshots of older versions. ``durations`` holds what was
+    learned of run times, the least recently changed first.
     """
 
     def __init__(self) -> None:
@@ -241,6 +243,7 @@
         self.home_pools: dict[str, str] = {}
         self.last_order_ms: dict[str, int] = {}
         self.data_centres = DataCentres()
+        self.durations: dict[DurationKey, DurationSummary] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Activate a catalog and update the queues of live jobs."""
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -144,6 +144,7 @@
         DispatchSettings(
             pools=process.settings.pool_sizes,
             team_shares=process.settings.team_shares,
+            learning=process.settings.learning,
         ),
         process.metrics,
         process.relay,
--- a/tests/builders/shared_pools.py
+++ b/tests/builders/shared_pools.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from builders.workers import POOL, QUEUE, make_catalog, make_step, make_worker
+from sardinemast.dispatch import LearningPolicy
 from sardinemast.dispatch._durations import DurationEstimates
 from sardinemast.dispatch._plan_shares import PlanShares, PlanTime
 from sardinemast.dispatch._planner import Planner
@@ -71,7 +72,7 @@
         """Plan and record starts."""
         shares = PlanShares(
             self.state,
-            PlanTime(DurationEstimates(), self.now_ms),
+            PlanTime(DurationEstimates(LearningPolicy()), self.now_ms),
             lambda worker: True,
             StepFactsCache(),
             self._late_share,
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -6,7 +6,7 @@
 
 from sardinemast.checks import CheckError
 from sardinemast.conf import load_process_file
-from sardinemast.dispatch import PoolPolicy, TeamShares
+from sardinemast.dispatch import LearningPolicy, PoolPolicy, TeamShares
 
 _PROCESS = """
 name: c-1
@@ -59,3 +59,15 @@
     path = _write(tmp_path, 'team_shares: {late_share: 0.9}\n')
     with pytest.raises(CheckError):
         load_process_file(path)
+
+
+def test_learning_is_off_unless_enabled(tmp_path: Path) -> None:
+    """Guard against learning that a settings file did not ask for."""
+    assert not load_process_file(_write(tmp_path, '')).learning.enabled
+    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 0}\n')
+    expected = LearningPolicy(enabled=True, deadline_ends=0)
+    assert load_process_file(path).learning == expected
+    path = _write(tmp_path, 'learning: {enabled: yes, prior_ends: 0}\n')
+    with pytest.raises(CheckError) as raised:
+        load_process_file(path)
+    assert len(raised.value.findings) == 2
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -5,8 +5,13 @@
 from hypothesis import strategies as st
 
 from sardinemast.consensus import MESSAGES, AppendEntries, LogEntry
-from sardinemast.jobs import Team
-from sardinemast.wire import WireError, decode_envelope, load_plain
+from sardinemast.jobs import DurationKey, DurationSummary, Team
+from sardinemast.wire import (
+    WireError,
+    decode_envelope,
+    dump_plain,
+    load_plain,
+)
 
 
 def test_nested_records_round_trip() -> None:
@@ -29,3 +34,16 @@
     assert load_plain(Team, ['breizh']) == Team('breizh')
     with pytest.raises(WireError):
         load_plain(Team, [])
+
+
+def test_only_fields_with_defaults_may_be_missing() -> None:
+    """Guard against records of older versions that can't be loaded.
+
+    A record without a required field, or with more fields, is still refused.
+    """
+    summary = DurationSummary(DurationKey('queue'))
+    plain = dump_plain(summary)
+    assert load_plain(DurationSummary, plain[:1]) == summary
+    for wrong in (plain[:0], [*plain, 0]):
+        with pytest.raises(WireError, match=r'^wire\.E002'):
+            load_plain(DurationSummary, wrong)
