Recognise the loss of a rack from its first silent workers

Each worker of a rack without power was sent starts until one of its own timed out, and such a start stayed unresolved until the lease expired.

When a worker leaves an order unanswered, the rest of its rack is now polled at once and gets no starts until the answer. If at least two workers and a quarter of the rack became silent within 1.5 s, the rack is suspected: its workers do not count as capacity, and each is used again when it answers. At most half of a pool is suspected at a time. Off by default.

The model answers a start to a lost worker with a time-out, as the leader's client does, and can lose a rack of the pool whose peak starts.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import FailureDomainPolicy, PoolPolicy
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,7 +87,8 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``.
+    at ``advice``. A leader sizes pools by ``pool_sizes`` and recognises lost
+    racks by ``failure_domains``.
     """
 
     name: str
@@ -105,6 +106,7 @@
     advice: Address | None = None
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
+    failure_domains: FailureDomainPolicy = FailureDomainPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -152,6 +154,11 @@
         for name, default in PoolPolicy()._asdict().items()
     },
 )
+_FAILURE_DOMAINS = MappingProxyType(
+    {
+        'enabled': Field(choice('true', 'false'), 'false'),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -175,6 +182,10 @@
             record(_POOL_SIZES),
             MappingProxyType(get_defaults(_POOL_SIZES)),
         ),
+        'failure_domains': Field(
+            record(_FAILURE_DOMAINS),
+            MappingProxyType(get_defaults(_FAILURE_DOMAINS)),
+        ),
     },
 )
 
@@ -261,6 +272,7 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
+        failure_domains=_build_failure_domains(parsed['failure_domains']),
     )
 
 
@@ -283,6 +295,12 @@
     )
 
 
+def _build_failure_domains(parsed: Any) -> FailureDomainPolicy:
+    return FailureDomainPolicy(
+        **{**parsed, 'enabled': parsed['enabled'] == 'true'}
+    )
+
+
 def _build_address(parsed: Any) -> Address | None:
     return None if parsed is None else Address(**parsed)
 
--- a/src/sardinemast/control/_job_controller.py
+++ b/src/sardinemast/control/_job_controller.py
@@ -117,6 +117,10 @@
         outputs = self._dispatcher.tick(now_s, self._clock.get_ms(now_s))
         self._emit(outputs, now_s)
 
+    def list_gauges(self) -> dict[str, dict[str, float]]:
+        """Return the dispatcher's gauges, which only a leader has."""
+        return self._dispatcher.list_gauges() if self._is_leading else {}
+
     def handle(self, event: JobEvent, now_s: float) -> None:
         """Handle an event of callers' streams or the answer to an order."""
         self._handle_event(event, now_s)
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -29,7 +29,11 @@
     OrderMove,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
+from sardinemast.dispatch._settings import (
+    DispatchSettings,
+    FailureDomainPolicy,
+    PoolPolicy,
+)
 
 __all__ = (
     'AdviceAnswered',
@@ -37,6 +41,7 @@
     'DispatchEvent',
     'DispatchOutput',
     'DispatchSettings',
+    'FailureDomainPolicy',
     'InstancesListed',
     'ListedInstance',
     'ListInstances',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -7,6 +7,7 @@
     StartAnswered,
     WorkerPolled,
 )
+from sardinemast.dispatch._failure_domains import FailureDomains
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
     MaintenanceAnswered,
@@ -48,6 +49,7 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._state = DispatchState(settings)
         self._poller = WorkerPoller(self._state)
+        self._domains = FailureDomains(self._state, self._poller)
         self._tickets = TicketCache(self._state)
         self._recorder = RunRecorder(self._state, self._tickets)
         self._stragglers = StragglerDetector(self._state)
@@ -82,6 +84,7 @@
         """Perform all work that is due."""
         self._state.outputs = []
         self._state.now_ms = now_ms
+        self._domains.observe_time(now_s)
         self._open_due_occurrences(now_ms)
         if now_s >= self._last_polled_s + _POLL_INTERVAL_S:
             self._last_polled_s = now_s
@@ -103,6 +106,7 @@
         """Handle an answer of a worker or of a platform service."""
         self._state.outputs = []
         self._state.now_ms = now_ms
+        self._domains.observe_time(now_s)
         if isinstance(event, MaintenanceAnswered):
             self._maintenance.handle_answer(event, now_s)
         elif isinstance(event, MoveAnswered):
@@ -158,6 +162,10 @@
             session.is_leaving = True
             session.poll_state.due_s = now_s
 
+    def list_gauges(self) -> dict[str, dict[str, float]]:
+        """Return the gauges of what only the leader knows."""
+        return {'racks_suspected': {'': float(self._domains.suspected_count)}}
+
     def _handle_fleet_change(self, command: Command, now_s: float) -> None:
         if isinstance(command, ForgetWorker):
             self._poller.handle_forgotten(command)
@@ -174,6 +182,7 @@
 
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
+        self._domains.tick(now_s)
         for session in tuple(self._state.sessions.values()):
             self._poller.expire_lease(session, now_s)
             self._poller.poll(session, now_s)
@@ -186,6 +195,7 @@
         session = self._state.sessions.get(event.worker)
         if session is None:
             return
+        self._domains.record_answer(session, event, now_s)
         if isinstance(event, WorkerPolled):
             ends = self._poller.handle_polled(session, event, now_s)
             self._recorder.record_ends(session, ends, now_s)
--- a/src/sardinemast/dispatch/_disruptions.py
+++ b/src/sardinemast/dispatch/_disruptions.py
@@ -15,7 +15,7 @@
     """Check that a task is reported as started and is not being stopped."""
     run = step.running.get(position)
     session = state.sessions.get(run.worker) if run else None
-    if run is None or session is None:
+    if run is None or session is None or state.suspected.is_lost(run.worker):
         return False
     task = step.get_task(position)
     reported = session.reported_runs.get(task)
--- a/src/sardinemast/dispatch/_load_measurement.py
+++ b/src/sardinemast/dispatch/_load_measurement.py
@@ -29,7 +29,7 @@
         now_s: float,
     ) -> None:
         worker = session.worker
-        if state.is_evacuated(worker):
+        if state.is_evacuated(worker) or state.suspected.is_lost(worker.name):
             return
         runs = state.get_runs(worker.name)
         if not session.is_usable(now_s, has_runs=bool(runs)):
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -87,13 +87,7 @@
         """Send a poll to a worker if one is due."""
         if session.poll_state.is_pending or now_s < session.poll_state.due_s:
             return
-        has_runs = bool(self._state.get_runs(session.worker.name))
-        is_needed = has_runs or bool(session.reported_runs)
-        if (
-            session.is_synced
-            and not is_needed
-            and not session.poll_state.must_raise_fence
-        ):
+        if not self._is_poll_needed(session):
             return
         # Until its ends are recorded, the worker would only repeat them.
         if session.end_cursor.reported > session.end_cursor.recorded:
@@ -103,7 +97,12 @@
             session.raise_fence()
         # The lease of a worker that does not answer is not renewed: each retry
         # would delay the restart of its tasks elsewhere.
-        is_responsive = session.is_synced and not session.poll_state.misses
+        is_withheld = self._state.suspected.is_withheld(session.worker.name)
+        is_responsive = (
+            session.is_synced
+            and not session.poll_state.misses
+            and not is_withheld
+        )
         # A poll that settles whether a start was executed returns at once.
         may_wait = is_responsive and not is_raising
         wait_ms = self._get_wait_ms(session) if may_wait else 0
@@ -116,7 +115,7 @@
                 session.end_cursor.recorded,
                 session.extend_lease(now_s) if is_responsive else None,
                 wait_ms,
-                wait_ms / _MS + self._state.settings.answer_s,
+                wait_ms / _MS + self._get_answer_s(is_withheld=is_withheld),
                 now_s,
             ),
         )
@@ -189,6 +188,21 @@
         ):
             self.propose_forget(session)
 
+    def _is_poll_needed(self, session: WorkerSession) -> bool:
+        name = session.worker.name
+        return (
+            not session.is_synced
+            or session.poll_state.must_raise_fence
+            or bool(session.reported_runs)
+            or bool(self._state.get_runs(name))
+            or self._state.suspected.is_withheld(name)
+        )
+
+    def _get_answer_s(self, *, is_withheld: bool) -> float:
+        settings = self._state.settings
+        # Such a poll does not wait, so it is answered as soon as a start.
+        return settings.start_answer_s if is_withheld else settings.answer_s
+
     def _get_wait_ms(self, session: WorkerSession) -> int:
         name = session.worker.name
         usage = self._state.jobs.usage
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -284,7 +284,11 @@
             session = self._state.sessions.get(name)
             if session is None:
                 continue
-            if self._state.get_runs(name) or session.worker.is_draining:
+            if (
+                self._state.get_runs(name)
+                or session.worker.is_draining
+                or self._state.suspected.is_withheld(name)
+            ):
                 session.is_cordoned = False
                 continue
             worker = session.worker
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -196,9 +196,11 @@
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
 
-        The worker may have been lost, or its data centre evacuated, while the
-        start was being recorded.
+        The worker or its rack may have been lost, or its data centre evacuated,
+        while the start was being recorded.
         """
+        if self._state.suspected.is_withheld(session.worker.name):
+            return False
         is_evacuated = self._state.is_evacuated(session.worker)
         return session.is_synced and not is_evacuated
 
@@ -217,7 +219,9 @@
             worker=start.worker,
             fence=session.fence,
         )
-        session.sent_starts[start.task] = SentStart(start.number, session.fence)
+        session.sent_starts[start.task] = SentStart(
+            start.number, session.fence, sent_s=now_s
+        )
         self._state.outputs.append(
             StartRun(
                 session.worker,
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -36,6 +36,16 @@
     expected_factor: float = 1.1
 
 
+class FailureDomainPolicy(NamedTuple):
+    """Configure whether the loss of a rack is recognised as one event.
+
+    With ``enabled``, a rack is suspected as soon as several of its workers
+    became silent; the others get no new runs until they answer.
+    """
+
+    enabled: bool = False
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -88,3 +98,4 @@
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
+    failure_domains: FailureDomainPolicy = FailureDomainPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -12,6 +12,7 @@
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._suspected_workers import SuspectedWorkers
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
     Advice,
@@ -50,6 +51,7 @@
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
+        self.suspected = SuspectedWorkers()
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -61,6 +63,7 @@
         self.needs_planning = True
         self.loads = {}
         self.moving.clear()
+        self.suspected.start_term()
 
     @property
     def earlier_leases_end_s(self) -> float:
@@ -104,6 +107,8 @@
         """Check whether new runs may be started on a worker."""
         if self.is_evacuated(session.worker):
             return False
+        if self.suspected.is_withheld(session.worker.name):
+            return False
         has_runs = bool(self.get_runs(session.worker.name))
         return session.is_usable(now_s, has_runs=has_runs)
 
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -12,11 +12,12 @@
 
 
 class SentStart(NamedTuple):
-    """Hold a start that was sent and when the worker confirmed it."""
+    """Hold a start, when it was sent and when the worker confirmed it."""
 
     number: int
     fence: int
     confirmed_s: float | None = None
+    sent_s: float = float('-inf')
 
 
 class SentStop(NamedTuple):
--- a/src/sardinemast/model/_disruptions.py
+++ b/src/sardinemast/model/_disruptions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -29,6 +30,10 @@
 _CONTROL_RESTART_S = 1.5
 
 
+# How long after the start of a peak a rack of its pool loses power.
+_PEAK_LOSS_DELAY_MAX_S = 1.0
+
+
 def schedule_disruptions(simulation: FleetSimulation) -> None:
     """Schedule each of the day's disruptions at a random time."""
     # A generator of its own gives the same disruptions under each policy.
@@ -39,6 +44,8 @@
         if disruption is Disruption.wave:
             latest_s = _LATEST_WAVE_START_S
         at_s = rng.uniform(0, latest_s)
+        if disruption is Disruption.peaking_rack_lost:
+            at_s = _draw_peak_loss_s(simulation, rng)
         if disruption in simulation.day.disruptions:
             simulation.clock.call_at(at_s, action)
 
@@ -71,6 +78,9 @@
         Disruption.workers_failing: (
             lambda: _impair(simulation, failing, _set_failing)
         ),
+        Disruption.peaking_rack_lost: (
+            lambda: _cut_peaking_rack_power(simulation)
+        ),
     }
 
 
@@ -85,7 +95,48 @@
 
 
 def _cut_rack_power(simulation: FleetSimulation, names: list[str]) -> None:
-    rack = _select_active(simulation, names)[0].rack
+    _cut_power(simulation, _select_active(simulation, names)[0].rack)
+
+
+def _draw_peak_loss_s(simulation: FleetSimulation, rng: Random) -> float:
+    """Return a time shortly after the start of a random peak."""
+    day = simulation.day
+    starts_s = [
+        start_s
+        for start_s in _list_peak_starts_s(simulation)
+        if 0 <= start_s <= day.duration_s - _POWER_LOSS_S
+    ]
+    return rng.choice(starts_s) + rng.uniform(0, _PEAK_LOSS_DELAY_MAX_S)
+
+
+def _list_peak_starts_s(simulation: FleetSimulation) -> list[float]:
+    interval_s = simulation.day.peak_interval_s
+    first_s = simulation.peak_offset_s % interval_s
+    count = int(simulation.day.duration_s / interval_s) + 1
+    return [first_s + index * interval_s for index in range(count)]
+
+
+def _cut_peaking_rack_power(simulation: FleetSimulation) -> None:
+    """Cut the rack with the most active instances of the peaking pool."""
+    day = simulation.day
+    since_s = simulation.clock.now_s - simulation.peak_offset_s
+    index = int(since_s // day.peak_interval_s) % len(day.queues)
+    racks = Counter(
+        instance.rack
+        for instance in simulation.instances.by_name.values()
+        if instance.pool == day.queues[index].pool and instance.is_up
+    )
+    _cut_power(simulation, racks.most_common(1)[0][0])
+
+
+def _cut_power(simulation: FleetSimulation, rack: str) -> None:
+    lost = [
+        one.worker.registration.name
+        for one in simulation.instances.by_name.values()
+        if one.rack == rack and one.worker is not None
+    ]
+    tasks = [task for name in lost for task in simulation.state.runs[name]]
+    simulation.lost_racks.record_loss(lost, tasks, simulation.clock.now_s)
     for instance in simulation.instances.by_name.values():
         if instance.rack == rack and instance.is_up:
             instance.is_down = True
--- a/src/sardinemast/model/_orders.py
+++ b/src/sardinemast/model/_orders.py
@@ -107,6 +107,11 @@
         worker = self._find_reachable(order.worker.name)
         step = self._state.find_step(order.task)
         if worker is None or step is None:
+            # As the leader's client, which gives up after its time-out.
+            self._clock.call_later(
+                order.timeout_s,
+                lambda: reply(_make_unanswered_start(order)),
+            )
             return
         actual = self._get_actual_task(worker, order, step.spec)
         now_s = self._clock.now_s
@@ -185,6 +190,11 @@
     return WorkerPolled(name, order.fence, order.sent_s, outcome, report)
 
 
+def _make_unanswered_start(order: StartRun) -> StartAnswered:
+    name, outcome = order.worker.name, OrderOutcome.unknown
+    return StartAnswered(name, order.task, order.number, outcome)
+
+
 def _get_outcome(*, is_done: bool) -> OrderOutcome:
     return OrderOutcome.done if is_done else OrderOutcome.refused
 
--- a/src/sardinemast/model/_scoring.py
+++ b/src/sardinemast/model/_scoring.py
@@ -36,6 +36,8 @@
 
     ``on_time`` is the earned share of the attainable value, ``worst_*`` that
     of the worst group, ``largest_jobs`` that of the jobs with the most work.
+    ``lost_rack_starts`` counts the starts sent to workers without power,
+    ``rack_recovery_s`` is the time until all their tasks were sent elsewhere.
     """
 
     on_time: float
@@ -47,6 +49,8 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    lost_rack_starts: int = 0
+    rack_recovery_s: float = 0
 
     def compute_score(self, weights: ScoreWeights) -> float:
         """Return the weighted value earned less the weighted costs."""
@@ -109,6 +113,8 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    lost_rack_starts: int = 0
+    rack_recovery_s: float = 0
 
 
 def score_day(record: DayRecord) -> DayResults:
@@ -136,6 +142,8 @@
         round(record.worker_seconds, 1),
         record.moves,
         round(record.lost_core_s, 1),
+        record.lost_rack_starts,
+        round(record.rack_recovery_s, 3),
     )
 
 
--- a/src/sardinemast/model/_simulation.py
+++ b/src/sardinemast/model/_simulation.py
@@ -9,6 +9,7 @@
     DispatchSettings,
     LogDecision,
     Propose,
+    StartRun,
 )
 from sardinemast.jobs import Command, JobsState, Worker, apply_command
 from sardinemast.jobs.commands import (
@@ -20,12 +21,14 @@
 from sardinemast.model._clock import VirtualClock
 from sardinemast.model._disruptions import schedule_disruptions
 from sardinemast.model._instances import Instances
+from sardinemast.model._lost_racks import LostRacks
 from sardinemast.model._orders import OrderExecutor
 from sardinemast.model._scoring import DayRecord, DayResults, score_day
 from sardinemast.model._workload import (
     Arrival,
     DayPattern,
     draw_arrivals,
+    draw_peak_offset_s,
     make_catalog,
 )
 
@@ -55,7 +58,9 @@
         self.rng = Random(seed)
         self.clock = VirtualClock(-_WARMUP_S)
         self.state = JobsState()
-        self.arrivals = draw_arrivals(day, self.rng)
+        self.peak_offset_s = draw_peak_offset_s(day, self.rng)
+        self.arrivals = draw_arrivals(day, self.peak_offset_s, self.rng)
+        self.lost_racks = LostRacks()
         self.instances = Instances(day, self.clock, self._register)
         self.dispatcher = Dispatcher(settings)
         self._settings = settings
@@ -90,6 +95,8 @@
                 self.instances.worker_seconds,
                 self.instances.move_count,
                 self.instances.lost_core_s,
+                self.lost_racks.start_count,
+                self.lost_racks.recovery_s,
             ),
         )
 
@@ -243,5 +250,8 @@
         for output in outputs:
             if isinstance(output, Propose):
                 self._propose(output.command)
-            elif not isinstance(output, LogDecision):
+                continue
+            if isinstance(output, StartRun):
+                self.lost_racks.record_start(output, self.clock.now_s)
+            if not isinstance(output, LogDecision):
                 self._executor.send(output, handle_answer)
--- a/src/sardinemast/model/_workload.py
+++ b/src/sardinemast/model/_workload.py
@@ -39,6 +39,7 @@
     workers_unreachable = 'workers unreachable'
     workers_slow = 'workers slow'
     workers_failing = 'workers failing'
+    peaking_rack_lost = 'peaking rack lost'
 
 
 class Distribution(NamedTuple):
@@ -164,10 +165,20 @@
     return Catalog(1, queues, (*pools, standby), teams)
 
 
-def draw_arrivals(day: DayPattern, rng: Random) -> list[Arrival]:
-    """Return random arrivals of a day in the order of their time."""
-    cycle_s = day.peak_interval_s * len(day.queues)
-    offset_s = rng.uniform(0, cycle_s)
+def draw_peak_offset_s(day: DayPattern, rng: Random) -> float:
+    """Return a random time at which a peak of the first queue starts."""
+    return rng.uniform(0, day.peak_interval_s * len(day.queues))
+
+
+def draw_arrivals(
+    day: DayPattern,
+    offset_s: float,
+    rng: Random,
+) -> list[Arrival]:
+    """Return random arrivals of a day in the order of their time.
+
+    A peak of the first queue starts at ``offset_s``.
+    """
     drawn = [
         arrival
         for index, queue in enumerate(day.queues)
--- a/tests/builders/election_rules.py
+++ b/tests/builders/election_rules.py
@@ -3,15 +3,20 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from builders.workers import ModelFleet
+from builders.workers import SETTINGS, ModelFleet
+from sardinemast.dispatch import DispatchSettings
 
 
 class ElectionRules(RuleBasedStateMachine):
     """Change leaders, delay commits and check that tasks run once."""
 
-    def __init__(self, worker_count: int) -> None:
+    def __init__(
+        self,
+        worker_count: int,
+        settings: DispatchSettings = SETTINGS,
+    ) -> None:
         super().__init__()
-        self.fleet = ModelFleet(worker_count)
+        self.fleet = ModelFleet(worker_count, settings)
         self.last_boot_ms = 1
         self.jobs = 0
 
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -14,6 +14,7 @@
     DispatchEvent,
     DispatchOutput,
     DispatchSettings,
+    FailureDomainPolicy,
     InstancesListed,
     ListedInstance,
     ListInstances,
@@ -64,7 +65,10 @@
 MAINTENANCE_S = 2.0
 _MS = 1000
 # Keeps all workers in the pool until a peak of its load is known.
-_SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
+SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
+SETTINGS_WITH_RACKS = SETTINGS._replace(
+    failure_domains=FailureDomainPolicy(enabled=True),
+)
 
 
 def make_catalog(
@@ -101,16 +105,18 @@
     cores: int = 4,
     is_draining: bool = False,
     data_centre: str = DATA_CENTRE,
+    rack: str = '',
 ) -> Worker:
     """Return a worker with its own address and instance."""
+    rack = rack or f'r-{number % 2}'
     return Worker(
         f'w-{number}',
         boot_ms,
         f'10.0.0.{number}:80',
         POOL,
         data_centre,
-        f'r-{number % 2}',
-        ('a', f'r-{number % 2}'),
+        rack,
+        ('a', rack),
         Size(cores * CORE, 8192 * MIB),
         f'm-{number}',
         is_draining,
@@ -139,13 +145,19 @@
     committed.
     """
 
-    def __init__(self, worker_count: int = 2, **worker: Any) -> None:
+    def __init__(
+        self,
+        worker_count: int = 2,
+        settings: DispatchSettings = SETTINGS,
+        **worker: Any,
+    ) -> None:
+        self.settings = settings
         self.now_s: float = 0
         self.term = 0
         self.log_length = 0
         self.state = JobsState()
-        self.dispatcher = Dispatcher(_SETTINGS)
-        self.follower = Dispatcher(_SETTINGS)
+        self.dispatcher = Dispatcher(settings)
+        self.follower = Dispatcher(settings)
         self.follower.reset_order_times(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
         self.is_held = False
@@ -182,6 +194,12 @@
         model.worker = model.worker._replace(is_draining=True)
         self.commit(RegisterWorker(model.worker))
 
+    def set_rack_unreachable(self, rack: str, *, is_unreachable: bool) -> None:
+        """Disconnect all workers of a rack, or reconnect them."""
+        for model in self.workers.values():
+            if model.worker.rack == rack:
+                model.is_unreachable = is_unreachable
+
     def replace_worker(self, instance: str, boot_ms: int) -> None:
         """Replace the worker of an instance by one with a new boot time."""
         for name, model in tuple(self.workers.items()):
@@ -199,7 +217,7 @@
         self.proposed.clear()
         self._waiting.clear()
         self.dispatcher = self.follower
-        self.follower = Dispatcher(_SETTINGS)
+        self.follower = Dispatcher(self.settings)
         self.follower.reset_order_times(self.now_s)
         self.dispatcher.start_term(self.state, self.term, self.now_s)
 
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -37,6 +37,16 @@
     assert load_process_file(path).pool_sizes == PoolPolicy(opening_share=1)
 
 
+@pytest.mark.parametrize('is_enabled', [False, True])
+def test_lost_racks_are_recognised_only_if_enabled(
+    tmp_path: Path, is_enabled: bool
+) -> None:
+    """Load files without ``failure_domains`` as before, and read the switch."""
+    more = 'failure_domains: {enabled: true}\n' if is_enabled else ''
+    settings = load_process_file(_write(tmp_path, more))
+    assert settings.failure_domains.enabled is is_enabled
+
+
 def test_all_mistakes_are_reported_together(tmp_path: Path) -> None:
     """Report a negative number, a string and an unknown name at once."""
     mistakes = '{idle_s: -1, calm_spare: some, unknown: 1}'
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -10,11 +10,14 @@
     CORE,
     DATA_CENTRE,
     OTHER_DATA_CENTRE,
+    SETTINGS,
+    SETTINGS_WITH_RACKS,
     TEAM,
     make_catalog,
     make_step,
     make_worker,
 )
+from sardinemast.dispatch import DispatchSettings
 from sardinemast.jobs import ZERO_SIZE, TaskKey
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -26,14 +29,15 @@
 pytestmark = pytest.mark.fuzz
 _CAP = 5 * CORE
 _WORKERS = 3
+_RACKS = ('r-0', 'r-1')
 _DATA_CENTRES = (DATA_CENTRE, OTHER_DATA_CENTRE)
 
 
 class DispatchMachine(ElectionRules):
     """Apply random failures and jobs to leaders and workers."""
 
-    def __init__(self) -> None:
-        super().__init__(_WORKERS)
+    def __init__(self, settings: DispatchSettings = SETTINGS) -> None:
+        super().__init__(_WORKERS, settings)
         self.done: set[TaskKey] = set()
         self.fleet.add_worker(
             make_worker(_WORKERS, data_centre=OTHER_DATA_CENTRE)
@@ -171,6 +175,43 @@
         assert not fleet.state.live
 
 
+class LostRacksMachine(DispatchMachine):
+    """Let racks become silent and return, with suspicion of racks.
+
+    Each rack has several workers, which fill most of the team's limit.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(SETTINGS_WITH_RACKS)
+        for number in range(_WORKERS + 1, 2 * _WORKERS + 1):
+            self.fleet.add_worker(make_worker(number, cores=2))
+
+    @rule(rack=st.sampled_from(_RACKS), is_unreachable=st.booleans())
+    def toggle_rack(self, rack: str, is_unreachable: bool) -> None:
+        """Disconnect a rack, or reconnect it."""
+        self.fleet.set_rack_unreachable(rack, is_unreachable=is_unreachable)
+
+    @rule(rack=st.sampled_from(_RACKS))
+    def restart_rack(self, rack: str) -> None:
+        """Restart all workers of a rack under their names."""
+        self.last_boot_ms += 1
+        for model in tuple(self.fleet.workers.values()):
+            if model.worker.rack == rack:
+                boot = model.worker._replace(boot_ms=self.last_boot_ms)
+                self.fleet.add_worker(boot)
+
+    @rule(seconds=st.sampled_from([0.5, 3.0]))
+    def pause_leader(self, seconds: float) -> None:
+        """Let time pass without the leader."""
+        self.fleet.now_s += seconds
+
+
+TestLostRacks = LostRacksMachine.TestCase
+TestLostRacks.settings = settings(
+    stateful_step_count=40,
+    max_examples=150,
+    deadline=None,
+)
 TestDispatch = DispatchMachine.TestCase
 TestDispatch.settings = settings(
     stateful_step_count=40,
