Keep records of unreliable instances and put them on probation

What an instance did to its runs was forgotten when its worker rebooted, moved or the leader changed, so that it got full load again.

After three troubles an instance gets at most two runs at a time until five succeeded.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -157,6 +157,9 @@
 _FAILURE_DOMAINS = MappingProxyType(
     {
         'enabled': Field(choice('true', 'false'), 'false'),
+        'probation_count': Field(
+            number(0, is_whole=True), FailureDomainPolicy().probation_count
+        ),
     },
 )
 _PROCESS = record(
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -38,6 +38,14 @@
             team: float(used.millicores)
             for team, used in state.usage.by_team.items()
         },
+        'instances_on_probation': {
+            '': float(
+                sum(
+                    record.successes_due > 0
+                    for record in state.instance_records.values()
+                )
+            ),
+        },
         **list_leader_gauges(),
     }
 
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -30,6 +30,7 @@
     CancelJob,
     EvacuateDataCentre,
     ForgetWorker,
+    NoteInstanceRecords,
     NoteMove,
     NoteUpkeep,
     OpenOccurrence,
@@ -131,7 +132,9 @@
         """React to a command that was applied, while this process leads."""
         self._state.outputs = []
         self._state.now_ms = now_ms
-        self._state.needs_planning = True
+        # Records of instances add neither tasks nor capacity.
+        if not isinstance(command, NoteInstanceRecords):
+            self._state.needs_planning = True
         if isinstance(command, RecordRuns):
             if self._recorder.handle_recorded(command, now_s):
                 self._poller.acknowledge_ends(now_s)
--- a/src/sardinemast/dispatch/_failure_domains.py
+++ b/src/sardinemast/dispatch/_failure_domains.py
@@ -99,6 +99,7 @@
             for worker in silences.keys() - self._state.sessions.keys():
                 silences.pop(worker)
             self._check_rack(rack, now_s)
+        self._note_records(now_s)
 
     def record_answer(
         self,
@@ -110,16 +111,46 @@
         if not self._state.settings.failure_domains.enabled:
             return
         sent_s = _get_sent_s(session, event)
-        if sent_s is None or not session.worker.rack:
+        if sent_s is None:
             return
         if event.outcome not in _SILENT_OUTCOMES:
             self._record_life(session, now_s)
             return
-        if isinstance(event, WorkerPolled):
+        is_poll = isinstance(event, WorkerPolled)
+        if is_poll:
             self._state.suspected.end_probe(session.worker.name)
         if sent_s >= self._resumed_s and not self._is_leaving(session):
+            self._record_trouble(session, is_poll=is_poll, now_s=now_s)
             self._record_silence(session, _Silence(sent_s, now_s))
 
+    def _note_records(self, now_s: float) -> None:
+        """Propose changed records and report changes of probation."""
+        records = self._state.instance_records
+        records.tick(now_s, self._state.now_ms)
+        for event, instance, troubles in records.take_transitions():
+            self._state.log(event, instance, troubles=round(troubles, 2))
+        command = records.take_changed(now_s)
+        if command is not None:
+            self._state.propose(command)
+
+    def _record_trouble(
+        self,
+        session: WorkerSession,
+        *,
+        is_poll: bool,
+        now_s: float,
+    ) -> None:
+        """Record an unanswered order of an instance, first ones only."""
+        rack, instance = _get_rack(session), session.worker.instance
+        records = self._state.instance_records
+        if rack in self._suspected:
+            return
+        if session.worker.name not in self._silences[rack]:
+            kind = 'silences' if is_poll else 'unanswered'
+            records.hold_trouble(instance, kind, now_s)
+        if is_poll:
+            records.record_missed_poll(instance, now_s)
+
     def _record_silence(
         self,
         session: WorkerSession,
@@ -131,6 +162,8 @@
             return
         silences[name] = silence
         now_s = silence.noticed_s
+        if not session.worker.rack:
+            return
         self._check_rack(rack, now_s)
         if rack not in self._suspected:
             self._probe(self._list_members(rack, (), now_s), now_s)
@@ -138,6 +171,9 @@
     def _record_life(self, session: WorkerSession, now_s: float) -> None:
         rack, name = _get_rack(session), session.worker.name
         self._answered_s[rack] = now_s
+        self._state.instance_records.record_return(
+            session.worker.instance, self._state.now_ms, now_s
+        )
         self._silences[rack].pop(name, None)
         if self._state.suspected.release(name):
             self._state.needs_planning = True
@@ -166,7 +202,8 @@
             for name, silence in silences.items()
             if now_s <= silence.noticed_s + _WINDOW_S
         }
-        if rack in self._suspected or len(recent) < _SILENT_MIN:
+        is_known = not rack[1] or rack in self._suspected
+        if is_known or len(recent) < _SILENT_MIN:
             return
         members = self._list_members(rack, recent, now_s)
         if len(recent) < len(members) * _SILENT_SHARE:
@@ -259,6 +296,9 @@
         until_s = now_s + _SUSPICION_MAX_S
         names = [session.worker.name for session in members]
         self._suspected[rack] = _SuspectedRack(names, until_s)
+        self._state.instance_records.excuse(
+            {session.worker.instance for session in members}
+        )
         self._probe(members, now_s)
         lost_count = self._mark_lost(members, until_s)
         self._state.log(
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,6 +1,6 @@
 """Choose which tasks to start, and on which workers."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
 from sardinemast.jobs import (
@@ -22,7 +22,7 @@
 
     ``is_usable`` tells whether a worker may get new runs. ``is_avoided`` tells
     whether a task should rather not run on a worker, ``is_allowed`` whether a
-    step may run on it at all.
+    step may run on it at all beside so many planned starts.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         is_usable: Callable[[str], bool],
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
-        is_allowed: Callable[[StepState, Worker], bool],
+        is_allowed: Callable[[StepState, Worker, int], bool],
     ) -> None:
         self._state = state
         self._order = order
@@ -44,6 +44,7 @@
         self._is_gang_attempt = False
         self._used_by_team = dict(state.usage.by_team)
         self._starts: list[RunStart] = []
+        self._planned_counts: Counter[str] = Counter()
 
     def choose(self) -> tuple[RunStart, ...]:
         """Return the starts, in the order of the steps' priorities."""
@@ -110,6 +111,9 @@
                 self._free = saved_free
                 self._used_by_team = saved_used
                 self._starts = saved_starts
+                self._planned_counts = Counter(
+                    start.worker for start in saved_starts
+                )
                 return False
             on_worker[worker] += 1
         return True
@@ -127,6 +131,7 @@
         if worker is None:
             return None
         self._free.change(worker, step.spec.reserved_size, -1)
+        self._planned_counts[worker] += 1
         team = self._state.get_job(step).team
         used = self._used_by_team.get(team, ZERO_SIZE)
         self._used_by_team[team] = used.plus(step.spec.size)
@@ -162,7 +167,8 @@
             has_candidate = True
             if not _is_eligible(step, worker, on_worker, rack):
                 continue
-            if not self._is_allowed(step, worker):
+            planned_count = self._planned_counts[worker.name]
+            if not self._is_allowed(step, worker, planned_count):
                 continue
             # Workers come fullest first. Packing, also of long-running tasks,
             # keeps whole workers empty for wide steps, for moves to other
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -58,10 +58,16 @@
         A worker that fails all its runs always has free capacity. Without a
         backoff it would use up the attempts of one task after the other.
         """
+        instance = session.worker.instance
+        records = self._state.instance_records
         for finished_run in ends:
             if finished_run.end is RunEnd.done:
+                records.record_success(instance)
                 session.backoff.failures = 0
             elif finished_run.end is RunEnd.failed:
+                records.record_failure(
+                    instance, finished_run.task, self._state.now_ms
+                )
                 # A task that also failed elsewhere is likely at fault itself.
                 session.backoff.failures += not self._failed_workers[
                     finished_run.task
@@ -171,8 +177,10 @@
                 state.jobs.get_job(step), step, state.durations, now_ms
             )
 
-        def is_allowed(step: StepState, worker: Worker) -> bool:
-            return self._tickets.is_allowed(step, worker, now_s)
+        def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
+            return self._tickets.is_allowed(
+                step, worker, now_s
+            ) and self._has_quota(worker, planned)
 
         def is_usable(name: str) -> bool:
             return self._is_usable(name, now_s)
@@ -193,6 +201,20 @@
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_workers.get(task, ())
 
+    def _has_quota(self, worker: Worker, planned_count: int) -> bool:
+        """Check whether a worker may get one more run than those planned.
+
+        Long-running tasks that it has do not count, since they do not end.
+        """
+        quota = self._state.instance_records.get_quota(worker.instance)
+        if quota is None:
+            return True
+        run_count = sum(
+            not step.spec.is_long_running
+            for _, _, step in self._state.iterate_steps_on(worker.name)
+        )
+        return run_count + planned_count < quota
+
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
 
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -37,13 +37,16 @@
 
 
 class FailureDomainPolicy(NamedTuple):
-    """Configure whether the loss of a rack is recognised as one event.
+    """Configure how lost racks and unreliable instances are recognised.
 
     With ``enabled``, a rack is suspected as soon as several of its workers
-    became silent; the others get no new runs until they answer.
+    became silent; the others get no new runs until they answer. An instance
+    that caused trouble ``probation_count`` times lately gets few runs until
+    some of them have succeeded; 0 puts none on probation.
     """
 
     enabled: bool = False
+    probation_count: int = 3
 
 
 class DispatchSettings(NamedTuple):
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -9,6 +9,7 @@
     Propose,
     StopRun,
 )
+from sardinemast.dispatch._instance_records import InstanceRecords
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
@@ -52,6 +53,7 @@
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
         self.suspected = SuspectedWorkers()
+        self.instance_records = InstanceRecords(settings.failure_domains)
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -64,6 +66,7 @@
         self.loads = {}
         self.moving.clear()
         self.suspected.start_term()
+        self.instance_records.start_term(state)
 
     @property
     def earlier_leases_end_s(self) -> float:
--- a/src/sardinemast/jobs/__init__.py
+++ b/src/sardinemast/jobs/__init__.py
@@ -8,6 +8,7 @@
     dump_state,
     load_state,
 )
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     ZERO_SIZE,
@@ -41,6 +42,7 @@
     'Catalog',
     'CatalogFinding',
     'Command',
+    'InstanceRecord',
     'JobRequest',
     'JobState',
     'JobStatus',
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -8,6 +8,7 @@
     record_maintenance,
     record_move,
 )
+from sardinemast.jobs._instance_records import merge_records
 from sardinemast.jobs._records import (
     Run,
     RunEnd,
@@ -170,6 +171,17 @@
     state.data_centres.evacuated = dict.fromkeys(command.data_centres)
 
 
+@apply_command.register
+def _apply_instance_records(
+    command: commands.NoteInstanceRecords,
+    state: JobsState,
+    log_index: int,
+) -> None:
+    state.instance_records = merge_records(
+        state.instance_records, command.records, state.home_pools
+    )
+
+
 def _remove_worker(state: JobsState, worker: Worker) -> None:
     for task in tuple(state.runs.get(worker.name, ())):
         step = state.find_step(task)
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     Catalog,
@@ -58,6 +59,7 @@
     last_order_ms: Mapping[str, int] | None = None
     data_centres: tuple[str, ...] = ()
     evacuated: tuple[str, ...] = ()
+    instance_records: tuple[InstanceRecord, ...] = ()
 
 
 EMPTY_IMAGE = JobsImage()
@@ -76,6 +78,7 @@
         dict(state.last_order_ms),
         tuple(state.data_centres.known),
         tuple(state.data_centres.evacuated),
+        tuple(state.instance_records.values()),
     )
 
 
@@ -90,6 +93,9 @@
     state.last_order_ms = _load_order_times(image)
     state.data_centres.known.update(dict.fromkeys(image.data_centres))
     state.data_centres.evacuated = dict.fromkeys(image.evacuated)
+    state.instance_records = {
+        record.instance: record for record in image.instance_records
+    }
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -6,6 +6,7 @@
 from sardinemast.jobs._critical_paths import compute_critical_paths_ms
 from sardinemast.jobs._data_centres import DataCentres
 from sardinemast.jobs._free_capacity import FreeCapacity
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     ZERO_SIZE,
@@ -237,6 +238,7 @@
         self.home_pools: dict[str, str] = {}
         self.last_order_ms: dict[str, int] = {}
         self.data_centres = DataCentres()
+        self.instance_records: dict[str, InstanceRecord] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Activate a catalog and update the queues of live jobs."""
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     Catalog,
     JobRequest,
@@ -139,6 +140,12 @@
     data_centres: tuple[str, ...]
 
 
+class NoteInstanceRecords(NamedTuple):
+    """Replace the records of some instances."""
+
+    records: tuple[InstanceRecord, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -153,6 +160,7 @@
     | EvacuateDataCentre
     | ReadmitDataCentre
     | NoteEvacuated
+    | NoteInstanceRecords
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -168,4 +176,5 @@
     EvacuateDataCentre,
     ReadmitDataCentre,
     NoteEvacuated,
+    NoteInstanceRecords,
 )
--- a/tests/jobs/test_jobs_state.py
+++ b/tests/jobs/test_jobs_state.py
@@ -8,6 +8,7 @@
     make_worker,
 )
 from sardinemast.jobs import (
+    InstanceRecord,
     JobRequest,
     JobsImage,
     JobsState,
@@ -24,6 +25,7 @@
     Command,
     FinishedRun,
     ForgetWorker,
+    NoteInstanceRecords,
     PutCatalog,
     RecordRuns,
     RegisterWorker,
@@ -171,6 +173,9 @@
     log.submit(make_step(), name='other')
     log.start(_TASK)
     log.add(CancelJob('other'))
+    record = InstanceRecord('m-1', 5, failures=100, successes_due=5)
+    log.add(NoteInstanceRecords((record, InstanceRecord('unknown', 5, 100))))
+    assert log.state.instance_records == {'m-1': record}
     plain = dump_plain(dump_state(log.state))
     copy = load_state(load_plain(JobsImage, plain))
     assert dump_state(copy) == dump_state(log.state)
