Let refused connections wait for a tick, and check probation cheaply

Without its lease, a leader reports its own orders as not sent, which looked like refused connections. Such silence now counts at the next tick, which a leader without a lease does not get. The planner asks for the quota of a worker only if its instance is on probation.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -85,7 +85,7 @@
         """Perform all work that is due."""
         self._state.outputs = []
         self._state.now_ms = now_ms
-        self._domains.observe_time(now_s)
+        self._domains.record_tick(now_s)
         self._open_due_occurrences(now_ms)
         if now_s >= self._last_polled_s + _POLL_INTERVAL_S:
             self._last_polled_s = now_s
@@ -107,7 +107,7 @@
         """Handle an answer of a worker or of a platform service."""
         self._state.outputs = []
         self._state.now_ms = now_ms
-        self._domains.observe_time(now_s)
+        self._domains.detect_pause(now_s)
         if isinstance(event, MaintenanceAnswered):
             self._maintenance.handle_answer(event, now_s)
         elif isinstance(event, MoveAnswered):
--- a/src/sardinemast/dispatch/_failure_domains.py
+++ b/src/sardinemast/dispatch/_failure_domains.py
@@ -63,8 +63,9 @@
         self._silences: dict[_Rack, dict[str, _Silence]] = defaultdict(dict)
         self._answered_s: dict[_Rack, float] = {}
         self._suspected: dict[_Rack, _SuspectedRack] = {}
+        self._refused: set[_Rack] = set()
         self._term = 0
-        self._observed_s: float = 0
+        self._ticked_s: float = 0
         self._resumed_s: float = 0
 
     @property
@@ -72,21 +73,27 @@
         """Return the number of racks that are suspected to be lost."""
         return len(self._suspected)
 
-    def observe_time(self, now_s: float) -> None:
+    def detect_pause(self, now_s: float) -> None:
         """Disregard earlier terms, and silence before a pause of this process.
 
         Answers that arrived during the pause may be processed after the
-        time-outs of their orders. A leader without a lease pauses as well.
+        time-outs of their orders. A leader without a lease gets no ticks, so
+        that it pauses as well.
         """
         if self._term != self._state.term:
             self._term = self._state.term
             self._answered_s.clear()
             self._suspected.clear()
-            self._observed_s = float('-inf')
-        if now_s > self._observed_s + _PAUSE_MIN_S:
+            self._ticked_s = float('-inf')
+        if now_s > self._ticked_s + _PAUSE_MIN_S:
             self._resumed_s = now_s
             self._silences.clear()
-        self._observed_s = now_s
+            self._state.instance_records.excuse_all()
+
+    def record_tick(self, now_s: float) -> None:
+        """Record that this process leads and runs."""
+        self.detect_pause(now_s)
+        self._ticked_s = now_s
 
     def tick(self, now_s: float) -> None:
         """Suspect and clear racks whose state has changed over time."""
@@ -99,6 +106,9 @@
             for worker in silences.keys() - self._state.sessions.keys():
                 silences.pop(worker)
             self._check_rack(rack, now_s)
+        for rack in self._refused:
+            self._probe_rack(rack, now_s)
+        self._refused.clear()
         self._note_records(now_s)
 
     def record_answer(
@@ -121,7 +131,14 @@
             self._state.suspected.end_probe(session.worker.name)
         if sent_s >= self._resumed_s and not self._is_leaving(session):
             self._record_trouble(session, is_poll=is_poll, now_s=now_s)
-            self._record_silence(session, _Silence(sent_s, now_s))
+            is_new = self._record_silence(session, _Silence(sent_s, now_s))
+            if is_new and event.outcome is OrderOutcome.not_sent:
+                # Orders are not sent either while this process has no lease,
+                # so the next tick decides.
+                self._refused.add(_get_rack(session))
+            elif is_new:
+                self._check_rack(_get_rack(session), now_s)
+                self._probe_rack(_get_rack(session), now_s)
 
     def _note_records(self, now_s: float) -> None:
         """Propose changed records and report changes of probation."""
@@ -155,18 +172,11 @@
         self,
         session: WorkerSession,
         silence: _Silence,
-    ) -> None:
-        rack, name = _get_rack(session), session.worker.name
-        silences = self._silences[rack]
-        if name in silences:
-            return
-        silences[name] = silence
-        now_s = silence.noticed_s
-        if not session.worker.rack:
-            return
-        self._check_rack(rack, now_s)
-        if rack not in self._suspected:
-            self._probe(self._list_members(rack, (), now_s), now_s)
+    ) -> bool:
+        """Record silence and return whether the worker was not silent yet."""
+        silences = self._silences[_get_rack(session)]
+        known = silences.setdefault(session.worker.name, silence)
+        return known is silence
 
     def _record_life(self, session: WorkerSession, now_s: float) -> None:
         rack, name = _get_rack(session), session.worker.name
@@ -249,6 +259,11 @@
         contact_s = max(session.last_heard_s, session.last_announced_s)
         return now_s < contact_s + self._state.settings.idle_quiet_s
 
+    def _probe_rack(self, rack: _Rack, now_s: float) -> None:
+        """Probe the workers of a rack that has a silent worker."""
+        if rack[1] and rack not in self._suspected:
+            self._probe(self._list_members(rack, (), now_s), now_s)
+
     def _probe(self, members: list[WorkerSession], now_s: float) -> None:
         """Withhold starts until each worker has answered one poll.
 
--- a/src/sardinemast/dispatch/_instance_records.py
+++ b/src/sardinemast/dispatch/_instance_records.py
@@ -18,7 +18,8 @@
 # Troubles of the last seconds have decayed a little when the next ones come.
 _ROUNDING = 50
 _SUCCESSES_TO_TRUST = 5
-_RUNS_ON_PROBATION = 2
+# How many runs an instance on probation may have at a time.
+RUNS_ON_PROBATION = 2
 _PROPOSED_MAX = 64
 _PROPOSAL_INTERVAL_S = 1.0
 # Bounds the memory of which instances failed steps.
@@ -43,11 +44,13 @@
     """Count the troubles of instances, decide on probation and note both.
 
     The records are those of the log at the start of a term. Changes since the
-    last proposal are lost with the leader.
+    last proposal are lost with the leader. ``on_probation`` holds the
+    instances that get few runs.
     """
 
     def __init__(self, policy: FailureDomainPolicy) -> None:
         self._policy = policy
+        self.on_probation: set[str] = set()
         self._records: dict[str, InstanceRecord] = {}
         self._changed: dict[str, None] = {}
         self._held: list[_HeldTrouble] = []
@@ -60,18 +63,16 @@
         """Start with the records in the log."""
         is_enabled = self._policy.enabled
         self._records = dict(state.instance_records) if is_enabled else {}
+        self.on_probation = {
+            name
+            for name, record in self._records.items()
+            if record.successes_due
+        }
         self._changed.clear()
-        self._held.clear()
-        self._silent_since_s.clear()
+        self.excuse_all()
         self._failed_on.clear()
         self._transitions.clear()
 
-    def get_quota(self, instance: str) -> int | None:
-        """Return how many runs an instance may have, None without a limit."""
-        record = self._records.get(instance)
-        is_limited = record is not None and record.successes_due > 0
-        return _RUNS_ON_PROBATION if is_limited else None
-
     def hold_trouble(self, instance: str, kind: str, now_s: float) -> None:
         """Count that an order was not answered, unless it is excused soon."""
         if instance:
@@ -97,6 +98,11 @@
         for instance in instances:
             self._silent_since_s.pop(instance, None)
 
+    def excuse_all(self) -> None:
+        """Disregard recent silence, after a pause of this process."""
+        self._held.clear()
+        self._silent_since_s.clear()
+
     def record_failure(self, instance: str, task: TaskKey, now_ms: int) -> None:
         """Count a failed run, once for each step that failed nowhere else.
 
@@ -119,7 +125,7 @@
     def record_success(self, instance: str) -> None:
         """Count a successful run of an instance on probation."""
         record = self._records.get(instance)
-        if record is None or self.get_quota(instance) is None:
+        if record is None or not record.successes_due:
             return
         due = record.successes_due - 1
         if not due:
@@ -179,6 +185,10 @@
         self._put(record)
 
     def _put(self, record: InstanceRecord) -> None:
+        if record.successes_due:
+            self.on_probation.add(record.instance)
+        else:
+            self.on_probation.discard(record.instance)
         self._records[record.instance] = record
         self._changed[record.instance] = None
 
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -167,7 +167,7 @@
             has_candidate = True
             if not _is_eligible(step, worker, on_worker, rack):
                 continue
-            planned_count = self._planned_counts[worker.name]
+            planned_count = self._planned_counts.get(worker.name, 0)
             if not self._is_allowed(step, worker, planned_count):
                 continue
             # Workers come fullest first. Packing, also of long-running tasks,
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -7,6 +7,7 @@
     StartAnswered,
     StartRun,
 )
+from sardinemast.dispatch._instance_records import RUNS_ON_PROBATION
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._planner import Planner
 from sardinemast.dispatch._state import DispatchState
@@ -177,10 +178,13 @@
                 state.jobs.get_job(step), step, state.durations, now_ms
             )
 
+        records = state.instance_records
+
         def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
-            return self._tickets.is_allowed(
-                step, worker, now_s
-            ) and self._has_quota(worker, planned)
+            if worker.instance in records.on_probation:
+                if not self._has_quota(worker, planned):
+                    return False
+            return self._tickets.is_allowed(step, worker, now_s)
 
         def is_usable(name: str) -> bool:
             return self._is_usable(name, now_s)
@@ -202,18 +206,15 @@
         return worker in self._failed_workers.get(task, ())
 
     def _has_quota(self, worker: Worker, planned_count: int) -> bool:
-        """Check whether a worker may get one more run than those planned.
+        """Check whether a worker on probation may get one more planned run.
 
         Long-running tasks that it has do not count, since they do not end.
         """
-        quota = self._state.instance_records.get_quota(worker.instance)
-        if quota is None:
-            return True
         run_count = sum(
             not step.spec.is_long_running
             for _, _, step in self._state.iterate_steps_on(worker.name)
         )
-        return run_count + planned_count < quota
+        return run_count + planned_count < RUNS_ON_PROBATION
 
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
