--- a/tests/dispatch/test_failure_domains.py
+++ b/tests/dispatch/test_failure_domains.py
@@ -9,7 +9,11 @@
     make_step,
     make_worker,
 )
-from sardinemast.dispatch import DispatchSettings
+from sardinemast.dispatch import (
+    DispatchSettings,
+    OrderOutcome,
+    WorkerPolled,
+)
 
 _RACKS = 4
 _RACK_SIZE = 4
@@ -163,3 +167,21 @@
     _submit_jobs(fleet, 2.0)
     assert _count_starts(fleet) == before
     assert _count_logged(fleet, 'rack.suspected') == 1
+
+
+@pytest.mark.parametrize('has_lease', [True, False])
+def test_refused_connections_count_only_with_a_lease(has_lease: bool) -> None:
+    """Guard against own orders that were not sent, taken for lost workers."""
+    fleet = _make_fleet()
+    for name, session in tuple(fleet.dispatcher._state.sessions.items()):
+        if session.worker.rack == _LOST:
+            fence = session.poll_state.sent_fence
+            refused = WorkerPolled(
+                name, fence, fleet.now_s, OrderOutcome.not_sent
+            )
+            fleet.dispatcher.step(refused, fleet.now_s, fleet.now_ms)
+    fleet.set_rack_unreachable(_LOST, is_unreachable=has_lease)
+    if not has_lease:
+        fleet.now_s += 1
+    fleet.run(1.2)
+    assert _count_logged(fleet, 'rack.suspected') == has_lease
