--- a/src/sardinemast/conf/_policies.py
+++ b/src/sardinemast/conf/_policies.py
@@ -11,7 +11,12 @@
     number,
     record,
 )
-from sardinemast.dispatch import LearningPolicy, PoolPolicy, TeamShares
+from sardinemast.dispatch import (
+    FailureDomainPolicy,
+    LearningPolicy,
+    PoolPolicy,
+    TeamShares,
+)
 
 # More for late work would make jobs late that could still be on time.
 _MAX_LATE_SHARE = 0.5
@@ -20,6 +25,7 @@
         'pool_sizes': PoolPolicy,
         'team_shares': TeamShares,
         'learning': LearningPolicy,
+        'failure_domains': FailureDomainPolicy,
     },
 )
 # Fields whose values are limited further than to numbers from 0 on.
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -19,7 +19,12 @@
 )
 from sardinemast.conf._files import read_file
 from sardinemast.conf._policies import build_policies, make_policy_fields
-from sardinemast.dispatch import LearningPolicy, PoolPolicy, TeamShares
+from sardinemast.dispatch import (
+    FailureDomainPolicy,
+    LearningPolicy,
+    PoolPolicy,
+    TeamShares,
+)
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -108,6 +113,7 @@
     pool_sizes: PoolPolicy = PoolPolicy()
     team_shares: TeamShares = TeamShares()
     learning: LearningPolicy = LearningPolicy()
+    failure_domains: FailureDomainPolicy = FailureDomainPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -277,6 +283,12 @@
     )
 
 
+def _build_failure_domains(parsed: Any) -> FailureDomainPolicy:
+    return FailureDomainPolicy(
+        **{**parsed, 'enabled': parsed['enabled'] == 'true'}
+    )
+
+
 def _build_address(parsed: Any) -> Address | None:
     return None if parsed is None else Address(**parsed)
 
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -39,12 +39,20 @@
             for team, used in state.usage.by_team.items()
         },
         'team_jobs_beyond_rate': _count_beyond_rate(state),
-        **list_leader_gauges(),
         'learned_duration_ratio': {
             key.queue: summary.ratio
             for key, summary in state.durations.items()
             if key.is_whole_queue
         },
+        'instances_on_probation': {
+            '': float(
+                sum(
+                    record.successes_due > 0
+                    for record in state.instance_records.values()
+                )
+            ),
+        },
+        **list_leader_gauges(),
     }
 
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -31,6 +31,7 @@
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._settings import (
     DispatchSettings,
+    FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
     TeamShares,
@@ -42,6 +43,7 @@
     'DispatchEvent',
     'DispatchOutput',
     'DispatchSettings',
+    'FailureDomainPolicy',
     'InstancesListed',
     'LearningPolicy',
     'ListedInstance',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -10,6 +10,7 @@
     StartAnswered,
     WorkerPolled,
 )
+from sardinemast.dispatch._failure_domains import FailureDomains
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
     MaintenanceAnswered,
@@ -33,6 +34,7 @@
     CancelJob,
     EvacuateDataCentre,
     ForgetWorker,
+    NoteInstanceRecords,
     NoteMove,
     NoteUpkeep,
     OpenOccurrence,
@@ -53,6 +55,7 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._state = DispatchState(settings)
         self._poller = WorkerPoller(self._state)
+        self._domains = FailureDomains(self._state, self._poller)
         self._tickets = TicketCache(self._state)
         self._recorder = RunRecorder(self._state, self._tickets)
         self._stragglers = StragglerDetector(self._state)
@@ -89,6 +92,7 @@
         """Perform all work that is due."""
         self._state.outputs = []
         self._state.now_ms = now_ms
+        self._domains.record_tick(now_s)
         self._open_due_occurrences(now_ms)
         if now_s >= self._last_polled_s + _POLL_INTERVAL_S:
             self._last_polled_s = now_s
@@ -111,6 +115,7 @@
         """Handle an answer of a worker or of a platform service."""
         self._state.outputs = []
         self._state.now_ms = now_ms
+        self._domains.detect_pause(now_s)
         if isinstance(event, MaintenanceAnswered):
             self._maintenance.handle_answer(event, now_s)
         elif isinstance(event, MoveAnswered):
@@ -135,7 +140,9 @@
         """React to a command that was applied, while this process leads."""
         self._state.outputs = []
         self._state.now_ms = now_ms
-        self._state.needs_planning = True
+        # Records of instances add neither tasks nor capacity.
+        if not isinstance(command, NoteInstanceRecords):
+            self._state.needs_planning = True
         if isinstance(command, RecordRuns):
             if self._recorder.handle_recorded(command, now_s):
                 self._poller.acknowledge_ends(now_s)
@@ -171,7 +178,10 @@
         totals: Counter[str] = Counter()
         for shares in self._state.team_shares.values():
             totals.update(shares)
-        return {'team_share_millicores': dict(totals)}
+        return {
+            'team_share_millicores': dict(totals),
+            'racks_suspected': {'': float(self._domains.suspected_count)},
+        }
 
     def _handle_fleet_change(self, command: Command, now_s: float) -> None:
         if isinstance(command, ForgetWorker):
@@ -191,6 +201,7 @@
 
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
+        self._domains.tick(now_s)
         for session in tuple(self._state.sessions.values()):
             self._poller.expire_lease(session, now_s)
             self._poller.poll(session, now_s)
@@ -203,6 +214,7 @@
         session = self._state.sessions.get(event.worker)
         if session is None:
             return
+        self._domains.record_answer(session, event, now_s)
         if isinstance(event, WorkerPolled):
             ends = self._poller.handle_polled(session, event, now_s)
             self._recorder.record_ends(session, ends, now_s)
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,6 +1,6 @@
 """Choose which tasks to start, and on which workers."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator, Mapping, Set
 from heapq import heapify, heappop, heappush
 from types import MappingProxyType
@@ -35,8 +35,9 @@
 
     ``is_usable`` tells whether a worker may get new runs. ``is_avoided`` tells
     whether a task should rather not run on a worker, ``is_allowed`` whether a
-    step may run on it at all. With ``shares``, these replace ``order``. Of a
-    job in ``held``, only the tasks listed there may start.
+    step may run on it at all beside so many planned starts. With ``shares``,
+    these replace ``order``. Of a job in ``held``, only the tasks listed there
+    may start.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         is_usable: Callable[[str], bool],
         order: Callable[[StepState], tuple[float, ...]],
         is_avoided: Callable[[TaskKey, str], bool],
-        is_allowed: Callable[[StepState, Worker], bool],
+        is_allowed: Callable[[StepState, Worker, int], bool],
         shares: PlanShares | None = None,
         held: Mapping[str, Set[TaskKey]] = _NOTHING_HELD,
     ) -> None:
@@ -63,6 +64,7 @@
         self._is_gang_attempt = False
         self._used_by_team = dict(state.usage.by_team)
         self._starts: list[RunStart] = []
+        self._planned_counts: Counter[str] = Counter()
 
     def choose(self) -> tuple[RunStart, ...]:
         """Return the starts, in the order of the steps' priorities."""
@@ -188,6 +190,9 @@
                 self._free = saved_free
                 self._used_by_team = saved_used
                 self._starts = saved_starts
+                self._planned_counts = Counter(
+                    start.worker for start in saved_starts
+                )
                 return False
             on_worker[worker] += 1
         return True
@@ -205,6 +210,7 @@
         if worker is None:
             return None
         self._free.change(worker, step.spec.reserved_size, -1)
+        self._planned_counts[worker] += 1
         team = self._state.get_job(step).team
         used = self._used_by_team.get(team, ZERO_SIZE)
         self._used_by_team[team] = used.plus(step.spec.size)
@@ -240,7 +246,8 @@
             has_candidate = True
             if not _is_eligible(step, worker, on_worker, rack):
                 continue
-            if not self._is_allowed(step, worker):
+            planned_count = self._planned_counts.get(worker.name, 0)
+            if not self._is_allowed(step, worker, planned_count):
                 continue
             # Workers come fullest first. Packing, also of long-running tasks,
             # keeps whole workers empty for wide steps, for moves to other
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -8,6 +8,7 @@
     StartAnswered,
     StartRun,
 )
+from sardinemast.dispatch._instance_records import RUNS_ON_PROBATION
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._plan_shares import PlanShares, PlanTime
 from sardinemast.dispatch._planner import Planner
@@ -62,10 +63,16 @@
         A worker that fails all its runs always has free capacity. Without a
         backoff it would use up the attempts of one task after the other.
         """
+        instance = session.worker.instance
+        records = self._state.instance_records
         for finished_run in ends:
             if finished_run.end is RunEnd.done:
+                records.record_success(instance)
                 session.backoff.failures = 0
             elif finished_run.end is RunEnd.failed:
+                records.record_failure(
+                    instance, finished_run.task, self._state.now_ms
+                )
                 # A task that also failed elsewhere is likely at fault itself.
                 session.backoff.failures += not self._failed_workers[
                     finished_run.task
@@ -184,7 +191,12 @@
                 is_failing=is_failing(step),
             )
 
-        def is_allowed(step: StepState, worker: Worker) -> bool:
+        records = state.instance_records
+
+        def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
+            if worker.instance in records.on_probation:
+                if not self._has_quota(worker, planned):
+                    return False
             return self._tickets.is_allowed(step, worker, now_s)
 
         @cache
@@ -228,12 +240,25 @@
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_workers.get(task, ())
 
+    def _has_quota(self, worker: Worker, planned_count: int) -> bool:
+        """Check whether a worker on probation may get one more planned run.
+
+        Long-running tasks that it has do not count, since they do not end.
+        """
+        run_count = sum(
+            not step.spec.is_long_running
+            for _, _, step in self._state.iterate_steps_on(worker.name)
+        )
+        return run_count + planned_count < RUNS_ON_PROBATION
+
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
 
-        The worker may have been lost, or its data centre evacuated, while the
-        start was being recorded.
+        The worker or its rack may have been lost, or its data centre evacuated,
+        while the start was being recorded.
         """
+        if self._state.suspected.is_withheld(session.worker.name):
+            return False
         is_evacuated = self._state.is_evacuated(session.worker)
         return session.is_synced and not is_evacuated
 
@@ -252,7 +277,9 @@
             worker=start.worker,
             fence=session.fence,
         )
-        session.sent_starts[start.task] = SentStart(start.number, session.fence)
+        session.sent_starts[start.task] = SentStart(
+            start.number, session.fence, sent_s=now_s
+        )
         self._state.outputs.append(
             StartRun(
                 session.worker,
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -59,6 +59,19 @@
     deadline_ends: int = 50
 
 
+class FailureDomainPolicy(NamedTuple):
+    """Configure how lost racks and unreliable instances are recognised.
+
+    With ``enabled``, a rack is suspected as soon as several of its workers
+    became silent; the others get no new runs until they answer. An instance
+    that caused trouble ``probation_count`` times lately gets few runs until
+    some of them have succeeded; 0 puts none on probation.
+    """
+
+    enabled: bool = False
+    probation_count: int = 3
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -113,3 +126,4 @@
     pools: PoolPolicy = PoolPolicy()
     team_shares: TeamShares = TeamShares()
     learning: LearningPolicy = LearningPolicy()
+    failure_domains: FailureDomainPolicy = FailureDomainPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -10,9 +10,11 @@
     StopRun,
 )
 from sardinemast.dispatch._failing_tasks import FailingTasks
+from sardinemast.dispatch._instance_records import InstanceRecords
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._suspected_workers import SuspectedWorkers
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
     Advice,
@@ -54,6 +56,8 @@
         self.durations = DurationEstimates(settings.learning)
         self.team_shares: dict[str, Mapping[str, float]] = {}
         self.failing_tasks = FailingTasks()
+        self.suspected = SuspectedWorkers()
+        self.instance_records = InstanceRecords(settings.failure_domains)
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -68,6 +72,8 @@
         self.team_shares = {}
         self.durations.start_term(state.durations.values())
         self.failing_tasks.start_term()
+        self.suspected.start_term()
+        self.instance_records.start_term(state)
 
     @property
     def earlier_leases_end_s(self) -> float:
@@ -111,6 +117,8 @@
         """Check whether new runs may be started on a worker."""
         if self.is_evacuated(session.worker):
             return False
+        if self.suspected.is_withheld(session.worker.name):
+            return False
         has_runs = bool(self.get_runs(session.worker.name))
         return session.is_usable(now_s, has_runs=has_runs)
 
--- a/src/sardinemast/jobs/__init__.py
+++ b/src/sardinemast/jobs/__init__.py
@@ -17,6 +17,7 @@
     dump_state,
     load_state,
 )
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     ZERO_SIZE,
@@ -55,6 +56,7 @@
     'Command',
     'DurationKey',
     'DurationSummary',
+    'InstanceRecord',
     'JobRequest',
     'JobState',
     'JobStatus',
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sardinemast.jobs._durations import DurationSummary
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     Catalog,
@@ -63,6 +64,7 @@
     evacuated: tuple[str, ...] = ()
     token_buckets: Mapping[str, TokenBucket] = MappingProxyType({})
     durations: tuple[DurationSummary, ...] = ()
+    instance_records: tuple[InstanceRecord, ...] = ()
 
 
 EMPTY_IMAGE = JobsImage()
@@ -83,6 +85,7 @@
         tuple(state.data_centres.evacuated),
         dict(state.teams.buckets),
         tuple(state.durations.values()),
+        tuple(state.instance_records.values()),
     )
 
 
@@ -99,6 +102,9 @@
     state.data_centres.known.update(dict.fromkeys(image.data_centres))
     state.data_centres.evacuated = dict.fromkeys(image.evacuated)
     state.durations = {one.key: one for one in image.durations}
+    state.instance_records = {
+        record.instance: record for record in image.instance_records
+    }
     for live in image.live:
         job = _load_job(state, live)
         state.live[job.name] = job
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -7,6 +7,7 @@
 from sardinemast.jobs._data_centres import DataCentres
 from sardinemast.jobs._durations import DurationKey, DurationSummary
 from sardinemast.jobs._free_capacity import FreeCapacity
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     EMPTY_CATALOG,
     ZERO_SIZE,
@@ -244,6 +245,7 @@
         self.last_order_ms: dict[str, int] = {}
         self.data_centres = DataCentres()
         self.durations: dict[DurationKey, DurationSummary] = {}
+        self.instance_records: dict[str, InstanceRecord] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
         """Activate a catalog and update the queues of live jobs."""
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sardinemast.jobs._durations import DurationSummary
+from sardinemast.jobs._instance_records import InstanceRecord
 from sardinemast.jobs._records import (
     Catalog,
     JobRequest,
@@ -146,6 +147,12 @@
     summaries: tuple[DurationSummary, ...]
 
 
+class NoteInstanceRecords(NamedTuple):
+    """Replace the records of some instances."""
+
+    records: tuple[InstanceRecord, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -161,6 +168,7 @@
     | ReadmitDataCentre
     | NoteEvacuated
     | NoteDurations
+    | NoteInstanceRecords
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -177,4 +185,5 @@
     ReadmitDataCentre,
     NoteEvacuated,
     NoteDurations,
+    NoteInstanceRecords,
 )
--- a/src/sardinemast/model/_scoring.py
+++ b/src/sardinemast/model/_scoring.py
@@ -55,6 +55,8 @@
     ``on_time`` is the earned share of the attainable value, ``worst_*`` that
     of the worst group, ``largest_jobs`` that of the jobs with the most work.
     ``served`` counts all jobs, ``owed`` those within the rate of their team.
+    ``lost_rack_starts`` counts the starts sent to workers without power,
+    ``rack_recovery_s`` is the time until all their tasks were sent elsewhere.
     """
 
     on_time: float
@@ -68,6 +70,8 @@
     lost_core_s: float
     served: ServedShares = ServedShares()
     owed: ServedShares = ServedShares()
+    lost_rack_starts: int = 0
+    rack_recovery_s: float = 0
 
     def compute_score(self, weights: ScoreWeights) -> float:
         """Return the weighted value earned less the weighted costs."""
@@ -132,6 +136,8 @@
     moves: int
     lost_core_s: float
     beyond_rate: frozenset[str] = frozenset()
+    lost_rack_starts: int = 0
+    rack_recovery_s: float = 0
 
 
 def score_day(record: DayRecord) -> DayResults:
@@ -164,6 +170,8 @@
             [one for one in jobs if one.name not in record.beyond_rate],
             record.done_at_s,
         ),
+        record.lost_rack_starts,
+        round(record.rack_recovery_s, 3),
     )
 
 
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -145,6 +145,7 @@
             pools=process.settings.pool_sizes,
             team_shares=process.settings.team_shares,
             learning=process.settings.learning,
+            failure_domains=process.settings.failure_domains,
         ),
         process.metrics,
         process.relay,
--- a/tests/builders/shared_pools.py
+++ b/tests/builders/shared_pools.py
@@ -82,7 +82,7 @@
             lambda worker: True,
             lambda step: (),
             lambda task, worker: False,
-            lambda step, worker: True,
+            lambda step, worker, planned: True,
             shares,
         ).choose()
         self.apply(RecordRuns((), starts))
--- a/tests/jobs/test_jobs_state.py
+++ b/tests/jobs/test_jobs_state.py
@@ -10,6 +10,7 @@
 from sardinemast.jobs import (
     DurationKey,
     DurationSummary,
+    InstanceRecord,
     JobRequest,
     JobsImage,
     JobsState,
@@ -28,6 +29,7 @@
     FinishedRun,
     ForgetWorker,
     NoteDurations,
+    NoteInstanceRecords,
     PutCatalog,
     RecordRuns,
     RegisterWorker,
@@ -177,6 +179,9 @@
     log.add(CancelJob('other'))
     learned = DurationSummary(DurationKey(QUEUE), 2, 500, 900, 1, {3: 20})
     log.add(NoteDurations((learned,)))
+    record = InstanceRecord('m-1', 5, failures=100, successes_due=5)
+    log.add(NoteInstanceRecords((record, InstanceRecord('unknown', 5, 100))))
+    assert log.state.instance_records == {'m-1': record}
     plain = dump_plain(dump_state(log.state))
     copy = load_state(load_plain(JobsImage, plain))
     assert dump_state(copy) == dump_state(log.state)
