Let runs give way to tasks of a higher priority

In a full pool a task waited however much less urgent the runs were. With preemption.enabled the leader stops runs of a lower queue priority, or best-effort runs, on one worker, where that loses least, if the job of the waiting task would otherwise be late or the task is long-running.

Each preemption is recorded before its stop is sent, so that the limit for each task holds across leaders.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import PoolPolicy, PreemptionPolicy
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,7 +87,8 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``.
+    at ``advice``. A leader sizes pools by ``pool_sizes`` and stops
+    runs for waiting tasks by ``preemption``.
     """
 
     name: str
@@ -105,6 +106,7 @@
     advice: Address | None = None
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
+    preemption: PreemptionPolicy = PreemptionPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -152,6 +154,15 @@
         for name, default in PoolPolicy()._asdict().items()
     },
 )
+_PREEMPTION = MappingProxyType(
+    {
+        'enabled': Field(choice('true', 'false'), 'false'),
+        'wait_s': Field(number(0), PreemptionPolicy().wait_s),
+        'max_per_task': Field(
+            number(0, is_whole=True), PreemptionPolicy().max_per_task
+        ),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -175,6 +186,10 @@
             record(_POOL_SIZES),
             MappingProxyType(get_defaults(_POOL_SIZES)),
         ),
+        'preemption': Field(
+            record(_PREEMPTION),
+            MappingProxyType(get_defaults(_PREEMPTION)),
+        ),
     },
 )
 
@@ -261,6 +276,7 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
+        preemption=_build_preemption(parsed['preemption']),
     )
 
 
@@ -272,6 +288,14 @@
     return tuple(get_control_address(host, cluster['port']) for host in hosts)
 
 
+def _build_preemption(parsed: Any) -> PreemptionPolicy:
+    return PreemptionPolicy(
+        parsed['enabled'] == 'true',
+        parsed['wait_s'],
+        parsed['max_per_task'],
+    )
+
+
 def _build_cluster(parsed: Any) -> Cluster | None:
     if parsed is None:
         return None
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -32,6 +32,7 @@
             team: float(used.millicores)
             for team, used in state.usage.by_team.items()
         },
+        'runs_preempted': _count_preempted(state),
     }
 
 
@@ -55,5 +56,14 @@
     return _make_figures(counted)
 
 
+def _count_preempted(state: JobsState) -> _Figures:
+    counted: Counter[str] = Counter()
+    for step in state.ready.values():
+        if step.preempted:
+            preempted = sum(map(len, step.preempted.values()))
+            counted[state.get_queue(step).pool] += preempted
+    return _make_figures(counted)
+
+
 def _make_figures(counted: Counter[str]) -> _Figures:
     return {name: float(count) for name, count in counted.items()}
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -29,7 +29,11 @@
     OrderMove,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
+from sardinemast.dispatch._settings import (
+    DispatchSettings,
+    PoolPolicy,
+    PreemptionPolicy,
+)
 
 __all__ = (
     'AdviceAnswered',
@@ -48,6 +52,7 @@
     'OrderOutcome',
     'PollWorker',
     'PoolPolicy',
+    'PreemptionPolicy',
     'Propose',
     'ReportedEnd',
     'ReportedRun',
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -19,6 +19,7 @@
 from sardinemast.dispatch._maintenance import MaintenanceRunner
 from sardinemast.dispatch._polling import WorkerPoller
 from sardinemast.dispatch._pool_balancer import PoolBalancer
+from sardinemast.dispatch._preemptor import Preemptor
 from sardinemast.dispatch._run_recorder import RunRecorder
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._state import DispatchState
@@ -32,6 +33,7 @@
     NoteMove,
     NoteUpkeep,
     OpenOccurrence,
+    PreemptRuns,
     ReadmitDataCentre,
     RecordRuns,
     RegisterWorker,
@@ -53,6 +55,7 @@
         self._stragglers = StragglerDetector(self._state)
         self._maintenance = MaintenanceRunner(self._state)
         self._balancer = PoolBalancer(self._state)
+        self._preemptor = Preemptor(self._state)
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
@@ -60,12 +63,7 @@
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Start to lead with the given replicated state."""
         self._state.start_term(state, term, now_s)
-        self._poller.start_term()
-        self._recorder.start_term()
-        self._tickets.start_term()
-        self._stragglers.start_term()
-        self._maintenance.start_term()
-        self._balancer.start_term()
+        self._start_parts()
         self._opening.clear()
         self._last_polled_s = float('-inf')
 
@@ -91,6 +89,7 @@
             self._state.loads = measure_loads(self._state, now_s)
             self._balancer.tick(now_s, now_ms)
         self._maintenance.tick(now_s, now_ms)
+        self._preemptor.tick(now_s, now_ms)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
 
@@ -131,6 +130,8 @@
         if isinstance(command, RecordRuns):
             if self._recorder.handle_recorded(command, now_s):
                 self._poller.acknowledge_ends(now_s)
+        elif isinstance(command, PreemptRuns):
+            self._preemptor.handle_applied(command, now_s)
         elif isinstance(command, CancelJob):
             self._state.stop_job(command.name, now_s)
         elif isinstance(command, OpenOccurrence):
@@ -158,6 +159,15 @@
             session.is_leaving = True
             session.poll_state.due_s = now_s
 
+    def _start_parts(self) -> None:
+        self._poller.start_term()
+        self._recorder.start_term()
+        self._tickets.start_term()
+        self._stragglers.start_term()
+        self._maintenance.start_term()
+        self._balancer.start_term()
+        self._preemptor.start_term()
+
     def _handle_fleet_change(self, command: Command, now_s: float) -> None:
         if isinstance(command, ForgetWorker):
             self._poller.handle_forgotten(command)
@@ -190,6 +200,7 @@
             ends = self._poller.handle_polled(session, event, now_s)
             self._recorder.record_ends(session, ends, now_s)
             self._stragglers.record_ends(session, ends, now_s)
+            self._preemptor.record_report(session, now_s)
             if event.answer is not None:
                 self._stragglers.stop_stragglers(session, now_s)
         else:
--- a/src/sardinemast/dispatch/_disruptions.py
+++ b/src/sardinemast/dispatch/_disruptions.py
@@ -42,7 +42,7 @@
     The task itself is assumed to be serving: its last report may be outdated,
     and an unanswered stop may have been lost.
     """
-    if not step.spec.is_long_running or not step.spec.max_unavailable:
+    if not _has_limit(step):
         return True
     unavailable = sum(
         not is_serving(state, step, position, now_s)
@@ -50,3 +50,18 @@
         if position != task.position
     )
     return unavailable < step.spec.max_unavailable
+
+
+def count_stoppable(state: DispatchState, step: StepState, now_s: float) -> int:
+    """Return how many serving tasks of a step may be stopped at once."""
+    if not _has_limit(step):
+        return step.spec.task_count
+    unavailable = sum(
+        not is_serving(state, step, position, now_s)
+        for position in range(step.spec.task_count)
+    )
+    return max(step.spec.max_unavailable - unavailable, 0)
+
+
+def _has_limit(step: StepState) -> bool:
+    return step.spec.is_long_running and step.spec.max_unavailable > 0
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -172,6 +172,8 @@
             )
 
         def is_allowed(step: StepState, worker: Worker) -> bool:
+            if state.is_held(step, worker):
+                return False
             return self._tickets.is_allowed(step, worker, now_s)
 
         def is_usable(name: str) -> bool:
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -36,6 +36,19 @@
     expected_factor: float = 1.1
 
 
+class PreemptionPolicy(NamedTuple):
+    """Configure when runs give way to waiting tasks.
+
+    A task that has waited for ``wait_s`` may take the capacity of runs of a
+    lower queue priority and of best-effort runs. A task gives way at most
+    ``max_per_task`` times.
+    """
+
+    enabled: bool = False
+    wait_s: float = 0.3
+    max_per_task: int = 2
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -88,3 +101,4 @@
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
+    preemption: PreemptionPolicy = PreemptionPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -11,6 +11,7 @@
 )
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
+from sardinemast.dispatch._preemption import Rank, get_rank
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
@@ -33,7 +34,8 @@
     ``pending_ends`` holds ends of runs that are not in the log yet.
     ``needs_planning`` is set when tasks or capacity may have been added since
     the last plan. ``moving`` holds the instances that are changing pools.
-    ``now_ms`` is the wall clock time.
+    ``now_ms`` is the wall clock time. ``held_workers`` holds the rank of the
+    task that each worker makes room for.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
@@ -50,6 +52,7 @@
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
+        self.held_workers: dict[str, Rank] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -61,6 +64,7 @@
         self.needs_planning = True
         self.loads = {}
         self.moving.clear()
+        self.held_workers = {}
 
     @property
     def earlier_leases_end_s(self) -> float:
@@ -111,6 +115,14 @@
         """Check whether a worker is in an evacuated data centre."""
         return self.jobs.data_centres.is_evacuated(worker.data_centre)
 
+    def is_held(self, step: StepState, worker: Worker) -> bool:
+        """Check whether a worker makes room for a task of a higher rank."""
+        held_rank = self.held_workers.get(worker.name)
+        if held_rank is None:
+            return False
+        priority = self.jobs.get_queue(step).priority
+        return get_rank(priority, step.spec) > held_rank
+
     def propose(self, command: Command) -> None:
         """Propose a command for the log."""
         self.outputs.append(Propose(command))
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -8,6 +8,7 @@
     record_maintenance,
     record_move,
 )
+from sardinemast.jobs._apply_preemption import record_preemptions
 from sardinemast.jobs._records import (
     Run,
     RunEnd,
@@ -141,6 +142,7 @@
 apply_command.register(commands.DeclareWave, declare_wave)
 apply_command.register(commands.NoteUpkeep, record_maintenance)
 apply_command.register(commands.NoteMove, record_move)
+apply_command.register(commands.PreemptRuns, record_preemptions)
 
 
 @apply_command.register
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -27,6 +27,7 @@
     run_numbers: Mapping[int, int]
     failures: Mapping[int, int]
     checkpoints: Mapping[int, str]
+    preempted: Mapping[int, tuple[int, ...]] = MappingProxyType({})
 
 
 class JobImage(NamedTuple):
@@ -136,6 +137,7 @@
         dict(step.run_numbers),
         dict(step.failures),
         dict(step.checkpoints),
+        dict(step.preempted),
     )
 
 
@@ -167,5 +169,6 @@
     step.run_numbers = dict(image.run_numbers)
     step.failures = dict(image.failures)
     step.checkpoints = dict(image.checkpoints)
+    step.preempted = dict(image.preempted)
     for index, run in image.running.items():
         state.add_run(step, index, run)
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -31,7 +31,8 @@
     Tasks are known by their position. ``run_numbers`` holds the latest run of
     each task, ``checkpoints`` the latest checkpoint of an unfinished one.
     ``failures`` counts the failed runs of each task; key -1 holds the number
-    of the latest failed run.
+    of the latest failed run. ``preempted`` holds the runs of each task that
+    gave way to other tasks.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         'done',
         'failures',
         'key',
+        'preempted',
         'run_numbers',
         'running',
         'spec',
@@ -54,6 +56,7 @@
         self.run_numbers: dict[int, int] = {}
         self.failures: dict[int, int] = {}
         self.checkpoints: dict[int, str] = {}
+        self.preempted: dict[int, tuple[int, ...]] = {}
 
     @property
     def is_done(self) -> bool:
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -139,6 +139,19 @@
     data_centres: tuple[str, ...]
 
 
+class PreemptedRun(NamedTuple):
+    """Identify a run that gives way to a waiting task."""
+
+    task: TaskKey
+    number: int
+
+
+class PreemptRuns(NamedTuple):
+    """Record runs that give way, before they are stopped."""
+
+    runs: tuple[PreemptedRun, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -153,6 +166,7 @@
     | EvacuateDataCentre
     | ReadmitDataCentre
     | NoteEvacuated
+    | PreemptRuns
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -168,4 +182,5 @@
     EvacuateDataCentre,
     ReadmitDataCentre,
     NoteEvacuated,
+    PreemptRuns,
 )
--- a/tests/builders/election_rules.py
+++ b/tests/builders/election_rules.py
@@ -1,5 +1,7 @@
 """Hypothesis rules for random leader changes."""
 
+from typing import Any
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -9,9 +11,9 @@
 class ElectionRules(RuleBasedStateMachine):
     """Change leaders, delay commits and check that tasks run once."""
 
-    def __init__(self, worker_count: int) -> None:
+    def __init__(self, worker_count: int, **options: Any) -> None:
         super().__init__()
-        self.fleet = ModelFleet(worker_count)
+        self.fleet = ModelFleet(worker_count, **options)
         self.last_boot_ms = 1
         self.jobs = 0
 
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -139,13 +139,20 @@
     committed.
     """
 
-    def __init__(self, worker_count: int = 2, **worker: Any) -> None:
+    def __init__(
+        self,
+        worker_count: int = 2,
+        *,
+        settings: DispatchSettings = _SETTINGS,
+        **worker: Any,
+    ) -> None:
         self.now_s: float = 0
+        self._settings = settings
         self.term = 0
         self.log_length = 0
         self.state = JobsState()
-        self.dispatcher = Dispatcher(_SETTINGS)
-        self.follower = Dispatcher(_SETTINGS)
+        self.dispatcher = Dispatcher(settings)
+        self.follower = Dispatcher(settings)
         self.follower.reset_order_times(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
         self.is_held = False
@@ -199,14 +206,20 @@
         self.proposed.clear()
         self._waiting.clear()
         self.dispatcher = self.follower
-        self.follower = Dispatcher(_SETTINGS)
+        self.follower = Dispatcher(self._settings)
         self.follower.reset_order_times(self.now_s)
         self.dispatcher.start_term(self.state, self.term, self.now_s)
 
-    def submit(self, name: str, *steps: Step, team: str = TEAM) -> None:
+    def submit(
+        self,
+        name: str,
+        *steps: Step,
+        team: str = TEAM,
+        queue: str = QUEUE,
+    ) -> None:
         """Commit a job with these steps."""
         request = JobRequest('spec', steps)
-        self.commit(SubmitJob(name, QUEUE, team, request, self.now_ms))
+        self.commit(SubmitJob(name, queue, team, request, self.now_ms))
 
     def commit(self, command: Command) -> None:
         """Apply a command and notify both dispatchers."""
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -1,4 +1,4 @@
-"""Pool sizes in the settings of a process."""
+"""Pool sizes and preemption in the settings of a process."""
 
 from pathlib import Path
 
@@ -6,7 +6,7 @@
 
 from sardinemast.checks import CheckError
 from sardinemast.conf import load_process_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import PoolPolicy, PreemptionPolicy
 
 _PROCESS = """
 name: c-1
@@ -44,3 +44,13 @@
     with pytest.raises(CheckError) as raised:
         load_process_file(path)
     assert len(raised.value.findings) == 3
+
+
+def test_preemption_is_off_unless_enabled(tmp_path: Path) -> None:
+    """Guard against runs that are stopped on fleets that did not ask for it."""
+    settings = load_process_file(_write(tmp_path, ''))
+    assert settings.preemption == PreemptionPolicy()
+    assert not settings.preemption.enabled
+    path = _write(tmp_path, 'preemption: {enabled: true, max_per_task: 1}\n')
+    expected = PreemptionPolicy(enabled=True, max_per_task=1)
+    assert load_process_file(path).preemption == expected
--- a/tests/jobs/test_jobs_state.py
+++ b/tests/jobs/test_jobs_state.py
@@ -24,6 +24,8 @@
     Command,
     FinishedRun,
     ForgetWorker,
+    PreemptedRun,
+    PreemptRuns,
     PutCatalog,
     RecordRuns,
     RegisterWorker,
@@ -177,3 +179,32 @@
     assert copy.ready.keys() == log.state.ready.keys()
     assert copy.usage.by_team == log.state.usage.by_team
     assert copy.usage.by_worker == log.state.usage.by_worker
+
+
+def test_preemptions_are_counted_once_and_kept() -> None:
+    """Guard against limits lost with a snapshot or used up by one run."""
+    log = _Log()
+    log.submit(make_step(2))
+    log.start(_TASK)
+    run = PreemptedRun(_TASK, 1)
+    late = PreemptedRun(_TASK._replace(position=1), 1)
+    log.add(PreemptRuns((run, run, late)))
+    log.end(_TASK, RunEnd.lost)
+    plain = dump_plain(dump_state(log.state))
+    copy = load_state(load_plain(JobsImage, plain))
+    assert copy.jobs['job'].steps[0][0].preempted == {0: (1,)}
+
+
+def test_snapshot_without_preemptions_is_loaded() -> None:
+    """Guard against replicas that can't read an older version's snapshot."""
+    log = _Log()
+    log.submit(make_step(2))
+    image = dump_state(log.state)
+    live = image.live[0]
+    plain = dump_plain(image)
+    plain_live = plain[image._fields.index('live')][0]
+    plain_step = plain_live[live._fields.index('steps')][0]
+    del plain_step[live.steps[0]._fields.index('preempted') :]
+    copy = load_state(load_plain(JobsImage, plain))
+    assert copy.jobs['job'].steps[0][0].preempted == {}
+    assert list(copy.jobs['job'].steps[0][0].waiting) == [0, 1]
