--- a/src/sardinemast/model/__init__.py
+++ b/src/sardinemast/model/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinemast.model._days import (
     ENROLMENT_DAY,
+    PAIRINGS_DAY,
     REGISTRY_DAY,
     WIDE_STEPS_DAY,
 )
@@ -16,6 +17,7 @@
 
 __all__ = (
     'ENROLMENT_DAY',
+    'PAIRINGS_DAY',
     'REGISTRY_DAY',
     'DayPattern',
     'DayResults',
--- a/src/sardinemast/model/_days.py
+++ b/src/sardinemast/model/_days.py
@@ -1,4 +1,4 @@
-"""Predefined days: one of large workers, two of small workers."""
+"""Predefined days: two of large workers, two of small workers."""
 
 from sardinemast.model._workload import DayPattern, Distribution, QueuePattern
 
@@ -114,6 +114,51 @@
     worker_memory_mib=32_768,
 )
 
+_PAIRINGS = QueuePattern(
+    'pairings',
+    jobs_per_s=11.2,
+    task_duration_s=Distribution(0.54, 0.5),
+    step_count=Distribution(1.6, 0.4),
+    task_count=Distribution(8, 0.6),
+    task_cores=Distribution(6.2, 0.45),
+    task_memory_mib=Distribution(11_000, 0.6),
+    job_value=0.4,
+    long_running_count=24,
+    long_running_cores=8,
+    long_running_memory_mib=17_000,
+    long_running_max_unavailable=3,
+    worker_count=32,
+)
+_SEATINGS = _PAIRINGS._replace(
+    name='seatings',
+    jobs_per_s=2.4,
+    task_duration_s=Distribution(1.1, 0.5),
+    step_count=Distribution(2, 0.4),
+    task_cores=Distribution(13, 0.45),
+    task_memory_mib=Distribution(25_000, 0.6),
+    job_value=2.2,
+    worker_count=36,
+    priority=1,
+)
+
+# Seat allocation on workers of 64 cores: square peaks of short pairings and
+# of longer seatings, each beside long-running tasks of moderate memory.
+PAIRINGS_DAY = DayPattern(
+    (
+        _PAIRINGS,
+        _SEATINGS,
+        _PAIRINGS._replace(name='rematches', jobs_per_s=14, worker_count=39),
+        _SEATINGS._replace(name='finals', jobs_per_s=2.9, worker_count=43),
+    ),
+    peak_interval_s=4.5,
+    peak_duration_s=4.5,
+    has_square_peaks=True,
+    standby_count=29,
+    workers_per_rack=12,
+    worker_cores=64,
+    worker_memory_mib=131_072,
+)
+
 # Warranty registry on workers of 16 cores: queues of many short jobs alternate
 # with queues of a few long ones.
 REGISTRY_DAY = DayPattern(
--- a/src/sardinemast/model/_workload.py
+++ b/src/sardinemast/model/_workload.py
@@ -85,6 +85,7 @@
     task_memory_mib: Distribution = Distribution(_DEFAULT_TASK_MIB)
     long_running_memory_mib: int = 8192
     worker_count: int = 8
+    priority: int = 0
 
     @property
     def pool(self) -> str:
@@ -150,6 +151,7 @@
             queue.pool,
             timeout_ms=_CALL_TIMEOUT_MS,
             target_ms=queue.target_ms,
+            priority=queue.priority,
             max_attempts=3,
             stretch=queue.stretch,
         )
