--- a/src/sardinemast/conf/_policies.py
+++ b/src/sardinemast/conf/_policies.py
@@ -15,6 +15,7 @@
     FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
+    PreemptionPolicy,
     TeamShares,
 )
 
@@ -26,6 +27,7 @@
         'team_shares': TeamShares,
         'learning': LearningPolicy,
         'failure_domains': FailureDomainPolicy,
+        'preemption': PreemptionPolicy,
     },
 )
 # Fields whose values are limited further than to numbers from 0 on.
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -23,6 +23,7 @@
     FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
+    PreemptionPolicy,
     TeamShares,
 )
 
@@ -114,6 +115,7 @@
     team_shares: TeamShares = TeamShares()
     learning: LearningPolicy = LearningPolicy()
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
+    preemption: PreemptionPolicy = PreemptionPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -272,6 +274,14 @@
     return tuple(get_control_address(host, cluster['port']) for host in hosts)
 
 
+def _build_preemption(parsed: Any) -> PreemptionPolicy:
+    return PreemptionPolicy(
+        parsed['enabled'] == 'true',
+        parsed['wait_s'],
+        parsed['max_per_task'],
+    )
+
+
 def _build_cluster(parsed: Any) -> Cluster | None:
     if parsed is None:
         return None
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -53,6 +53,7 @@
             ),
         },
         **list_leader_gauges(),
+        'runs_preempted': _count_preempted(state),
     }
 
 
@@ -84,5 +85,14 @@
     )
 
 
+def _count_preempted(state: JobsState) -> _Figures:
+    counted: Counter[str] = Counter()
+    for step in state.ready.values():
+        if step.preempted:
+            preempted = sum(map(len, step.preempted.values()))
+            counted[state.get_queue(step).pool] += preempted
+    return _make_figures(counted)
+
+
 def _make_figures(counted: Counter[str]) -> _Figures:
     return {name: float(count) for name, count in counted.items()}
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -34,6 +34,7 @@
     FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
+    PreemptionPolicy,
     TeamShares,
 )
 
@@ -56,6 +57,7 @@
     'OrderOutcome',
     'PollWorker',
     'PoolPolicy',
+    'PreemptionPolicy',
     'Propose',
     'ReportedEnd',
     'ReportedRun',
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -194,6 +194,8 @@
         records = state.instance_records
 
         def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
+            if state.is_held(step, worker):
+                return False
             if worker.instance in records.on_probation:
                 if not self._has_quota(worker, planned):
                     return False
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -72,6 +72,19 @@
     probation_count: int = 3
 
 
+class PreemptionPolicy(NamedTuple):
+    """Configure when runs give way to waiting tasks.
+
+    A task that has waited for ``wait_s`` may take the capacity of runs of a
+    lower queue priority and of best-effort runs. A task gives way at most
+    ``max_per_task`` times.
+    """
+
+    enabled: bool = False
+    wait_s: float = 0.3
+    max_per_task: int = 2
+
+
 class DispatchSettings(NamedTuple):
     """Configure timeouts and leases of the dispatcher.
 
@@ -127,3 +140,4 @@
     team_shares: TeamShares = TeamShares()
     learning: LearningPolicy = LearningPolicy()
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
+    preemption: PreemptionPolicy = PreemptionPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -13,6 +13,7 @@
 from sardinemast.dispatch._instance_records import InstanceRecords
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
+from sardinemast.dispatch._preemption import Rank, get_rank
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
@@ -38,6 +39,7 @@
     the last plan. ``moving`` holds the instances that are changing pools.
     ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
     pool, the millicores of each team as of the last division.
+    ``held_workers`` holds the rank of the task that each worker makes room for.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
@@ -58,6 +60,7 @@
         self.failing_tasks = FailingTasks()
         self.suspected = SuspectedWorkers()
         self.instance_records = InstanceRecords(settings.failure_domains)
+        self.held_workers: dict[str, Rank] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -74,6 +77,7 @@
         self.failing_tasks.start_term()
         self.suspected.start_term()
         self.instance_records.start_term(state)
+        self.held_workers = {}
 
     @property
     def earlier_leases_end_s(self) -> float:
@@ -126,6 +130,14 @@
         """Check whether a worker is in an evacuated data centre."""
         return self.jobs.data_centres.is_evacuated(worker.data_centre)
 
+    def is_held(self, step: StepState, worker: Worker) -> bool:
+        """Check whether a worker makes room for a task of a higher rank."""
+        held_rank = self.held_workers.get(worker.name)
+        if held_rank is None:
+            return False
+        priority = self.jobs.get_queue(step).priority
+        return get_rank(priority, step.spec) > held_rank
+
     def propose(self, command: Command) -> None:
         """Propose a command for the log."""
         self.outputs.append(Propose(command))
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -9,6 +9,7 @@
     record_maintenance,
     record_move,
 )
+from sardinemast.jobs._apply_preemption import record_preemptions
 from sardinemast.jobs._instance_records import merge_records
 from sardinemast.jobs._records import (
     Run,
@@ -145,6 +146,7 @@
 apply_command.register(commands.NoteUpkeep, record_maintenance)
 apply_command.register(commands.NoteMove, record_move)
 apply_command.register(commands.NoteDurations, record_durations)
+apply_command.register(commands.PreemptRuns, record_preemptions)
 
 
 @apply_command.register
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -153,6 +153,19 @@
     records: tuple[InstanceRecord, ...]
 
 
+class PreemptedRun(NamedTuple):
+    """Identify a run that gives way to a waiting task."""
+
+    task: TaskKey
+    number: int
+
+
+class PreemptRuns(NamedTuple):
+    """Record runs that give way, before they are stopped."""
+
+    runs: tuple[PreemptedRun, ...]
+
+
 Command = (
     PutCatalog
     | SubmitJob
@@ -169,6 +182,7 @@
     | NoteEvacuated
     | NoteDurations
     | NoteInstanceRecords
+    | PreemptRuns
 )
 COMMAND_CLASSES = (
     PutCatalog,
@@ -186,4 +200,5 @@
     NoteEvacuated,
     NoteDurations,
     NoteInstanceRecords,
+    PreemptRuns,
 )
--- a/src/sardinemast/model/__init__.py
+++ b/src/sardinemast/model/__init__.py
@@ -5,6 +5,7 @@
 from sardinemast.model._days import (
     CONTENTION_DAY,
     ENROLMENT_DAY,
+    PAIRINGS_DAY,
     REGISTRY_DAY,
     WIDE_STEPS_DAY,
 )
@@ -20,6 +21,7 @@
 __all__ = (
     'CONTENTION_DAY',
     'ENROLMENT_DAY',
+    'PAIRINGS_DAY',
     'REGISTRY_DAY',
     'DayPattern',
     'DayResults',
--- a/src/sardinemast/model/_workload.py
+++ b/src/sardinemast/model/_workload.py
@@ -91,6 +91,7 @@
     worker_count: int = 8
     tail_share: float = 0
     tail_factor: float = 7
+    priority: int = 0
 
     @property
     def pool(self) -> str:
@@ -165,6 +166,7 @@
             queue.pool,
             timeout_ms=_CALL_TIMEOUT_MS,
             target_ms=queue.target_ms,
+            priority=queue.priority,
             max_attempts=3,
             stretch=queue.stretch,
         )
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -146,6 +146,7 @@
             team_shares=process.settings.team_shares,
             learning=process.settings.learning,
             failure_domains=process.settings.failure_domains,
+            preemption=process.settings.preemption,
         ),
         process.metrics,
         process.relay,
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -153,6 +153,7 @@
     ) -> None:
         self._settings = settings
         self.now_s: float = 0
+        self._settings = settings
         self.term = 0
         self.log_length = 0
         self.state = JobsState()
@@ -221,10 +222,16 @@
         self.follower.reset_order_times(self.now_s)
         self.dispatcher.start_term(self.state, self.term, self.now_s)
 
-    def submit(self, name: str, *steps: Step, team: str = TEAM) -> None:
+    def submit(
+        self,
+        name: str,
+        *steps: Step,
+        team: str = TEAM,
+        queue: str = QUEUE,
+    ) -> None:
         """Commit a job with these steps."""
         request = JobRequest('spec', steps)
-        self.commit(SubmitJob(name, QUEUE, team, request, self.now_ms))
+        self.commit(SubmitJob(name, queue, team, request, self.now_ms))
 
     def commit(self, command: Command) -> None:
         """Apply a command and notify both dispatchers."""
