Refuse jobs that cannot end while they are of use

Change: with admission.enabled, the leader compares the expected wait in the pool with the longest wait after which a job is of use, and answers overloaded (429) with Retry-After before the submission is proposed. Refused jobs are remembered, ordered by their first arrival when accepted, and an attempt that an entry received before the refusal gets the same answer. Records whose last fields an older version did not write are decoded with their defaults.

--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -18,7 +18,7 @@
     text,
 )
 from sardinemast.conf._files import read_file
-from sardinemast.dispatch import PoolPolicy
+from sardinemast.dispatch import AdmissionPolicy, PoolPolicy
 
 _MAX_PORT = 65535
 _port = number(0, _MAX_PORT, is_whole=True)
@@ -87,7 +87,8 @@
     ``readiness`` for the load balancer's probes, at ``operators`` for
     requests of the platform and at ``metrics`` for scrapes. It connects to
     the instance service at ``instances`` and to the external policy service
-    at ``advice``. A leader sizes pools by ``pool_sizes``.
+    at ``advice``. A leader sizes pools by ``pool_sizes`` and refuses jobs by
+    ``admission``.
     """
 
     name: str
@@ -105,6 +106,7 @@
     advice: Address | None = None
     metrics: Address | None = None
     pool_sizes: PoolPolicy = PoolPolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -152,6 +154,15 @@
         for name, default in PoolPolicy()._asdict().items()
     },
 )
+_ADMISSION = MappingProxyType(
+    {
+        'enabled': Field(choice('true', 'false'), 'false'),
+        'margin': Field(number(0), AdmissionPolicy().margin),
+        'max_live_jobs': Field(
+            number(0, is_whole=True), AdmissionPolicy().max_live_jobs
+        ),
+    },
+)
 _PROCESS = record(
     {
         'name': Field(text()),
@@ -175,6 +186,9 @@
             record(_POOL_SIZES),
             MappingProxyType(get_defaults(_POOL_SIZES)),
         ),
+        'admission': Field(
+            record(_ADMISSION), MappingProxyType(get_defaults(_ADMISSION))
+        ),
     },
 )
 
@@ -261,6 +275,7 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
+        admission=_build_admission(parsed['admission']),
     )
 
 
@@ -283,6 +298,14 @@
     )
 
 
+def _build_admission(parsed: Any) -> AdmissionPolicy:
+    return AdmissionPolicy(
+        parsed['enabled'] == 'true',
+        parsed['margin'],
+        parsed['max_live_jobs'],
+    )
+
+
 def _build_address(parsed: Any) -> Address | None:
     return None if parsed is None else Address(**parsed)
 
--- a/src/sardinemast/control/__init__.py
+++ b/src/sardinemast/control/__init__.py
@@ -1,5 +1,6 @@
 """Core of a control process: log, leases, grants, jobs and roster."""
 
+from sardinemast.control._context import ControlContext
 from sardinemast.control._core import ControlCore, ControlSettings
 from sardinemast.control._events import (
     AnswerCall,
@@ -28,6 +29,7 @@
     Tick,
 )
 from sardinemast.control._gauges import list_gauges
+from sardinemast.control._job_admission import JobAdmission
 from sardinemast.control._job_controller import make_not_sent_event
 
 __all__ = (
@@ -39,6 +41,7 @@
     'CallerConnected',
     'CallerDisconnected',
     'ScheduleApply',
+    'ControlContext',
     'ControlCore',
     'ControlEvent',
     'ControlOutput',
@@ -46,6 +49,7 @@
     'EntryConnected',
     'EntryDisconnected',
     'EntryMessageReceived',
+    'JobAdmission',
     'ScheduleProposals',
     'OperatorAnswer',
     'CommandRequested',
--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -7,6 +7,7 @@
 
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import AnswerCall
+from sardinemast.control._job_admission import JobAdmission
 from sardinemast.fleet import refuse_unknown_data_centre
 from sardinemast.jobs import (
     Command,
@@ -39,10 +40,14 @@
 
 
 class CallerId(NamedTuple):
-    """Identify a call and the stream that awaits its answer."""
+    """Identify a call and the stream that awaits its answer.
+
+    ``received_s`` is when the call arrived at an entry.
+    """
 
     stream_id: int
     call_id: int
+    received_s: float = 0
 
 
 class CallHandler:
@@ -57,10 +62,12 @@
         context: ControlContext,
         record_announcement: Callable[[str, float], None],
         record_leaving: Callable[[str, float], None],
+        admission: JobAdmission,
     ) -> None:
         self._context = context
         self._record_announcement = record_announcement
         self._record_leaving = record_leaving
+        self._admission = admission
         self._waiting: dict[Any, list[CallerId]] = defaultdict(list)
         self._last_sequences: dict[tuple[str, int], int] = {}
         # Bound once: each attribute access of a singledispatchmethod creates a
@@ -91,6 +98,8 @@
 
     def handle_applied(self, command: Command) -> None:
         """Answer the callers that wait for the command."""
+        if isinstance(command, commands.SubmitJob):
+            self._admission.handle_applied(command.name)
         key = _get_wait_key(command)
         if key is not None:
             self._answer_waiting(key, self._make_result(command))
@@ -126,7 +135,12 @@
         name = call.path[len(queue.prefix) :]
         team_name = team.name if team else ''
         if call.action is JobAction.submit:
-            return self._submit(call, queue, team_name, name, caller, now_ms)
+            if call.request is None or not name:
+                return CallAnswer(CallOutcome.invalid)
+            command = commands.SubmitJob(
+                name, queue.name, team_name, call.request, now_ms
+            )
+            return self._submit(command, caller, now_s)
         return self._handle_named_job(call.action, queue, name, caller)
 
     def _handle_named_job(
@@ -275,25 +289,19 @@
 
     def _submit(
         self,
-        call: JobCall,
-        queue: Queue,
-        team: str,
-        name: str,
+        command: commands.SubmitJob,
         caller: CallerId,
-        now_ms: int,
+        now_s: float,
     ) -> CallAnswer | None:
-        if call.request is None or not name:
-            return CallAnswer(CallOutcome.invalid)
-        if name in self._state.jobs:
+        if command.name in self._state.jobs:
             return _DONE
-        command = commands.SubmitJob(
-            name,
-            queue.name,
-            team,
-            call.request,
-            now_ms,
-        )
-        self._propose(command, caller)
+        admitted: commands.SubmitJob | CallAnswer = command
+        # A job whose proposal is in progress may run, so it is never refused.
+        if _get_wait_key(command) not in self._waiting:
+            admitted = self._admission.admit(command, caller.received_s, now_s)
+        if isinstance(admitted, CallAnswer):
+            return admitted
+        self._propose(admitted, caller)
         return None
 
     def _find_job(self, queue: Queue, name: str) -> JobState | None:
@@ -323,7 +331,9 @@
             self._answer(caller, answer)
 
     def _answer(self, caller: CallerId, answer: CallAnswer) -> None:
-        self._context.outputs.append(AnswerCall(*caller, answer))
+        self._context.outputs.append(
+            AnswerCall(caller.stream_id, caller.call_id, answer)
+        )
 
 
 def _reverts_drain(known: Worker, worker: Worker) -> bool:
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -110,6 +110,7 @@
             settings.dispatching,
             ReplicaAccess(self.replica, self.is_leader, self._step_replica),
         )
+        self.list_leader_gauges = self._job_controller.list_gauges
         self._is_ready = False
         self._apply_queue = ApplyQueue(self._apply)
         # Bound once: each attribute access of a singledispatchmethod creates a
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -79,11 +79,15 @@
 
 
 class CallReceived(NamedTuple):
-    """Deliver a call from a process."""
+    """Deliver a call from a process.
+
+    ``waited_ms`` is the time since the call's arrival at an entry.
+    """
 
     stream_id: int
     call_id: int
     call: Call
+    waited_ms: int = 0
 
 
 class CallerDisconnected(NamedTuple):
--- a/src/sardinemast/control/_gauges.py
+++ b/src/sardinemast/control/_gauges.py
@@ -1,6 +1,7 @@
 """Gauges of a control process for its metrics."""
 
 from collections import Counter
+from collections.abc import Callable
 
 from sardinemast.consensus import Replica, Role
 from sardinemast.fleet import FleetState
@@ -9,7 +10,11 @@
 _Figures = dict[str, float]
 
 
-def list_gauges(replica: Replica, fleet: FleetState) -> dict[str, _Figures]:
+def list_gauges(
+    replica: Replica,
+    fleet: FleetState,
+    list_leader_gauges: Callable[[], dict[str, _Figures]] = dict,
+) -> dict[str, _Figures]:
     """Return each gauge's values by label; unlabelled gauges use ``''``.
 
     A follower's values lag behind the leader's by about a heartbeat.
@@ -32,6 +37,7 @@
             team: float(used.millicores)
             for team, used in state.usage.by_team.items()
         },
+        **list_leader_gauges(),
     }
 
 
--- a/src/sardinemast/control/_job_controller.py
+++ b/src/sardinemast/control/_job_controller.py
@@ -22,6 +22,7 @@
     SendOrder,
     SendToCaller,
 )
+from sardinemast.control._job_admission import JobAdmission
 from sardinemast.control._wall_clock import WallClock
 from sardinemast.dispatch import (
     AdviceAnswered,
@@ -48,6 +49,7 @@
 
 # Callers take a leader for lost after three missed heartbeats.
 _HEARTBEAT_INTERVAL_S = 0.2
+_MS = 1000
 
 
 class ReplicaAccess(NamedTuple):
@@ -71,10 +73,14 @@
         self._replica_access = replica_access
         self._clock = WallClock()
         self._dispatcher = Dispatcher(settings)
+        self._admission = JobAdmission(
+            settings.admission, self._context, self._dispatcher.waits
+        )
         self._calls = CallHandler(
             self._context,
             self._dispatcher.record_announcement,
             self._dispatcher.record_leaving,
+            self._admission,
         )
         self._streams: dict[int, None] = {}
         self._batch: list[CommandProposed] = []
@@ -92,6 +98,7 @@
         term = self._replica_access.replica.term
         self._dispatcher.start_term(state, term, now_s)
         self._calls.start_term()
+        self._admission.start_term(now_s)
 
     def end_term(self) -> None:
         """Stop leading and redirect all callers to the next leader."""
@@ -101,6 +108,11 @@
         for stream_id in self._streams:
             self._send_not_leader(stream_id)
 
+    def list_gauges(self) -> dict[str, dict[str, float]]:
+        """Return the gauges of what a leader keeps in memory alone."""
+        count = float(self._admission.refused_count)
+        return {'refused_jobs_remembered': {'': count}}
+
     def tick(self, now_s: float, wall_ms: int) -> None:
         """Record the time of day; as leader, send heartbeats and dispatch."""
         if wall_ms:
@@ -169,7 +181,8 @@
         if not self._replica_access.is_leader(now_s):
             self._send_not_leader(event.stream_id)
             return
-        caller = CallerId(event.stream_id, event.call_id)
+        received_s = now_s - max(event.waited_ms, 0) / _MS
+        caller = CallerId(event.stream_id, event.call_id, received_s)
         now_ms = self._clock.get_ms(now_s)
         self._calls.handle(caller, event.call, now_s, now_ms)
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Schedule tasks on workers and maintain instances, at the leader."""
 
+from sardinemast.dispatch._admission_policy import AdmissionPolicy
 from sardinemast.dispatch._core import Dispatcher
 from sardinemast.dispatch._events import (
     AdviceAnswered,
@@ -30,8 +31,10 @@
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._settings import DispatchSettings, PoolPolicy
+from sardinemast.dispatch._wait_estimates import WaitEstimate, WaitEstimates
 
 __all__ = (
+    'AdmissionPolicy',
     'AdviceAnswered',
     'Dispatcher',
     'DispatchEvent',
@@ -57,6 +60,8 @@
     'StopRun',
     'ThrottleRun',
     'Ticket',
+    'WaitEstimate',
+    'WaitEstimates',
     'WorkerPolled',
     'WorkerReport',
 )
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -24,6 +24,7 @@
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._stragglers import StragglerDetector
 from sardinemast.dispatch._tickets import TicketCache
+from sardinemast.dispatch._wait_estimates import WaitEstimates
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -43,7 +44,10 @@
 
 
 class Dispatcher:
-    """Poll workers, start and stop runs, size pools and run maintenance."""
+    """Poll workers, start and stop runs, size pools and run maintenance.
+
+    ``waits`` tells how long a submitted job would wait for capacity.
+    """
 
     def __init__(self, settings: DispatchSettings) -> None:
         self._state = DispatchState(settings)
@@ -56,6 +60,7 @@
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
+        self.waits = WaitEstimates(self._state)
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Start to lead with the given replicated state."""
@@ -90,6 +95,7 @@
             self._last_measured_s = now_s
             self._state.loads = measure_loads(self._state, now_s)
             self._balancer.tick(now_s, now_ms)
+            self.waits.measure(now_s)
         self._maintenance.tick(now_s, now_ms)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -19,6 +19,7 @@
 from sardinemast.dispatch._peak_history import replay_peaks
 from sardinemast.dispatch._peaks import PeakTracker
 from sardinemast.dispatch._pool_load import PoolLoad
+from sardinemast.dispatch._pool_prospects import list_prospects
 from sardinemast.dispatch._pool_sizes import (
     PoolBaseline,
     count_workers_kept,
@@ -88,6 +89,14 @@
             for pool, load in loads.items()
         }
         self._balance(loads, shortfalls, peaks, now_s)
+        is_listed = self._standby.is_listed or not self._get_standby_pool()
+        self._state.prospects = list_prospects(
+            loads,
+            self._baselines,
+            self._state.settings.pools,
+            Counter(move.pool for move in self._pending_moves.values()),
+            len(self._standby.list_allowed()) if is_listed else None,
+        )
 
     def handle_applied(self, command: NoteMove) -> None:
         """Send the order for a move once it is recorded in the log."""
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -45,7 +45,9 @@
     if not _is_peak_expected(pool, peaks, now_s):
         return demanded
     expected = _count_for_peak(pool, load, baseline, peaks, policy)
-    return max(demanded, min(expected, _count_max(load, baseline, policy)))
+    return max(
+        demanded, min(expected, count_workers_max(load, baseline, policy))
+    )
 
 
 def count_workers_kept(
@@ -121,7 +123,9 @@
     if extra > 0:
         return max(
             load.workers,
-            min(load.workers + extra, _count_max(load, baseline, policy)),
+            min(
+                load.workers + extra, count_workers_max(load, baseline, policy)
+            ),
         )
     calm_count = _count_for_calm(load, worker_millicores, policy)
     opening_count = ceil(baseline.worker_count * policy.opening_share)
@@ -135,9 +139,10 @@
     return min(calm_count, max(baseline.worker_count, load.workers))
 
 
-def _count_max(
+def count_workers_max(
     load: PoolLoad, baseline: PoolBaseline, policy: PoolPolicy
 ) -> int:
+    """Return the largest number of workers that a pool grows to."""
     # A backlog after an outage, or the first step of a wide job, would request
     # workers that arrive after most of the work is done.
     long_running_usage = (
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from sardinemast.dispatch._admission_policy import AdmissionPolicy
+
 
 class PoolPolicy(NamedTuple):
     """Configure how many workers a pool keeps.
@@ -88,3 +90,4 @@
     upkeep_max_s: float = 8.0
     lost_after_s: float = 15.0
     pools: PoolPolicy = PoolPolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
--- a/src/sardinemast/dispatch/_standby.py
+++ b/src/sardinemast/dispatch/_standby.py
@@ -7,19 +7,23 @@
 class StandbyInstances:
     """Hold the instances that are off, and their data centres.
 
-    A data centre is empty if it is not known.
+    A data centre is empty if it is not known. ``is_listed`` is set once the
+    instances were listed in this term.
     """
 
     def __init__(self, state: DispatchState) -> None:
+        self.is_listed = False
         self._state = state
         self._data_centres: dict[str, str] = {}
 
     def start_term(self) -> None:
         """Discard the instances known in the previous term."""
+        self.is_listed = False
         self._data_centres.clear()
 
     def handle_list(self, event: InstancesListed, pool: str) -> None:
         """Replace the instances by those that are listed in the pool."""
+        self.is_listed = True
         self._data_centres = {
             one.name: one.data_centre
             for one in event.instances
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -11,6 +11,7 @@
 )
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
+from sardinemast.dispatch._pool_prospects import PoolProspect
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
@@ -50,6 +51,7 @@
         self.order_times = OrderTimes()
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
+        self.prospects: dict[str, PoolProspect] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -61,6 +63,7 @@
         self.needs_planning = True
         self.loads = {}
         self.moving.clear()
+        self.prospects = {}
 
     @property
     def earlier_leases_end_s(self) -> float:
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -55,7 +55,8 @@
         command.team,
         command.request,
         log_index,
-        command.submitted_ms,
+        # A job that was refused before is ordered by its first arrival.
+        command.first_seen_ms or command.submitted_ms,
     )
     state.jobs[job.name] = job
     state.live[job.name] = job
--- a/src/sardinemast/jobs/commands.py
+++ b/src/sardinemast/jobs/commands.py
@@ -23,13 +23,18 @@
 
 
 class SubmitJob(NamedTuple):
-    """Accept a job, unless its name is in use."""
+    """Accept a job, unless its name is in use.
+
+    ``first_seen_ms`` is when a job that was refused before first arrived, 0
+    for others and in entries of old versions.
+    """
 
     name: str
     queue: str
     team: str
     request: JobRequest
     submitted_ms: int
+    first_seen_ms: int = 0
 
 
 class CancelJob(NamedTuple):
--- a/src/sardinemast/model/_scoring.py
+++ b/src/sardinemast/model/_scoring.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from statistics import fmean
 from typing import NamedTuple
 
 from sardinemast.model._workload import Arrival
@@ -36,6 +37,8 @@
 
     ``on_time`` is the earned share of the attainable value, ``worst_*`` that
     of the worst group, ``largest_jobs`` that of the jobs with the most work.
+    ``served`` is the share of all jobs that ended while they were of use,
+    ``ended_too_late`` that of the jobs that ran to their end after it.
     """
 
     on_time: float
@@ -47,6 +50,9 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    served: float = 1
+    ended_too_late: float = 0
+    refusals: int = 0
 
     def compute_score(self, weights: ScoreWeights) -> float:
         """Return the weighted value earned less the weighted costs."""
@@ -109,6 +115,7 @@
     worker_seconds: float
     moves: int
     lost_core_s: float
+    refusals: int = 0
 
 
 def score_day(record: DayRecord) -> DayResults:
@@ -136,6 +143,14 @@
         round(record.worker_seconds, 1),
         record.moves,
         round(record.lost_core_s, 1),
+        _get_share(values, _is_useful),
+        _get_share(
+            values,
+            lambda one: (
+                not _is_useful(one) and one.arrival.name in record.done_at_s
+            ),
+        ),
+        record.refusals,
     )
 
 
@@ -167,6 +182,16 @@
     return groups.get_worst_ratio()
 
 
+def _is_useful(value: _JobValue) -> bool:
+    return value.earned > 0
+
+
+def _get_share(
+    values: list[_JobValue], is_counted: Callable[[_JobValue], bool]
+) -> float:
+    return fmean(map(is_counted, values))
+
+
 def _get_work(arrival: Arrival) -> float:
     return arrival.work_core_s
 
--- a/src/sardinemast/model/_simulation.py
+++ b/src/sardinemast/model/_simulation.py
@@ -17,6 +17,7 @@
     RegisterWorker,
     SubmitJob,
 )
+from sardinemast.model._callers import Callers
 from sardinemast.model._clock import VirtualClock
 from sardinemast.model._disruptions import schedule_disruptions
 from sardinemast.model._instances import Instances
@@ -58,6 +59,13 @@
         self.arrivals = draw_arrivals(day, self.rng)
         self.instances = Instances(day, self.clock, self._register)
         self.dispatcher = Dispatcher(settings)
+        self._callers = Callers(
+            settings.admission,
+            self.clock,
+            self.state,
+            self._propose,
+            lambda: self.now_ms,
+        )
         self._settings = settings
         self._follower = Dispatcher(settings)
         arrivals_by_name = {one.name: one for one in self.arrivals}
@@ -90,6 +98,7 @@
                 self.instances.worker_seconds,
                 self.instances.move_count,
                 self.instances.lost_core_s,
+                self._callers.refusal_count,
             ),
         )
 
@@ -102,6 +111,7 @@
         self._follower = Dispatcher(self._settings)
         self._follower.reset_order_times(now_s)
         self.dispatcher.start_term(self.state, self._term, now_s)
+        self._callers.set_leader(self.dispatcher)
         retried = list(self._proposed)
         self._proposed.clear()
         for command in retried:
@@ -114,6 +124,7 @@
         retry theirs with the next leader.
         """
         self._has_leader = False
+        self._callers.set_leader(None)
         self._term += 1
         self._proposed = [
             command
@@ -158,15 +169,7 @@
 
     def _schedule_submission(self, arrival: Arrival) -> None:
         def submit() -> None:
-            self._propose(
-                SubmitJob(
-                    arrival.name,
-                    arrival.queue.name,
-                    arrival.team,
-                    arrival.request,
-                    self.now_ms,
-                ),
-            )
+            self._callers.submit(arrival)
 
         self.clock.call_at(arrival.at_s, submit)
 
@@ -224,6 +227,8 @@
     def _apply(self, command: Command) -> None:
         self._log_index += 1
         apply_command(command, self.state, self._log_index)
+        if isinstance(command, SubmitJob):
+            self._callers.handle_applied(command.name)
         self.dispatcher.record_order_time(command, self.clock.now_s)
         self._follower.record_order_time(command, self.clock.now_s)
 
--- a/src/sardinemast/platform/_responses.py
+++ b/src/sardinemast/platform/_responses.py
@@ -19,13 +19,17 @@
         CallOutcome.unknown_queue: HTTPStatus.NOT_FOUND,
         CallOutcome.unknown_key: HTTPStatus.UNAUTHORIZED,
         CallOutcome.unknown_job: HTTPStatus.GONE,
+        CallOutcome.overloaded: HTTPStatus.TOO_MANY_REQUESTS,
     }
 )
+_TO_REPEAT = frozenset(
+    (CallOutcome.refused, CallOutcome.uncertain, CallOutcome.overloaded)
+)
 
 
 def make_response(answer: CallAnswer, body: bytes = b'') -> HttpResponse:
     """Return the HTTP response for an answer of the leader."""
     retry_after_s = 0
-    if answer.outcome in {CallOutcome.refused, CallOutcome.uncertain}:
-        retry_after_s = _RETRY_AFTER_S
+    if answer.outcome in _TO_REPEAT:
+        retry_after_s = answer.retry_after_s or _RETRY_AFTER_S
     return HttpResponse(_STATUS_CODES[answer.outcome], body, retry_after_s)
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -141,7 +141,10 @@
     )
     extras = ControlExtras(
         gateway,
-        DispatchSettings(pools=process.settings.pool_sizes),
+        DispatchSettings(
+            pools=process.settings.pool_sizes,
+            admission=process.settings.admission,
+        ),
         process.metrics,
         process.relay,
     )
--- a/src/sardinemast/protocol/_calls.py
+++ b/src/sardinemast/protocol/_calls.py
@@ -96,7 +96,8 @@
     """State the outcome of a call.
 
     After ``refused`` the call has had and will have no effect. After
-    ``uncertain`` it may have taken effect, or may still do so.
+    ``uncertain`` it may have taken effect, or may still do so. A job that is
+    ``overloaded`` never runs unless it is submitted again later.
     """
 
     done = 'done'
@@ -106,6 +107,7 @@
     unknown_queue = 'unknown queue'
     unknown_key = 'unknown key'
     unknown_job = 'unknown job'
+    overloaded = 'overloaded'
 
 
 class CallAnswer(NamedTuple):
@@ -113,7 +115,8 @@
 
     ``status`` is that of a job or a wave, ``waiting`` the number of jobs
     waiting in a queue, ``source`` the text of a catalog, and ``text`` the
-    reason for a failure.
+    reason for a failure. ``retry_after_s`` is when to submit a refused job
+    again; 0 leaves it to the entry.
     """
 
     outcome: CallOutcome
@@ -121,13 +124,18 @@
     waiting: int = 0
     source: bytes = b''
     text: str = ''
+    retry_after_s: int = 0
 
 
 class PassCall(NamedTuple):
-    """Forward a call to the leader; a resend has the same id."""
+    """Forward a call to the leader; a resend has the same id.
+
+    ``waited_ms`` is the time from the call's arrival at an entry to this send.
+    """
 
     call_id: int
     call: Call
+    waited_ms: int = 0
 
 
 class PassAnswer(NamedTuple):
@@ -158,17 +166,22 @@
 )
 LEADER_MESSAGES = MessageSet(PassAnswer, LeaderBeat, NotLeader)
 
-_PACKED_LENGTH = 2
+# Older versions send no waiting time.
+_PACKED_LENGTHS = (2, 3)
 
 
 def pack_call(passed: PassCall) -> list[Any]:
-    """Return a call and its id as plain values."""
-    return [passed.call_id, _CALLS.pack(passed.call)]
+    """Return a call, its id and its waiting time as plain values."""
+    return [passed.call_id, _CALLS.pack(passed.call), passed.waited_ms]
 
 
 def unpack_call(plain: Any) -> PassCall:
     """Decode a call from plain values, or raise ``WireError``."""
-    if not isinstance(plain, list) or len(plain) != _PACKED_LENGTH:
+    if not isinstance(plain, list) or len(plain) not in _PACKED_LENGTHS:
         raise WireError('wire.E002', 'Expected a list of call id and call.')
-    call_id, call = plain
-    return PassCall(load_plain(int, call_id), _CALLS.unpack(call))
+    call_id, call, *waited_ms = plain
+    return PassCall(
+        load_plain(int, call_id),
+        _CALLS.unpack(call),
+        *(load_plain(int, one) for one in waited_ms),
+    )
--- a/src/sardinemast/shell/_call_forwarder.py
+++ b/src/sardinemast/shell/_call_forwarder.py
@@ -77,7 +77,9 @@
         task.add_done_callback(lambda _: call_tasks.pop(request.call_id))
 
     async def _forward(self, request: PassCall, outbox: Outbox) -> None:
-        answer = await self._relay.call(request.call, _CALL_TIMEOUT_S)
+        answer = await self._relay.call(
+            request.call, _CALL_TIMEOUT_S, request.waited_ms
+        )
         _put(outbox, PassAnswer(request.call_id, answer))
 
     async def _report_leader(self, outbox: Outbox) -> None:
--- a/src/sardinemast/shell/_control.py
+++ b/src/sardinemast/shell/_control.py
@@ -95,6 +95,7 @@
             control.list_gauges,
             self.core.replica,
             self.core.state,
+            self.core.list_leader_gauges,
         )
         cluster = settings.cluster
         self._access = Access(
--- a/src/sardinemast/shell/_relay.py
+++ b/src/sardinemast/shell/_relay.py
@@ -46,11 +46,13 @@
 _LEADERLESS_TIMEOUT_S = 1.5
 # A call waits so long for a leader before it is refused unsent.
 _LEADER_WAIT_S = 0.15
+_MS = 1000
 
 
 class _PendingCall(NamedTuple):
     request: PassCall
     answer: asyncio.Future[CallAnswer]
+    received_s: float
 
 
 class CallRoute(StrEnum):
@@ -108,14 +110,17 @@
         """Replace the control processes to try besides those announced."""
         self._founders = [one.name for one in founders]
 
-    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
-        """Send a call and wait for the answer."""
+    async def call(
+        self, call: Call, timeout_s: float, waited_ms: int = 0
+    ) -> CallAnswer:
+        """Send a call, which has waited before, and wait for the answer."""
+        received_s = time.monotonic() - waited_ms / _MS
         deadline_s = time.monotonic() + timeout_s
         if not await self._wait_for_leader(min(timeout_s, _LEADER_WAIT_S)):
             return CallAnswer(CallOutcome.refused, text='No leader is known.')
         call_id = next(self._call_ids)
         answer = asyncio.get_running_loop().create_future()
-        pending = _PendingCall(PassCall(call_id, call), answer)
+        pending = _PendingCall(PassCall(call_id, call), answer, received_s)
         self._pending[call_id] = pending
         self._send(pending)
         try:
@@ -150,7 +155,9 @@
 
     def _send(self, pending: _PendingCall) -> None:
         if self._outbox is not None:
-            self._outbox.put(pack_call(pending.request))
+            waited_s = time.monotonic() - pending.received_s
+            request = pending.request._replace(waited_ms=int(waited_s * _MS))
+            self._outbox.put(pack_call(request))
 
     def _log_outage(self, name: str, error: Exception) -> None:
         # Warns once per outage, not at each attempt to reconnect.
--- a/src/sardinemast/wire/_codec.py
+++ b/src/sardinemast/wire/_codec.py
@@ -1,6 +1,7 @@
 """Convert typed records to plain values and back.
 
-A ``NamedTuple`` is encoded as the list of its fields. A member of a
+A ``NamedTuple`` is encoded as the list of its fields. Last fields that an
+older version did not write have their defaults. A member of a
 ``MessageSet`` is encoded as a pair of its class name and that list.
 """
 
@@ -152,14 +153,17 @@
 def _make_record_loader(value_type: Any) -> Loader:
     hints = get_type_hints(value_type)
     loaders = [_get_loader(hints[name]) for name in value_type._fields]
+    least = len(loaders) - len(value_type._field_defaults)
 
     def load(plain: Any) -> Any:
-        if plain.__class__ is not list or len(plain) != len(loaders):
+        if plain.__class__ is not list:
+            raise _make_mismatch_error(value_type, plain)
+        if not least <= len(plain) <= len(loaders):
             raise _make_mismatch_error(value_type, plain)
         return value_type(
             *[
                 load_field(field)
-                for load_field, field in zip(loaders, plain, strict=True)
+                for load_field, field in zip(loaders, plain, strict=False)
             ],
         )
 
--- a/tests/shell/test_call_forwarder.py
+++ b/tests/shell/test_call_forwarder.py
@@ -27,6 +27,7 @@
 _HOST = '127.0.0.1'
 _CALL = JobCall(JobAction.read, 'h', '/q/1', 'k')
 _ENTRY = create_identity('entry-1')
+_WAITED_MS = 1700
 Test = Callable[[ClientConnection, 'FakeRelay'], Awaitable[None]]
 
 
@@ -38,11 +39,15 @@
         self.leader = 'control-2'
         self.controls = ('control-1', 'control-2')
         self.calls: list[Call] = []
+        self.waited_ms: list[int] = []
         self.may_answer = asyncio.Event()
 
-    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
+    async def call(
+        self, call: Call, timeout_s: float, waited_ms: int
+    ) -> CallAnswer:
         """Answer once ``may_answer`` is set."""
         self.calls.append(call)
+        self.waited_ms.append(waited_ms)
         await self.may_answer.wait()
         return CallAnswer(CallOutcome.done)
 
@@ -83,7 +88,7 @@
 
 async def _send(websocket: ClientConnection, call_id: int) -> None:
     await websocket.send(
-        encode_frame(_ENTRY, pack_call(PassCall(call_id, _CALL)))
+        encode_frame(_ENTRY, pack_call(PassCall(call_id, _CALL, _WAITED_MS)))
     )
 
 
@@ -95,6 +100,8 @@
         await _send(websocket, 7)
         answer = await _wait_for(websocket, PassAnswer)
         assert answer == PassAnswer(7, CallAnswer(CallOutcome.done))
+        # A leader needs the time since the call reached the entry.
+        assert relay.waited_ms == [_WAITED_MS]
 
     _run(test)
 
