--- a/src/sardinemast/control/_job_admission.py
+++ b/src/sardinemast/control/_job_admission.py
@@ -118,8 +118,7 @@
         self._refused.discard(command.name)
         self._proposed.add(command.name)
         if is_estimated:
-            is_late = estimate is not None and estimate.is_late
-            self._waits.record_accepted(job, is_late=is_late)
+            self._waits.record_accepted(job)
         return command
 
     @property
--- a/src/sardinemast/dispatch/_pool_queues.py
+++ b/src/sardinemast/dispatch/_pool_queues.py
@@ -10,10 +10,15 @@
 
 
 class StepWork(NamedTuple):
-    """Hold a step's place in the order of planning, and its work."""
+    """Hold a step's place in the order of planning, and its work.
+
+    From ``late_from_ms`` on it is late and has the place ``late_key``.
+    """
 
     key: PlanningKey
     millicore_ms: float
+    late_key: PlanningKey
+    late_from_ms: float
 
 
 class PoolQueue:
@@ -33,10 +38,24 @@
         """Add the waiting tasks of a step."""
         self._works.append(work)
 
-    def sort(self) -> None:
-        """Order the work, once all of it is added."""
+    def sort(self, now_ms: float) -> None:
+        """Order the work, once all of it is added.
+
+        Work that will not start before it is late gives way to the work
+        behind it, and is ordered among the late work.
+        """
+        self._works.sort()
+        amount: float = 0
+        for place, work in enumerate(self._works):
+            start_ms = now_ms + self.capacity.get_drain_ms(
+                self.running + amount
+            )
+            if start_ms > work.late_from_ms:
+                self._works[place] = work._replace(key=work.late_key)
+            else:
+                amount += work.millicore_ms
         self._works.sort()
-        amounts = (work.millicore_ms for work in self._works)
+        amounts = (one.millicore_ms for one in self._works)
         self._sums = list(accumulate(amounts, initial=0))
 
     def get_ahead(self, key: PlanningKey) -> float:
--- a/src/sardinemast/dispatch/_wait_estimates.py
+++ b/src/sardinemast/dispatch/_wait_estimates.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from sardinemast.dispatch._arrival_rates import ArrivalRates
 from sardinemast.dispatch._job_deadlines import get_deadlines
 from sardinemast.dispatch._load_measurement import MEASURE_INTERVAL_S
 from sardinemast.dispatch._pool_load import NO_LOAD
@@ -25,8 +24,6 @@
 _LONGEST_INTERVAL_S = 0.9
 # Running tasks are halfway through on average.
 _REST_OF_RUNNING = 0.5
-# Rounds in which the work that arrives during a wait is added to it.
-_ROUNDS = 5
 
 
 class WaitEstimate(NamedTuple):
@@ -61,7 +58,6 @@
         self._due_s = float('-inf')
         self._queues: dict[str, PoolQueue] = {}
         self._accepted: dict[str, _AcceptedJob] = {}
-        self._rates = ArrivalRates()
 
     def measure(self, now_s: float) -> None:
         """Add up the work of all pools whose tasks wait for capacity."""
@@ -72,23 +68,19 @@
         for name in tuple(self._accepted):
             if name in self._state.jobs.jobs:
                 self._accepted.pop(name)
-        short_pools = {
-            pool
+        self._queues = {
+            pool: PoolQueue(self._get_capacity(pool))
             for pool, load in self._state.loads.items()
             if load.shortfall > 0
         }
-        self._rates.update(short_pools, now_s)
-        self._queues = {
-            pool: PoolQueue(self._get_capacity(pool)) for pool in short_pools
-        }
         step_count = sum(map(self._add_job, self._state.jobs.live.values()))
         for queue in self._queues.values():
-            queue.sort()
+            queue.sort(self._state.now_ms)
         share = max(step_count / _STEPS_PER_MEASUREMENT, 1)
         interval_s = MEASURE_INTERVAL_S * share
         self._due_s = now_s + min(interval_s, _LONGEST_INTERVAL_S)
 
-    def record_accepted(self, job: JobState, *, is_late: bool) -> None:
+    def record_accepted(self, job: JobState) -> None:
         """Count a job from now on, before the log has it."""
         steps = [step for step in job.iterate_steps() if _ends_by_itself(step)]
         demand = sum(
@@ -97,10 +89,6 @@
             if job.is_ready(step)
         )
         works = tuple(self._make_work(job, step) for step in steps)
-        if not is_late:
-            self._rates.record(
-                job.queue.pool, sum(work.millicore_ms for work in works)
-            )
         self._accepted[job.name] = _AcceptedJob(job.queue.pool, demand, works)
 
     def estimate(self, job: JobState, now_s: float) -> WaitEstimate | None:
@@ -118,12 +106,11 @@
         durations = self._state.durations
         deadlines = get_deadlines(job, 0, durations)
         total_ms = durations.get_total_ms(job)
-        ahead = self._get_ahead(job, queue, now_ms)
-        wait_ms = queue.capacity.get_drain_ms(ahead)
+        wait_ms = self._get_wait_ms(job, queue, now_ms)
         is_late = now_ms + wait_ms + total_ms > deadlines.due_ms
         if is_late:
-            ahead = self._get_ahead(job, queue, now_ms + wait_ms)
-            wait_ms = self._get_late_wait_ms(job, queue, ahead, now_s)
+            # It is then ordered among the late ones.
+            wait_ms = self._get_wait_ms(job, queue, now_ms + wait_ms)
         return WaitEstimate(
             wait_ms,
             deadlines.useful_until_ms - now_ms - total_ms,
@@ -138,7 +125,6 @@
             self._due_s = float('-inf')
             self._queues.clear()
             self._accepted.clear()
-            self._rates.clear()
 
     def _has_free(self, pool: str) -> bool:
         load = self._state.loads.get(pool, NO_LOAD)
@@ -147,21 +133,19 @@
         )
         return load.shortfall + accepted < 0
 
-    def _get_ahead(
+    def _get_wait_ms(
         self, job: JobState, queue: PoolQueue, start_ms: float
     ) -> float:
-        """Return the work ahead of a job by its place in the order at a time.
-
-        A job that is late by then is ordered among the late ones.
-        """
+        """Return the wait of a job by its place in the order at a time."""
         key = self._get_key(job, start_ms)
-        return queue.get_ahead(key) + sum(
+        ahead = queue.get_ahead(key) + sum(
             work.millicore_ms
             for accepted in self._accepted.values()
             if accepted.pool == job.queue.pool
             for work in accepted.works
             if work.key < key
         )
+        return queue.capacity.get_drain_ms(ahead)
 
     def _get_key(self, job: JobState, start_ms: float) -> PlanningKey:
         first = max(job.steps[0], key=_get_path_getter(job))
@@ -169,18 +153,6 @@
             job, first, self._state.durations, int(start_ms)
         )
 
-    def _get_late_wait_ms(
-        self, job: JobState, queue: PoolQueue, ahead: float, now_s: float
-    ) -> float:
-        """Return the wait of a job that work which arrives later overtakes."""
-        wait_ms = queue.capacity.get_drain_ms(ahead)
-        for _ in range(_ROUNDS):
-            arriving = self._rates.get_expected_work(
-                job.queue.pool, wait_ms, now_s
-            )
-            wait_ms = queue.capacity.get_drain_ms(ahead + arriving)
-        return wait_ms
-
     def _add_job(self, job: JobState) -> int:
         queue = self._queues.get(job.queue.pool)
         if queue is None:
@@ -197,9 +169,17 @@
         return count
 
     def _make_work(self, job: JobState, step: StepState) -> StepWork:
-        state = self._state
-        key = get_step_priority(job, step, state.durations, state.now_ms)
-        return StepWork(key, len(step.waiting) * self._get_task_work(job, step))
+        durations = self._state.durations
+        deadlines = get_deadlines(job, step.key.occurrence, durations)
+        late_from_ms = deadlines.due_ms - durations.get_remaining_ms(
+            job, step.key.step
+        )
+        return StepWork(
+            get_step_priority(job, step, durations, self._state.now_ms),
+            len(step.waiting) * self._get_task_work(job, step),
+            get_step_priority(job, step, durations, int(deadlines.due_ms) + 1),
+            late_from_ms,
+        )
 
     def _get_task_work(self, job: JobState, step: StepState) -> float:
         duration_ms = self._state.durations.get_expected_ms(
--- a/tests/shell/test_relay.py
+++ b/tests/shell/test_relay.py
@@ -129,6 +129,32 @@
     _run(test)
 
 
+def test_resent_call_tells_how_long_it_has_waited() -> None:
+    """Guard against a resent call that looks newer than a refusal."""
+    waited_ms: list[int] = []
+
+    async def receive(websocket: ServerConnection) -> None:
+        identity = create_identity(_FIRST)
+        beat_task = asyncio.create_task(_beat(websocket, identity))
+        passed = unpack_call(
+            decode_frame(identity, await websocket.recv()).body
+        )
+        waited_ms.append(passed.waited_ms)
+        beat_task.cancel()
+
+    async def test(port: int, relay: LeaderRelay) -> None:
+        async with serve(receive, _FIRST, port), serve(receive, _SECOND, port):
+            await _wait_connected(relay)
+            call_task = asyncio.create_task(relay.call(_CALL, 5, 2000))
+            async with asyncio.timeout(4):
+                while len(waited_ms) < 2:
+                    await asyncio.sleep(0.02)
+            call_task.cancel()
+        assert 2000 <= waited_ms[0] < waited_ms[1]
+
+    _run(test)
+
+
 def test_call_without_a_leader_is_refused_soon() -> None:
     """Guard against calls that wait or are sent while no process leads."""
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -5,6 +5,9 @@
 from hypothesis import strategies as st
 
 from sardinemast.consensus import MESSAGES, AppendEntries, LogEntry
+from sardinemast.fleet import COMMANDS
+from sardinemast.jobs import JobRequest
+from sardinemast.jobs.commands import SubmitJob
 from sardinemast.wire import WireError, decode_envelope
 
 
@@ -15,6 +18,21 @@
     assert MESSAGES.decode(MESSAGES.encode(message)) == message
 
 
+def test_fields_of_later_versions_have_defaults() -> None:
+    """Guard against logs and snapshots that a new version cannot load.
+
+    A record without a field that has no default is not valid.
+    """
+    request = JobRequest('spec', ())
+    command = SubmitJob('j', 'q', 't', request, 7, 5)
+    name, fields = COMMANDS.pack(command)
+    known = COMMANDS.unpack([name, fields[:-1]])
+    assert known == command._replace(first_seen_ms=0)
+    for wrong in (fields[:-2], [*fields, 1]):
+        with pytest.raises(WireError, match=r'^wire\.E002'):
+            COMMANDS.unpack([name, wrong])
+
+
 @given(st.binary())
 def test_arbitrary_bytes_raise_coded_error(frame: bytes) -> None:
     """Guard against uncoded errors when arbitrary bytes are decoded."""
