--- a/src/sardinemast/dispatch/_wait_estimates.py
+++ b/src/sardinemast/dispatch/_wait_estimates.py
@@ -20,7 +20,7 @@
 _VALID_S = 1.0
 # Steps that one measurement of the waiting work may cover. With more it is
 # made less often, so that it takes about the same share of the time.
-_STEPS_PER_MEASUREMENT = 2000
+_STEPS_PER_MEASUREMENT = 600
 _LONGEST_INTERVAL_S = 0.9
 # Running tasks are halfway through on average.
 _REST_OF_RUNNING = 0.5
--- a/tests/control/test_job_admission.py
+++ b/tests/control/test_job_admission.py
@@ -1,9 +1,19 @@
 """Refusal of jobs at the leader: when it may be, and that it stays true."""
 
 from builders.admission import FULL, AdmissionLeader
-from builders.workers import make_step
+from builders.call_leaders import CallLeader
+from builders.workers import KEY, make_catalog, make_step
+from sardinemast import control
 from sardinemast.control._refused_jobs import Refusal, RefusedJobs
-from sardinemast.protocol import CallAnswer, CallOutcome
+from sardinemast.dispatch import AdmissionPolicy, DispatchSettings
+from sardinemast.jobs import JobRequest
+from sardinemast.protocol import (
+    CallAnswer,
+    CallOutcome,
+    JobAction,
+    JobCall,
+    ReplaceCatalog,
+)
 
 _OVERLOADED = CallOutcome.overloaded
 _ANSWER = CallAnswer(_OVERLOADED)
@@ -147,3 +157,36 @@
     assert refused.find('1', 11) is not None
     assert refused.find('10000', 71) is None
     assert len(refused) == 0
+
+
+def test_waiting_time_of_a_call_reaches_the_decision() -> None:
+    """Guard against a leader that takes resent attempts for new ones.
+
+    The limit of live jobs refuses the second job until the first is cancelled.
+    """
+    policy = AdmissionPolicy(enabled=True, max_live_jobs=1)
+    leader = CallLeader(DispatchSettings(admission=policy))
+    leader.call(2, ReplaceCatalog(make_catalog(2), b'{}'))
+    leader.call(3, _make_call('a'))
+    leader.call(4, _make_call('b'))
+    leader.call(5, JobCall(JobAction.cancel, 'host', '/seats/a', KEY))
+    leader.now_s += 1
+    leader.call(6, _make_call('b'), waited_ms=1100)
+    assert [leader.answers[one] for one in (3, 4, 5, 6)] == [
+        CallOutcome.done,
+        _OVERLOADED,
+        CallOutcome.done,
+        _OVERLOADED,
+    ]
+    core = leader.core
+    gauges = control.list_gauges(
+        core.replica, core.state, core.list_leader_gauges
+    )
+    assert gauges['refused_jobs_remembered'] == {'': 1}
+    leader.call(7, _make_call('b'), waited_ms=900)
+    assert leader.answers[7] is CallOutcome.done
+
+
+def _make_call(name: str) -> JobCall:
+    request = JobRequest('spec', (make_step(),))
+    return JobCall(JobAction.submit, 'host', f'/seats/{name}', KEY, request)
