--- a/src/sardinemast/conf/_policies.py
+++ b/src/sardinemast/conf/_policies.py
@@ -12,6 +12,7 @@
     record,
 )
 from sardinemast.dispatch import (
+    AdmissionPolicy,
     FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
@@ -28,6 +29,7 @@
         'learning': LearningPolicy,
         'failure_domains': FailureDomainPolicy,
         'preemption': PreemptionPolicy,
+        'admission': AdmissionPolicy,
     },
 )
 # Fields whose values are limited further than to numbers from 0 on.
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -20,6 +20,7 @@
 from sardinemast.conf._files import read_file
 from sardinemast.conf._policies import build_policies, make_policy_fields
 from sardinemast.dispatch import (
+    AdmissionPolicy,
     FailureDomainPolicy,
     LearningPolicy,
     PoolPolicy,
@@ -116,6 +117,7 @@
     learning: LearningPolicy = LearningPolicy()
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
     preemption: PreemptionPolicy = PreemptionPolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
@@ -293,12 +295,6 @@
     )
 
 
-def _build_failure_domains(parsed: Any) -> FailureDomainPolicy:
-    return FailureDomainPolicy(
-        **{**parsed, 'enabled': parsed['enabled'] == 'true'}
-    )
-
-
 def _build_address(parsed: Any) -> Address | None:
     return None if parsed is None else Address(**parsed)
 
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Schedule tasks on workers and maintain instances, at the leader."""
 
+from sardinemast.dispatch._admission_policy import AdmissionPolicy
 from sardinemast.dispatch._core import Dispatcher
 from sardinemast.dispatch._events import (
     AdviceAnswered,
@@ -37,8 +38,10 @@
     PreemptionPolicy,
     TeamShares,
 )
+from sardinemast.dispatch._wait_estimates import WaitEstimate, WaitEstimates
 
 __all__ = (
+    'AdmissionPolicy',
     'AdviceAnswered',
     'Dispatcher',
     'DispatchEvent',
@@ -68,6 +71,8 @@
     'TeamShares',
     'ThrottleRun',
     'Ticket',
+    'WaitEstimate',
+    'WaitEstimates',
     'WorkerPolled',
     'WorkerReport',
 )
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -30,6 +30,7 @@
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._stragglers import StragglerDetector
 from sardinemast.dispatch._tickets import TicketCache
+from sardinemast.dispatch._wait_estimates import WaitEstimates
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -52,7 +53,10 @@
 
 
 class Dispatcher:
-    """Poll workers, start and stop runs, size pools and run maintenance."""
+    """Poll workers, start and stop runs, size pools and run maintenance.
+
+    ``waits`` tells how long a submitted job would wait for capacity.
+    """
 
     def __init__(self, settings: DispatchSettings) -> None:
         self._state = DispatchState(settings)
@@ -69,6 +73,7 @@
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
+        self.waits = WaitEstimates(self._state)
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Start to lead with the given replicated state."""
@@ -97,8 +102,7 @@
             self._poll_workers(now_s)
         if now_s >= self._last_measured_s + MEASURE_INTERVAL_S:
             self._last_measured_s = now_s
-            self._state.loads = measure_loads(self._state, now_s)
-            self._balancer.tick(now_s, now_ms)
+            self._measure_pools(now_s, now_ms)
         self._maintenance.tick(now_s, now_ms)
         self._learner.tick(now_s)
         self._preemptor.tick(now_s, now_ms)
@@ -209,6 +213,11 @@
         elif isinstance(command, SubmitJob):
             self._rates.handle_submitted(command, now_s)
 
+    def _measure_pools(self, now_s: float, now_ms: int) -> None:
+        self._state.loads = measure_loads(self._state, now_s)
+        self._balancer.tick(now_s, now_ms)
+        self.waits.measure(now_s)
+
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
         self._domains.tick(now_s)
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from sardinemast.dispatch._admission_policy import AdmissionPolicy
+
 
 class PoolPolicy(NamedTuple):
     """Configure how many workers a pool keeps.
@@ -141,3 +143,4 @@
     learning: LearningPolicy = LearningPolicy()
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
     preemption: PreemptionPolicy = PreemptionPolicy()
+    admission: AdmissionPolicy = AdmissionPolicy()
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -13,6 +13,7 @@
 from sardinemast.dispatch._instance_records import InstanceRecords
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
+from sardinemast.dispatch._pool_prospects import PoolProspect
 from sardinemast.dispatch._preemption import Rank, get_rank
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
@@ -61,6 +62,7 @@
         self.suspected = SuspectedWorkers()
         self.instance_records = InstanceRecords(settings.failure_domains)
         self.held_workers: dict[str, Rank] = {}
+        self.prospects: dict[str, PoolProspect] = {}
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
         """Discard everything but the replicated state."""
@@ -78,6 +80,7 @@
         self.suspected.start_term()
         self.instance_records.start_term(state)
         self.held_workers = {}
+        self.prospects = {}
 
     @property
     def earlier_leases_end_s(self) -> float:
--- a/src/sardinemast/jobs/_apply.py
+++ b/src/sardinemast/jobs/_apply.py
@@ -58,7 +58,8 @@
         command.team,
         command.request,
         log_index,
-        command.submitted_ms,
+        # A job that was refused before is ordered by its first arrival.
+        command.first_seen_ms or command.submitted_ms,
     )
     job.is_within_rate = state.teams.take_token(job)
     state.jobs[job.name] = job
--- a/src/sardinemast/model/_scoring.py
+++ b/src/sardinemast/model/_scoring.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from statistics import fmean
 from typing import NamedTuple
 
 from sardinemast.model._workload import Arrival
@@ -57,6 +58,8 @@
     ``served`` counts all jobs, ``owed`` those within the rate of their team.
     ``lost_rack_starts`` counts the starts sent to workers without power,
     ``rack_recovery_s`` is the time until all their tasks were sent elsewhere.
+    ``ended_too_late`` is the share of the jobs that ran to their end when they
+    were of no use any more.
     """
 
     on_time: float
@@ -72,6 +75,8 @@
     owed: ServedShares = ServedShares()
     lost_rack_starts: int = 0
     rack_recovery_s: float = 0
+    ended_too_late: float = 0
+    refusals: int = 0
 
     def compute_score(self, weights: ScoreWeights) -> float:
         """Return the weighted value earned less the weighted costs."""
@@ -138,6 +143,7 @@
     beyond_rate: frozenset[str] = frozenset()
     lost_rack_starts: int = 0
     rack_recovery_s: float = 0
+    refusals: int = 0
 
 
 def score_day(record: DayRecord) -> DayResults:
@@ -172,6 +178,13 @@
         ),
         record.lost_rack_starts,
         round(record.rack_recovery_s, 3),
+        _get_share(
+            values,
+            lambda one: (
+                not _is_useful(one) and one.arrival.name in record.done_at_s
+            ),
+        ),
+        record.refusals,
     )
 
 
@@ -220,6 +233,16 @@
     return groups.get_worst_ratio()
 
 
+def _is_useful(value: _JobValue) -> bool:
+    return value.earned > 0
+
+
+def _get_share(
+    values: list[_JobValue], is_counted: Callable[[_JobValue], bool]
+) -> float:
+    return fmean(map(is_counted, values))
+
+
 def _get_work(arrival: Arrival) -> float:
     return arrival.work_core_s
 
--- a/src/sardinemast/model/_simulation.py
+++ b/src/sardinemast/model/_simulation.py
@@ -18,6 +18,7 @@
     RegisterWorker,
     SubmitJob,
 )
+from sardinemast.model._callers import Callers
 from sardinemast.model._clock import VirtualClock
 from sardinemast.model._disruptions import schedule_disruptions
 from sardinemast.model._instances import Instances
@@ -63,6 +64,13 @@
         self.lost_racks = LostRacks()
         self.instances = Instances(day, self.clock, self._register)
         self.dispatcher = Dispatcher(settings)
+        self._callers = Callers(
+            settings.admission,
+            self.clock,
+            self.state,
+            self._propose,
+            lambda: self.now_ms,
+        )
         self._settings = settings
         self._follower = Dispatcher(settings)
         arrivals_by_name = {one.name: one for one in self.arrivals}
@@ -99,6 +107,7 @@
                 frozenset(self._beyond_rate),
                 self.lost_racks.start_count,
                 self.lost_racks.recovery_s,
+                self._callers.refusal_count,
             ),
         )
 
@@ -111,6 +120,7 @@
         self._follower = Dispatcher(self._settings)
         self._follower.reset_order_times(now_s)
         self.dispatcher.start_term(self.state, self._term, now_s)
+        self._callers.set_leader(self.dispatcher)
         retried = list(self._proposed)
         self._proposed.clear()
         for command in retried:
@@ -123,6 +133,7 @@
         retry theirs with the next leader.
         """
         self._has_leader = False
+        self._callers.set_leader(None)
         self._term += 1
         self._proposed = [
             command
@@ -167,15 +178,7 @@
 
     def _schedule_submission(self, arrival: Arrival) -> None:
         def submit() -> None:
-            self._propose(
-                SubmitJob(
-                    arrival.name,
-                    arrival.queue.name,
-                    arrival.team,
-                    arrival.request,
-                    self.now_ms,
-                ),
-            )
+            self._callers.submit(arrival)
 
         self.clock.call_at(arrival.at_s, submit)
 
@@ -236,6 +239,7 @@
         if isinstance(command, SubmitJob):
             if not self.state.jobs[command.name].is_within_rate:
                 self._beyond_rate.add(command.name)
+            self._callers.handle_applied(command.name)
         self.dispatcher.record_order_time(command, self.clock.now_s)
         self._follower.record_order_time(command, self.clock.now_s)
 
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -147,6 +147,7 @@
             learning=process.settings.learning,
             failure_domains=process.settings.failure_domains,
             preemption=process.settings.preemption,
+            admission=process.settings.admission,
         ),
         process.metrics,
         process.relay,
--- a/tests/builders/election_rules.py
+++ b/tests/builders/election_rules.py
@@ -1,6 +1,5 @@
 """Hypothesis rules for random leader changes."""
 
-
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -10,6 +10,7 @@
     ReceivedOrder,
 )
 from sardinemast.dispatch import (
+    AdmissionPolicy,
     Dispatcher,
     DispatchEvent,
     DispatchOutput,
@@ -65,7 +66,9 @@
 MAINTENANCE_S = 2.0
 _MS = 1000
 # Keeps all workers in the pool until a peak of its load is known.
-SETTINGS = DispatchSettings(pools=PoolPolicy(opening_share=1))
+SETTINGS = DispatchSettings(
+    pools=PoolPolicy(opening_share=1), admission=AdmissionPolicy(enabled=True)
+)
 SETTINGS_WITH_RACKS = SETTINGS._replace(
     failure_domains=FailureDomainPolicy(enabled=True),
 )
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -1,4 +1,4 @@
-"""Pool sizes and preemption in the settings of a process."""
+"""Policies of the dispatcher in the settings of a process."""
 
 from pathlib import Path
 
@@ -7,6 +7,7 @@
 from sardinemast.checks import CheckError
 from sardinemast.conf import load_process_file
 from sardinemast.dispatch import (
+    AdmissionPolicy,
     LearningPolicy,
     PoolPolicy,
     PreemptionPolicy,
@@ -96,3 +97,12 @@
     path = _write(tmp_path, 'preemption: {enabled: true, max_per_task: 1}\n')
     expected = PreemptionPolicy(enabled=True, max_per_task=1)
     assert load_process_file(path).preemption == expected
+
+
+def test_admission_is_off_unless_enabled(tmp_path: Path) -> None:
+    """Guard against refusals where nobody asked for them."""
+    settings = load_process_file(_write(tmp_path, ''))
+    assert settings.admission == AdmissionPolicy()
+    assert not settings.admission.enabled
+    path = _write(tmp_path, 'admission: {enabled: true, margin: 1}\n')
+    assert load_process_file(path).admission == AdmissionPolicy(True, 1)
