--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -20,7 +20,7 @@
     choose_victims,
 )
 from sardinemast.jobs import JobRequest, Size
-from sardinemast.jobs.commands import CancelJob, SubmitJob
+from sardinemast.jobs.commands import CancelJob, PreemptRuns, SubmitJob
 from sardinemast.platform._translate import parse_task_key
 
 _DEMAND = Demand(Size(2 * CORE, MIB), 2000 * CORE)
@@ -202,6 +202,21 @@
     assert not step.failures
 
 
+def test_nothing_is_stopped_before_the_log_has_it() -> None:
+    """Guard against limits that a leader change makes void."""
+    fleet = start_full_fleet()
+    fleet.is_held = True
+    fleet.submit('urgent', make_long_running(1))
+    fleet.run(2)
+    assert any(isinstance(one, PreemptRuns) for one in fleet.proposed)
+    assert count_running(fleet, 'filling') == 8
+    fleet.elect()
+    fleet.is_held = False
+    fleet.run(1.5)
+    assert fleet.get_running_workers(URGENT)
+    assert count_preempted(fleet) == 1
+
+
 def _run_until_preempted(fleet: ModelFleet) -> str:
     for _ in range(40):
         preempted = [
