Divide a pool only while a team exceeds its rate there

Change: with team_shares.needs_excess, the default, a pool is divided only while jobs beyond the rate of their team wait there. Steps of other pools keep their usual order. `bench shares` also measures the dispatcher.

--- a/bench/shares.py
+++ b/bench/shares.py
@@ -4,7 +4,8 @@
 the entries. In each step a team is due its weighted max-min share of the pool,
 by its requests waiting and running. The distance over a window is the
 difference between received and due slot seconds, relative to those due. A
-first-come queue on the same arrivals is measured too.
+first-come queue on the same arrivals is measured too. The same is measured for
+tasks at the dispatcher.
 """
 
 import heapq
@@ -17,9 +18,10 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from bench import _team_shares
 from bench._cores import CoreSimulation, RequestSpec
 from sardinemast.fleet import FleetDocument, Pool, Team
-from sardinemast.grants import split_max_min
+from sardinemast.max_min import split_max_min
 
 ENTRIES = 9
 SLOTS = 64
@@ -68,6 +70,7 @@
     )
     _print('fair', fair)
     _print('first come', _simulate_first_come(requests))
+    _team_shares.main()
 
 
 def _simulate_fair(requests: list[RequestSpec]) -> list[Served]:
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -298,7 +298,12 @@
     _print_costs(180, 'a peak', _PEAK_LOAD)
     for name, settings in (
         ('20 teams', _SETTINGS),
-        ('team shares', DispatchSettings(team_shares=TeamShares(enabled=True))),
+        (
+            'team shares',
+            DispatchSettings(
+                team_shares=TeamShares(enabled=True, needs_excess=False)
+            ),
+        ),
     ):
         for load_name, load in (
             ('even load', _EVEN_LOAD),
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -162,6 +162,7 @@
         'late_share': Field(
             number(0, _MAX_LATE_SHARE), TeamShares().late_share
         ),
+        'needs_excess': Field(choice('true', 'false'), 'true'),
     },
 )
 _PROCESS = record(
@@ -277,10 +278,15 @@
         advice=_build_address(parsed['advice']),
         metrics=_build_address(parsed['metrics']),
         pool_sizes=PoolPolicy(**parsed['pool_sizes']),
-        team_shares=TeamShares(
-            parsed['team_shares']['enabled'] == 'true',
-            parsed['team_shares']['late_share'],
-        ),
+        team_shares=_build_team_shares(parsed['team_shares']),
+    )
+
+
+def _build_team_shares(parsed: Any) -> TeamShares:
+    return TeamShares(
+        parsed['enabled'] == 'true',
+        parsed['late_share'],
+        parsed['needs_excess'] == 'true',
     )
 
 
--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -7,12 +7,12 @@
 from sardinemast.dispatch._durations import DurationEstimates
 from sardinemast.dispatch._pool_demand import measure_free
 from sardinemast.dispatch._pool_division import PoolDivision
+from sardinemast.dispatch._settings import TeamShares
 from sardinemast.dispatch._step_facts import (
     StepFacts,
     StepFactsCache,
     is_finishing_late,
 )
-from sardinemast.dispatch._step_priority import get_step_priority
 from sardinemast.jobs import JobsState, StepState
 
 # Ranks within a queue priority. A class has two ranks: on time, then late.
@@ -48,16 +48,15 @@
         plan_time: PlanTime,
         is_usable: Callable[[str], bool],
         cache: StepFactsCache,
-        late_share: float,
+        settings: TeamShares,
     ) -> None:
         self._jobs = jobs
         self._time = plan_time
         self._is_usable = is_usable
         self._cache = cache
-        self._late_share = late_share
+        self._settings = settings
         self.full_pools: set[str] = set()
         self._divisions: dict[str, PoolDivision] = {}
-        self._facts: dict[StepState, StepFacts] = {}
 
     def divide(self, candidates: list[StepState]) -> list[StepState]:
         """Divide the pools that are too small for the steps that wait.
@@ -72,7 +71,7 @@
         placeable: list[StepState] = []
         for pool, waiting in by_pool.items():
             free = measure_free(self._jobs, pool, waiting, self._is_usable)
-            if free.is_enough:
+            if free.is_enough or not self._is_contended(waiting):
                 placeable.extend(one.step for one in waiting)
                 continue
             self.full_pools.add(pool)
@@ -85,12 +84,13 @@
 
     def get_key(self, step: StepState) -> StepOrder:
         """Return the sort key of a step; the smallest key starts first."""
-        facts = self._facts.get(step)
-        if facts is None:
-            job = self._jobs.get_job(step)
-            return get_step_priority(job, step, *self._time)
+        facts = self._cache.get(step)
         job = facts.job
-        rank = self._get_rank(facts)
+        division = self._divisions.get(facts.pool)
+        if division is None:
+            rank = facts.get_usual_rank(self._time.now_ms)
+        else:
+            rank = self._get_rank(facts, division)
         due_ms = facts.due_ms
         if rank == _LATE_SHARE:
             due_ms = facts.useful_until_ms
@@ -98,10 +98,10 @@
 
     def record_starts(self, step: StepState, count: int) -> None:
         """Add planned starts of a step to the usage of its team."""
-        facts = self._facts.get(step)
-        if facts is not None and not step.spec.is_long_running:
+        facts = self._cache.get(step)
+        division = self._divisions.get(facts.pool)
+        if division is not None and not step.spec.is_long_running:
             is_late = self._time.now_ms > facts.on_time_start_ms
-            division = self._divisions[facts.pool]
             division.add_use(
                 facts.job.team, count * facts.millicores, is_late=is_late
             )
@@ -112,6 +112,13 @@
             pool: division.shares for pool, division in self._divisions.items()
         }
 
+    def _is_contended(self, waiting: list[StepFacts]) -> bool:
+        # Without excess, shares would only delay jobs that the order by
+        # deadlines completes on time.
+        return not self._settings.needs_excess or any(
+            not facts.job.is_within_rate for facts in waiting
+        )
+
     def _divide_pool(
         self, pool: str, waiting: list[StepFacts], free: int
     ) -> PoolDivision:
@@ -121,14 +128,13 @@
                 division.used.update(self._jobs.usage.by_queue[queue.name])
         now_ms = self._time.now_ms
         for facts in waiting:
-            self._facts[facts.step] = facts
             # Work that is no longer useful must not reduce others' shares.
             is_useful = now_ms <= facts.useful_start_ms
             if is_useful and not facts.step.spec.is_long_running:
                 demand = len(facts.step.waiting) * facts.millicores
                 division.waiting[facts.job.team] += demand
-        division.split(self._jobs, self._late_share)
-        if self._late_share > 0:
+        division.split(self._jobs, self._settings.late_share)
+        if self._settings.late_share > 0:
             division.late_used = self._count_late_millicores(pool)
         return division
 
@@ -142,7 +148,7 @@
             and is_finishing_late(self._jobs.get_job(step), step, *self._time)
         )
 
-    def _get_rank(self, facts: StepFacts) -> int:
+    def _get_rank(self, facts: StepFacts, division: PoolDivision) -> int:
         if facts.step.spec.is_long_running:
             return _LONG_RUNNING
         now_ms = self._time.now_ms
@@ -150,7 +156,6 @@
             return _NOT_USEFUL
         is_late = now_ms > facts.on_time_start_ms
         job = facts.job
-        division = self._divisions[facts.pool]
         if is_late and job.is_within_rate and division.has_late_capacity():
             return _LATE_SHARE
         rank = _FIRST_CLASS + is_late
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -190,7 +190,7 @@
                 PlanTime(state.durations, now_ms),
                 is_usable,
                 self._step_facts,
-                state.settings.team_shares.late_share,
+                state.settings.team_shares,
             )
         starts = Planner(
             state.jobs,
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -40,10 +40,13 @@
     """Configure how teams share a pool that lacks capacity.
 
     Of the capacity, ``late_share`` is for jobs that are late but still useful.
+    With ``needs_excess``, a pool is divided only while jobs beyond the rate of
+    their team wait there.
     """
 
     enabled: bool = False
     late_share: float = 0
+    needs_excess: bool = True
 
 
 class DispatchSettings(NamedTuple):
--- a/src/sardinemast/dispatch/_step_facts.py
+++ b/src/sardinemast/dispatch/_step_facts.py
@@ -27,6 +27,12 @@
     on_time_start_ms: float
     useful_start_ms: float
 
+    def get_usual_rank(self, now_ms: int) -> int:
+        """Return the rank that ``get_step_priority`` gives the step."""
+        if self.step.spec.is_long_running:
+            return 0
+        return 2 if now_ms > self.on_time_start_ms else 1
+
 
 class StepFactsCache:
     """Keep the facts of waiting steps for a short time.
@@ -38,6 +44,10 @@
         self._facts: dict[StepState, StepFacts] = {}
         self._made_ms = 0
 
+    def get(self, step: StepState) -> StepFacts:
+        """Return the facts of a step that was listed for this plan."""
+        return self._facts[step]
+
     def list_facts(
         self,
         jobs: JobsState,
--- a/tests/builders/shared_pools.py
+++ b/tests/builders/shared_pools.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from builders.workers import POOL, QUEUE, make_catalog, make_step, make_worker
+from sardinemast.dispatch import TeamShares
 from sardinemast.dispatch._durations import DurationEstimates
 from sardinemast.dispatch._plan_shares import PlanShares, PlanTime
 from sardinemast.dispatch._planner import Planner
@@ -39,10 +40,15 @@
 class SharedPool:
     """Hold the state of a pool of 40 cores, and plan with team shares."""
 
-    def __init__(self, *teams: Team, late_share: float = 0) -> None:
+    def __init__(
+        self,
+        *teams: Team,
+        late_share: float = 0,
+        needs_excess: bool = False,
+    ) -> None:
         self.state = JobsState()
         self.now_ms = 1000
-        self._late_share = late_share
+        self._settings = TeamShares(True, late_share, needs_excess)
         self._version = 0
         self.put_teams(*teams)
         for number in range(WORKERS):
@@ -74,7 +80,7 @@
             PlanTime(DurationEstimates(), self.now_ms),
             lambda worker: True,
             StepFactsCache(),
-            self._late_share,
+            self._settings,
         )
         starts = Planner(
             self.state,
@@ -106,6 +112,14 @@
         ]
         self.apply(RecordRuns(tuple(ends), ()))
 
+    def list_running(self) -> list[RunStart]:
+        """Return the runs in progress."""
+        return [
+            RunStart(task, number, worker)
+            for worker, tasks in self.state.runs.items()
+            for task, number in tasks.items()
+        ]
+
     def restore(self) -> None:
         """Replace the state by one restored from its snapshot."""
         self.state = load_state(dump_state(self.state))
--- a/tests/dispatch/test_team_shares.py
+++ b/tests/dispatch/test_team_shares.py
@@ -100,6 +100,19 @@
     assert pool.count_starts() == {'t-0': SLOTS - 1, 't-1': 1}
 
 
+def test_teams_within_their_rates_keep_the_usual_order() -> None:
+    """Guard against shares that delay jobs while no team exceeds its rate."""
+    teams = make_teams(2, jobs_per_s=25)
+    pool = SharedPool(*teams, needs_excess=True)
+    pool.submit('t-0', 45)
+    pool.submit('t-1', 45)
+    assert pool.count_starts() == {'t-0': SLOTS}
+    pool.submit('t-0', 45)
+    pool.end(pool.list_running())
+    # Ten jobs of the first team are within its rate.
+    assert pool.count_starts() == {'t-0': 10, 't-1': 30}
+
+
 def test_late_work_gets_a_bounded_part() -> None:
     """Guard against late work that waits until it is of no use."""
     pool = SharedPool(Team('t-0'), late_share=0.1)
