--- a/bench/starts.py
+++ b/bench/starts.py
@@ -302,7 +302,9 @@
         ('20 teams', _SETTINGS),
         (
             'team shares',
-            _SETTINGS._replace(team_shares=TeamShares(enabled=True)),
+            _SETTINGS._replace(
+                team_shares=TeamShares(enabled=True, needs_excess=False)
+            ),
         ),
     ):
         for load_name, load in (
