Keep paths of jobs outside the log apart

Cause: learned critical paths were kept by log index. Jobs that are judged before they are in the log share one, so that a submitted job was judged by the steps of an earlier one once durations are learned. Change: paths are kept by log index and name. Result: the new test fails before (500, 500) and passes after.

--- a/src/sardinemast/dispatch/_durations.py
+++ b/src/sardinemast/dispatch/_durations.py
@@ -18,6 +18,9 @@
 _PATHS_MAX = 20_000
 
 
+_JobId = tuple[int, str]
+
+
 class DurationEstimates:
     """Estimate durations from what steps declare and how long runs took."""
 
@@ -25,9 +28,8 @@
         self.is_learning = policy.enabled
         self._policy = policy
         self._table = DurationTable(policy)
-        # By the log index of jobs, since names may be used again.
-        self._paths_ms: dict[int, tuple[float, ...]] = {}
-        self._totals_ms: dict[int, float] = {}
+        self._paths_ms: dict[_JobId, tuple[float, ...]] = {}
+        self._totals_ms: dict[_JobId, float] = {}
         self._refreshed_s = float('-inf')
 
     def start_term(self, summaries: Iterable[DurationSummary]) -> None:
@@ -90,13 +92,13 @@
         """
         if not (self.is_learning and self._policy.deadline_ends):
             return max(job.critical_paths_ms)
-        total_ms = self._totals_ms.get(job.log_index)
+        total_ms = self._totals_ms.get(_get_id(job))
         if total_ms is None:
             paths_ms: tuple[float, ...] = job.critical_paths_ms
             if self._is_stable(job):
                 paths_ms = self._get_paths_ms(job)
             total_ms = max(paths_ms)
-            self._totals_ms[job.log_index] = total_ms
+            self._totals_ms[_get_id(job)] = total_ms
         return total_ms
 
     def _is_stable(self, job: JobState) -> bool:
@@ -108,16 +110,22 @@
         )
 
     def _get_paths_ms(self, job: JobState) -> tuple[float, ...]:
-        paths_ms = self._paths_ms.get(job.log_index)
+        paths_ms = self._paths_ms.get(_get_id(job))
         if paths_ms is None:
             steps = job.request.steps
             queue = job.queue.name
             paths_ms = compute_longest_chains(
                 steps, [self.get_expected_ms(queue, step) for step in steps]
             )
-            self._paths_ms[job.log_index] = paths_ms
+            self._paths_ms[_get_id(job)] = paths_ms
         return paths_ms
 
     def _forget_paths(self) -> None:
         self._paths_ms.clear()
         self._totals_ms.clear()
+
+
+def _get_id(job: JobState) -> _JobId:
+    # Names may be used again, and jobs that are not in the log yet share an
+    # index.
+    return (job.log_index, job.name)
--- a/tests/dispatch/test_durations.py
+++ b/tests/dispatch/test_durations.py
@@ -1,19 +1,21 @@
 """Test what the estimates learn from the ends of runs."""
 
+import sys
 from random import Random
 
 import pytest
 
 from builders.durations import (
     DECLARED_MS,
+    LEARNING,
     LearningRun,
     draw_ratios,
     make_learned_step,
 )
-from builders.workers import QUEUE
+from builders.workers import QUEUE, TEAM, make_catalog, make_step
 from sardinemast.dispatch import LearningPolicy
 from sardinemast.dispatch._durations import DurationEstimates
-from sardinemast.jobs import SUMMARIES_MAX
+from sardinemast.jobs import SUMMARIES_MAX, JobRequest, JobState
 from sardinemast.jobs._durations import DURATION_KEYS_MAX
 
 
@@ -119,3 +121,22 @@
     # A quarter of the runs, and later ones weigh slightly more.
     share = run.estimates.get_failure_share(QUEUE, step)
     assert 1 / 4 <= share < 1 / 3
+
+
+def test_jobs_outside_the_log_have_their_own_paths() -> None:
+    """Guard against a submitted job that is judged by another one's steps."""
+    estimates = DurationEstimates(LEARNING)
+    queue = make_catalog().queues[0]
+    jobs = [
+        JobState(
+            f'job-{estimate_ms}',
+            queue,
+            TEAM,
+            JobRequest('', (make_step(estimate_ms=estimate_ms),)),
+            sys.maxsize,
+            0,
+        )
+        for estimate_ms in (500, 3000)
+    ]
+    expected_ms = [estimates.get_remaining_ms(job, 0) for job in jobs]
+    assert expected_ms == [500, 3000]
