Probe a rack when the answer to a start is overdue

At the start of a peak, most starts were sent to a lost rack in the 0.3 s before the first of them timed out.

A worker that has not answered a start after a third of the time-out gets no other starts until it answers, and the rest of its rack is probed.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -195,6 +195,10 @@
         event: WorkerPolled | StartAnswered,
         now_s: float,
     ) -> None:
+        if isinstance(event, StartAnswered):
+            self._state.starts_in_flight.record_answered(
+                event.task, event.number
+            )
         session = self._state.sessions.get(event.worker)
         if session is None:
             return
--- a/src/sardinemast/dispatch/_failure_domains.py
+++ b/src/sardinemast/dispatch/_failure_domains.py
@@ -29,6 +29,10 @@
 # answers and time-outs of the same orders at once.
 _PAUSE_MIN_S = 0.25
 
+# Share of the time-out of a start after which its answer is overdue. Workers
+# answer within milliseconds.
+_OVERDUE_SHARE = 1 / 3
+
 _Rack = tuple[str, str]
 
 
@@ -89,11 +93,18 @@
             self._resumed_s = now_s
             self._silences.clear()
             self._state.instance_records.excuse_all()
+            self._state.starts_in_flight.clear()
 
     def record_tick(self, now_s: float) -> None:
         """Record that this process leads and runs."""
         self.detect_pause(now_s)
         self._ticked_s = now_s
+        settings = self._state.settings
+        overdue_s = settings.start_answer_s * _OVERDUE_SHARE
+        overdue = self._state.starts_in_flight.take_overdue(now_s - overdue_s)
+        if settings.failure_domains.enabled:
+            for name in overdue:
+                self._handle_overdue(name, now_s)
 
     def tick(self, now_s: float) -> None:
         """Suspect and clear racks whose state has changed over time."""
@@ -140,6 +151,19 @@
                 self._check_rack(_get_rack(session), now_s)
                 self._probe_rack(_get_rack(session), now_s)
 
+    def _handle_overdue(self, worker: str, now_s: float) -> None:
+        """Withhold starts from a worker that answers late, and from its rack.
+
+        At the start of a peak, most starts would be sent before the first one
+        times out.
+        """
+        session = self._state.sessions.get(worker)
+        if session is None or self._state.suspected.is_withheld(worker):
+            return
+        until_s = now_s + self._state.settings.answer_s
+        self._state.suspected.add_probed(worker, until_s)
+        self._probe_rack(_get_rack(session), now_s)
+
     def _note_records(self, now_s: float) -> None:
         """Propose changed records and report changes of probation."""
         records = self._state.instance_records
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -242,6 +242,9 @@
             worker=start.worker,
             fence=session.fence,
         )
+        self._state.starts_in_flight.record_sent(
+            start.task, start.number, start.worker, now_s
+        )
         session.sent_starts[start.task] = SentStart(
             start.number, session.fence, sent_s=now_s
         )
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -13,6 +13,7 @@
 from sardinemast.dispatch._order_times import OrderTimes
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._starts_in_flight import StartsInFlight
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
@@ -53,6 +54,7 @@
         self.moving: set[str] = set()
         self.durations = DurationEstimates()
         self.suspected = SuspectedWorkers()
+        self.starts_in_flight = StartsInFlight()
         self.instance_records = InstanceRecords(settings.failure_domains)
 
     def start_term(self, state: JobsState, term: int, now_s: float) -> None:
@@ -66,6 +68,7 @@
         self.loads = {}
         self.moving.clear()
         self.suspected.start_term()
+        self.starts_in_flight.clear()
         self.instance_records.start_term(state)
 
     @property
