--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -16,6 +16,7 @@
 from sardinemast.dispatch._pool_prospects import PoolProspect
 from sardinemast.dispatch._preemption import Rank, get_rank
 from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._starts_in_flight import StartsInFlight
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
@@ -60,6 +61,7 @@
         self.team_shares: dict[str, Mapping[str, float]] = {}
         self.failing_tasks = FailingTasks()
         self.suspected = SuspectedWorkers()
+        self.starts_in_flight = StartsInFlight()
         self.instance_records = InstanceRecords(settings.failure_domains)
         self.held_workers: dict[str, Rank] = {}
         self.prospects: dict[str, PoolProspect] = {}
@@ -78,6 +80,7 @@
         self.durations.start_term(state.durations.values())
         self.failing_tasks.start_term()
         self.suspected.start_term()
+        self.starts_in_flight.clear()
         self.instance_records.start_term(state)
         self.held_workers = {}
         self.prospects = {}
