Bound how far back a retried job counts its first arrival

Cause: a job refused for minutes was kept from its first arrival on, so that its result was dropped as it ended; a pool without any capacity divided by zero in the measurement (found by tests/dispatch/test_dispatch_fuzz.py). Change: the first arrival counts for at most 60 s; no capacity is an endless wait.

--- a/src/sardinemast/control/_job_admission.py
+++ b/src/sardinemast/control/_job_admission.py
@@ -26,6 +26,9 @@
 # An entry gives up an attempt 2.5 s after its arrival. An attempt that has
 # waited about as long has no caller any more, who may have sent another one.
 _GIVEN_UP_S = 2.4
+# Ended jobs are kept for 240 s after their first arrival, and callers are
+# promised 120 s after their acceptance.
+_FIRST_SEEN_MAX_MS = 60_000
 # Logging each of some hundred refusals a second would displace other events.
 _EVENTS_PER_S = 50
 
@@ -108,7 +111,9 @@
             # The caller was told that this attempt never runs.
             if received_s <= refusal.refused_s:
                 return refusal.answer
-            command = command._replace(first_seen_ms=refusal.first_seen_ms)
+            earliest_ms = command.submitted_ms - _FIRST_SEEN_MAX_MS
+            first_seen_ms = max(refusal.first_seen_ms, earliest_ms)
+            command = command._replace(first_seen_ms=first_seen_ms)
         job = _make_job(command, self._state)
         is_estimated = _ends_by_itself(command.request)
         estimate = self._waits.estimate(job, now_s) if is_estimated else None
--- a/src/sardinemast/dispatch/_pool_prospects.py
+++ b/src/sardinemast/dispatch/_pool_prospects.py
@@ -36,6 +36,8 @@
         early_work = self.now * _MOVE_LEAD_MS
         if work <= early_work:
             return work / self.now if work else 0
+        if self.later <= 0:
+            return float('inf')
         return _MOVE_LEAD_MS + (work - early_work) / self.later
 
 
--- a/tests/control/test_job_admission.py
+++ b/tests/control/test_job_admission.py
@@ -88,6 +88,18 @@
     assert leader.admission.refused_count == 0
 
 
+def test_retries_for_minutes_do_not_shorten_the_retention() -> None:
+    """Guard against a job whose result is dropped as soon as it ends."""
+    leader = AdmissionLeader()
+    leader.waits.found = FULL
+    for _ in range(9):
+        leader.submit('a')
+        leader.now_s += 30
+    leader.waits.found = None
+    leader.submit('a')
+    assert leader.proposed[0].first_seen_ms == (leader.now_s - 60) * 1000
+
+
 def test_new_leader_refuses_attempts_that_were_given_up() -> None:
     """Guard against a run of what the last leader may have refused.
 
--- a/tests/dispatch/test_wait_estimates.py
+++ b/tests/dispatch/test_wait_estimates.py
@@ -48,6 +48,17 @@
     assert _estimate(fleet) is None
 
 
+def test_pool_without_workers_gives_no_estimate() -> None:
+    """Guard against refusals, or a crash, while all workers are away."""
+    fleet = _make_fleet()
+    fleet.submit('a', _WIDE)
+    fleet.run(0.3)
+    for number in range(2):
+        fleet.drain_worker(number)
+    fleet.run(0.3)
+    assert _estimate(fleet) is None
+
+
 def test_new_leader_gives_no_estimate_before_it_measured() -> None:
     """Guard against refusals because no worker was polled yet."""
     fleet = _make_fleet()
