--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -37,6 +37,9 @@
 # Where durations are learned, a worker is only slow if two of its runs take
 # longer than this share of their kind. A few tasks take a multiple anywhere.
 _USUAL_QUANTILE = 0.99
+# The expected duration of a run is at least this quantile of its kind: where
+# declared durations are far off, many healthy runs take twice the mean.
+_EXPECTED_QUANTILE = 0.75
 # Weight of the latest run in the moving average of its queue.
 _LEARNING_RATE = 0.1
 
@@ -140,7 +143,11 @@
         self, step: StepState, number: int, start_s: float
     ) -> _TrackedRun:
         queue = self._state.jobs.get_queue(step).name
-        expected_ms = self._state.durations.get_expected_ms(queue, step.spec)
+        durations = self._state.durations
+        expected_ms = max(
+            durations.get_expected_ms(queue, step.spec),
+            durations.get_quantile_ms(queue, step.spec, _EXPECTED_QUANTILE),
+        )
         return _TrackedRun(number, start_s, queue, step.spec, expected_ms)
 
     def _list_slow(
