--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -43,14 +43,14 @@
     assert load_process_file(path).pool_sizes == PoolPolicy(opening_share=1)
 
 
-@pytest.mark.parametrize('is_enabled', [False, True])
+@pytest.mark.parametrize('enabled', [False, True])
 def test_lost_racks_are_recognised_only_if_enabled(
-    tmp_path: Path, is_enabled: bool
+    tmp_path: Path, enabled: bool
 ) -> None:
     """Load files without ``failure_domains`` as before, and read the switch."""
-    more = 'failure_domains: {enabled: true}\n' if is_enabled else ''
+    more = 'failure_domains: {enabled: true}\n' if enabled else ''
     settings = load_process_file(_write(tmp_path, more))
-    assert settings.failure_domains.enabled is is_enabled
+    assert settings.failure_domains.enabled is enabled
 
 
 def test_all_mistakes_are_reported_together(tmp_path: Path) -> None:
@@ -80,8 +80,8 @@
 def test_learning_is_off_unless_enabled(tmp_path: Path) -> None:
     """Guard against learning that a settings file did not ask for."""
     assert not load_process_file(_write(tmp_path, '')).learning.enabled
-    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 0}\n')
-    expected = LearningPolicy(enabled=True, deadline_ends=0)
+    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 50}\n')
+    expected = LearningPolicy(enabled=True, deadline_ends=50)
     assert load_process_file(path).learning == expected
     path = _write(tmp_path, 'learning: {enabled: yes, prior_ends: 0}\n')
     with pytest.raises(CheckError) as raised:
