Order by deadline, not by last use, in pools that are not divided

Cause: the usual rank of a step that is on time has the number of the rank for late work, so such steps were ordered by useful_until_ms.

Change: only steps of divided pools may have that rank.

--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -89,11 +89,11 @@
         division = self._divisions.get(facts.pool)
         if division is None:
             rank = facts.get_usual_rank(self._time.now_ms)
+            due_ms = facts.due_ms
         else:
             rank = self._get_rank(facts, division)
-        due_ms = facts.due_ms
-        if rank == _LATE_SHARE:
-            due_ms = facts.useful_until_ms
+            is_late_share = rank == _LATE_SHARE
+            due_ms = facts.useful_until_ms if is_late_share else facts.due_ms
         return (job.queue.priority, rank, due_ms, job.log_index, step.key.step)
 
     def record_starts(self, step: StepState, count: int) -> None:
--- a/tests/dispatch/test_team_shares.py
+++ b/tests/dispatch/test_team_shares.py
@@ -166,3 +166,13 @@
     assert with_shares.owed.on_time > without.owed.on_time
     assert with_shares.owed.worst_team >= _MIN_SERVED
     assert 2 * with_shares.largest_jobs >= with_shares.on_time
+
+
+def test_day_without_rates_is_the_same_with_shares() -> None:
+    """Guard against another order while no team exceeds its rate."""
+    shares = TeamShares(enabled=True)
+    day = REGISTRY_DAY._replace(duration_s=20)
+    with_shares = FleetSimulation(
+        day, DispatchSettings(team_shares=shares), 2
+    ).run()
+    assert with_shares == FleetSimulation(day, DispatchSettings(), 2).run()
