Let a pool lose all its workers, and teach the soak the new parts

Cause: with admission on, the leader failed with a division by zero as soon as a pool had work and no worker of known size. The soak found it at once: each leader in turn ended. Change: such a pool has no prospect, so that nothing is refused there. Result: the new test fails before with the division and passes after.

--- a/src/sardinemast/dispatch/_pool_prospects.py
+++ b/src/sardinemast/dispatch/_pool_prospects.py
@@ -56,6 +56,9 @@
     idle_count = sum(len(load.idle_workers) for load in loads.values())
     prospects: dict[str, PoolProspect] = {}
     for pool, load in loads.items():
+        # A pool whose workers are all gone has no size to count by.
+        if not baselines[pool].worker_millicores:
+            continue
         most = count_workers_max(load, baselines[pool], policy)
         arriving = load.workers + incoming[pool]
         if standby_count is not None:
--- a/tests/dispatch/test_wait_estimates.py
+++ b/tests/dispatch/test_wait_estimates.py
@@ -124,3 +124,11 @@
         waits.record_accepted(job)
     after_ms = _get_wait_ms(fleet, _WIDE)
     assert after_ms >= before_ms + 4000
+
+
+def test_pool_without_workers_gives_no_estimate() -> None:
+    """Guard against a leader that fails when a pool has lost all workers."""
+    fleet = ModelFleet(0)
+    fleet.submit('a', _WIDE)
+    fleet.run(1)
+    assert _estimate(fleet) is None
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -5,6 +5,7 @@
 from itertools import count
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from builders.platform_processes import PlatformProcesses
@@ -40,6 +41,21 @@
         return (self.controls - 1) // 2
 
 
+# The optional parts of the dispatcher all work at once.
+_ENABLED_POLICIES: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        section: {'enabled': True}
+        for section in (
+            'team_shares',
+            'learning',
+            'failure_domains',
+            'preemption',
+            'admission',
+        )
+    },
+)
+
+
 class Ports(NamedTuple):
     """Store the port numbers, which are the same at all addresses."""
 
@@ -180,6 +196,7 @@
         return {
             **settings,
             'roles': ['control'],
+            **_ENABLED_POLICIES,
             'operators': f'{self._get_inside(name)}:{ports.operators}',
         }
 
