--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -8,11 +8,7 @@
 from sardinemast.dispatch._pool_demand import measure_free
 from sardinemast.dispatch._pool_division import PoolDivision
 from sardinemast.dispatch._settings import TeamShares
-from sardinemast.dispatch._step_facts import (
-    StepFacts,
-    StepFactsCache,
-    is_finishing_late,
-)
+from sardinemast.dispatch._step_facts import StepFacts, StepFactsCache
 from sardinemast.jobs import JobsState, StepState
 
 # Ranks within a queue priority. A class has two ranks: on time, then late.
@@ -139,13 +135,17 @@
         return division
 
     def _count_late_millicores(self, pool: str) -> int:
-        return sum(
-            len(step.running) * step.spec.reserved_size.millicores
+        running = [
+            step
             for step in self._jobs.ready.values()
-            if step.running
-            and not step.spec.is_long_running
-            and self._jobs.get_queue(step).pool == pool
-            and is_finishing_late(self._jobs.get_job(step), step, *self._time)
+            if step.running and not step.spec.is_long_running
+        ]
+        return sum(
+            len(facts.step.running) * facts.millicores
+            for facts in self._cache.list_facts(
+                self._jobs, running, *self._time
+            )
+            if facts.pool == pool and self._time.now_ms > facts.late_finish_ms
         )
 
     def _get_rank(self, facts: StepFacts, division: PoolDivision) -> int:
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -45,7 +45,7 @@
     """
 
     enabled: bool = False
-    late_share: float = 0
+    late_share: float = 0.1
     needs_excess: bool = True
 
 
--- a/src/sardinemast/dispatch/_step_facts.py
+++ b/src/sardinemast/dispatch/_step_facts.py
@@ -15,7 +15,8 @@
     """Hold what the order of a step depends on.
 
     If the step starts after ``on_time_start_ms``, its job is expected to be
-    late; after ``useful_start_ms``, the job will be of no use.
+    late; after ``useful_start_ms``, the job will be of no use. If the step ends
+    after ``late_finish_ms``, its job is late whenever it started.
     """
 
     step: StepState
@@ -26,6 +27,7 @@
     useful_until_ms: float
     on_time_start_ms: float
     useful_start_ms: float
+    late_finish_ms: float
 
     def get_usual_rank(self, now_ms: int) -> int:
         """Return the rank that ``get_step_priority`` gives the step."""
@@ -66,27 +68,12 @@
         return [known[wanted] for wanted in steps]
 
 
-def is_finishing_late(
-    job: JobState,
-    step: StepState,
-    durations: DurationEstimates,
-    now_ms: int,
-) -> bool:
-    """Check whether the job of a running step is late in any case.
-
-    The step may have started long ago, so only what follows it counts.
-    """
-    due_ms = get_deadlines(job, step.key.occurrence, durations).due_ms
-    expected_ms = durations.get_expected_ms(job.queue.name, step.spec)
-    remaining_ms = durations.get_remaining_ms(job, step.key.step)
-    return now_ms + remaining_ms - expected_ms > due_ms
-
-
 def _make_facts(
     job: JobState, step: StepState, durations: DurationEstimates
 ) -> StepFacts:
     due_ms, useful_until_ms = get_deadlines(job, step.key.occurrence, durations)
     remaining_ms = durations.get_remaining_ms(job, step.key.step)
+    expected_ms = durations.get_expected_ms(job.queue.name, step.spec)
     return StepFacts(
         step,
         job,
@@ -96,4 +83,5 @@
         useful_until_ms,
         due_ms - remaining_ms,
         useful_until_ms - remaining_ms,
+        due_ms - remaining_ms + expected_ms,
     )
