--- a/bench/durations.py
+++ b/bench/durations.py
@@ -33,8 +33,10 @@
 _POLICIES = MappingProxyType(
     {
         'declared': LearningPolicy(),
-        'learned': LearningPolicy(is_enabled=True, deadline_ends=50),
-        'learned, for order alone': LearningPolicy(is_enabled=True),
+        'learned': LearningPolicy(is_enabled=True),
+        'learned, for order alone': LearningPolicy(
+            is_enabled=True, deadline_ends=0
+        ),
     }
 )
 _FIELDS = (
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -46,7 +46,7 @@
 
     is_enabled: bool = False
     prior_ends: float = 16
-    deadline_ends: int = 0
+    deadline_ends: int = 50
 
 
 class DispatchSettings(NamedTuple):
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -49,8 +49,8 @@
 def test_learning_is_off_unless_enabled(tmp_path: Path) -> None:
     """Guard against learning that a settings file did not ask for."""
     assert not load_process_file(_write(tmp_path, '')).learning.is_enabled
-    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 50}\n')
-    expected = LearningPolicy(is_enabled=True, deadline_ends=50)
+    path = _write(tmp_path, 'learning: {enabled: true, deadline_ends: 0}\n')
+    expected = LearningPolicy(is_enabled=True, deadline_ends=0)
     assert load_process_file(path).learning == expected
     path = _write(tmp_path, 'learning: {enabled: yes, prior_ends: 0}\n')
     with pytest.raises(CheckError) as raised:
--- a/tests/dispatch/test_durations.py
+++ b/tests/dispatch/test_durations.py
@@ -119,13 +119,13 @@
     queue = make_catalog().queues[0]
     steps = (make_learned_step(), make_learned_step(stage=1))
     job = JobState('job', queue, '', JobRequest('', steps), 1, 0)
-    run = LearningRun(LEARNING._replace(deadline_ends=50))
+    run = LearningRun()
     for seconds, total_ms in ((0.5, 1000), (2, 2000)):
         for step in steps:
             run.learn(seconds, draw_ratios(2), step)
         total = run.estimates.get_total_ms(job)
         assert total == pytest.approx(total_ms, rel=0.1)
-    run = LearningRun()
+    run = LearningRun(LEARNING._replace(deadline_ends=0))
     run.learn(2, draw_ratios(2))
     assert run.estimates.get_total_ms(job) == 1000
     assert run.estimates.get_remaining_ms(job, 0) > 1500
