--- a/bench/durations.py
+++ b/bench/durations.py
@@ -33,8 +33,10 @@
 _POLICIES = MappingProxyType(
     {
         'declared': LearningPolicy(),
-        'learned': LearningPolicy(enabled=True, deadline_ends=50),
-        'learned, for order alone': LearningPolicy(enabled=True),
+        'learned': LearningPolicy(enabled=True),
+        'learned, for order alone': LearningPolicy(
+            enabled=True, deadline_ends=0
+        ),
     }
 )
 _FIELDS = (
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -61,7 +61,7 @@
 
     enabled: bool = False
     prior_ends: float = 16
-    deadline_ends: int = 0
+    deadline_ends: int = 50
 
 
 class FailureDomainPolicy(NamedTuple):
