--- a/tests/dispatch/test_wait_estimates.py
+++ b/tests/dispatch/test_wait_estimates.py
@@ -126,7 +126,7 @@
     assert after_ms >= before_ms + 4000
 
 
-def test_pool_without_workers_gives_no_estimate() -> None:
+def test_pool_that_never_had_workers_gives_no_estimate() -> None:
     """Guard against a leader that fails when a pool has lost all workers."""
     fleet = ModelFleet(0)
     fleet.submit('a', _WIDE)
