Record a reported success although the lease expires meanwhile

Traced: a worker that was silent answers just before its lease expires, with the ends of its runs. The log is stalled with another command, so that the ends wait; no further poll is sent until they are recorded, and the lease expires. The expiry replaced each waiting success by a loss, and the batch then acknowledged the success to the worker. The code before this work fails the new test as well. Change: an end that a worker reported stays queued when its run is taken for lost afterwards. Result: the new test fails before (job still running) and passes after.

--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -24,6 +24,7 @@
     Command,
     JobsState,
     MaintenanceStatus,
+    RunEnd,
     StepState,
     TaskKey,
     Worker,
@@ -161,10 +162,20 @@
         return self.jobs.runs.get(worker, {})
 
     def record_end(self, finished_run: FinishedRun) -> None:
-        """Queue an end to be recorded, if it is of the task's current run."""
+        """Queue an end to be recorded, if it is of the task's current run.
+
+        An end that the worker reported is kept: while the log is stalled, its
+        lease may expire before the end is recorded, but the worker forgets the
+        end once this batch is acknowledged.
+        """
         step = self.jobs.find_step(finished_run.task)
         run = step.running.get(finished_run.task.position) if step else None
-        if run is not None and run.number == finished_run.number:
+        if run is None or run.number != finished_run.number:
+            return
+        queued = self.pending_ends.get(finished_run.task)
+        if queued is None or queued.number != finished_run.number:
+            self.pending_ends[finished_run.task] = finished_run
+        elif queued.end is RunEnd.lost:
             self.pending_ends[finished_run.task] = finished_run
 
     def iterate_steps_on(
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -169,3 +169,27 @@
     fleet.submit('job', make_step(4))
     fleet.run(1)
     assert {one.worker.name for one in fleet.started} == {'w-1'}
+
+
+def test_reported_success_outlasts_the_lease_of_a_stalled_log() -> None:
+    """Guard against a task that runs again although its success was reported.
+
+    The worker answers just before its lease expires. The log is stalled with
+    another command, so that the success is not recorded by then.
+    """
+    fleet = ModelFleet()
+    worker = _start_one(fleet)
+    model = fleet.workers[worker]
+    model.is_unreachable = True
+    model.end(TASK, 'done')
+    fleet.run(_LEASE_S - 1)
+    fleet.is_held = True
+    fleet.submit('other', make_step())
+    fleet.run(0.1)
+    model.is_unreachable = False
+    fleet.run(3)
+    fleet.is_held = False
+    fleet.commit_held()
+    fleet.run(1)
+    assert fleet.state.jobs['job'].status is JobStatus.done
+    assert fleet.get_running_workers(TASK) == []
