Order undivided pools by sorting, and look for excess first

Plans that divide no pool kept a heap of steps and measured free capacity all the same. Change: a pool without jobs beyond a rate is left undivided before anything is measured, and a plan without divided pools sorts its steps once.

--- a/src/sardinemast/dispatch/_plan_shares.py
+++ b/src/sardinemast/dispatch/_plan_shares.py
@@ -73,8 +73,11 @@
             by_pool[facts.pool].append(facts)
         placeable: list[StepState] = []
         for pool, waiting in by_pool.items():
+            if not self._is_contended(waiting):
+                placeable.extend(one.step for one in waiting)
+                continue
             free = measure_free(self._jobs, pool, waiting, self._is_usable)
-            if free.is_enough or not self._is_contended(waiting):
+            if free.is_enough:
                 placeable.extend(one.step for one in waiting)
                 continue
             self.full_pools.add(pool)
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -72,11 +72,14 @@
         candidates = [
             step for step in self._state.ready.values() if step.waiting
         ]
+        order = self._order
         if self._shares is not None:
-            placeable = self._shares.divide(candidates)
-            self._place_by_shares(placeable, self._shares)
-            return tuple(self._starts)
-        for step in sorted(candidates, key=self._order):
+            candidates = self._shares.divide(candidates)
+            order = self._shares.get_key
+            if self._shares.get_shares():
+                self._place_by_shares(candidates, self._shares)
+                return tuple(self._starts)
+        for step in sorted(candidates, key=order):
             if len(self._starts) >= _STARTS_MAX:
                 break
             self._place_step(step)
