--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -192,4 +192,4 @@
     fleet.commit_held()
     fleet.run(1)
     assert fleet.state.jobs['job'].status is JobStatus.done
-    assert fleet.get_running_workers(TASK) == []
+    assert not fleet.get_running_workers(TASK)
