Show a long-running task that waits beside a cordoned worker

Cause: a wave drains a worker; the drained task finds no other room and waits, so that the pool lacks capacity; the wave then defers the pool, and nobody maintains or releases the worker.

--- /dev/null
+++ b/tests/dispatch/test_cordons.py
@@ -0,0 +1,31 @@
+"""Test that a cordoned worker is used again or leaves for maintenance."""
+
+from builders.maintained_fleets import MaintainedFleet
+from builders.workers import ModelFleet, make_step
+from sardinemast.jobs.commands import DeclareWave
+
+# A long-running task must run again within this time while there is room.
+_WAIT_MAX_S = 6.0
+_WORKERS = 4
+_CORES = 4
+_INSTANCES = tuple(f'm-{number}' for number in range(_WORKERS))
+
+
+def _declare_wave(fleet: ModelFleet, cap: int, due_s: float) -> None:
+    due_ms = fleet.now_ms + int(due_s * 1000)
+    fleet.commit(DeclareWave(1, _INSTANCES, cap, fleet.now_ms, due_ms))
+
+
+def test_wave_that_drained_a_worker_is_not_deferred() -> None:
+    """A drained worker stayed cordoned, since its own tasks lacked capacity."""
+    fleet = ModelFleet(_WORKERS)
+    fleet.run(4)
+    # All but three cores are taken, so that a drained task finds no other room.
+    task_count = _WORKERS * _CORES - 3
+    step = make_step(task_count, is_long_running=True, max_unavailable=2)
+    fleet.submit('watch', step)
+    fleet.run(2)
+    _declare_wave(fleet, 2, 40)
+    maintained = MaintainedFleet(fleet)
+    maintained.run(45)
+    assert max(maintained.longest_waits_s.values(), default=0) <= _WAIT_MAX_S
