Finish the maintenance of a worker once it is being drained

Cause: callers saw a long-running task that did not run although a worker of its pool was empty. A wave drained that worker; its tasks found no other room and waited; the wave then put the pool off because tasks lack capacity, but left the worker cordoned. The pool requests no instance for a shortfall below 15%, and counts the cordoned worker as its own. So each part waited for another. Change: a worker that is being drained is no longer put off. Its maintenance ends in seconds and brings its room back.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -301,9 +301,13 @@
                 continue
             pool = worker.pool
             allowed = 1 + int(by_pool[pool] * _CYCLE_S / remaining_s)
-            if self._is_deferred(pool, by_pool[pool], remaining_s):
-                continue
-            if sum(started.values()) < wave.cap and started[pool] < allowed:
+            # A worker that is being drained leaves in any case. Its own tasks
+            # may be what the pool lacks capacity for until it is back.
+            may_start = worker.name in self._cordoned_at_s or (
+                started[pool] < allowed
+                and not self._is_deferred(pool, by_pool[pool], remaining_s)
+            )
+            if may_start and sum(started.values()) < wave.cap:
                 started[pool] += 1
                 yield item
 
