Show that a deferred wave keeps a worker cordoned

Cause: a wave cordons a worker and stops its long-running tasks first. While they wait, the pool has a shortfall, so the wave is deferred before the worker is empty. Nothing releases the worker, and its capacity stays unused.

--- /dev/null
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -0,0 +1,55 @@
+"""Test that a long-running task runs again soon if its pool has room."""
+
+from builders.instance_fleets import InstanceFleet
+from builders.long_running import RoomObserver
+from builders.workers import CORE, MIB, make_step
+from sardinemast.jobs import Size
+from sardinemast.jobs.commands import DeclareWave
+
+_FAR_MS = 1_000_000
+# Longer than a task may be away and the time to detect it.
+_OBSERVED_S = 12.0
+
+
+def _start_watch(
+    fleet: InstanceFleet, count: int = 2, cores: int = 1, **limits: int
+) -> None:
+    """Start long-running tasks, which are packed onto the first worker."""
+    fleet.run(4)
+    size = Size(cores * CORE, MIB)
+    step = make_step(count, size=size, is_long_running=True, **limits)
+    fleet.submit('watch', step)
+    fleet.run(1)
+    assert len(fleet.workers['w-0'].running) == count
+
+
+def _start_batch(fleet: InstanceFleet, cores: int, rack: str = '') -> None:
+    """Start a task that does not end while it is observed."""
+    step = make_step(
+        1,
+        size=Size(cores * CORE, MIB),
+        estimate_ms=60_000,
+        required_label=rack,
+    )
+    fleet.submit(f'batch-{fleet.log_length}', step)
+    fleet.run(0.5)
+
+
+def _declare_wave(fleet: InstanceFleet, *names: str) -> None:
+    fleet.commit(DeclareWave(1, names, 1, fleet.now_ms, _FAR_MS))
+
+
+def test_worker_is_released_when_its_maintenance_is_deferred() -> None:
+    """Do not keep a worker cordoned while its maintenance is deferred.
+
+    The wave stops the long-running tasks first. While they wait, the pool
+    lacks capacity, which defers the wave before the worker is empty.
+    """
+    fleet = InstanceFleet(2)
+    _start_watch(fleet)
+    _start_batch(fleet, cores=1)
+    _start_batch(fleet, cores=4)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
