Show that the limit of a step can block the drain of a worker for ever

Cause: two tasks of a step that allows one unavailable task are on a cordoned worker. The first one is stopped and fits nowhere else, so the second one may not be stopped and the worker is never drained. The free capacity of other workers is enough in total, so the wave is not deferred either. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -2,7 +2,7 @@
 
 from builders.instance_fleets import InstanceFleet
 from builders.long_running import RoomObserver
-from builders.workers import CORE, MIB, make_step
+from builders.workers import CORE, MIB, make_step, make_worker
 from sardinemast.jobs import Size
 from sardinemast.jobs.commands import DeclareWave
 
@@ -23,6 +23,14 @@
     assert len(fleet.workers['w-0'].running) == count
 
 
+def _add_workers_with_one_free_core(fleet: InstanceFleet) -> None:
+    for number in (1, 2):
+        rack = f'r-{number}'
+        fleet.add_worker(make_worker(number, rack=rack))
+        fleet.run(1)
+        _start_batch(fleet, cores=3, rack=rack)
+
+
 def _start_batch(fleet: InstanceFleet, cores: int, rack: str = '') -> None:
     """Start a task that does not end while it is observed."""
     step = make_step(
@@ -53,3 +61,19 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_cordoned_worker_is_released_when_limit_prevents_draining() -> None:
+    """Do not keep a worker cordoned whose last task may not be stopped.
+
+    The task that was stopped first fits only there, and until it runs again
+    the limit of its step protects the other one. The free capacity of the
+    other workers covers its size only in total, so nothing is deferred.
+    """
+    fleet = InstanceFleet(1, cores=8)
+    _start_watch(fleet, cores=2, max_unavailable=1)
+    _add_workers_with_one_free_core(fleet)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
