Show that a worker stays cordoned while others use up the cap of a wave

Cause: a wave cordons the first worker of a pool although standby instances of the wave come first and use up its cap, one after the other. The worker is drained at once and stays cordoned until its turn. Change: the test. The pool has no shortfall, so deferral is not involved. Result: the test fails on the current code: the task is away for 11.95 of 12 s with room for two on the cordoned worker; the limit is 7 s. With wave and cordon removed it starts within 1 s.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -77,3 +77,21 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_worker_is_released_while_cap_is_taken() -> None:
+    """Do not keep a worker cordoned while other instances use up the cap.
+
+    Standby instances go first, one after the other. The free capacity of the
+    other workers covers the task only in total, so nothing is deferred.
+    """
+    fleet = InstanceFleet(1)
+    # Instances without runs go in the order of their names.
+    spare = tuple(f'idle-{number}' for number in range(6))
+    fleet.instances.standby = set(spare)
+    _start_watch(fleet, count=1, cores=2)
+    _add_workers_with_one_free_core(fleet)
+    _declare_wave(fleet, 'm-0', *spare)
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
