Show that a worker stays cordoned after maintenance under the same name

Cause: a later boot of a worker under the same name continues its session, which was cordoned for maintenance. Nothing removes the cordon when the item of the wave is done. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -95,3 +95,18 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_worker_is_used_after_maintenance_under_the_same_name() -> None:
+    """Use a worker that returns from maintenance under its earlier name.
+
+    The session of the earlier boot is continued, and was cordoned.
+    """
+    fleet = InstanceFleet(1)
+    fleet.keeps_names = True
+    _start_watch(fleet)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert 'm-0' in fleet.instances.maintenance_orders
+    assert not observer.list_overdue()
