Show that the backoff of a worker outlasts its restart

Cause: a later boot of a worker under the same name continues its session with the failures and the backoff of the earlier boot, up to 16 s. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -4,7 +4,7 @@
 from builders.long_running import RoomObserver
 from builders.workers import CORE, MIB, make_step, make_worker
 from sardinemast.jobs import Size
-from sardinemast.jobs.commands import DeclareWave
+from sardinemast.jobs.commands import CancelJob, DeclareWave
 
 _FAR_MS = 1_000_000
 # Longer than a task may be away and the time to detect it.
@@ -43,6 +43,20 @@
     fleet.run(0.5)
 
 
+def _fail_batch_tasks(fleet: InstanceFleet, count: int) -> None:
+    """Fail as many small tasks at once on the only worker."""
+    step = make_step(count, size=Size(CORE // 4, MIB))
+    fleet.submit('failing', step)
+    fleet.run(0.5)
+    model = fleet.workers['w-0']
+    for task in tuple(model.running):
+        if task.job == 'failing':
+            model.end(task, 'failed')
+    fleet.run(0.2)
+    fleet.commit(CancelJob('failing'))
+    fleet.run(0.5)
+
+
 def _declare_wave(fleet: InstanceFleet, *names: str) -> None:
     fleet.commit(DeclareWave(1, names, 1, fleet.now_ms, _FAR_MS))
 
@@ -110,3 +124,17 @@
     observer.run(_OBSERVED_S)
     assert 'm-0' in fleet.instances.maintenance_orders
     assert not observer.list_overdue()
+
+
+def test_restarted_worker_is_used_without_backoff() -> None:
+    """Do not apply the failures of a worker to its next boot.
+
+    It restarts under the same name, and no other worker has room.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    _fail_batch_tasks(fleet, 6)
+    fleet.restart_worker('w-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
