Show that a backoff blocks the only worker with room

Cause: a worker whose runs failed gets no new runs for up to 16 s, also if no other worker of the pool has room. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -138,3 +138,19 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue(has_failure=True)
+
+
+def test_avoided_worker_is_used_if_no_other_has_room() -> None:
+    """Start a long-running task on a worker in backoff if only it has room.
+
+    The backoff lasts much longer than the task may be away.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    _fail_batch_tasks(fleet, 6)
+    model = fleet.workers['w-0']
+    for task in tuple(model.running):
+        model.end(task, 'lapsed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
