Show that a forgotten worker refuses all polls of its next session

Cause: a worker that was silent for 20 s is forgotten and its session closed. When it registers again in the same term and boot, the new session begins with the first fence of the term. If the earlier session had raised the fence, for instance after an unanswered start, the worker refuses every poll, and nothing raises the fence until the next term or boot. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -48,12 +48,17 @@
     step = make_step(count, size=Size(CORE // 4, MIB))
     fleet.submit('failing', step)
     fleet.run(0.5)
+    _fail_tasks(fleet, 'failing')
+
+
+def _fail_tasks(fleet: InstanceFleet, job: str) -> None:
+    """Fail the running tasks of a job, and cancel it."""
     model = fleet.workers['w-0']
     for task in tuple(model.running):
-        if task.job == 'failing':
+        if task.job == job:
             model.end(task, 'failed')
     fleet.run(0.2)
-    fleet.commit(CancelJob('failing'))
+    fleet.commit(CancelJob(job))
     fleet.run(0.5)
 
 
@@ -154,3 +159,25 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue(has_failure=True)
+
+
+def test_forgotten_worker_is_used_after_it_registers_again() -> None:
+    """Send orders with a valid fence to a worker that was forgotten.
+
+    It was cut off for long and has not restarted, so it remembers the fences
+    of the session that was closed.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    model = fleet.workers['w-0']
+    # An unanswered start raises the fence of the session.
+    fleet.starts_to_lose = 1
+    _start_batch(fleet, cores=1)
+    model.is_unreachable = True
+    fleet.run(30)
+    assert 'w-0' not in fleet.state.workers
+    model.is_unreachable = False
+    fleet.register_again('w-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
