Show that each poll extends the backoff of a worker

Cause: after two failed runs in a row, the recorder sets the backoff of a worker anew at every poll result, also if it lists no new end. A worker that has any run is polled at least once per second, so its backoff of 1 s or more never ends before one of its runs succeeds. Long-running tasks never succeed, so two failures of theirs, however far apart, end the use of a worker that runs only such tasks. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -3,7 +3,7 @@
 from builders.instance_fleets import InstanceFleet
 from builders.long_running import RoomObserver
 from builders.workers import CORE, MIB, make_step, make_worker
-from sardinemast.jobs import Size
+from sardinemast.jobs import Size, TaskKey
 from sardinemast.jobs.commands import CancelJob, DeclareWave
 
 _FAR_MS = 1_000_000
@@ -181,3 +181,20 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue(has_failure=True)
+
+
+def test_backoff_ends_while_worker_keeps_long_running_tasks() -> None:
+    """Let the backoff of a worker end although it is polled all the time.
+
+    Two of its long-running tasks have failed once, far apart in time. No run
+    there ever succeeds, since long-running tasks do not end by themselves.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet, count=3)
+    model = fleet.workers['w-0']
+    for position in (0, 1):
+        fleet.run(20)
+        model.end(TaskKey('watch', 0, 0, position), 'failed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
