--- /dev/null
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -0,0 +1,200 @@
+"""Test that a long-running task runs again soon if its pool has room."""
+
+from builders.instance_fleets import InstanceFleet
+from builders.long_running import RoomObserver
+from builders.workers import CORE, MIB, make_step, make_worker
+from sardinemast.jobs import Size, TaskKey
+from sardinemast.jobs.commands import CancelJob, DeclareWave
+
+_FAR_MS = 1_000_000
+# Longer than a task may be away and the time to detect it.
+_OBSERVED_S = 12.0
+
+
+def _start_watch(
+    fleet: InstanceFleet, count: int = 2, cores: int = 1, **limits: int
+) -> None:
+    """Start long-running tasks, which are packed onto the first worker."""
+    fleet.run(4)
+    size = Size(cores * CORE, MIB)
+    step = make_step(count, size=size, is_long_running=True, **limits)
+    fleet.submit('watch', step)
+    fleet.run(1)
+    assert len(fleet.workers['w-0'].running) == count
+
+
+def _add_workers_with_one_free_core(fleet: InstanceFleet) -> None:
+    for number in (1, 2):
+        rack = f'r-{number}'
+        fleet.add_worker(make_worker(number, rack=rack))
+        fleet.run(1)
+        _start_batch(fleet, cores=3, rack=rack)
+
+
+def _start_batch(fleet: InstanceFleet, cores: int, rack: str = '') -> None:
+    """Start a task that does not end while it is observed."""
+    step = make_step(
+        1,
+        size=Size(cores * CORE, MIB),
+        estimate_ms=60_000,
+        required_label=rack,
+    )
+    fleet.submit(f'batch-{fleet.log_length}', step)
+    fleet.run(0.5)
+
+
+def _fail_batch_tasks(fleet: InstanceFleet, count: int) -> None:
+    """Fail as many small tasks at once on the only worker."""
+    step = make_step(count, size=Size(CORE // 4, MIB))
+    fleet.submit('failing', step)
+    fleet.run(0.5)
+    _fail_tasks(fleet, 'failing')
+
+
+def _fail_tasks(fleet: InstanceFleet, job: str) -> None:
+    """Fail the running tasks of a job, and cancel it."""
+    model = fleet.workers['w-0']
+    for task in tuple(model.running):
+        if task.job == job:
+            model.end(task, 'failed')
+    fleet.run(0.2)
+    fleet.commit(CancelJob(job))
+    fleet.run(0.5)
+
+
+def _declare_wave(fleet: InstanceFleet, *names: str) -> None:
+    fleet.commit(DeclareWave(1, names, 1, fleet.now_ms, _FAR_MS))
+
+
+def test_worker_is_released_when_its_maintenance_is_deferred() -> None:
+    """Do not keep a worker cordoned while its maintenance is deferred.
+
+    The wave stops the long-running tasks first. While they wait, the pool
+    lacks capacity, which defers the wave before the worker is empty.
+    """
+    fleet = InstanceFleet(2)
+    _start_watch(fleet)
+    _start_batch(fleet, cores=1)
+    _start_batch(fleet, cores=4)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
+
+
+def test_cordoned_worker_is_released_when_limit_prevents_draining() -> None:
+    """Do not keep a worker cordoned whose last task may not be stopped.
+
+    The task that was stopped first fits only there, and until it runs again
+    the limit of its step protects the other one. The free capacity of the
+    other workers covers its size only in total, so nothing is deferred.
+    """
+    fleet = InstanceFleet(1, cores=8)
+    _start_watch(fleet, cores=2, max_unavailable=1)
+    _add_workers_with_one_free_core(fleet)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
+
+
+def test_worker_is_released_while_cap_is_taken() -> None:
+    """Do not keep a worker cordoned while other instances use up the cap.
+
+    Standby instances go first, one after the other. The free capacity of the
+    other workers covers the task only in total, so nothing is deferred.
+    """
+    fleet = InstanceFleet(1)
+    # Instances without runs go in the order of their names.
+    spare = tuple(f'idle-{number}' for number in range(6))
+    fleet.instances.standby = set(spare)
+    _start_watch(fleet, count=1, cores=2)
+    _add_workers_with_one_free_core(fleet)
+    _declare_wave(fleet, 'm-0', *spare)
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
+
+
+def test_worker_is_used_after_maintenance_under_the_same_name() -> None:
+    """Use a worker that returns from maintenance under its earlier name.
+
+    The session of the earlier boot is continued, and was cordoned.
+    """
+    fleet = InstanceFleet(1)
+    fleet.keeps_names = True
+    _start_watch(fleet)
+    _declare_wave(fleet, 'm-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert 'm-0' in fleet.instances.maintenance_orders
+    assert not observer.list_overdue()
+
+
+def test_restarted_worker_is_used_without_backoff() -> None:
+    """Do not apply the failures of a worker to its next boot.
+
+    It restarts under the same name, and no other worker has room.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    _fail_batch_tasks(fleet, 6)
+    fleet.restart_worker('w-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
+
+
+def test_avoided_worker_is_used_if_no_other_has_room() -> None:
+    """Start a long-running task on a worker in backoff if only it has room.
+
+    The backoff lasts much longer than the task may be away.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    _fail_batch_tasks(fleet, 6)
+    model = fleet.workers['w-0']
+    for task in tuple(model.running):
+        model.end(task, 'lapsed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
+
+
+def test_forgotten_worker_is_used_after_it_registers_again() -> None:
+    """Send orders with a valid fence to a worker that was forgotten.
+
+    It was cut off for long and has not restarted, so it remembers the fences
+    of the session that was closed.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    model = fleet.workers['w-0']
+    # An unanswered start raises the fence of the session.
+    fleet.starts_to_lose = 1
+    _start_batch(fleet, cores=1)
+    model.is_unreachable = True
+    fleet.run(30)
+    assert 'w-0' not in fleet.state.workers
+    model.is_unreachable = False
+    fleet.register_again('w-0')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
+
+
+def test_backoff_ends_while_worker_keeps_long_running_tasks() -> None:
+    """Let the backoff of a worker end although it is polled all the time.
+
+    Two of its long-running tasks have failed once, far apart in time. No run
+    there ever succeeds, since long-running tasks do not end by themselves.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet, count=3)
+    model = fleet.workers['w-0']
+    for position in (0, 1):
+        fleet.run(20)
+        model.end(TaskKey('watch', 0, 0, position), 'failed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue(has_failure=True)
