Share the bound on log lines between packages

Cause: the bound on lines of refused jobs was private to the admission of jobs, and the dispatcher is to bound lines of its own. Change: EventBudget of the dispatch package, with the lines per second as an argument; the admission uses it with its bound of 50 as before. Result: the tests of the admission pass unchanged.

--- a/src/sardinemast/control/_job_admission.py
+++ b/src/sardinemast/control/_job_admission.py
@@ -9,6 +9,7 @@
 from sardinemast.control._refused_jobs import Refusal, RefusedJobs
 from sardinemast.dispatch import (
     AdmissionPolicy,
+    EventBudget,
     LogDecision,
     WaitEstimate,
     WaitEstimates,
@@ -33,29 +34,6 @@
 _EVENTS_PER_S = 50
 
 
-class _EventBudget:
-    """Bound the events of a second, and count those that are left out."""
-
-    def __init__(self) -> None:
-        self.omitted = 0
-        self._second = 0
-        self._count = 0
-
-    def take(self, now_s: float) -> bool:
-        if int(now_s) != self._second:
-            self._second = int(now_s)
-            self._count = 0
-        self._count += 1
-        is_left = self._count <= _EVENTS_PER_S
-        self.omitted += not is_left
-        return is_left
-
-    def pop_omitted(self) -> int:
-        omitted = self.omitted
-        self.omitted = 0
-        return omitted
-
-
 class _Reason(NamedTuple):
     """Hold why a job is refused."""
 
@@ -78,7 +56,7 @@
         self._waits = waits
         self._refused = RefusedJobs()
         self._proposed: set[str] = set()
-        self._budget = _EventBudget()
+        self._budget = EventBudget(_EVENTS_PER_S)
         self._led_since_s: float = 0
 
     @property
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinemast.dispatch._admission_policy import AdmissionPolicy
 from sardinemast.dispatch._core import Dispatcher
+from sardinemast.dispatch._event_budget import EventBudget
 from sardinemast.dispatch._events import (
     AdviceAnswered,
     DispatchEvent,
@@ -47,6 +48,7 @@
     'DispatchEvent',
     'DispatchOutput',
     'DispatchSettings',
+    'EventBudget',
     'FailureDomainPolicy',
     'InstancesListed',
     'LearningPolicy',
