Name why a worker gets no new runs, and log cordons

Cause: whether a worker may get new runs was a yes or no, and nothing told when a worker was cordoned, for what, and for how long. Change: WithheldReason and find_withheld_reason, from which is_usable is derived, with the same conditions in the same order. The two places that cordon a worker and those that end it go through one module, which logs worker.cordoned and worker.uncordoned, once for each transition. Gauges of the leader: workers_withheld by reason and worker_cordon_longest_s. No decision changes.

--- /dev/null
+++ b/src/sardinemast/dispatch/_cordons.py
@@ -0,0 +1,45 @@
+"""Cordon workers, and log each cordon and its end."""
+
+from sardinemast.dispatch._state import DispatchState
+from sardinemast.dispatch._worker_session import Cordon, WorkerSession
+
+
+def cordon_for_wave(
+    state: DispatchState, session: WorkerSession, wave: int, now_s: float
+) -> None:
+    """Cordon a worker for a maintenance wave, unless it is cordoned."""
+    _cordon(
+        state, session, Cordon(now_s, {'reason': 'maintenance', 'wave': wave})
+    )
+
+
+def cordon_for_move(
+    state: DispatchState, session: WorkerSession, pool: str, now_s: float
+) -> None:
+    """Cordon a worker for a move to a pool, unless it is cordoned."""
+    _cordon(state, session, Cordon(now_s, {'reason': 'move', 'to_pool': pool}))
+
+
+def end_cordon(
+    state: DispatchState, session: WorkerSession, cause: str, now_s: float
+) -> None:
+    """End the cordon of a worker, if it has one."""
+    cordon = session.cordon
+    if cordon is None:
+        return
+    session.cordon = None
+    state.log(
+        'worker.uncordoned',
+        session.worker.name,
+        **cordon.details,
+        cause=cause,
+        lasted_s=round(now_s - cordon.since_s, 3),
+    )
+
+
+def _cordon(
+    state: DispatchState, session: WorkerSession, cordon: Cordon
+) -> None:
+    if session.cordon is None:
+        session.cordon = cordon
+        state.log('worker.cordoned', session.worker.name, **cordon.details)
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -31,6 +31,7 @@
 from sardinemast.dispatch._stragglers import StragglerDetector
 from sardinemast.dispatch._tickets import TicketCache
 from sardinemast.dispatch._wait_estimates import WaitEstimates
+from sardinemast.dispatch._withheld_gauges import list_withheld_gauges
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -187,6 +188,7 @@
         return {
             'team_share_millicores': dict(totals),
             'racks_suspected': {'': float(self._domains.suspected_count)},
+            **list_withheld_gauges(self._state, self._last_polled_s),
         }
 
     def _start_parts(self) -> None:
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
+from sardinemast.dispatch._cordons import cordon_for_wave
 from sardinemast.dispatch._disruptions import may_stop
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
@@ -203,13 +204,13 @@
                 ordered_at_s or float('-inf')
             ) + settings.order_again_s
             if now_s >= retry_at_s and self._cordon_and_check_empty(
-                worker, now_s
+                wave, worker, now_s
             ):
                 self._ordered_at_s[key] = now_s
                 self._order(wave, item, worker)
 
     def _cordon_and_check_empty(
-        self, worker: Worker | None, now_s: float
+        self, wave: Wave, worker: Worker | None, now_s: float
     ) -> bool:
         """Cordon a worker and check whether its instance may be taken down.
 
@@ -219,7 +220,7 @@
         session = self._state.sessions.get(worker.name) if worker else None
         if session is None:
             return True
-        self._cordon(session, now_s)
+        self._cordon(wave, session, now_s)
         return self._is_drained(session, now_s)
 
     def _order(
@@ -261,7 +262,7 @@
         for item in self._choose_items(wave, waiting_items, workers, now_ms):
             worker = workers.get(item.instance)
             if (
-                self._cordon_and_check_empty(worker, now_s)
+                self._cordon_and_check_empty(wave, worker, now_s)
                 and in_progress < wave.cap
             ):
                 in_progress += 1
@@ -334,8 +335,8 @@
 
         return get_sort_key
 
-    def _cordon(self, session: WorkerSession, now_s: float) -> None:
-        session.is_cordoned = True
+    def _cordon(self, wave: Wave, session: WorkerSession, now_s: float) -> None:
+        cordon_for_wave(self._state, session, wave.number, now_s)
         self._cordoned_at_s.setdefault(session.worker.name, now_s)
 
     def _is_drained(self, session: WorkerSession, now_s: float) -> bool:
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -1,5 +1,6 @@
 """Poll workers, renew their leases and process their reports."""
 
+from sardinemast.dispatch._cordons import end_cordon
 from sardinemast.dispatch._events import (
     PollWorker,
     ThrottleRun,
@@ -41,7 +42,8 @@
         """Open, restart and close sessions to match the registered workers."""
         state = self._state
         for name in state.sessions.keys() - state.jobs.workers.keys():
-            state.sessions.pop(name)
+            gone = state.sessions.pop(name)
+            end_cordon(state, gone, 'worker gone', now_s)
             self._sessions_with_ends.pop(name, None)
         for worker in state.jobs.workers.values():
             session = state.sessions.get(worker.name)
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -9,6 +9,7 @@
 from operator import itemgetter
 from typing import NamedTuple
 
+from sardinemast.dispatch._cordons import cordon_for_move, end_cordon
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
     ListInstances,
@@ -117,7 +118,7 @@
         if event.outcome is OrderOutcome.refused:
             key = (event.instance, event.pool)
             self._refused_at_s[key] = now_s
-            self._finish_move(event.instance)
+            self._finish_move(event.instance, 'move refused', now_s)
         elif event.outcome is OrderOutcome.done:
             if event.pool == self._get_standby_pool():
                 self._standby.add(event.instance)
@@ -283,7 +284,8 @@
             return False
         # A start for the worker may be in flight. It is cordoned now, and moved
         # at the next tick if it still has no runs.
-        self._state.sessions[worker.name].is_cordoned = True
+        session = self._state.sessions[worker.name]
+        cordon_for_move(self._state, session, pool, now_s)
         self._planned_moves[worker.name] = pool
         return True
 
@@ -299,7 +301,7 @@
                 or session.worker.is_draining
                 or self._state.suspected.is_withheld(name)
             ):
-                session.is_cordoned = False
+                end_cordon(self._state, session, 'move abandoned', now_s)
                 continue
             worker = session.worker
             self._order_move(worker.instance, pool, now_s)
@@ -323,15 +325,16 @@
             worker = self._state.jobs.worker_index.find_newest(instance)
             has_arrived = worker is not None and worker.pool == move.pool
             if has_arrived or now_s > move.expires_s:
-                self._finish_move(instance)
+                cause = 'move done' if has_arrived else 'move timed out'
+                self._finish_move(instance, cause, now_s)
 
-    def _finish_move(self, instance: str) -> None:
+    def _finish_move(self, instance: str, cause: str, now_s: float) -> None:
         self._pending_moves.pop(instance, None)
         self._state.moving.discard(instance)
         for worker in self._state.jobs.worker_index.list_on_instance(instance):
             session = self._state.sessions.get(worker.name)
             if session is not None:
-                session.is_cordoned = False
+                end_cordon(self._state, session, cause, now_s)
 
     def _propose_forget_workers(self, event: MoveAnswered) -> None:
         # The workers were idle. One that still exists registers again with its
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -18,6 +18,7 @@
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts_in_flight import StartsInFlight
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
+from sardinemast.dispatch._withheld_reasons import WithheldReason
 from sardinemast.dispatch._worker_session import SentStop, WorkerSession
 from sardinemast.jobs import (
     Advice,
@@ -126,12 +127,19 @@
 
     def is_usable(self, session: WorkerSession, now_s: float) -> bool:
         """Check whether new runs may be started on a worker."""
+        return self.find_withheld_reason(session, now_s) is None
+
+    def find_withheld_reason(
+        self, session: WorkerSession, now_s: float
+    ) -> WithheldReason | None:
+        """Return the first reason for which a worker gets no new runs."""
         if self.is_evacuated(session.worker):
-            return False
-        if self.suspected.is_withheld(session.worker.name):
-            return False
-        has_runs = bool(self.get_runs(session.worker.name))
-        return session.is_usable(now_s, has_runs=has_runs)
+            return WithheldReason.evacuated
+        name = session.worker.name
+        if self.suspected.is_withheld(name):
+            return WithheldReason.rack_suspected
+        has_runs = bool(self.jobs.runs.get(name))
+        return session.find_withheld_reason(now_s, has_runs=has_runs)
 
     def is_evacuated(self, worker: Worker) -> bool:
         """Check whether a worker is in an evacuated data centre."""
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -1,9 +1,11 @@
 """Session of the leader with one worker."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from sardinemast.dispatch._events import ReportedRun
 from sardinemast.dispatch._settings import DispatchSettings
+from sardinemast.dispatch._withheld_reasons import WithheldReason
 from sardinemast.jobs import TaskKey, Worker
 
 # Keeps all fences of a term below those of the next.
@@ -20,6 +22,13 @@
     sent_s: float = float('-inf')
 
 
+class Cordon(NamedTuple):
+    """Hold since when a worker is cordoned, and for what."""
+
+    since_s: float
+    details: Mapping[str, str | int]
+
+
 class SentStop(NamedTuple):
     """Hold the run of the last stop that was sent for a task."""
 
@@ -89,7 +98,7 @@
         self.fence = term * _FENCES_PER_TERM
         self.is_synced = False
         self.is_leaving = False
-        self.is_cordoned = False
+        self.cordon: Cordon | None = None
         self.poll_state = PollState()
         self.end_cursor = EndCursor()
         self.last_heard_s = float('-inf')
@@ -103,6 +112,11 @@
         self._clock_ms = 0
         self._clock_at_s: float | None = None
 
+    @property
+    def is_cordoned(self) -> bool:
+        """Check whether the worker is kept free for a wave or a move."""
+        return self.cordon is not None
+
     @property
     def has_clock(self) -> bool:
         """Check whether the worker's clock is known."""
@@ -154,17 +168,29 @@
 
     def is_usable(self, now_s: float, *, has_runs: bool) -> bool:
         """Check whether new runs may be started on the worker."""
+        return self.find_withheld_reason(now_s, has_runs=has_runs) is None
+
+    def find_withheld_reason(
+        self, now_s: float, *, has_runs: bool
+    ) -> WithheldReason | None:
+        """Return the first reason for which the worker gets no new runs."""
+        if not self.is_synced:
+            return WithheldReason.not_synced
+        if self.worker.is_draining:
+            return WithheldReason.draining
+        if self.is_leaving:
+            return WithheldReason.leaving
+        if self.cordon is not None:
+            return WithheldReason.cordoned
+        if now_s < self.backoff.until_s:
+            return WithheldReason.backing_off
         settings = self._settings
         quiet_s = settings.quiet_s if has_runs else settings.idle_quiet_s
-        last_contact_s = max(self.last_heard_s, self.last_announced_s)
-        return (
-            self.is_synced
-            and not self.worker.is_draining
-            and not self.is_leaving
-            and not self.is_cordoned
-            and now_s >= self.backoff.until_s
-            and now_s < last_contact_s + quiet_s
+        is_heard = (
+            now_s < self.last_heard_s + quiet_s
+            or now_s < self.last_announced_s + quiet_s
         )
+        return None if is_heard else WithheldReason.silent
 
     def _get_clock_ms(self, now_s: float, *, is_upper_bound: bool) -> int:
         if self._clock_at_s is None:
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -25,7 +25,8 @@
     """Simulate a worker whose clock runs at ``rate``.
 
     With ``is_unreachable`` it receives no orders; with ``loses_responses`` it
-    executes orders, but its responses are lost.
+    executes orders, but its responses are lost. With ``loses_results`` the
+    dispatcher is not even told that an order timed out.
     """
 
     def __init__(self, worker: Worker, rate: float = 1) -> None:
@@ -33,6 +34,7 @@
         self.rate = rate
         self.is_unreachable = False
         self.loses_responses = False
+        self.loses_results = False
         self.fence = 0
         self.expires_ms: float = 0
         self.running: dict[TaskKey, int] = {}
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -174,6 +174,7 @@
         self.policy = ModelPolicy()
         self.instances = ModelInstances()
         self.logged: list[str] = []
+        self.decisions: list[LogDecision] = []
         self._waiting: list[_PendingOutput] = []
         self.commit(PutCatalog(make_catalog(), b'{}'))
         for number in range(worker_count):
@@ -266,6 +267,16 @@
             self._answer_due()
             self._execute(self.dispatcher.tick(self.now_s, self.now_ms))
 
+    def list_decisions(self, event: str) -> list[LogDecision]:
+        """Return the log lines of an event."""
+        return [one for one in self.decisions if one.event == event]
+
+    def get_decision(self, event: str) -> LogDecision:
+        """Return the only log line of an event."""
+        decisions = self.list_decisions(event)
+        assert len(decisions) == 1
+        return decisions[0]
+
     def get_running_workers(self, task: TaskKey) -> list[str]:
         """Return the names of the workers that are running a task."""
         return [
@@ -280,6 +291,7 @@
                 self.proposed.append(output.command)
             elif isinstance(output, LogDecision):
                 self.logged.append(f'{output.event} {output.subject}')
+                self.decisions.append(output)
             elif isinstance(output, OrderMaintenance):
                 self.instances.maintenance_orders.append(output.instance)
                 self._note_order(output)
@@ -398,6 +410,8 @@
     def _answer_worker(self, order: Any) -> DispatchEvent | None:
         name = order.worker.name
         model = self.workers.get(name)
+        if model is not None and model.loses_results:
+            return None
         outcome, body = OrderOutcome.unknown, None
         is_lost = order in self._lost_starts
         if model is not None and not (is_lost or model.is_unreachable):
