Log why a long-running task waits

Cause: a task that must run until its job is cancelled waited although its pool had room, and no line told which workers the leader excluded and why. Change: twice a second the leader looks at the ready steps. A task that has waited for 2 s gets a line task.waits, repeated after 5 s, at most 20 lines a second: the workers of its pool that may take it, that its own limits exclude, that are withheld by reason, and that are too full; the free millicores of the pool and of its emptiest worker; whether its team's cap or a failing task of its job holds it. The gauge long_running_waiting counts such tasks by pool. The planner's checks of labels, limits and caps moved to a module that both use.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -31,6 +31,7 @@
 from sardinemast.dispatch._stragglers import StragglerDetector
 from sardinemast.dispatch._tickets import TicketCache
 from sardinemast.dispatch._wait_estimates import WaitEstimates
+from sardinemast.dispatch._waiting_tasks import WaitingTasks
 from sardinemast.dispatch._withheld_gauges import list_withheld_gauges
 from sardinemast.jobs import Command, JobsState
 from sardinemast.jobs.commands import (
@@ -72,6 +73,9 @@
         self._balancer = PoolBalancer(self._state)
         self._rates = RateMonitor(self._state)
         self._preemptor = Preemptor(self._state)
+        self._waiting_tasks = WaitingTasks(
+            self._state, self._recorder.is_allowed
+        )
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
@@ -81,6 +85,7 @@
         """Start to lead with the given replicated state."""
         self._state.start_term(state, term, now_s)
         self._start_parts()
+        self._waiting_tasks.start_term()
         self._opening.clear()
         self._last_polled_s = float('-inf')
 
@@ -108,6 +113,7 @@
         self._maintenance.tick(now_s, now_ms)
         self._learner.tick(now_s)
         self._preemptor.tick(now_s, now_ms)
+        self._waiting_tasks.tick(now_s)
         self._propose_runs(now_s, now_ms)
         return self._state.outputs
 
@@ -188,6 +194,7 @@
         return {
             'team_share_millicores': dict(totals),
             'racks_suspected': {'': float(self._domains.suspected_count)},
+            'long_running_waiting': self._waiting_tasks.count_by_pool(),
             **list_withheld_gauges(self._state, self._last_polled_s),
         }
 
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -6,6 +6,11 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from sardinemast.dispatch._eligibility import (
+    count_by_worker,
+    fits_team_cap,
+    is_eligible,
+)
 from sardinemast.dispatch._plan_shares import PlanShares, StepOrder
 from sardinemast.jobs import (
     ZERO_SIZE,
@@ -116,7 +121,7 @@
             return True
         partial = self._partial.setdefault(
             step.key,
-            _PartialStep(list(step.waiting), _count_by_worker(step)),
+            _PartialStep(list(step.waiting), count_by_worker(step)),
         )
         while partial.waiting:
             worker = self._place_task(
@@ -140,7 +145,7 @@
         if step.spec.is_gang:
             self._place_gang(step)
             return
-        on_worker = _count_by_worker(step)
+        on_worker = count_by_worker(step)
         for index in self._list_startable(step):
             worker = self._place_task(step, index, on_worker, '')
             if worker is None:
@@ -187,7 +192,7 @@
         saved_free = self._free.copy()
         saved_used = dict(self._used_by_team)
         saved_starts = list(self._starts)
-        on_worker = _count_by_worker(step)
+        on_worker = count_by_worker(step)
         for index in tuple(step.waiting):
             worker = self._place_task(step, index, on_worker, rack)
             if worker is None:
@@ -226,15 +231,7 @@
         return worker
 
     def _fits_team_cap(self, step: StepState) -> bool:
-        job = self._state.get_job(step)
-        team = self._state.teams.get(job.team)
-        if team is None:
-            return True
-        used = self._used_by_team.get(job.team, ZERO_SIZE).plus(step.spec.size)
-        return all(
-            cap <= 0 or taken <= cap
-            for taken, cap in zip(used, team.cap, strict=True)
-        )
+        return fits_team_cap(self._state, step, self._used_by_team)
 
     def _choose_worker(
         self,
@@ -248,7 +245,7 @@
         has_candidate = False
         for worker in self._iterate_fitting(step):
             has_candidate = True
-            if not _is_eligible(step, worker, on_worker, rack):
+            if not is_eligible(step, worker, on_worker, rack):
                 continue
             planned_count = self._planned_counts.get(worker.name, 0)
             if not self._is_allowed(step, worker, planned_count):
@@ -308,27 +305,6 @@
         )
 
 
-def _count_by_worker(step: StepState) -> dict[str, int]:
-    counted: dict[str, int] = defaultdict(int)
-    for run in step.running.values():
-        counted[run.worker] += 1
-    return counted
-
-
-def _is_eligible(
-    step: StepState,
-    worker: Worker,
-    on_worker: dict[str, int],
-    rack: str,
-) -> bool:
-    spec = step.spec
-    if not spec.allows_labels(worker.labels):
-        return False
-    if spec.max_per_worker and on_worker[worker.name] >= spec.max_per_worker:
-        return False
-    return not rack or worker.rack == rack
-
-
 def _is_remote(step: StepState, worker: Worker) -> bool:
     rack = step.spec.data_rack
     return bool(rack) and rack != worker.rack
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -167,6 +167,25 @@
                 avoid_s = _AVOID_REFUSED_S
             session.backoff.until_s = now_s + avoid_s
 
+    def is_allowed(
+        self,
+        step: StepState,
+        worker: Worker,
+        now_s: float,
+        planned_count: int = 0,
+    ) -> bool:
+        """Check whether a step may start on a usable worker that fits it.
+
+        ``planned_count`` is the number of starts planned there.
+        """
+        if self._state.is_held(step, worker):
+            return False
+        records = self._state.instance_records
+        if worker.instance in records.on_probation:
+            if not self._has_quota(worker, planned_count):
+                return False
+        return self._tickets.is_allowed(step, worker, now_s)
+
     def _plan(self, now_s: float, now_ms: int) -> tuple[RunStart, ...]:
         state = self._state
         next_plan_s = self._last_planned_s + _PLAN_INTERVAL_S
@@ -192,15 +211,8 @@
                 is_failing=is_failing(step),
             )
 
-        records = state.instance_records
-
         def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
-            if state.is_held(step, worker):
-                return False
-            if worker.instance in records.on_probation:
-                if not self._has_quota(worker, planned):
-                    return False
-            return self._tickets.is_allowed(step, worker, now_s)
+            return self.is_allowed(step, worker, now_s, planned)
 
         @cache
         def is_usable(name: str) -> bool:
