Log orders to workers without any result

Cause: a poll or a start whose result never reaches the dispatcher leaves its run in the log, and nothing told of such an order. Change: the dispatcher holds polls and starts until their result, also a timeout, and logs order.unresolved, once for each, when none has come 2 s after the longest timeout. After a pause of this process it first waits for results that arrived meanwhile.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -30,6 +30,7 @@
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._stragglers import StragglerDetector
 from sardinemast.dispatch._tickets import TicketCache
+from sardinemast.dispatch._unresolved_orders import UnresolvedOrders
 from sardinemast.dispatch._wait_estimates import WaitEstimates
 from sardinemast.dispatch._waiting_tasks import WaitingTasks
 from sardinemast.dispatch._withheld_gauges import list_withheld_gauges
@@ -76,6 +77,7 @@
         self._waiting_tasks = WaitingTasks(
             self._state, self._recorder.is_allowed
         )
+        self._unresolved = UnresolvedOrders(self._state)
         self._last_measured_s: float = 0
         self._last_polled_s = float('-inf')
         self._opening: set[tuple[str, int]] = set()
@@ -86,6 +88,7 @@
         self._state.start_term(state, term, now_s)
         self._start_parts()
         self._waiting_tasks.start_term()
+        self._unresolved.start_term()
         self._opening.clear()
         self._last_polled_s = float('-inf')
 
@@ -113,9 +116,8 @@
         self._maintenance.tick(now_s, now_ms)
         self._learner.tick(now_s)
         self._preemptor.tick(now_s, now_ms)
-        self._waiting_tasks.tick(now_s)
-        self._propose_runs(now_s, now_ms)
-        return self._state.outputs
+        self._log_waits(now_s)
+        return self._finish(now_s, now_ms)
 
     def step(
         self,
@@ -138,9 +140,9 @@
             if self._tickets.handle_answer(event, now_s):
                 self._state.needs_planning = True
         else:
+            self._unresolved.record_result(event)
             self._handle_worker_answer(event, now_s)
-        self._propose_runs(now_s, now_ms)
-        return self._state.outputs
+        return self._finish(now_s, now_ms)
 
     def handle_applied(
         self,
@@ -165,8 +167,7 @@
             self._opening.discard((command.job, command.occurrence))
         else:
             self._handle_fleet_change(command, now_s)
-        self._propose_runs(now_s, now_ms)
-        return self._state.outputs
+        return self._finish(now_s, now_ms)
 
     def record_announcement(self, worker: str, now_s: float) -> None:
         """Record an announcement of a worker."""
@@ -260,6 +261,17 @@
             self._recorder.handle_answer(session, event, now_s)
             self._poller.poll(session, now_s)
 
+    def _log_waits(self, now_s: float) -> None:
+        """Log tasks and orders that have waited for too long."""
+        self._waiting_tasks.tick(now_s)
+        self._unresolved.tick(now_s)
+
+    def _finish(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
+        """Propose starts and ends, and return all outputs."""
+        self._propose_runs(now_s, now_ms)
+        self._unresolved.record_sent(self._state.outputs, now_s)
+        return self._state.outputs
+
     def _propose_runs(self, now_s: float, now_ms: int) -> None:
         if self._recorder.is_recording:
             return
