Extend a worker's backoff only for new failures

Cause: callers saw a long-running task that did not run although its pool had room. After two failed runs in a row, however far apart, the backoff of the worker was set anew at every report, also at one without an end. A worker with any run reports at least once a second and the backoff is 1 s or more, so it never ended before a run there succeeded; long-running tasks never do. A few failures thus took a healthy worker out of use for as long as it kept one task. Ruled out: a worker without runs is not polled, so its backoff ended. Change: only a report with a new failure sets the backoff.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -66,31 +66,25 @@
         """
         instance = session.worker.instance
         records = self._state.instance_records
+        has_failed = False
         for finished_run in ends:
             if finished_run.end is RunEnd.done:
                 records.record_success(instance)
                 session.backoff.failures = 0
+                has_failed = False
             elif finished_run.end is RunEnd.failed:
                 records.record_failure(
                     instance, finished_run.task, self._state.now_ms
                 )
                 # A task that also failed elsewhere is likely at fault itself.
-                session.backoff.failures += not self._failed_workers[
-                    finished_run.task
-                ]
+                if not self._failed_workers[finished_run.task]:
+                    session.backoff.failures += 1
+                    has_failed = True
                 self._failed_workers[finished_run.task].add(session.worker.name)
-        if session.backoff.failures >= _FAILURES_TO_AVOID:
-            doublings = min(
-                session.backoff.failures - _FAILURES_TO_AVOID, _DOUBLINGS_MAX
-            )
-            avoid_s = _AVOID_FAILING_S * 2**doublings
-            session.backoff.until_s = now_s + avoid_s
-            self._state.log(
-                'worker.avoided',
-                session.worker.name,
-                failures=session.backoff.failures,
-                avoid_s=avoid_s,
-            )
+        # Called for each report; one without a new failure must not extend the
+        # backoff, since long-running tasks never end it by succeeding.
+        if has_failed and session.backoff.failures >= _FAILURES_TO_AVOID:
+            self._avoid_failing(session, now_s)
 
     @property
     def is_recording(self) -> bool:
@@ -186,6 +180,19 @@
                 return False
         return self._tickets.is_allowed(step, worker, now_s)
 
+    def _avoid_failing(self, session: WorkerSession, now_s: float) -> None:
+        doublings = min(
+            session.backoff.failures - _FAILURES_TO_AVOID, _DOUBLINGS_MAX
+        )
+        avoid_s = _AVOID_FAILING_S * 2**doublings
+        session.backoff.until_s = now_s + avoid_s
+        self._state.log(
+            'worker.avoided',
+            session.worker.name,
+            failures=session.backoff.failures,
+            avoid_s=avoid_s,
+        )
+
     def _plan(self, now_s: float, now_ms: int) -> tuple[RunStart, ...]:
         state = self._state
         next_plan_s = self._last_planned_s + _PLAN_INTERVAL_S
