Give a restarted worker no backoff of its previous boot

Cause: callers saw long-running tasks wait beside an empty worker. A worker that restarts under its name continues its session, with failures and backoff of the boot that failed, up to 16 s. Change: a restart begins with a new backoff.

--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -154,6 +154,8 @@
         """
         self.worker = worker
         self.is_synced = False
+        # The failures were those of the previous boot.
+        self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
         self.reported_runs = {}
         self._clock_ms = 0
