Give no new session a fence that was used before

Cause: callers saw long-running tasks wait beside an empty worker that answers. A worker that is forgotten, after 20 s of silence or after a move, and registers again with the same boot got a session with the first fence of the term. If the closed session had raised its fence, the worker refuses every poll, so that it gets no runs until the next term or its next boot. Change: a new session begins above the fences of all closed ones, which also voids their late orders.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -30,12 +30,15 @@
         # Sessions with reported ends that are not recorded yet. Keeps the work
         # per event independent of the number of workers.
         self._sessions_with_ends: dict[str, WorkerSession] = {}
+        # Above the fences of all sessions that were closed in this term.
+        self._next_fence = 0
         self._throttle = BestEffortThrottle()
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
         self._forgetting.clear()
         self._sessions_with_ends.clear()
+        self._next_fence = 0
         self._throttle = BestEffortThrottle()
 
     def sync_sessions(self, now_s: float) -> None:
@@ -43,6 +46,7 @@
         state = self._state
         for name in state.sessions.keys() - state.jobs.workers.keys():
             gone = state.sessions.pop(name)
+            self._next_fence = max(self._next_fence, gone.fence + 1)
             end_cordon(state, gone, 'worker gone', now_s)
             self._sessions_with_ends.pop(name, None)
         for worker in state.jobs.workers.values():
@@ -54,6 +58,10 @@
                     state.settings,
                     state.earlier_leases_end_s,
                 )
+                # A worker that was forgotten and registers again knows the
+                # fences of its closed session and refuses lower ones. A higher
+                # one also voids orders that were sent in it.
+                session.fence = max(session.fence, self._next_fence)
                 # Otherwise a new worker would count as silent and be forgotten
                 # before its first poll.
                 session.last_announced_s = now_s
