End the cordon of a worker that restarts under its name

Cause: callers saw long-running tasks wait beside an empty worker. A later boot under the same name continues the session, which was cordoned for maintenance, or leaving. Nothing ends that cordon once the maintenance is done. Change: a restart ends both; a wave or a pending move that still concerns the worker cordons it anew.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -15,7 +15,7 @@
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._throttling import BestEffortThrottle
 from sardinemast.dispatch._worker_session import WorkerSession
-from sardinemast.jobs import RunEnd
+from sardinemast.jobs import RunEnd, Worker
 from sardinemast.jobs.commands import FinishedRun, ForgetWorker, RegisterWorker
 
 _MS = 1000
@@ -67,7 +67,7 @@
                 session.last_announced_s = now_s
                 state.sessions[worker.name] = session
             elif worker.boot_ms > session.worker.boot_ms:
-                session.restart(worker, now_s)
+                self._restart(session, worker, now_s)
             elif worker.boot_ms == session.worker.boot_ms:
                 session.worker = worker
 
@@ -150,7 +150,7 @@
         elif answer.boot_ms > session.worker.boot_ms:
             # The worker restarted and has not announced itself yet.
             worker = session.worker._replace(boot_ms=answer.boot_ms)
-            session.restart(worker, now_s)
+            self._restart(session, worker, now_s)
             self._state.propose(RegisterWorker(worker))
         elif not answer.boot_ms or answer.boot_ms == session.worker.boot_ms:
             ends = self._process_report(session, polled, now_s)
@@ -189,6 +189,13 @@
         """Handle the removal of a worker from the log."""
         self._forgetting.discard((forgotten.name, forgotten.boot_ms))
 
+    def _restart(
+        self, session: WorkerSession, worker: Worker, now_s: float
+    ) -> None:
+        """Continue a session with a later boot, which is not cordoned yet."""
+        end_cordon(self._state, session, 'worker restarted', now_s)
+        session.restart(worker, now_s)
+
     def _forget_if_silent(self, session: WorkerSession, now_s: float) -> None:
         silence_s = now_s - max(session.last_heard_s, session.last_announced_s)
         have_earlier_leases_ended = now_s > self._state.earlier_leases_end_s
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -327,6 +327,10 @@
             if has_arrived or now_s > move.expires_s:
                 cause = 'move done' if has_arrived else 'move timed out'
                 self._finish_move(instance, cause, now_s)
+            elif worker is not None and worker.name in self._state.sessions:
+                # It may have restarted since; the move would end its new runs.
+                session = self._state.sessions[worker.name]
+                cordon_for_move(self._state, session, move.pool, now_s)
 
     def _finish_move(self, instance: str, cause: str, now_s: float) -> None:
         self._pending_moves.pop(instance, None)
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -154,7 +154,8 @@
         """
         self.worker = worker
         self.is_synced = False
-        # The failures were those of the previous boot.
+        # Shutdown and failures were those of the previous boot.
+        self.is_leaving = False
         self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
         self.reported_runs = {}
