--- a/src/sardinemast/dispatch/_cordons.py
+++ b/src/sardinemast/dispatch/_cordons.py
@@ -1,23 +1,33 @@
 """Cordon workers, and log each cordon and its end."""
 
 from sardinemast.dispatch._state import DispatchState
-from sardinemast.dispatch._worker_session import Cordon, WorkerSession
+from sardinemast.dispatch._worker_session import (
+    Cordon,
+    CordonReason,
+    WorkerSession,
+)
 
 
 def cordon_for_wave(
     state: DispatchState, session: WorkerSession, wave: int, now_s: float
 ) -> None:
     """Cordon a worker for a maintenance wave, unless it is cordoned."""
-    _cordon(
-        state, session, Cordon(now_s, {'reason': 'maintenance', 'wave': wave})
-    )
+    cordon = Cordon(now_s, CordonReason.maintenance, {'wave': wave})
+    _cordon(state, session, cordon)
 
 
 def cordon_for_move(
     state: DispatchState, session: WorkerSession, pool: str, now_s: float
 ) -> None:
     """Cordon a worker for a move to a pool, unless it is cordoned."""
-    _cordon(state, session, Cordon(now_s, {'reason': 'move', 'to_pool': pool}))
+    cordon = Cordon(now_s, CordonReason.move, {'to_pool': pool})
+    _cordon(state, session, cordon)
+
+
+def is_cordoned_for_wave(session: WorkerSession | None) -> bool:
+    """Check whether a worker is cordoned for maintenance."""
+    cordon = session.cordon if session else None
+    return cordon is not None and cordon.reason is CordonReason.maintenance
 
 
 def end_cordon(
@@ -31,6 +41,7 @@
     state.log(
         'worker.uncordoned',
         session.worker.name,
+        reason=cordon.reason.value,
         **cordon.details,
         cause=cause,
         lasted_s=round(now_s - cordon.since_s, 3),
@@ -42,4 +53,9 @@
 ) -> None:
     if session.cordon is None:
         session.cordon = cordon
-        state.log('worker.cordoned', session.worker.name, **cordon.details)
+        state.log(
+            'worker.cordoned',
+            session.worker.name,
+            reason=cordon.reason.value,
+            **cordon.details,
+        )
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -1,9 +1,10 @@
 """Run maintenance waves: drain workers and order their instances down."""
 
-from collections import Counter
-from collections.abc import Callable, Iterator
-
-from sardinemast.dispatch._cordons import cordon_for_wave
+from sardinemast.dispatch._cordons import (
+    cordon_for_wave,
+    end_cordon,
+    is_cordoned_for_wave,
+)
 from sardinemast.dispatch._disruptions import may_stop
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
@@ -12,21 +13,13 @@
     OrderMaintenance,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
-from sardinemast.dispatch._pool_load import NO_LOAD
 from sardinemast.dispatch._state import DispatchState
+from sardinemast.dispatch._wave_order import IN_PROGRESS, WaveOrder
 from sardinemast.dispatch._worker_session import WorkerSession
 from sardinemast.jobs import MaintenanceStatus, Wave, WaveItem, Worker
 from sardinemast.jobs.commands import NoteUpkeep
 
 _MS = 1000
-_IN_PROGRESS = frozenset((MaintenanceStatus.ordered, MaintenanceStatus.down))
-# Expected time from draining a worker until the next one announces itself, as
-# seen on days without faults.
-_CYCLE_S = 6.0
-# Instances of a pool maintained at once to catch up after a peak.
-_CATCH_UP_COUNT = 3
-# Time before its deadline at which a wave is planned to be done.
-_DEADLINE_MARGIN_S = 4.0
 # How often the list shows whether an instance that refuses is lost, and whether
 # a standby instance is back.
 _LIST_INTERVAL_S = 1.0
@@ -41,7 +34,7 @@
 
     def __init__(self, state: DispatchState) -> None:
         self._state = state
-        self._cordoned_at_s: dict[str, float] = {}
+        self._wanted_cordons: set[str] = set()
         self._ordered_at_s: dict[tuple[int, str], float] = {}
         self._proposed: dict[tuple[int, str], MaintenanceStatus] = {}
         self._down_since_s: dict[str, float] = {}
@@ -50,7 +43,6 @@
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
-        self._cordoned_at_s.clear()
         self._ordered_at_s.clear()
         self._proposed.clear()
         self._down_since_s.clear()
@@ -65,8 +57,10 @@
                 one.status is not MaintenanceStatus.done for one in wave.items
             )
         ]
+        self._wanted_cordons.clear()
         for wave in waves:
             self._advance(wave, self._find_workers(wave), now_s, now_ms)
+        self._release_workers(now_s)
         for session in self._state.sessions.values():
             if session.is_cordoned or session.worker.is_draining:
                 self._drain(session, now_s)
@@ -170,7 +164,8 @@
     ) -> None:
         for item in wave.items:
             worker = workers.get(item.instance)
-            if item.status in _IN_PROGRESS:
+            if item.status in IN_PROGRESS:
+                self._keep_cordon(wave, item, worker, now_s)
                 self._follow_up(wave, item, worker, now_s)
         # Instances do not check fencing tokens, so wait until orders of earlier
         # leaders can no longer arrive.
@@ -246,21 +241,13 @@
         now_s: float,
         now_ms: int,
     ) -> None:
-        # The announcement after a move would be mistaken for the one after the
-        # maintenance.
-        waiting_items = [
-            item
-            for item in wave.items
-            if item.status is MaintenanceStatus.waiting
-            and item.instance not in self._state.moving
-        ]
-        in_progress = sum(item.status in _IN_PROGRESS for item in wave.items)
+        in_progress = sum(item.status in IN_PROGRESS for item in wave.items)
         in_progress += sum(
             key[0] == wave.number and status is MaintenanceStatus.ordered
             for key, status in self._proposed.items()
         )
-        for item in self._choose_items(wave, waiting_items, workers, now_ms):
-            worker = workers.get(item.instance)
+        order = WaveOrder(self._state, wave, workers, now_ms)
+        for item, worker in order.choose():
             if (
                 self._cordon_and_check_empty(wave, worker, now_s)
                 and in_progress < wave.cap
@@ -273,75 +260,38 @@
                     worker.boot_ms if worker else 0,
                 )
 
-    def _choose_items(
-        self,
-        wave: Wave,
-        waiting_items: list[WaveItem],
-        workers: dict[str, Worker],
-        now_ms: int,
-    ) -> Iterator[WaveItem]:
-        """Yield the items to start, spreading each pool over the time left."""
-        remaining_s = max(
-            (wave.due_ms - now_ms) / _MS - _DEADLINE_MARGIN_S, _CYCLE_S
-        )
-        by_pool: Counter[str] = Counter()
-        for item in waiting_items:
-            worker = workers.get(item.instance)
-            by_pool[worker.pool if worker else ''] += 1
-        started: Counter[str] = Counter()
-        for item in wave.items:
-            worker = workers.get(item.instance)
-            pool = worker.pool if worker else ''
-            if item.status in _IN_PROGRESS:
-                started[pool] += 1
-        for item in sorted(waiting_items, key=self._make_sort_key(workers)):
-            worker = workers.get(item.instance)
-            if worker is None or self._serves_nothing(worker):
-                # It serves nothing now, but may be needed for a peak later.
-                yield item
-                continue
-            pool = worker.pool
-            allowed = 1 + int(by_pool[pool] * _CYCLE_S / remaining_s)
-            # A worker that is being drained leaves in any case. Its own tasks
-            # may be what the pool lacks capacity for until it is back.
-            may_start = worker.name in self._cordoned_at_s or (
-                started[pool] < allowed
-                and not self._is_deferred(pool, by_pool[pool], remaining_s)
-            )
-            if may_start and sum(started.values()) < wave.cap:
-                started[pool] += 1
-                yield item
-
-    def _is_deferred(
-        self, pool: str, remaining_count: int, remaining_s: float
-    ) -> bool:
-        """Check whether a pool lacks capacity and its instances can wait."""
-        load = self._state.loads.get(pool, NO_LOAD)
-        can_defer = remaining_count * _CYCLE_S / _CATCH_UP_COUNT < remaining_s
-        return can_defer and load.shortfall > 0
-
-    def _serves_nothing(self, worker: Worker) -> bool:
-        """Check whether a worker is evacuated and has no runs."""
-        has_runs = bool(self._state.get_runs(worker.name))
-        return self._state.is_evacuated(worker) and not has_runs
+    def _cordon(self, wave: Wave, session: WorkerSession, now_s: float) -> None:
+        self._wanted_cordons.add(session.worker.name)
+        cordon_for_wave(self._state, session, wave.number, now_s)
 
-    def _make_sort_key(
+    def _keep_cordon(
         self,
-        workers: dict[str, Worker],
-    ) -> Callable[[WaveItem], tuple[bool, int, str]]:
-        def get_sort_key(item: WaveItem) -> tuple[bool, int, str]:
-            worker = workers.get(item.instance)
-            if worker is None or self._serves_nothing(worker):
-                return (False, 0, item.instance)
-            runs = self._state.get_runs(worker.name)
-            is_cordoned = worker.name in self._cordoned_at_s
-            return (not is_cordoned, len(runs), item.instance)
+        wave: Wave,
+        item: WaveItem,
+        worker: Worker | None,
+        now_s: float,
+    ) -> None:
+        """Keep the worker cordoned that an order was recorded for.
 
-        return get_sort_key
+        One with a later boot is cordoned only once the order is repeated.
+        """
+        session = self._state.sessions.get(worker.name) if worker else None
+        if session is None:
+            return
+        is_repeated = (
+            item.status is MaintenanceStatus.ordered
+            and is_cordoned_for_wave(session)
+        )
+        if is_repeated or session.worker.boot_ms == item.boot_ms:
+            self._cordon(wave, session, now_s)
 
-    def _cordon(self, wave: Wave, session: WorkerSession, now_s: float) -> None:
-        cordon_for_wave(self._state, session, wave.number, now_s)
-        self._cordoned_at_s.setdefault(session.worker.name, now_s)
+    def _release_workers(self, now_s: float) -> None:
+        """Release the workers whose maintenance is over or was put off."""
+        for name, session in self._state.sessions.items():
+            if name in self._wanted_cordons:
+                continue
+            if is_cordoned_for_wave(session):
+                end_cordon(self._state, session, 'not in maintenance', now_s)
 
     def _is_drained(self, session: WorkerSession, now_s: float) -> bool:
         name = session.worker.name
@@ -352,7 +302,7 @@
         ]
         if remaining:
             return False
-        since_s = self._cordoned_at_s.get(name, now_s)
+        since_s = session.cordon.since_s if session.cordon else now_s
         is_waiting = now_s < since_s + self._state.settings.empty_max_s
         return not (is_waiting and self._state.get_runs(name))
 
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -1,6 +1,7 @@
 """Session of the leader with one worker."""
 
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import NamedTuple
 
 from sardinemast.dispatch._events import ReportedRun
@@ -22,10 +23,18 @@
     sent_s: float = float('-inf')
 
 
+class CordonReason(StrEnum):
+    """Name what cordons a worker, and alone may release it."""
+
+    maintenance = 'maintenance'
+    move = 'move'
+
+
 class Cordon(NamedTuple):
     """Hold since when a worker is cordoned, and for what."""
 
     since_s: float
+    reason: CordonReason
     details: Mapping[str, str | int]
 
 
