Count the workers for each size of waiting tasks once

Cause: with 40 steps waiting beside 1,900 withheld workers that fit them, a look of the leader took 22 ms of processor time. Change: the workers that fit are classified once for each pool and size.

--- a/src/sardinemast/dispatch/_waiting_tasks.py
+++ b/src/sardinemast/dispatch/_waiting_tasks.py
@@ -13,7 +13,7 @@
 from sardinemast.dispatch._event_budget import EventBudget
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._withheld_reasons import WithheldReason
-from sardinemast.jobs import StepKey, StepState, TaskKey, Worker
+from sardinemast.jobs import Size, StepKey, StepState, TaskKey, Worker
 
 _LOOK_INTERVAL_S = 0.5
 _REPORT_AFTER_S = 2.0
@@ -43,6 +43,13 @@
     largest_free: int
 
 
+class _FittingWorkers(NamedTuple):
+    """Hold the usable workers that fit a size, and count the withheld ones."""
+
+    usable: list[str]
+    reasons: Counter[WithheldReason]
+
+
 class WaitingTasks:
     """Track the long-running tasks that wait, and log why.
 
@@ -59,7 +66,8 @@
         self._now_s: float = 0
         self._reasons: dict[str, WithheldReason | None] = {}
         self._rooms: dict[str, _PoolRoom] = {}
-        self._workers_details: dict[StepKey, _Details] = {}
+        self._fitting: dict[tuple[str, Size], _FittingWorkers] = {}
+        self._step_details: dict[StepKey, _Details] = {}
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
@@ -98,7 +106,8 @@
         now_s = self._now_s
         self._reasons.clear()
         self._rooms.clear()
-        self._workers_details.clear()
+        self._fitting.clear()
+        self._step_details.clear()
         for wait in sorted(due, key=attrgetter('logged_s')):
             step = self._state.jobs.find_step(wait.task)
             if step is not None and self._budget.take(now_s):
@@ -110,10 +119,10 @@
 
     def _log(self, wait: _Wait, step: StepState) -> None:
         state = self._state
-        details = self._workers_details.get(step.key)
+        details = self._step_details.get(step.key)
         if details is None:
             details = self._describe(step)
-            self._workers_details[step.key] = details
+            self._step_details[step.key] = details
         state.log(
             'task.waits',
             str(wait.task),
@@ -138,36 +147,44 @@
     def _describe_workers(self, step: StepState, pool: str) -> _Details:
         """Count the workers of the pool by what they mean for the step."""
         room = self._get_room(pool)
-        fitting = list(
-            self._state.jobs.usage.free.iterate_fitting(
-                pool, step.spec.reserved_size
-            )
-        )
-        reasons = Counter(map(self._find_reason, fitting))
-        usable_count = reasons.pop(None, 0)
-        allowed_count = self._count_allowed(step, fitting)
+        fitting = self._get_fitting(pool, step.spec.reserved_size)
+        allowed_count = self._count_allowed(step, fitting.usable)
+        reasons = fitting.reasons
         return {
             'usable': allowed_count,
-            'not_allowed': usable_count - allowed_count,
+            'not_allowed': len(fitting.usable) - allowed_count,
             'withheld': reasons.total(),
             **{
                 f'withheld_{reason}': count for reason, count in reasons.items()
             },
-            'too_full': room.workers - len(fitting),
+            'too_full': room.workers - len(fitting.usable) - reasons.total(),
             'free_millicores': room.free,
             'largest_free_millicores': room.largest_free,
         }
 
-    def _count_allowed(self, step: StepState, fitting: list[str]) -> int:
+    def _count_allowed(self, step: StepState, usable: list[str]) -> int:
         on_worker = count_by_worker(step)
         workers = self._state.jobs.workers
         return sum(
             is_eligible(step, workers[name], on_worker)
             and self._is_allowed(step, workers[name], self._now_s)
-            for name in fitting
-            if self._find_reason(name) is None
+            for name in usable
         )
 
+    def _get_fitting(self, pool: str, size: Size) -> _FittingWorkers:
+        fitting = self._fitting.get((pool, size))
+        if fitting is None:
+            fitting = _FittingWorkers([], Counter())
+            free = self._state.jobs.usage.free
+            for name in free.iterate_fitting(pool, size):
+                reason = self._find_reason(name)
+                if reason is None:
+                    fitting.usable.append(name)
+                else:
+                    fitting.reasons[reason] += 1
+            self._fitting[pool, size] = fitting
+        return fitting
+
     def _get_room(self, pool: str) -> _PoolRoom:
         room = self._rooms.get(pool)
         if room is None:
