Drain long-running tasks only into room that exists

Cause: callers saw a long-running task wait beside a cordoned worker. Draining stopped the first task of a step although it fitted nowhere else; from then on the limit of the step protected its other task there, so that the worker could never be drained, and the first task never found room. Change: a task on a cordoned or draining worker is stopped once another worker has room for it beside long-running tasks, or tasks that end within 1.5 s, and not before. Where the wave can wait no longer and a slot is free, all tasks of a worker are stopped at once if the limits of their steps allow that. The test of lost stops has a third worker now, since its drained task had nowhere to go; the crashed task starts there and does not serve, so it checks as much as before.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -5,7 +5,7 @@
     end_cordon,
     is_cordoned_for_wave,
 )
-from sardinemast.dispatch._disruptions import may_stop
+from sardinemast.dispatch._draining import Drainer
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
     ListInstances,
@@ -35,6 +35,8 @@
     def __init__(self, state: DispatchState) -> None:
         self._state = state
         self._wanted_cordons: set[str] = set()
+        self._urgent: set[str] = set()
+        self._drainer = Drainer(state)
         self._ordered_at_s: dict[tuple[int, str], float] = {}
         self._proposed: dict[tuple[int, str], MaintenanceStatus] = {}
         self._down_since_s: dict[str, float] = {}
@@ -43,6 +45,7 @@
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
+        self._drainer.start_term()
         self._ordered_at_s.clear()
         self._proposed.clear()
         self._down_since_s.clear()
@@ -58,12 +61,11 @@
             )
         ]
         self._wanted_cordons.clear()
+        self._urgent.clear()
         for wave in waves:
             self._advance(wave, self._find_workers(wave), now_s, now_ms)
         self._release_workers(now_s)
-        for session in self._state.sessions.values():
-            if session.is_cordoned or session.worker.is_draining:
-                self._drain(session, now_s)
+        self._drainer.tick(self._urgent, now_s)
 
     def handle_answer(self, event: MaintenanceAnswered, now_s: float) -> None:
         """Handle the answer to a maintenance order."""
@@ -247,11 +249,13 @@
             for key, status in self._proposed.items()
         )
         order = WaveOrder(self._state, wave, workers, now_ms)
-        for item, worker in order.choose():
-            if (
-                self._cordon_and_check_empty(wave, worker, now_s)
-                and in_progress < wave.cap
-            ):
+        for item, worker, is_urgent in order.choose():
+            is_empty = self._cordon_and_check_empty(wave, worker, now_s)
+            if in_progress >= wave.cap:
+                continue
+            if worker and is_urgent:
+                self._urgent.add(worker.name)
+            if is_empty:
                 in_progress += 1
                 self._propose_status(
                     wave,
@@ -284,6 +288,7 @@
         )
         if is_repeated or session.worker.boot_ms == item.boot_ms:
             self._cordon(wave, session, now_s)
+            self._urgent.add(session.worker.name)
 
     def _release_workers(self, now_s: float) -> None:
         """Release the workers whose maintenance is over or was put off."""
@@ -306,15 +311,6 @@
         is_waiting = now_s < since_s + self._state.settings.empty_max_s
         return not (is_waiting and self._state.get_runs(name))
 
-    def _drain(self, session: WorkerSession, now_s: float) -> None:
-        for task, number, step in tuple(
-            self._state.iterate_steps_on(session.worker.name),
-        ):
-            if not step.spec.is_long_running:
-                continue
-            if may_stop(self._state, step, task, now_s):
-                self._state.stop_run(session, task, number, now_s)
-
     def _propose_status(
         self,
         wave: Wave,
--- a/src/sardinemast/dispatch/_wave_order.py
+++ b/src/sardinemast/dispatch/_wave_order.py
@@ -23,10 +23,14 @@
 
 
 class ChosenItem(NamedTuple):
-    """Hold an instance to maintain next and its worker, if it has one."""
+    """Hold an instance to maintain next and its worker, if it has one.
+
+    If it ``is_urgent``, the wave cannot wait for room for the worker's tasks.
+    """
 
     item: WaveItem
     worker: Worker | None
+    is_urgent: bool = False
 
 
 class WaveOrder:
@@ -72,7 +76,8 @@
                 yield one
             elif self._may_start(one.worker):
                 self._started[one.worker.pool] += 1
-                yield one
+                is_urgent = not self._can_defer(one.worker.pool)
+                yield one._replace(is_urgent=is_urgent)
 
     def _may_start(self, worker: Worker) -> bool:
         # A worker that is being drained leaves in any case. Its own tasks may
@@ -90,8 +95,11 @@
     def _is_deferred(self, pool: str) -> bool:
         """Check whether a pool lacks capacity and its instances can wait."""
         load = self._state.loads.get(pool, NO_LOAD)
+        return load.shortfall > 0 and self._can_defer(pool)
+
+    def _can_defer(self, pool: str) -> bool:
         needed_s = self._waiting_counts[pool] * _CYCLE_S / _CATCH_UP_COUNT
-        return needed_s < self._remaining_s and load.shortfall > 0
+        return needed_s < self._remaining_s
 
     def _is_cordoned(self, worker: Worker) -> bool:
         session = self._state.sessions.get(worker.name)
--- a/tests/dispatch/test_maintenance_waves.py
+++ b/tests/dispatch/test_maintenance_waves.py
@@ -69,6 +69,11 @@
     _start_long_running_step(fleet, 2, 1)
     leaving, other = fleet.workers.values()
     assert leaving.running and other.running
+    # A task is stopped only if another worker has room for it; the one that
+    # crashes starts there and does not serve yet.
+    spare = fleet.add_worker(make_worker(2))
+    spare.percent = 20
+    fleet.run(1)
     leaving.stop_delay_s = float('inf')
     fleet.drain_worker(0)
     fleet.run(0.2)
