Use withheld workers for long-running tasks as a last resort

Cause: callers saw long-running tasks wait for up to 16 s although the only workers with room had failed or been slow once, or were cordoned for a wave that had not ordered their maintenance. What was meant as a preference acted as a prohibition. Change: a long-running task that has waited for 2.5 s and fits on no other worker starts on one that backs off or is cordoned without a recorded order. A task that fails there waits as long again, so that this cannot become a loop.

--- a/src/sardinemast/dispatch/_cordons.py
+++ b/src/sardinemast/dispatch/_cordons.py
@@ -20,10 +20,17 @@
     state: DispatchState, session: WorkerSession, pool: str, now_s: float
 ) -> None:
     """Cordon a worker for a move to a pool, unless it is cordoned."""
-    cordon = Cordon(now_s, CordonReason.move, {'to_pool': pool})
+    details = {'to_pool': pool}
+    cordon = Cordon(now_s, CordonReason.move, details, is_binding=True)
     _cordon(state, session, cordon)
 
 
+def bind_cordon(session: WorkerSession) -> None:
+    """Mark that the instance of a cordoned worker may be taken any moment."""
+    if session.cordon is not None:
+        session.cordon = session.cordon._replace(is_binding=True)
+
+
 def is_cordoned_for_wave(session: WorkerSession | None) -> bool:
     """Check whether a worker is cordoned for maintenance."""
     cordon = session.cordon if session else None
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -20,6 +20,7 @@
     MEASURE_INTERVAL_S,
     measure_loads,
 )
+from sardinemast.dispatch._long_running_waits import LongRunningWaits
 from sardinemast.dispatch._maintenance import MaintenanceRunner
 from sardinemast.dispatch._polling import WorkerPoller
 from sardinemast.dispatch._pool_balancer import PoolBalancer
@@ -67,7 +68,10 @@
         self._poller = WorkerPoller(self._state)
         self._domains = FailureDomains(self._state, self._poller)
         self._tickets = TicketCache(self._state)
-        self._recorder = RunRecorder(self._state, self._tickets)
+        self._long_running_waits = LongRunningWaits()
+        self._recorder = RunRecorder(
+            self._state, self._tickets, self._long_running_waits
+        )
         self._stragglers = StragglerDetector(self._state)
         self._learner = DurationLearner(self._state)
         self._maintenance = MaintenanceRunner(self._state)
@@ -75,7 +79,7 @@
         self._rates = RateMonitor(self._state)
         self._preemptor = Preemptor(self._state)
         self._waiting_tasks = WaitingTasks(
-            self._state, self._recorder.is_allowed
+            self._state, self._long_running_waits, self._recorder.is_allowed
         )
         self._unresolved = UnresolvedOrders(self._state)
         self._last_measured_s: float = 0
@@ -87,6 +91,7 @@
         """Start to lead with the given replicated state."""
         self._state.start_term(state, term, now_s)
         self._start_parts()
+        self._long_running_waits.start_term()
         self._waiting_tasks.start_term()
         self._unresolved.start_term()
         self._opening.clear()
@@ -225,6 +230,7 @@
             self._rates.handle_submitted(command, now_s)
 
     def _measure_pools(self, now_s: float, now_ms: int) -> None:
+        self._long_running_waits.update(self._state.jobs, now_s)
         self._state.loads = measure_loads(self._state, now_s)
         self._balancer.tick(now_s, now_ms)
         self.waits.measure(now_s)
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -1,6 +1,7 @@
 """Run maintenance waves: drain workers and order their instances down."""
 
 from sardinemast.dispatch._cordons import (
+    bind_cordon,
     cordon_for_wave,
     end_cordon,
     is_cordoned_for_wave,
@@ -257,6 +258,7 @@
                 self._urgent.add(worker.name)
             if is_empty:
                 in_progress += 1
+                self._bind(worker)
                 self._propose_status(
                     wave,
                     item.instance,
@@ -268,6 +270,11 @@
         self._wanted_cordons.add(session.worker.name)
         cordon_for_wave(self._state, session, wave.number, now_s)
 
+    def _bind(self, worker: Worker | None) -> None:
+        session = self._state.sessions.get(worker.name) if worker else None
+        if session is not None:
+            bind_cordon(session)
+
     def _keep_cordon(
         self,
         wave: Wave,
@@ -288,6 +295,7 @@
         )
         if is_repeated or session.worker.boot_ms == item.boot_ms:
             self._cordon(wave, session, now_s)
+            bind_cordon(session)
             self._urgent.add(session.worker.name)
 
     def _release_workers(self, now_s: float) -> None:
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,7 +1,7 @@
 """Choose which tasks to start, and on which workers."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator, Mapping, Set
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 from heapq import heapify, heappop, heappush
 from types import MappingProxyType
 from typing import NamedTuple
@@ -90,6 +90,28 @@
             self._place_step(step)
         return tuple(self._starts)
 
+    def add_starts(
+        self, tasks: Iterable[TaskKey], is_usable: Callable[[str], bool]
+    ) -> tuple[RunStart, ...]:
+        """Place tasks that found no worker on others; return all starts."""
+        self._is_usable = is_usable
+        self._usable.clear()
+        self._unplaceable_sizes.clear()
+        planned = {start.task: start.worker for start in self._starts}
+        for task in tasks:
+            step = self._state.find_step(task)
+            if step is None or task in planned:
+                continue
+            if task.position not in self._list_startable(step):
+                continue
+            on_worker = count_by_worker(step)
+            for other, name in planned.items():
+                on_worker[name] += StepKey(*other[:-1]) == step.key
+            worker = self._place_task(step, task.position, on_worker, '')
+            if worker is not None:
+                planned[task] = worker
+        return tuple(self._starts)
+
     def _place_by_shares(
         self, candidates: list[StepState], shares: PlanShares
     ) -> None:
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -9,6 +9,7 @@
     StartRun,
 )
 from sardinemast.dispatch._instance_records import RUNS_ON_PROBATION
+from sardinemast.dispatch._long_running_waits import LongRunningWaits
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._plan_shares import PlanShares, PlanTime
 from sardinemast.dispatch._planner import Planner
@@ -31,6 +32,9 @@
 _DOUBLINGS_MAX = 4
 # Workers become usable or unusable over time, so plans are made regularly.
 _PLAN_INTERVAL_S = 0.1
+# A long-running task that has waited for this long may start on a worker that
+# is withheld only as a precaution.
+_LAST_RESORT_AFTER_S = 2.5
 
 
 class RunRecorder:
@@ -40,9 +44,15 @@
     meanwhile share the next one, which keeps the log short.
     """
 
-    def __init__(self, state: DispatchState, tickets: TicketCache) -> None:
+    def __init__(
+        self,
+        state: DispatchState,
+        tickets: TicketCache,
+        waits: LongRunningWaits,
+    ) -> None:
         self._state = state
         self._tickets = tickets
+        self._waits = waits
         self._recording: RecordRuns | None = None
         self._failed_workers: dict[TaskKey, set[str]] = defaultdict(set)
         self._last_planned_s: float = 0
@@ -236,7 +246,7 @@
                 state.settings.team_shares,
                 is_failing,
             )
-        starts = Planner(
+        planner = Planner(
             state.jobs,
             is_usable,
             order,
@@ -244,7 +254,13 @@
             is_allowed,
             shares,
             held,
-        ).choose()
+        )
+        starts = planner.choose()
+        stranded = self._waits.list_waiting(now_s, _LAST_RESORT_AFTER_S)
+        if stranded:
+            starts = planner.add_starts(
+                stranded, lambda name: self._is_last_resort(name, now_s)
+            )
         if shares is not None:
             self._record_shares(shares)
         return starts
@@ -259,6 +275,12 @@
         session = self._state.sessions.get(name)
         return session is not None and self._state.is_usable(session, now_s)
 
+    def _is_last_resort(self, name: str, now_s: float) -> bool:
+        session = self._state.sessions.get(name)
+        return session is not None and self._state.is_usable(
+            session, now_s, is_last_resort=True
+        )
+
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
         return worker in self._failed_workers.get(task, ())
 
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -125,12 +125,25 @@
             if item.status in wanted
         }
 
-    def is_usable(self, session: WorkerSession, now_s: float) -> bool:
+    def is_usable(
+        self,
+        session: WorkerSession,
+        now_s: float,
+        *,
+        is_last_resort: bool = False,
+    ) -> bool:
         """Check whether new runs may be started on a worker."""
-        return self.find_withheld_reason(session, now_s) is None
+        reason = self.find_withheld_reason(
+            session, now_s, is_last_resort=is_last_resort
+        )
+        return reason is None
 
     def find_withheld_reason(
-        self, session: WorkerSession, now_s: float
+        self,
+        session: WorkerSession,
+        now_s: float,
+        *,
+        is_last_resort: bool = False,
     ) -> WithheldReason | None:
         """Return the first reason for which a worker gets no new runs."""
         if self.is_evacuated(session.worker):
@@ -139,7 +152,9 @@
         if self.suspected.is_withheld(name):
             return WithheldReason.rack_suspected
         has_runs = bool(self.jobs.runs.get(name))
-        return session.find_withheld_reason(now_s, has_runs=has_runs)
+        return session.find_withheld_reason(
+            now_s, has_runs=has_runs, is_last_resort=is_last_resort
+        )
 
     def is_evacuated(self, worker: Worker) -> bool:
         """Check whether a worker is in an evacuated data centre."""
--- a/src/sardinemast/dispatch/_waiting_tasks.py
+++ b/src/sardinemast/dispatch/_waiting_tasks.py
@@ -11,6 +11,7 @@
     is_eligible,
 )
 from sardinemast.dispatch._event_budget import EventBudget
+from sardinemast.dispatch._long_running_waits import LongRunningWaits
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._withheld_reasons import WithheldReason
 from sardinemast.jobs import Size, StepKey, StepState, TaskKey, Worker
@@ -51,14 +52,20 @@
 
 
 class WaitingTasks:
-    """Track the long-running tasks that wait, and log why.
+    """Log why long-running tasks wait.
 
     ``is_allowed`` tells whether a step may start on a worker that fits it and
     is usable.
     """
 
-    def __init__(self, state: DispatchState, is_allowed: _StepCheck) -> None:
+    def __init__(
+        self,
+        state: DispatchState,
+        tracked: LongRunningWaits,
+        is_allowed: _StepCheck,
+    ) -> None:
         self._state = state
+        self._tracked = tracked
         self._is_allowed = is_allowed
         self._waits: dict[TaskKey, _Wait] = {}
         self._budget = EventBudget(_LINES_PER_S)
@@ -82,10 +89,8 @@
         self._now_s = now_s
         self._waits = {
             task: self._waits.get(task)
-            or _Wait(task, now_s, now_s + _REPORT_AFTER_S)
-            for step in self._state.jobs.ready.values()
-            if step.waiting and step.spec.is_long_running
-            for task in map(step.get_task, step.waiting)
+            or _Wait(task, since_s, since_s + _REPORT_AFTER_S)
+            for task, since_s in self._tracked.since_s.items()
         }
         due = [wait for wait in self._waits.values() if now_s >= wait.due_s]
         if due:
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -31,11 +31,15 @@
 
 
 class Cordon(NamedTuple):
-    """Hold since when a worker is cordoned, and for what."""
+    """Hold since when a worker is cordoned, and for what.
+
+    It ``is_binding`` once the instance may be taken at any moment.
+    """
 
     since_s: float
     reason: CordonReason
     details: Mapping[str, str | int]
+    is_binding: bool = False
 
 
 class SentStop(NamedTuple):
@@ -183,9 +187,13 @@
         return self.find_withheld_reason(now_s, has_runs=has_runs) is None
 
     def find_withheld_reason(
-        self, now_s: float, *, has_runs: bool
+        self, now_s: float, *, has_runs: bool, is_last_resort: bool = False
     ) -> WithheldReason | None:
-        """Return the first reason for which the worker gets no new runs."""
+        """Return the first reason for which the worker gets no new runs.
+
+        With ``is_last_resort``, precautions do not count: a backoff, and a
+        cordon until its order is recorded.
+        """
         if not self.is_synced:
             return WithheldReason.not_synced
         if self.worker.is_draining:
@@ -193,8 +201,9 @@
         if self.is_leaving:
             return WithheldReason.leaving
         if self.cordon is not None:
-            return WithheldReason.cordoned
-        if now_s < self.backoff.until_s:
+            if self.cordon.is_binding or not is_last_resort:
+                return WithheldReason.cordoned
+        if now_s < self.backoff.until_s and not is_last_resort:
             return WithheldReason.backing_off
         settings = self._settings
         quiet_s = settings.quiet_s if has_runs else settings.idle_quiet_s
