Show that probation keeps long-running tasks from a worker with room

Cause: a worker on probation gets at most two runs. Long-running tasks that it has do not count, but a new one is refused while two other runs last, however long they take. Change: the test. It concerns deployments that enable failure domains.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -2,7 +2,13 @@
 
 from builders.instance_fleets import InstanceFleet
 from builders.long_running import RoomObserver
-from builders.workers import CORE, MIB, make_step, make_worker
+from builders.workers import (
+    CORE,
+    MIB,
+    SETTINGS_WITH_RACKS,
+    make_step,
+    make_worker,
+)
 from sardinemast.jobs import Size, TaskKey
 from sardinemast.jobs.commands import CancelJob, DeclareWave
 
@@ -48,17 +54,12 @@
     step = make_step(count, size=Size(CORE // 4, MIB))
     fleet.submit('failing', step)
     fleet.run(0.5)
-    _fail_tasks(fleet, 'failing')
-
-
-def _fail_tasks(fleet: InstanceFleet, job: str) -> None:
-    """Fail the running tasks of a job, and cancel it."""
     model = fleet.workers['w-0']
     for task in tuple(model.running):
-        if task.job == job:
+        if task.job == 'failing':
             model.end(task, 'failed')
     fleet.run(0.2)
-    fleet.commit(CancelJob(job))
+    fleet.commit(CancelJob('failing'))
     fleet.run(0.5)
 
 
@@ -198,3 +199,32 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue(has_failure=True)
+
+
+def test_worker_on_probation_runs_long_running_tasks() -> None:
+    """Start a long-running task on a worker on probation that has room.
+
+    The other runs there, which take up the quota of a worker on probation,
+    may last longer than the task may be away.
+    """
+    fleet = InstanceFleet(1, SETTINGS_WITH_RACKS)
+    _start_watch(fleet)
+    model = fleet.workers['w-0']
+    for number in range(3):
+        fleet.submit(f'job-{number}', make_step(2))
+        fleet.run(0.5)
+        model.end(TaskKey(f'job-{number}', 0, 0, 0), 'failed')
+        fleet.run(0.2)
+        model.end(TaskKey(f'job-{number}', 0, 0, 1), 'done')
+        fleet.commit(CancelJob(f'job-{number}'))
+        fleet.run(0.5)
+    assert 'instance.probation m-0' in fleet.logged
+    for _ in range(2):
+        _start_batch(fleet, cores=1)
+    assert len(model.running) == 4
+    fleet.run(8)
+    model.end(TaskKey('watch', 0, 0, 0), 'lapsed')
+    model.end(TaskKey('watch', 0, 0, 1), 'lapsed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
