Show that a slow worker is avoided although only it has room

Cause: a worker with two overdue runs gets no new runs for 2, 4, 8 and then 16 s, again and again while such runs last, also if no other worker has room and the runs only take longer than declared. Change: the test.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -228,3 +228,25 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_slow_worker_is_used_if_no_other_has_room() -> None:
+    """Start a long-running task on a slow worker if only it has room.
+
+    It counts as slow again and again, for longer each time, while two of its
+    tasks take longer than they declared.
+    """
+    fleet = InstanceFleet(1)
+    _start_watch(fleet)
+    model = fleet.workers['w-0']
+    fleet.submit('longer', make_step(2))
+    model.percent = 3
+    for _ in range(60):
+        fleet.run(0.5)
+        if fleet.logged.count('worker.slow w-0') == 4:
+            break
+    model.end(TaskKey('watch', 0, 0, 0), 'lapsed')
+    model.end(TaskKey('watch', 0, 0, 1), 'lapsed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
