Let standby instances of the fleet join the pool

Cause: the fleet carried out moves only of instances with a worker. With a worker for each activated standby instance, the pool of one test got room elsewhere. Change: standby instances get a worker, forgotten workers register again by themselves, and the test keeps its standby instances out by an evacuation.

--- a/tests/builders/instance_fleets.py
+++ b/tests/builders/instance_fleets.py
@@ -3,7 +3,7 @@
 from typing import Any, NamedTuple
 
 from builders.model_workers import ModelWorker
-from builders.workers import MAINTENANCE_S, STANDBY, ModelFleet
+from builders.workers import MAINTENANCE_S, STANDBY, ModelFleet, make_worker
 from sardinemast.dispatch import OrderMaintenance, OrderMove
 from sardinemast.jobs import Worker
 from sardinemast.jobs.commands import RegisterWorker
@@ -22,13 +22,12 @@
 class InstanceFleet(ModelFleet):
     """Replace the worker of an instance that is maintained or moved.
 
-    The next worker has a new name, unless ``keeps_names`` is set. While
-    ``is_returning`` is false, instances stay away.
+    The next worker has a new name, unless ``keeps_names`` is set. A reachable
+    worker that the log has forgotten registers again.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         self.keeps_names = False
-        self.is_returning = True
         self._last_boot_ms = 1000
         self._expected: list[_ExpectedWorker] = []
         super().__init__(*args, **kwargs)
@@ -38,6 +37,7 @@
         for _ in range(round(seconds / step_s)):
             super().run(step_s, step_s)
             self._start_expected()
+            self._register_forgotten()
 
     def restart_worker(self, name: str) -> None:
         """Restart a worker under its name, without its runs."""
@@ -66,11 +66,6 @@
             None,
         )
 
-    def register_again(self, name: str) -> None:
-        """Register a worker that the log has forgotten."""
-        if name in self.workers and name not in self.state.workers:
-            self.commit(RegisterWorker(self.workers[name].worker))
-
     def _answer(self, order: Any) -> None:
         if isinstance(order, OrderMaintenance):
             if order.instance not in self.instances.refused:
@@ -87,14 +82,16 @@
 
     def _carry_out_move(self, order: OrderMove) -> None:
         model = self.find_worker(order.instance)
-        if model is None or model.worker.pool == order.pool:
-            return
-        self.workers.pop(model.worker.name)
-        if order.pool == STANDBY:
-            self.instances.standby.add(order.instance)
-            return
-        model.worker = model.worker._replace(pool=order.pool)
-        self._expect(model, MOVE_S)
+        if order.instance in self.instances.standby and order.pool != STANDBY:
+            self.instances.standby.remove(order.instance)
+            self._expect(_make_standby_model(order), MOVE_S)
+        elif model is not None and model.worker.pool != order.pool:
+            self.workers.pop(model.worker.name)
+            if order.pool == STANDBY:
+                self.instances.standby.add(order.instance)
+                return
+            model.worker = model.worker._replace(pool=order.pool)
+            self._expect(model, MOVE_S)
 
     def _expect(self, model: ModelWorker, away_s: float) -> None:
         self._last_boot_ms += 1
@@ -106,11 +103,27 @@
         self.instances.away_until_s[worker.instance] = starts_s
         self._expected.append(_ExpectedWorker(worker, starts_s))
 
+    def _register_forgotten(self) -> None:
+        for name, model in self.workers.items():
+            is_reachable = not (model.is_unreachable or model.loses_responses)
+            if is_reachable and name not in self.state.workers:
+                self.commit(RegisterWorker(model.worker))
+
     def _start_expected(self) -> None:
         expected = self._expected
         self._expected = []
         for one in expected:
-            if self.is_returning and self.now_s >= one.starts_s:
+            if self.now_s >= one.starts_s:
                 self.add_worker(one.worker)
             else:
                 self._expected.append(one)
+
+
+def _make_standby_model(order: OrderMove) -> ModelWorker:
+    worker = make_worker(0)._replace(
+        name=order.instance,
+        address=f'{order.instance}:80',
+        pool=order.pool,
+        instance=order.instance,
+    )
+    return ModelWorker(worker)
--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -5,12 +5,13 @@
 from builders.workers import (
     CORE,
     MIB,
+    OTHER_DATA_CENTRE,
     SETTINGS_WITH_RACKS,
     make_step,
     make_worker,
 )
 from sardinemast.jobs import Size, TaskKey
-from sardinemast.jobs.commands import CancelJob, DeclareWave
+from sardinemast.jobs.commands import CancelJob, DeclareWave, EvacuateDataCentre
 
 _FAR_MS = 1_000_000
 # Longer than a task may be away and the time to detect it.
@@ -109,6 +110,9 @@
     # Instances without runs go in the order of their names.
     spare = tuple(f'idle-{number}' for number in range(6))
     fleet.instances.standby = set(spare)
+    # Instances of an evacuated data centre are not brought into the pool.
+    fleet.instances.data_centres = dict.fromkeys(spare, OTHER_DATA_CENTRE)
+    fleet.commit(EvacuateDataCentre('', OTHER_DATA_CENTRE))
     _start_watch(fleet, count=1, cores=2)
     _add_workers_with_one_free_core(fleet)
     _declare_wave(fleet, 'm-0', *spare)
@@ -178,7 +182,6 @@
     fleet.run(30)
     assert 'w-0' not in fleet.state.workers
     model.is_unreachable = False
-    fleet.register_again('w-0')
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue(has_failure=True)
