Show that a ticket for a full worker prevents requests for others

Cause: no tickets are requested for a step while any usable worker with free capacity has one. If that worker already runs as many tasks of the step as it may, the next task waits until the ticket expires, although other workers would be allowed. Change: the test. It concerns queues with an external policy.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -7,11 +7,17 @@
     MIB,
     OTHER_DATA_CENTRE,
     SETTINGS_WITH_RACKS,
+    make_catalog,
     make_step,
     make_worker,
 )
-from sardinemast.jobs import Size, TaskKey
-from sardinemast.jobs.commands import CancelJob, DeclareWave, EvacuateDataCentre
+from sardinemast.jobs import Advice, Size, TaskKey
+from sardinemast.jobs.commands import (
+    CancelJob,
+    DeclareWave,
+    EvacuateDataCentre,
+    PutCatalog,
+)
 
 _FAR_MS = 1_000_000
 # Longer than a task may be away and the time to detect it.
@@ -253,3 +259,23 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_tickets_are_requested_beside_worker_at_its_limit() -> None:
+    """Request tickets although a worker has one that the step cannot use.
+
+    The worker has room, but already runs as many tasks of the step as it may.
+    """
+    fleet = InstanceFleet(1)
+    advice = Advice(decide_ms=100, per_worker_ms=10, valid_ms=30_000)
+    fleet.commit(PutCatalog(make_catalog(2, advice=advice), b'{}'))
+    fleet.policy.allowed = {'w-0', 'w-1', 'w-2'}
+    fleet.run(4)
+    step = make_step(2, is_long_running=True, max_per_worker=1)
+    fleet.submit('watch', step)
+    fleet.run(1)
+    for number in (1, 2):
+        fleet.add_worker(make_worker(number))
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
