Show that a failing step holds back the long-running tasks of its job

Cause: once a task has failed on two workers that completed others of its image, only that task of the job may start, until it succeeds or its attempts are used up. Long-running tasks of other steps of the job are held back as well. Change: the test. It concerns deployments that enable learning.

--- a/tests/dispatch/test_long_running_tasks.py
+++ b/tests/dispatch/test_long_running_tasks.py
@@ -1,11 +1,13 @@
 """Test that a long-running task runs again soon if its pool has room."""
 
+from builders.durations import LEARNING
 from builders.instance_fleets import InstanceFleet
 from builders.long_running import RoomObserver
 from builders.workers import (
     CORE,
     MIB,
     OTHER_DATA_CENTRE,
+    SETTINGS,
     SETTINGS_WITH_RACKS,
     make_catalog,
     make_step,
@@ -279,3 +281,30 @@
     observer = RoomObserver(fleet)
     observer.run(_OBSERVED_S)
     assert not observer.list_overdue()
+
+
+def test_long_running_task_starts_while_another_step_is_failing() -> None:
+    """Start a long-running task although another step of its job is failing.
+
+    The other tasks of a job are held back once one of them has failed on two
+    workers. Its next run may last longer than the task may be away.
+    """
+    fleet = InstanceFleet(2, SETTINGS._replace(learning=LEARNING))
+    catalog = make_catalog(2)
+    queue = catalog.queues[0]._replace(max_attempts=4)
+    fleet.commit(PutCatalog(catalog._replace(queues=(queue,)), b'{}'))
+    fleet.run(4)
+    fleet.submit('usual', make_step(2, max_per_worker=1))
+    fleet.run(1)
+    for model in fleet.workers.values():
+        model.end(next(iter(model.running)), 'done')
+    batch, watch = TaskKey('job', 0, 0, 0), TaskKey('job', 0, 1, 0)
+    fleet.submit('job', make_step(), make_step(is_long_running=True))
+    for _ in range(2):
+        fleet.run(1)
+        fleet.workers[fleet.get_running_workers(batch)[0]].end(batch, 'failed')
+    fleet.run(8)
+    fleet.workers[fleet.get_running_workers(watch)[0]].end(watch, 'lapsed')
+    observer = RoomObserver(fleet)
+    observer.run(_OBSERVED_S)
+    assert not observer.list_overdue()
