Give each order an outcome, also if sending it raises an error

Cause: the gateway sends each order in a task of its own, and passed its outcome on only if nothing raised. An address with a port above 65535 raises OverflowError when it is connected to, and a report with digits outside ASCII in a task name raises ValueError. Such an error ended the task, and no outcome followed. The poll of that worker then stayed pending until the end of the term: its lease expired, it was not polled again, and it got no further tasks while it announced itself as ready. A request for tickets stayed pending in the same way, so that no queue with a policy got further tickets.

Change: an order that raises is logged with its traceback and ends with the outcome "unknown", since it may have been sent.

Callers would have seen waiting tasks while a worker of the pool had room, until the leader changed.

--- a/src/sardinemast/control/__init__.py
+++ b/src/sardinemast/control/__init__.py
@@ -30,7 +30,7 @@
 )
 from sardinemast.control._gauges import list_gauges
 from sardinemast.control._job_admission import JobAdmission
-from sardinemast.control._job_controller import make_not_sent_event
+from sardinemast.control._job_controller import make_failed_event
 
 __all__ = (
     'AnswerCall',
@@ -62,5 +62,5 @@
     'SendToEntry',
     'Tick',
     'list_gauges',
-    'make_not_sent_event',
+    'make_failed_event',
 )
--- a/src/sardinemast/control/_job_controller.py
+++ b/src/sardinemast/control/_job_controller.py
@@ -220,7 +220,7 @@
     def _report_not_sent(self, order: DispatchOutput, now_s: float) -> None:
         # Without a lease, another process may already lead, and an order from
         # here could contradict its decisions.
-        not_sent = make_not_sent_event(order)
+        not_sent = make_failed_event(order, OrderOutcome.not_sent)
         if not_sent is not None:
             self._handle(not_sent, now_s)
 
@@ -245,28 +245,30 @@
         self._context.outputs.append(SendToCaller(stream_id, not_leader))
 
 
-def make_not_sent_event(order: DispatchOutput) -> DispatchEvent | None:
-    """Return the event for an order not sent, or None if none is awaited."""
+def make_failed_event(
+    order: DispatchOutput, outcome: OrderOutcome
+) -> DispatchEvent | None:
+    """Return the event for an order without an answer, if one is awaited."""
     if isinstance(order, PollWorker):
         return WorkerPolled(
             order.worker.name,
             order.fence,
             order.sent_s,
-            OrderOutcome.not_sent,
+            outcome,
         )
     if isinstance(order, StartRun):
         return StartAnswered(
             order.worker.name,
             order.task,
             order.number,
-            OrderOutcome.not_sent,
+            outcome,
         )
     if isinstance(order, OrderMaintenance):
         return MaintenanceAnswered(
             order.instance,
             order.wave,
             order.boot_ms,
-            OrderOutcome.not_sent,
+            outcome,
         )
     if isinstance(order, RequestAdvice):
         return AdviceAnswered(order.step, is_answered=False)
@@ -274,6 +276,6 @@
         return MoveAnswered(
             order.instance,
             order.pool,
-            OrderOutcome.not_sent,
+            outcome,
         )
     return None
--- a/src/sardinemast/platform/_gateway.py
+++ b/src/sardinemast/platform/_gateway.py
@@ -5,8 +5,10 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from logbook import Logger
+
 from sardinemast.conf import Address
-from sardinemast.control import ControlEvent
+from sardinemast.control import ControlEvent, make_failed_event
 from sardinemast.dispatch import (
     DispatchOutput,
     ListInstances,
@@ -32,6 +34,8 @@
 from sardinemast.platform._services import ServiceClient
 from sardinemast.platform._translate import make_worker_report
 
+_log = Logger('gateway')
+
 
 class PlatformGateway:
     """Send the leader's orders, each in an asyncio task of its own."""
@@ -69,7 +73,13 @@
         valid_until_s: float,
         put_event: Callable[[ControlEvent], None],
     ) -> None:
-        event = await self._execute_order(order, valid_until_s)
+        try:
+            event = await self._execute_order(order, valid_until_s)
+        except Exception:
+            # Without an outcome, the dispatcher would wait for it until the
+            # end of the term. The order may have been sent.
+            _log.exception('{} failed.', type(order).__name__)
+            event = make_failed_event(order, OrderOutcome.unknown)
         if event is not None:
             put_event(event)
 
--- a/src/sardinemast/shell/_gateway.py
+++ b/src/sardinemast/shell/_gateway.py
@@ -3,8 +3,12 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from sardinemast.control import ControlEvent, make_not_sent_event
-from sardinemast.dispatch import DispatchOutput, DispatchSettings
+from sardinemast.control import ControlEvent, make_failed_event
+from sardinemast.dispatch import (
+    DispatchOutput,
+    DispatchSettings,
+    OrderOutcome,
+)
 from sardinemast.metrics import ProcessMetrics
 from sardinemast.shell._relay import LeaderRelay
 
@@ -36,7 +40,7 @@
         put_event: Callable[[ControlEvent], None],
     ) -> None:
         """Report that the order was not sent."""
-        unsent = make_not_sent_event(order)
+        unsent = make_failed_event(order, OrderOutcome.not_sent)
         if unsent is not None:
             put_event(unsent)
 
