Skip rows of a worker's report whose numbers cannot be read

Cause: str.isdigit is true for digits that int refuses, such as a superscript, and int refuses numbers of more than 4,300 digits. One such row, of another writer, raised ValueError for the whole report of a worker. Change: a task name has ASCII digits only, at most 18 in a number; any other row is skipped, as rows with other invalid names are. Result: test_row_with_an_unreadable_number_is_skipped raised ValueError in both cases and passes now. Callers would have seen the tasks of that worker start again elsewhere once its lease had expired, and no new tasks there.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -41,6 +41,8 @@
 
 _MIB_BYTES = 1024 * 1024
 _TASK_NUMBERS = 3
+# ``int`` refuses numbers of several thousand digits.
+_DIGITS_MAX = 18
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -132,7 +134,10 @@
     parts = name.rsplit('.', _TASK_NUMBERS)
     if len(parts) != _TASK_NUMBERS + 1:
         return None
-    if not all(part.isdigit() for part in parts[1:]):
+    # Other digits of Unicode are either refused by ``int`` or not as written.
+    if not all(part.isascii() and part.isdigit() for part in parts[1:]):
+        return None
+    if any(len(part) > _DIGITS_MAX for part in parts[1:]):
         return None
     return TaskKey(parts[0], *map(int, parts[1:]))
 
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -167,6 +167,18 @@
     assert parse_task_key('a.b.c') is None
 
 
+@pytest.mark.parametrize('number', ['\N{SUPERSCRIPT TWO}', '9' * 5000])
+def test_row_with_an_unreadable_number_is_skipped(number: str) -> None:
+    """Guard against a row that makes the whole report unreadable.
+
+    The worker would count as silent, and its tasks would be lost.
+    """
+    rows = [[f'j.0.0.{number}', 1], ['j.0.1.2', 3]]
+    body = msgspec.json.encode({'wall_ms': 9, 'running': rows})
+    report = make_worker_report(decode(body, WorkerReportBody))
+    assert [run.task for run in report.running] == [TaskKey('j', 0, 1, 2)]
+
+
 def test_rate_of_a_team_is_its_weight() -> None:
     """Guard against teams without a rate, or with one they did not declare."""
     tenants = [{'name': 'a', 'weight': 2.5}, {'name': 'b'}]
