Reject heartbeats with a port that does not exist

Cause: the port of a worker's address was only checked with str.isdigit. Port 0, one above 65535 and digits that int refuses were registered, and each order to that worker then raised an error instead of OSError. Change: such a heartbeat is invalid and answered with 400, as other malformed addresses are. Result: three new cases of test_invalid_heartbeat_is_rejected were accepted before and are rejected now. Callers would have seen a pool whose room was on a worker to which nothing could be sent.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -43,6 +43,7 @@
 _TASK_NUMBERS = 3
 # ``int`` refuses numbers of several thousand digits.
 _DIGITS_MAX = 18
+_PORT_MAX = 65_535
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -86,7 +87,7 @@
     if body['state'] not in {_READY, _DRAINING}:
         raise ValueError(f'{body["state"]!r} is not a known worker state.')
     host, _, port = body['addr'].rpartition(':')
-    if not host or not port.isdigit():
+    if not host or not _is_port(port):
         raise ValueError(f'{body["addr"]!r} is not a valid address.')
     labels = tuple(body.get('labels', ()))
     return Worker(
@@ -142,6 +143,11 @@
     return TaskKey(parts[0], *map(int, parts[1:]))
 
 
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+    return is_number and 0 < int(text) <= _PORT_MAX
+
+
 def _iterate_runs(rows: list[RunRow]) -> Any:
     for row in rows:
         task = parse_task_key(row.task)
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -133,13 +133,20 @@
     [
         b'{"service":"s","addr":"10.0.0.9:80","state":"odd","seq":1}',
         b'{"service":"s","addr":"nowhere","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:0","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:70000","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:\xc2\xb2","state":"ready","seq":1}',
         b'{"service":"s","state":"ready","seq":1}',
         b'{"service":"s","addr":"1:2","state":"ready","seq":"one"}',
         b'[]',
     ],
 )
 def test_invalid_heartbeat_is_rejected(body: bytes) -> None:
-    """Guard against workers that are created from malformed heartbeats."""
+    """Guard against workers that are created from malformed heartbeats.
+
+    A worker with an address to which no connection can be opened would count
+    as capacity of its pool.
+    """
     with pytest.raises(DECODE_ERRORS):
         make_worker('i-1', decode(body, HeartbeatBody))
 
