List the valid instances beside an invalid entry

Cause: a page of the platform's list of instances was decoded as a whole, so that one entry with a missing or mistyped field, or with bytes that are not text, made every list unusable for as long as the entry was there. Change: each entry is decoded on its own. An invalid one is logged and left out, also if it lacks its name, pool or state. Result: test_valid_instances_beside_an_invalid_one_are_listed got no list in all five cases and passes now. Without a list the leader switches on no instance of the standby pool, and a wave does not notice that an instance is lost or back: callers would have waited for capacity that was there.

--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -1,9 +1,11 @@
 """Client of the platform's instance service and policy service."""
 
+from collections.abc import Iterable, Iterator
 from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
+import msgspec
 from logbook import Logger
 
 from sardinemast.conf import Address
@@ -28,7 +30,11 @@
     make_attempt,
 )
 from sardinemast.platform._translate import make_instance, make_tickets
-from sardinemast.platform._worker_bodies import GrantedBody, InstancesBody
+from sardinemast.platform._worker_bodies import (
+    GrantedBody,
+    InstanceBody,
+    InstancesBody,
+)
 from sardinemast.routing import StartAttempt
 from sardinemast.shell import RawAttempt
 
@@ -132,7 +138,7 @@
                 result = attempt.attempt_result
                 _log.warning('Listing instances failed: {}.', result)
                 return None
-            listed.extend(map(make_instance, page.get('machines', [])))
+            listed.extend(_read_instances(page.get('machines', [])))
             token = page.get('next_token') or ''
             if not token:
                 return InstancesListed(tuple(listed), order.asked_s)
@@ -179,3 +185,14 @@
     except DECODE_ERRORS as error:
         _log.warning('{} cannot be decoded: {}.', expected.__name__, error)
         return None
+
+
+def _read_instances(entries: Iterable[msgspec.Raw]) -> Iterator[ListedInstance]:
+    """Yield the instances of a page, without entries that are invalid."""
+    for entry in entries:
+        try:
+            instance = decode(entry, InstanceBody)
+        except DECODE_ERRORS as error:
+            _log.warning('A listed instance cannot be decoded: {}.', error)
+            continue
+        yield make_instance(instance)
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -122,10 +122,10 @@
 def make_instance(body: InstanceBody) -> ListedInstance:
     """Return an instance of the platform's list."""
     return ListedInstance(
-        body.get('machine', ''),
-        body.get('pool', ''),
-        body.get('state', '') == 'up',
-        body.get('state', '') == 'down',
+        body['machine'],
+        body['pool'],
+        body['state'] == 'up',
+        body['state'] == 'down',
         body.get('zone', ''),
     )
 
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple, TypedDict
 
+import msgspec
+
 from sardinemast.platform._job_bodies import CapacityBody
 
 
@@ -69,13 +71,16 @@
     cap: int
 
 
-class InstanceBody(TypedDict, total=False):
-    """Hold an instance in the platform's list."""
-
+class _InstanceRequired(TypedDict):
     machine: str
     # Service of the workers on this instance.
     pool: str
     state: str
+
+
+class InstanceBody(_InstanceRequired, total=False):
+    """Hold an instance in the platform's list."""
+
     # Data centre of the instance.
     zone: str
 
@@ -94,7 +99,10 @@
 
 
 class InstancesBody(TypedDict, total=False):
-    """Hold a page of the platform's list of instances."""
+    """Hold a page of the platform's list of instances.
+
+    Each entry is decoded on its own, as an ``InstanceBody``.
+    """
 
-    machines: list[InstanceBody]
+    machines: list[msgspec.Raw]
     next_token: str | None
--- /dev/null
+++ b/tests/platform/test_services.py
@@ -0,0 +1,67 @@
+"""Answers of the platform's instance service."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from sardinemast.conf import Address
+from sardinemast.dispatch import InstancesListed, ListedInstance, ListInstances
+from sardinemast.platform._services import ServiceClient
+from sardinemast.routing import AttemptResult, StartAttempt
+from sardinemast.shell import RawAttempt
+from sardinemast.shell._http_connection import RawResponse
+
+_VALID = b'{"machine":"m-1","pool":"booking","state":"up","zone":"rennes"}'
+
+
+class FakeClient:
+    """Answer each request with the same body."""
+
+    own_host = '10.0.0.1'
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def get(self, start: StartAttempt, path: str) -> RawAttempt:
+        """Return the body with status 200."""
+        response = RawResponse(200, 'OK', (), self._body)
+        return RawAttempt(AttemptResult.answered, response)
+
+
+def _list_instances(body: bytes) -> InstancesListed | None:
+    services = ServiceClient(
+        FakeClient(body),  # type: ignore[arg-type]
+        Address('10.0.0.2', 80),
+        None,
+    )
+    return asyncio.run(services.list_instances(ListInstances(1, 7), 0))
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [
+        b'{"machine":"m-2","pool":"booking"}',
+        b'{"machine":17,"pool":"booking","state":"up"}',
+        b'{"machine":"\xff","pool":"booking","state":"up"}',
+        b'[]',
+        b'null',
+    ],
+)
+def test_valid_instances_beside_an_invalid_one_are_listed(
+    entry: bytes,
+) -> None:
+    """Guard against one invalid entry that makes every list unusable.
+
+    Without a list, no instance of the standby pool is switched on, and a wave
+    does not notice that an instance is lost or back.
+    """
+    listed = _list_instances(b'{"machines":[%b,%b]}' % (entry, _VALID))
+    instance = ListedInstance('m-1', 'booking', True, False, 'rennes')
+    assert listed == InstancesListed((instance,), 7)
+
+
+def test_unreadable_list_is_discarded() -> None:
+    """Guard against a list that counts all instances as missing."""
+    assert _list_instances(b'{"machines":{}}') is None
+    assert _list_instances(msgspec.json.encode([])) is None
