Answer a request with 500 if its handler raises

Cause: the HTTP server of entries and control processes handles each request in a task. An error in the handler ended the task without a response, and the connection stayed open. Change: the error is logged and the request answered with 500. Result: test_caller_is_answered_if_the_handler_raises found no response before and passes now. Callers would have waited until their own timeout, and the log had no line before the task was collected.

--- a/src/sardinemast/platform/_http_server.py
+++ b/src/sardinemast/platform/_http_server.py
@@ -64,7 +64,11 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _respond(self, request: HTTPServerRequest) -> None:
-        response = await self._handle(request)
+        try:
+            response = await self._handle(request)
+        except Exception:
+            _log.exception('{} {} failed.', request.method, request.path)
+            response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
         connection = request.connection
         if connection is None:
             return
