Ignore deadlines of callers that cannot be read

Cause: str.isdigit is true for digits that int refuses, and int refuses numbers of thousands of digits. Such an X-Deadline-Ms header raised ValueError, and the request got no answer. Change: only up to 18 ASCII digits are a deadline; any other header is ignored, as other unreadable deadlines are. Result: two cases of test_unreadable_deadline_is_ignored raised before and pass now. The caller would have waited until its own timeout.

--- a/src/sardinemast/platform/_caller_http.py
+++ b/src/sardinemast/platform/_caller_http.py
@@ -30,6 +30,8 @@
 _TIMEOUT_S = 2.5
 # Leaves time to return the response before the caller's deadline.
 _DEADLINE_SHARE = 0.8
+# ``int`` refuses numbers of several thousand digits.
+_DEADLINE_DIGITS_MAX = 18
 
 
 class CallerHandler:
@@ -92,6 +94,7 @@
 
 def _get_timeout_s(request: HTTPServerRequest) -> float:
     deadline_header = request.headers.get('X-Deadline-Ms', '')
-    if not deadline_header.isdigit():
+    is_number = deadline_header.isascii() and deadline_header.isdigit()
+    if not is_number or len(deadline_header) > _DEADLINE_DIGITS_MAX:
         return _TIMEOUT_S
     return min(int(deadline_header) / _MS * _DEADLINE_SHARE, _TIMEOUT_S)
--- /dev/null
+++ b/tests/platform/test_caller_http.py
@@ -0,0 +1,47 @@
+"""Requests of callers that an entry forwards to the leader."""
+
+import asyncio
+
+import pytest
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
+
+from sardinemast.metrics import ProcessMetrics
+from sardinemast.platform._caller_http import CallerHandler
+from sardinemast.protocol import Call, CallAnswer, CallOutcome
+
+
+class FakeRelay:
+    """Record the timeout of each call, and answer that it is done."""
+
+    def __init__(self) -> None:
+        self.timeouts_s: list[float] = []
+
+    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
+        """Answer at once."""
+        self.timeouts_s.append(timeout_s)
+        return CallAnswer(CallOutcome.done)
+
+
+def _get_timeout_s(deadline: str) -> float:
+    relay = FakeRelay()
+    handler = CallerHandler(relay, ProcessMetrics())  # type: ignore[arg-type]
+    request = HTTPServerRequest(
+        headers=HTTPHeaders({'Host': 'h', 'X-Deadline-Ms': deadline}),
+        start_line=RequestStartLine('GET', '/seats/', 'HTTP/1.1'),
+    )
+    asyncio.run(handler.handle(request))
+    return relay.timeouts_s[0]
+
+
+@pytest.mark.parametrize(
+    'deadline',
+    ['', '-5', 'soon', '\N{SUPERSCRIPT TWO}', '9' * 5000],
+)
+def test_unreadable_deadline_is_ignored(deadline: str) -> None:
+    """Guard against a deadline that fails the request of its caller."""
+    assert _get_timeout_s(deadline) == _get_timeout_s('10000')
+
+
+def test_deadline_of_a_caller_bounds_the_call() -> None:
+    """Guard against answers that arrive after the caller has given up."""
+    assert _get_timeout_s('1000') < 1
