Start long-running tasks beside a failing task of their job

Cause: a task that failed on two workers holds back its job until it succeeds or has used up its attempts, so that a job without prospect takes no capacity. The rule also held back the long-running tasks of the job, which have no attempts and serve their users meanwhile. The failing task may itself wait or run for long, so that nothing bounds the wait. Change: long-running tasks, also gangs of them, are not held back. Callers with learned durations switched on saw a long-running task that did not run although there was room for it.

--- a/src/sardinemast/dispatch/_failing_tasks.py
+++ b/src/sardinemast/dispatch/_failing_tasks.py
@@ -18,7 +18,8 @@
 
     A task is at fault if other tasks of its image succeeded on that worker.
     ``held`` maps a job to its tasks that failed so on two workers: until each
-    has succeeded, or used up its attempts, no other task of the job starts.
+    has succeeded, or used up its attempts, no other task of the job starts but
+    long-running ones.
     """
 
     def __init__(self) -> None:
--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -38,7 +38,7 @@
     whether a task should rather not run on a worker, ``is_allowed`` whether a
     step may run on it at all beside so many planned starts. With ``shares``,
     these replace ``order``. Of a job in ``held``, only the tasks listed there
-    may start.
+    and long-running ones may start.
     """
 
     def __init__(
@@ -149,17 +149,24 @@
 
     def _list_startable(self, step: StepState) -> tuple[int, ...]:
         waiting = tuple(step.waiting)
-        held_tasks = self._held.get(step.key.job)
-        if held_tasks is None:
+        if not self._is_held_back(step):
             return waiting
+        held_tasks = self._held[step.key.job]
         return tuple(
             index for index in waiting if step.get_task(index) in held_tasks
         )
 
+    def _is_held_back(self, step: StepState) -> bool:
+        """Check whether only the failing tasks of a step may start.
+
+        Long-running tasks serve their users whether the job's others fail.
+        """
+        return not step.spec.is_long_running and step.key.job in self._held
+
     def _place_gang(self, step: StepState) -> None:
         # Members wait for each other while they occupy their workers, so a gang
         # starts as a whole or not at all.
-        if step.running or step.key.job in self._held:
+        if step.running or self._is_held_back(step):
             return
         racks = self._get_racks(step) if step.spec.is_same_rack else ['']
         # A failed attempt is rolled back, so it must not mark sizes as
--- a/tests/dispatch/test_duration_learner.py
+++ b/tests/dispatch/test_duration_learner.py
@@ -16,7 +16,7 @@
     make_catalog,
     make_step,
 )
-from sardinemast.jobs import DurationKey, JobStatus, Size, TaskKey
+from sardinemast.jobs import DurationKey, JobStatus, Size, Step, TaskKey
 from sardinemast.jobs.commands import PutCatalog
 
 _TASK = TaskKey('bad', 0, 0, 0)
@@ -110,7 +110,29 @@
     assert not fleet.dispatcher._state.failing_tasks.held
 
 
-def _fail_twice(*, has_successes: bool = True) -> ModelFleet:
+@pytest.mark.parametrize('is_gang', [True, False])
+def test_failing_task_does_not_hold_back_long_running_tasks(
+    *, is_gang: bool
+) -> None:
+    """Guard against a long-running task that waits although it has room.
+
+    It waited for a failing task of another step of its job to succeed or to
+    use up its attempts, which may never happen while that task itself waits.
+    """
+    lasting = make_step(
+        image='a',
+        size=Size(4 * CORE, MIB),
+        is_long_running=True,
+        is_gang=is_gang,
+    )
+    fleet = _fail_twice(lasting)
+    fleet.run(1)
+    assert fleet.get_running_workers(TaskKey('bad', 0, 1, 0))
+
+
+def _fail_twice(
+    other: Step | None = None, *, has_successes: bool = True
+) -> ModelFleet:
     """Return a fleet on whose two workers a task of the job ``bad`` failed.
 
     Its other task needs a whole worker, and gets one only now.
@@ -125,7 +147,7 @@
     large = make_step(2, image='a', size=Size(3 * CORE, MIB))
     fleet.submit('busy', large)
     fleet.run(0.2)
-    fleet.submit('bad', make_step(image='a'), whole)
+    fleet.submit('bad', make_step(image='a'), other or whole)
     for _ in range(2):
         fleet.run(0.5)
         end_runs(fleet, 'bad', 'failed')
