Start long-running tasks on instances on probation

Cause: an instance on probation gets at most two runs that end by themselves, until five have succeeded. A worker that had these two got no long-running tasks either, although the limit is not meant for them. If all workers of a pool with room were on probation, a long-running task waited for one of the runs to end, which may take any time. Change: the limit holds only for tasks that end by themselves. Result: test_long_running_task_starts_on_probation had 2 runs instead of 5 and passes now.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -197,8 +197,9 @@
         def is_allowed(step: StepState, worker: Worker, planned: int) -> bool:
             if state.is_held(step, worker):
                 return False
-            if worker.instance in records.on_probation:
-                if not self._has_quota(worker, planned):
+            if not step.spec.is_long_running:
+                is_limited = worker.instance in records.on_probation
+                if is_limited and not self._has_quota(worker, planned):
                     return False
             return self._tickets.is_allowed(step, worker, now_s)
 
@@ -246,7 +247,8 @@
     def _has_quota(self, worker: Worker, planned_count: int) -> bool:
         """Check whether a worker on probation may get one more planned run.
 
-        Long-running tasks that it has do not count, since they do not end.
+        Long-running tasks are not limited and do not count, since they do not
+        end.
         """
         run_count = sum(
             not step.spec.is_long_running
--- a/tests/dispatch/test_instance_records.py
+++ b/tests/dispatch/test_instance_records.py
@@ -92,6 +92,25 @@
     assert _count_runs(fleet, _FAULTY) > _RUNS_ON_PROBATION
 
 
+def test_long_running_task_starts_on_probation() -> None:
+    """Guard against a long-running task that waits although it has room.
+
+    The only worker of its pool was on probation and had two runs, which may
+    last for any time.
+    """
+    fleet = ModelFleet(1, SETTINGS_WITH_RACKS, cores=16)
+    record = InstanceRecord(_FAULTY, fleet.now_ms, successes_due=5)
+    fleet.commit(NoteInstanceRecords((record,)))
+    fleet.elect()
+    fleet.run(1)
+    fleet.submit('wide', make_step(5))
+    fleet.run(1)
+    assert _count_runs(fleet, _FAULTY) == _RUNS_ON_PROBATION
+    fleet.submit('lasting', make_step(3, is_long_running=True))
+    fleet.run(1)
+    assert _count_runs(fleet, _FAULTY) == _RUNS_ON_PROBATION + 3
+
+
 def test_tasks_that_fail_everywhere_blame_no_instance() -> None:
     """Guard against probation for the faults of jobs."""
     fleet = _make_fleet()
