Request tickets beside workers that have enough tasks of a step

Cause: further tickets of a step are requested only once no worker with room has one. A worker with a ticket counted although it had as many tasks of the step as max_per_worker allows, so that the rest of the step waited beside workers that the policy would have allowed, until the ticket expired. Change: workers that are full for the step do not count. Result: test_tickets_are_requested_beside_a_worker_with_enough_tasks had no run for half of the validity and passes now. Callers saw a task that waited although a worker of the pool was empty.

--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -1,5 +1,6 @@
 """Request and cache tickets of the external placement policy."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -135,12 +136,15 @@
         jobs = self._state.jobs
         pool = jobs.get_queue(step).pool
         spec = step.spec
+        full_workers = _find_full_workers(step)
         fitting = [
             jobs.workers[name]
             for name in jobs.usage.free.iterate_fitting(
                 pool, spec.reserved_size
             )
-            if spec.allows_labels(jobs.workers[name].labels) and is_usable(name)
+            if spec.allows_labels(jobs.workers[name].labels)
+            and is_usable(name)
+            and name not in full_workers
         ]
         if any(self.get_ticket(step, worker, now_s) for worker in fitting):
             return ()
@@ -183,3 +187,12 @@
         # A denial is final for a boot of a worker; only tickets expire.
         is_denied = not cached.ticket
         return cached if is_denied or now_s < cached.expires_s else None
+
+
+def _find_full_workers(step: StepState) -> set[str]:
+    """Return the workers with as many tasks of a step as they may have."""
+    limit = step.spec.max_per_worker
+    if not limit:
+        return set()
+    counted = Counter(run.worker for run in step.running.values())
+    return {worker for worker, count in counted.items() if count >= limit}
--- a/tests/dispatch/test_tickets.py
+++ b/tests/dispatch/test_tickets.py
@@ -108,3 +108,18 @@
     fleet.submit('job', make_step())
     fleet.run(2 * _VALID_MS / 1000)
     assert len(fleet.policy.questions) == 1
+
+
+def test_tickets_are_requested_beside_a_worker_with_enough_tasks() -> None:
+    """Guard against tasks that wait beside a worker they may use.
+
+    A worker with a ticket that already has as many tasks as the step allows
+    there cannot take another one.
+    """
+    fleet = _make_fleet(1)
+    fleet.policy.allowed = {'w-0', 'w-1'}
+    fleet.submit('job', make_step(2, max_per_worker=1))
+    fleet.run(1)
+    fleet.add_worker(make_worker(1))
+    fleet.run(_VALID_MS / 1000 / 2)
+    assert fleet.get_running_workers(TASK._replace(position=1)) == ['w-1']
