Request tickets for other steps after a request without an answer

Cause: a request for tickets that fails is repeated after 0.5 s for the most urgent step. If the policy service answers all but the requests for one step, for instance with an error or too late, that step is the most urgent one again, and all other steps of queues with a policy wait without a bound. Change: a step whose request failed comes last until another request is answered or all have failed. Result: test_step_without_an_answer_does_not_delay_others had no run of the third job and passes now. Callers saw tasks that waited although the policy would have allowed a worker with room.

--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -40,12 +40,15 @@
         self._cache: dict[StepKey, dict[str, _CachedTicket]] = {}
         self._pending: RequestAdvice | None = None
         self._next_request_s = float('-inf')
+        # Steps whose requests failed since the last answer.
+        self._unanswered: set[StepKey] = set()
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
         self._cache.clear()
         self._pending = None
         self._next_request_s = float('-inf')
+        self._unanswered.clear()
 
     def get_ticket(self, step: StepState, worker: Worker, now_s: float) -> str:
         """Return the valid ticket for a start, or an empty string."""
@@ -68,7 +71,11 @@
         now_s: float,
         now_ms: int,
     ) -> None:
-        """Request tickets for the first step that no usable worker may run."""
+        """Request tickets for the first step that no usable worker may run.
+
+        Steps whose requests failed come last until another one is answered, so
+        that they do not delay the others for ever.
+        """
         if self._pending is not None or now_s < self._next_request_s:
             return
         queues = self._state.jobs.catalog.queues
@@ -78,9 +85,13 @@
         if not steps:
             self._cache.clear()
             return
+        steps.sort(key=lambda step: step.key in self._unanswered)
         for step in steps:
             workers = self._choose_workers(step, is_usable, now_s)
             if workers:
+                if step.key in self._unanswered:
+                    # All have failed, so they take turns again.
+                    self._unanswered.clear()
                 self._send_request(step, workers)
                 return
 
@@ -100,7 +111,9 @@
         )
         if not event.is_answered:
             self._next_request_s = now_s + _RETRY_S
+            self._unanswered.add(event.step)
             return False
+        self._unanswered.clear()
         cached = self._cache.setdefault(event.step, {})
         expires_s = now_s + request.valid_s - _EXPIRY_MARGIN_S
         for worker in request.workers:
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -131,12 +131,16 @@
 
 
 class ModelPolicy:
-    """Simulate the external policy service, which may be unavailable."""
+    """Simulate the external policy service, which may be unavailable.
+
+    Requests for steps of ``silent_jobs`` are never answered.
+    """
 
     def __init__(self) -> None:
         self.allowed: set[str] = set()
         self.questions: list[RequestAdvice] = []
         self.is_silent = False
+        self.silent_jobs: set[str] = set()
 
     def answer(self, asked: RequestAdvice) -> AdviceAnswered:
         """Return tickets for the allowed workers among those asked about."""
@@ -145,7 +149,8 @@
             for worker in asked.workers
             if worker.name in self.allowed
         )
-        return AdviceAnswered(asked.step, tickets, not self.is_silent)
+        is_silent = self.is_silent or asked.step.job in self.silent_jobs
+        return AdviceAnswered(asked.step, tickets, not is_silent)
 
 
 class ReceivedOrder(NamedTuple):
--- a/tests/dispatch/test_tickets.py
+++ b/tests/dispatch/test_tickets.py
@@ -123,3 +123,20 @@
     fleet.add_worker(make_worker(1))
     fleet.run(_VALID_MS / 1000 / 2)
     assert fleet.get_running_workers(TASK._replace(position=1)) == ['w-1']
+
+
+def test_step_without_an_answer_does_not_delay_others() -> None:
+    """Guard against one step whose request is never answered.
+
+    All steps of queues with a policy would wait behind it.
+    """
+    fleet = _make_fleet()
+    fleet.policy.allowed = {'w-0'}
+    fleet.policy.silent_jobs = {'first', 'second'}
+    for name in ('first', 'second', 'job'):
+        fleet.submit(name, make_step())
+    fleet.run(3)
+    assert fleet.get_running_workers(TASK) == ['w-0']
+    fleet.policy.silent_jobs = set()
+    fleet.run(3)
+    assert len(fleet.workers['w-0'].running) == 3
