Request tickets until all members of a gang have room

Cause: no further tickets of a step were requested while one worker with room had one. A gang that does not fit on that worker needs tickets for several, and waited beside new workers that the policy would have allowed until the ticket expired. Change: tickets are requested until the workers that have one hold the next tasks of the step, which are all members for a gang. Callers saw a gang that waited although its pool had room for it.

--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -159,7 +159,10 @@
             and is_usable(name)
             and name not in full_workers
         ]
-        if any(self.get_ticket(step, worker, now_s) for worker in fitting):
+        ticketed = [
+            worker for worker in fitting if self.get_ticket(step, worker, now_s)
+        ]
+        if self._has_room(step, ticketed):
             return ()
         unknown = [
             worker
@@ -172,6 +175,25 @@
         )
         return tuple(unknown[:_REQUESTED_WORKERS_MAX])
 
+    def _has_room(self, step: StepState, workers: list[Worker]) -> bool:
+        """Check whether the next tasks of a step fit on workers with room.
+
+        The members of a gang start together, other tasks one by one.
+        """
+        spec = step.spec
+        wanted = spec.task_count if spec.is_gang else 1
+        most = spec.max_per_worker or wanted
+        for worker in workers:
+            free = self._state.jobs.get_free(worker)
+            for _ in range(min(most, wanted)):
+                if not spec.reserved_size.fits(free):
+                    break
+                free = free.plus(spec.reserved_size, -1)
+                wanted -= 1
+            if not wanted:
+                return True
+        return False
+
     def _send_request(
         self, step: StepState, workers: tuple[Worker, ...]
     ) -> None:
--- a/tests/dispatch/test_tickets.py
+++ b/tests/dispatch/test_tickets.py
@@ -1,7 +1,14 @@
 """Test queues whose external policy allows only some workers."""
 
-from builders.workers import ModelFleet, make_catalog, make_step, make_worker
-from sardinemast.jobs import Advice, TaskKey
+from builders.workers import (
+    CORE,
+    MIB,
+    ModelFleet,
+    make_catalog,
+    make_step,
+    make_worker,
+)
+from sardinemast.jobs import Advice, Size, TaskKey
 from sardinemast.jobs.commands import PutCatalog
 
 TASK = TaskKey('job', 0, 0, 0)
@@ -140,3 +147,18 @@
     fleet.policy.silent_jobs = set()
     fleet.run(3)
     assert len(fleet.workers['w-0'].running) == 3
+
+
+def test_tickets_are_requested_until_a_gang_has_enough() -> None:
+    """Guard against a gang that waits for more workers than have tickets.
+
+    Its members start together, so that one worker with a ticket is no use.
+    """
+    fleet = _make_fleet(1)
+    fleet.policy.allowed = {'w-0', 'w-1'}
+    whole = Size(4 * CORE, MIB)
+    fleet.submit('job', make_step(2, size=whole, is_gang=True))
+    fleet.run(1)
+    fleet.add_worker(make_worker(1))
+    fleet.run(_VALID_MS / 1000 / 2)
+    assert fleet.get_running_workers(TASK)
