Reject numbers of jobs and heartbeats that are out of range

Cause: JSON integers have no bound, so that a job or a heartbeat with a number of some hundred digits was accepted and recorded in the log. Estimates and pool sizes convert such numbers to floats, which raises OverflowError and ends the core of the leader; the next leaders read the same number from the log. A negative size was accepted too, and added to the free capacity of its worker. Change: sizes, estimated durations, times and numbers of occurrences of a job, and the capacity and boot time of a worker, are from 0 to 2**53, up to which floats are exact. Others are answered with 400. Result: seven new cases of the tests of invalid jobs and heartbeats were accepted before and are rejected now.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -44,6 +44,8 @@
 # ``int`` refuses numbers of several thousand digits.
 _DIGITS_MAX = 18
 _PORT_MAX = 65_535
+# Integers up to this size are exact as floats, which estimates use.
+_NUMBER_MAX = 9_007_199_254_740_992
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -56,13 +58,17 @@
     for number, step in enumerate(steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
             raise ValueError('A step may depend on earlier steps only.')
-    return JobRequest(
+    request = JobRequest(
         body.get('spec', ''),
         steps,
         body.get('times', 0),
         body.get('start_at_ms', 0),
         body.get('interval_ms', 0),
     )
+    _check_numbers(
+        request.occurrences, request.first_due_ms, request.interval_ms
+    )
+    return request
 
 
 def make_catalog(body: ConfigBody) -> Catalog:
@@ -90,15 +96,18 @@
     if not host or not _is_port(port):
         raise ValueError(f'{body["addr"]!r} is not a valid address.')
     labels = tuple(body.get('labels', ()))
+    capacity = _make_size(body.get('capacity', {}))
+    boot_ms = body.get('born', 0)
+    _check_numbers(*capacity, boot_ms)
     return Worker(
         name,
-        body.get('born', 0),
+        boot_ms,
         body['addr'],
         body['service'],
         body.get('zone', ''),
         labels[1] if len(labels) > 1 else '',
         labels,
-        _make_size(body.get('capacity', {})),
+        capacity,
         body.get('machine', ''),
         body['state'] == _DRAINING,
     )
@@ -168,6 +177,12 @@
             yield ReportedEnd(row.position, task, row.run, row.how, row.saved)
 
 
+def _check_numbers(*numbers: int) -> None:
+    """Raise ``ValueError`` for a number that is negative or too large."""
+    if not all(0 <= number <= _NUMBER_MAX for number in numbers):
+        raise ValueError('A number is out of range.')
+
+
 def _make_size(body: CapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
@@ -177,10 +192,13 @@
 
 
 def _make_step(body: StepBody) -> Step:
+    size = _make_size(body)
+    estimate_ms = body.get('est_ms', 0)
+    _check_numbers(*size, estimate_ms)
     return Step(
         task_count=body.get('count', 0),
-        size=_make_size(body),
-        estimate_ms=body.get('est_ms', 0),
+        size=size,
+        estimate_ms=estimate_ms,
         depends_on=tuple(body.get('deps', ())),
         can_checkpoint=body.get('checkpoints', False),
         is_gang=body.get('gang', False),
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -19,6 +19,7 @@
 from sardinemast.platform._worker_bodies import HeartbeatBody, WorkerReportBody
 
 _MIB = 1024 * 1024
+_HUGE = b'1' + b'0' * 400
 _ROUTE = MappingProxyType(
     {
         'name': 'seats',
@@ -73,10 +74,19 @@
         b'{"phases":[{"count":1,"deps":[-1]}]}',
         b'{"phases":[{"count":"many"}]}',
         b'\xff\xfe',
+        b'{"phases":[{"count":1,"cpu":-500}]}',
+        b'{"phases":[{"count":1,"cpu":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"mem_mb":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"est_ms":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1}],"interval_ms":%b}' % _HUGE,
     ],
 )
 def test_invalid_job_is_rejected(body: bytes) -> None:
-    """Reject a job with missing, mistyped or inconsistent fields."""
+    """Reject a job with missing, mistyped or inconsistent fields.
+
+    A size that is negative adds to the capacity of its worker, and a number
+    that no float can hold ends each leader that estimates with it.
+    """
     with pytest.raises(DECODE_ERRORS):
         make_request(decode(body, JobBody))
 
@@ -138,6 +148,10 @@
         b'{"service":"s","addr":"10.0.0.9:\xc2\xb2","state":"ready","seq":1}',
         b'{"service":"s","state":"ready","seq":1}',
         b'{"service":"s","addr":"1:2","state":"ready","seq":"one"}',
+        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
+        b'"capacity":{"cpu":%b}}' % _HUGE,
+        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
+        b'"capacity":{"gpu":-1}}',
         b'[]',
     ],
 )
