Keep an entry running if a response cannot be written

Cause: responses are written from the loop of the entry. Tornado raises an error for a 204 response with the header "Content-Length: 5", since the declared body is never written, and for a line break in a reason phrase. The error ended the loop, and with it the entry and all its requests. Change: an error in writing a response is logged and closes the connection of its caller. A 204 response is passed on without a length, so that it can be written. Result: test_response_without_a_body_may_declare_a_length and test_response_that_cannot_be_written_closes_its_connection raised out of the response callback, which the loop calls, and pass now. Callers would have seen connections closed at each such answer of an upstream, and a restarting entry.

--- a/src/sardinemast/shell/_caller_exchange.py
+++ b/src/sardinemast/shell/_caller_exchange.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from logbook import Logger
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
@@ -29,6 +30,7 @@
 )
 from sardinemast.shell._upstream_client import CallerRequest, UpstreamResponse
 
+_log = Logger('callers')
 _WRITE_TIMEOUT_S = 30.0
 _DISCARD_TIMEOUT_S = 1.0
 _MAX_DISCARDED_BYTES = 16_777_216
@@ -163,6 +165,14 @@
         if self._has_responded:
             return
         self._has_responded = True
+        try:
+            self._write_any(response)
+        except Exception:
+            # Raised, it would end the entry's loop and all other requests.
+            _log.exception('Writing a response raised an exception.')
+            self._connection.close()
+
+    def _write_any(self, response: CallerResponse) -> None:
         if isinstance(response, Refusal):
             self._write_refusal(response)
         else:
@@ -170,6 +180,9 @@
 
     def _write_response(self, response: UpstreamResponse) -> None:
         headers = filter_response_headers(response.headers)
+        if response.code == HTTPStatus.NO_CONTENT:
+            # Tornado refuses to end a response before its declared length.
+            headers.pop('Content-Length', None)
         if self._start.method != 'HEAD' and response.code not in BODYLESS_CODES:
             headers['Content-Length'] = str(len(response.body))
         self._write(response.code, response.reason, headers, response.body)
--- a/tests/shell/test_caller_http.py
+++ b/tests/shell/test_caller_http.py
@@ -34,6 +34,8 @@
         self.writes: list[asyncio.Future[None]] = []
         self.responds = True
         self.body = b''
+        self.response: UpstreamResponse | None = None
+        self.is_raising = False
 
     def is_ready(self) -> bool:
         return True
@@ -64,11 +66,12 @@
     ) -> int:
         self.arrivals.append(arrival)
         if self.responds:
-            respond(
-                UpstreamResponse(
-                    200, 'OK', HTTPHeaders(), self.body or request.body
-                )
+            response = UpstreamResponse(
+                200, 'OK', HTTPHeaders(), self.body or request.body
             )
+            self.is_raising = True
+            respond(self.response or response)
+            self.is_raising = False
         return len(self.arrivals)
 
     def discard_caller(self, request_id: int) -> None:
@@ -186,6 +189,44 @@
     assert [one.body_bytes for one in fake_entry.arrivals] == [len(body)]
 
 
+def test_response_without_a_body_may_declare_a_length() -> None:
+    """Guard against an entry that ends after a 204 response with a length.
+
+    Tornado raised an error, since the declared body was never written, and the
+    loop of the entry ended with it.
+    """
+
+    async def run() -> bytes:
+        fake_entry = _FakeEntry()
+        headers = HTTPHeaders({'Content-Length': '5'})
+        fake_entry.response = UpstreamResponse(204, 'No Content', headers, b'')
+        async with _connect(fake_entry) as (reader, writer):
+            writer.write(_GET + b'\r\n')
+            return await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 5)
+
+    received = asyncio.run(run())
+    assert received.startswith(b'HTTP/1.1 204 ')
+    assert b'Content-Length' not in received
+
+
+def test_response_that_cannot_be_written_closes_its_connection() -> None:
+    """Guard against an entry that ends with the first response of this kind."""
+
+    async def run() -> _FakeEntry:
+        fake_entry = _FakeEntry()
+        fake_entry.response = UpstreamResponse(
+            200, 'OK\r\nX: y', HTTPHeaders(), b''
+        )
+        async with _connect(fake_entry) as (reader, writer):
+            writer.write(_GET + b'\r\n')
+            assert not await asyncio.wait_for(reader.read(), 5)
+        return fake_entry
+
+    fake_entry = asyncio.run(run())
+    assert fake_entry.arrivals
+    assert not fake_entry.is_raising
+
+
 def test_disconnected_caller_is_discarded() -> None:
     """Guard against requests that wait after their caller disconnected."""
 
