Keep writing logs after a pipe was full and non-blocking

Cause: logs are written by a thread, which ended at the first OSError, since a closed pipe does not recover. A full pipe that another process has made non-blocking raises BlockingIOError, which is an OSError too: the process went on without any logs. Change: the thread tries again after such an error. Result: test_full_pipe_without_blocking_does_not_end_the_output did not receive all of its 1,000 lines within 5 s before and passes now. Operators would have seen no further line of that process.

--- a/src/sardinemast/daemon/_queued_output.py
+++ b/src/sardinemast/daemon/_queued_output.py
@@ -85,4 +85,10 @@
             batch.append(json.dumps({**notice, 'lines': dropped}) + _LINE_END)
         unwritten = ''.join(batch).encode()
         while unwritten:
-            unwritten = unwritten[os.write(self._descriptor, unwritten) :]
+            try:
+                written = os.write(self._descriptor, unwritten)
+            except BlockingIOError:
+                # Another process may have made a shared pipe non-blocking.
+                time.sleep(_BATCH_INTERVAL_S)
+                continue
+            unwritten = unwritten[written:]
--- a/tests/daemon/test_queued_output.py
+++ b/tests/daemon/test_queued_output.py
@@ -3,6 +3,7 @@
 import json
 import os
 import time
+from contextlib import suppress
 
 from sardinemast.daemon import QueuedOutput
 
@@ -69,3 +70,24 @@
         output.write(f'{_LINE}\n')
         time.sleep(0.02)
     output.close()
+
+
+def test_full_pipe_without_blocking_does_not_end_the_output() -> None:
+    """Guard against a process whose log ends for good.
+
+    Another process that shares the pipe may have made it non-blocking.
+    """
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    os.set_blocking(writer, False)
+    output = QueuedOutput(writer)
+    for _ in range(1000):
+        output.write(f'{_LINE}\n')
+    time.sleep(0.2)
+    received = 0
+    deadline_s = time.monotonic() + _READ_TIMEOUT_S
+    while received < 1000 and time.monotonic() < deadline_s:
+        with suppress(BlockingIOError):
+            received += os.read(reader, 1024 * 1024).count(b'\n')
+    output.close()
+    assert received == 1000
