Bound how long a waiting task holds back its failing job

Cause: a task that failed on two workers holds back the rest of its job until it succeeds or has used up its attempts. If no worker fits the task any more, for instance because those with its label are gone, neither happens, and the rest of the job waits beside empty workers. Change: a job is held back while one of its failing tasks runs, or has failed in the last 3 s. Callers with learned durations switched on saw a job with nothing running although there was room for its tasks.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -178,10 +178,10 @@
         if not any(step.waiting for step in state.jobs.ready.values()):
             return ()
 
-        held = state.failing_tasks.held
+        failing_tasks = state.failing_tasks
 
         def is_failing(step: StepState) -> bool:
-            return step.key.job in held
+            return step.key.job in failing_tasks.held
 
         def order(step: StepState) -> tuple[float, ...]:
             return get_step_priority(
@@ -225,7 +225,7 @@
             self._is_avoided,
             is_allowed,
             shares,
-            held,
+            failing_tasks.list_held_back(state.jobs, now_s),
         ).choose()
         if shares is not None:
             self._record_shares(shares)
--- a/tests/dispatch/test_duration_learner.py
+++ b/tests/dispatch/test_duration_learner.py
@@ -15,9 +15,10 @@
     ModelFleet,
     make_catalog,
     make_step,
+    make_worker,
 )
 from sardinemast.jobs import DurationKey, JobStatus, Size, Step, TaskKey
-from sardinemast.jobs.commands import PutCatalog
+from sardinemast.jobs.commands import ForgetWorker, PutCatalog
 
 _TASK = TaskKey('bad', 0, 0, 0)
 
@@ -130,6 +131,41 @@
     assert fleet.get_running_workers(TaskKey('bad', 0, 1, 0))
 
 
+def test_failing_task_that_fits_nowhere_does_not_hold_back_its_job() -> None:
+    """Guard against a job that waits for ever beside empty workers.
+
+    The workers with the label that its failing task needs are gone.
+    """
+    fleet = make_learning_fleet()
+    catalog = make_catalog(2)
+    queue = catalog.queues[0]._replace(max_attempts=3)
+    fleet.commit(PutCatalog(catalog._replace(queues=(queue,)), b'{}'))
+    for number in (5, 6):
+        worker = make_worker(number)
+        fleet.add_worker(worker._replace(labels=('b', worker.rack)))
+    fleet.run(1)
+    labelled = make_step(image='a', required_label='b')
+    whole = labelled._replace(task_count=2, size=Size(4 * CORE, MIB))
+    run_to_end(fleet, 'good', whole, 0.3)
+    fleet.submit('busy', make_step(8, image='a', required_label='a'))
+    fleet.run(0.3)
+    other = make_step(4, image='a', required_label='a')
+    fleet.submit('bad', labelled, other)
+    for _ in range(2):
+        fleet.run(0.5)
+        end_runs(fleet, 'bad', 'failed')
+    assert fleet.dispatcher._state.failing_tasks.held
+    for name in ('w-5', 'w-6'):
+        model = fleet.workers.pop(name)
+        fleet.commit(ForgetWorker(name, model.worker.boot_ms))
+    end_runs(fleet, 'busy', 'done')
+    fleet.run(1)
+    other_step = fleet.state.jobs['bad'].steps[0][1]
+    assert not other_step.running
+    fleet.run(5)
+    assert len(other_step.running) == 4
+
+
 def _fail_twice(
     other: Step | None = None, *, has_successes: bool = True
 ) -> ModelFleet:
