Refuse waves whose deadline is out of range

Cause: the due time of a wave is computed from its deadline in seconds. A deadline of 1e306 is infinite in milliseconds, and the conversion to an integer raised OverflowError in the core of the leader, which ends its process. The call is sent to the next leader again. Change: a deadline below 0 or above 10**9 seconds is answered with 400. Result: both cases of test_wave_with_an_invalid_deadline_is_refused reached the leader before and are refused now. Callers would have seen an election for each process that leads.

--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -36,6 +36,8 @@
 _TIMEOUT_S = 0.9
 _LARGE_BODY_TIMEOUT_S = 2.5
 _LARGE_BODY_BYTES = 16_384
+# About 30 years. The due time in milliseconds must be a valid integer.
+_DEADLINE_MAX_S = 1_000_000_000
 
 
 class ControlHandler:
@@ -100,13 +102,7 @@
     if path == '/config':
         return _read_catalog_call(request)
     if path == '/wave-start' and method == 'POST':
-        wave = decode(request.body, WaveBody)
-        return BeginWave(
-            wave['wave'],
-            tuple(wave['machines']),
-            wave['cap'],
-            wave['deadline_s'],
-        )
+        return _make_wave(decode(request.body, WaveBody))
     if path.startswith(_WAVE_PATH) and method == 'GET':
         return ReadWave(int(path[len(_WAVE_PATH) :]))
     if path.startswith(_EVACUATION_PATH) and method in {'POST', 'DELETE'}:
@@ -115,6 +111,18 @@
     return None
 
 
+def _make_wave(body: WaveBody) -> BeginWave:
+    """Return the call for a wave, or raise ``ValueError``."""
+    if not 0 <= body['deadline_s'] <= _DEADLINE_MAX_S:
+        raise ValueError('The deadline of the wave is out of range.')
+    return BeginWave(
+        body['wave'],
+        tuple(body['machines']),
+        body['cap'],
+        body['deadline_s'],
+    )
+
+
 def _read_catalog_call(request: HTTPServerRequest) -> Call | None:
     if request.method == 'GET':
         return ReadCatalog()
