Reject durations of a configuration that are out of range

Cause: the durations of queues and of their policies had no bound. One of some hundred digits was recorded in the log, and deadlines convert it to a float, which raises OverflowError and ends the core of each leader in turn. Result: four cases of test_configuration_with_an_invalid_duration_is_rejected were accepted before and are rejected now.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -216,6 +216,7 @@
 
 
 def _make_queue(body: QueueBody) -> Queue:
+    _check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
     return Queue(
         body['name'],
         body['host'],
@@ -234,7 +235,9 @@
 def _make_advice(body: AdviceBody | None) -> Advice | None:
     if not body:
         return None
-    return Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
+    advice = Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
+    _check_numbers(*advice)
+    return advice
 
 
 def _make_team(body: TeamBody) -> Team:
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -117,6 +117,27 @@
     assert [one.code for one in check_catalog(catalog)] == [code]
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'slo_ms': -1},
+        {'slo_ms': int(_HUGE)},
+        {'timeout_ms': int(_HUGE)},
+        {'advice': {'decide_ms': int(_HUGE), 'period_ms': 1, 'valid_ms': 1}},
+    ],
+)
+def test_configuration_with_an_invalid_duration_is_rejected(
+    changes: dict[str, object],
+) -> None:
+    """Guard against a duration that ends each leader that computes with it.
+
+    The configuration is in the log, so that the next leaders end too.
+    """
+    config = _encode_config(routes=[{**_ROUTE, **changes}])
+    with pytest.raises(DECODE_ERRORS):
+        make_catalog(decode(config, ConfigBody))
+
+
 def test_truncated_configuration_is_rejected() -> None:
     """Guard against the loss of queues and keys to a truncated body."""
     with pytest.raises(DECODE_ERRORS):
