--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -184,9 +184,10 @@
         """
         if self._state.is_held(step, worker):
             return False
-        records = self._state.instance_records
-        if worker.instance in records.on_probation:
-            if not self._has_quota(worker, planned_count):
+        if not step.spec.is_long_running:
+            records = self._state.instance_records
+            is_limited = worker.instance in records.on_probation
+            if is_limited and not self._has_quota(worker, planned_count):
                 return False
         return self._tickets.is_allowed(step, worker, now_s)
 
@@ -214,10 +215,10 @@
         if not any(step.waiting for step in state.jobs.ready.values()):
             return ()
 
-        held = state.failing_tasks.held
+        failing_tasks = state.failing_tasks
 
         def is_failing(step: StepState) -> bool:
-            return step.key.job in held
+            return step.key.job in failing_tasks.held
 
         def order(step: StepState) -> tuple[float, ...]:
             return get_step_priority(
@@ -253,7 +254,7 @@
             self._is_avoided,
             is_allowed,
             shares,
-            held,
+            failing_tasks.list_held_back(state.jobs, now_s),
         )
         starts = planner.choose()
         stranded = self._waits.list_waiting(now_s, _LAST_RESORT_AFTER_S)
@@ -287,7 +288,8 @@
     def _has_quota(self, worker: Worker, planned_count: int) -> bool:
         """Check whether a worker on probation may get one more planned run.
 
-        Long-running tasks that it has do not count, since they do not end.
+        Long-running tasks are not limited and do not count, since they do not
+        end.
         """
         run_count = sum(
             not step.spec.is_long_running
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -1,5 +1,6 @@
 """Request and cache tickets of the external placement policy."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -39,12 +40,15 @@
         self._cache: dict[StepKey, dict[str, _CachedTicket]] = {}
         self._pending: RequestAdvice | None = None
         self._next_request_s = float('-inf')
+        # Steps whose requests failed since the last answer.
+        self._unanswered: set[StepKey] = set()
 
     def start_term(self) -> None:
         """Discard the state of the previous term."""
         self._cache.clear()
         self._pending = None
         self._next_request_s = float('-inf')
+        self._unanswered.clear()
 
     def get_ticket(self, step: StepState, worker: Worker, now_s: float) -> str:
         """Return the valid ticket for a start, or an empty string."""
@@ -67,7 +71,11 @@
         now_s: float,
         now_ms: int,
     ) -> None:
-        """Request tickets for the first step that no usable worker may run."""
+        """Request tickets for the first step that no usable worker may run.
+
+        Steps whose requests failed come last until another one is answered, so
+        that they do not delay the others for ever.
+        """
         if self._pending is not None or now_s < self._next_request_s:
             return
         queues = self._state.jobs.catalog.queues
@@ -77,9 +85,13 @@
         if not steps:
             self._cache.clear()
             return
+        steps.sort(key=lambda step: step.key in self._unanswered)
         for step in steps:
             workers = self._choose_workers(step, is_usable, now_s)
             if workers:
+                if step.key in self._unanswered:
+                    # All have failed, so they take turns again.
+                    self._unanswered.clear()
                 self._send_request(step, workers)
                 return
 
@@ -99,7 +111,9 @@
         )
         if not event.is_answered:
             self._next_request_s = now_s + _RETRY_S
+            self._unanswered.add(event.step)
             return False
+        self._unanswered.clear()
         cached = self._cache.setdefault(event.step, {})
         expires_s = now_s + request.valid_s - _EXPIRY_MARGIN_S
         for worker in request.workers:
@@ -135,14 +149,20 @@
         jobs = self._state.jobs
         pool = jobs.get_queue(step).pool
         spec = step.spec
+        full_workers = _find_full_workers(step)
         fitting = [
             jobs.workers[name]
             for name in jobs.usage.free.iterate_fitting(
                 pool, spec.reserved_size
             )
-            if spec.allows_labels(jobs.workers[name].labels) and is_usable(name)
+            if spec.allows_labels(jobs.workers[name].labels)
+            and is_usable(name)
+            and name not in full_workers
+        ]
+        ticketed = [
+            worker for worker in fitting if self.get_ticket(step, worker, now_s)
         ]
-        if any(self.get_ticket(step, worker, now_s) for worker in fitting):
+        if self._has_room(step, ticketed):
             return ()
         unknown = [
             worker
@@ -155,6 +175,25 @@
         )
         return tuple(unknown[:_REQUESTED_WORKERS_MAX])
 
+    def _has_room(self, step: StepState, workers: list[Worker]) -> bool:
+        """Check whether the next tasks of a step fit on workers with room.
+
+        The members of a gang start together, other tasks one by one.
+        """
+        spec = step.spec
+        wanted = spec.task_count if spec.is_gang else 1
+        most = spec.max_per_worker or wanted
+        for worker in workers:
+            free = self._state.jobs.get_free(worker)
+            for _ in range(min(most, wanted)):
+                if not spec.reserved_size.fits(free):
+                    break
+                free = free.plus(spec.reserved_size, -1)
+                wanted -= 1
+            if not wanted:
+                return True
+        return False
+
     def _send_request(
         self, step: StepState, workers: tuple[Worker, ...]
     ) -> None:
@@ -183,3 +222,12 @@
         # A denial is final for a boot of a worker; only tickets expire.
         is_denied = not cached.ticket
         return cached if is_denied or now_s < cached.expires_s else None
+
+
+def _find_full_workers(step: StepState) -> set[str]:
+    """Return the workers with as many tasks of a step as they may have."""
+    limit = step.spec.max_per_worker
+    if not limit:
+        return set()
+    counted = Counter(run.worker for run in step.running.values())
+    return {worker for worker, count in counted.items() if count >= limit}
--- a/src/sardinemast/dispatch/_waiting_tasks.py
+++ b/src/sardinemast/dispatch/_waiting_tasks.py
@@ -140,13 +140,11 @@
         jobs = self._state.jobs
         pool = jobs.get_queue(step).pool
         is_in_cap = fits_team_cap(jobs, step, jobs.usage.by_team)
-        is_job_held = step.key.job in self._state.failing_tasks.held
         return {
             'pool': pool,
             'millicores': step.spec.size.millicores,
             **self._describe_workers(step, pool),
             'is_over_cap': int(not is_in_cap),
-            'is_job_held': int(is_job_held),
         }
 
     def _describe_workers(self, step: StepState, pool: str) -> _Details:
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -19,6 +19,7 @@
 from sardinemast.platform._worker_bodies import HeartbeatBody, WorkerReportBody
 
 _MIB = 1024 * 1024
+_HUGE = b'1' + b'0' * 400
 _ROUTE = MappingProxyType(
     {
         'name': 'seats',
@@ -73,10 +74,19 @@
         b'{"phases":[{"count":1,"deps":[-1]}]}',
         b'{"phases":[{"count":"many"}]}',
         b'\xff\xfe',
+        b'{"phases":[{"count":1,"cpu":-500}]}',
+        b'{"phases":[{"count":1,"cpu":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"mem_mb":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"est_ms":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1}],"interval_ms":%b}' % _HUGE,
     ],
 )
 def test_invalid_job_is_rejected(body: bytes) -> None:
-    """Reject a job with missing, mistyped or inconsistent fields."""
+    """Reject a job with missing, mistyped or inconsistent fields.
+
+    A size that is negative adds to the capacity of its worker, and a number
+    that no float can hold ends each leader that estimates with it.
+    """
     with pytest.raises(DECODE_ERRORS):
         make_request(decode(body, JobBody))
 
@@ -107,6 +117,27 @@
     assert [one.code for one in check_catalog(catalog)] == [code]
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'slo_ms': -1},
+        {'slo_ms': int(_HUGE)},
+        {'timeout_ms': int(_HUGE)},
+        {'advice': {'decide_ms': int(_HUGE), 'period_ms': 1, 'valid_ms': 1}},
+    ],
+)
+def test_configuration_with_an_invalid_duration_is_rejected(
+    changes: dict[str, object],
+) -> None:
+    """Guard against a duration that ends each leader that computes with it.
+
+    The configuration is in the log, so that the next leaders end too.
+    """
+    config = _encode_config(routes=[{**_ROUTE, **changes}])
+    with pytest.raises(DECODE_ERRORS):
+        make_catalog(decode(config, ConfigBody))
+
+
 def test_truncated_configuration_is_rejected() -> None:
     """Guard against the loss of queues and keys to a truncated body."""
     with pytest.raises(DECODE_ERRORS):
@@ -133,13 +164,24 @@
     [
         b'{"service":"s","addr":"10.0.0.9:80","state":"odd","seq":1}',
         b'{"service":"s","addr":"nowhere","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:0","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:70000","state":"ready","seq":1}',
+        b'{"service":"s","addr":"10.0.0.9:\xc2\xb2","state":"ready","seq":1}',
         b'{"service":"s","state":"ready","seq":1}',
         b'{"service":"s","addr":"1:2","state":"ready","seq":"one"}',
+        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
+        b'"capacity":{"cpu":%b}}' % _HUGE,
+        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
+        b'"capacity":{"gpu":-1}}',
         b'[]',
     ],
 )
 def test_invalid_heartbeat_is_rejected(body: bytes) -> None:
-    """Guard against workers that are created from malformed heartbeats."""
+    """Guard against workers that are created from malformed heartbeats.
+
+    A worker with an address to which no connection can be opened would count
+    as capacity of its pool.
+    """
     with pytest.raises(DECODE_ERRORS):
         make_worker('i-1', decode(body, HeartbeatBody))
 
@@ -167,6 +209,18 @@
     assert parse_task_key('a.b.c') is None
 
 
+@pytest.mark.parametrize('number', ['\N{SUPERSCRIPT TWO}', '9' * 5000])
+def test_row_with_an_unreadable_number_is_skipped(number: str) -> None:
+    """Guard against a row that makes the whole report unreadable.
+
+    The worker would count as silent, and its tasks would be lost.
+    """
+    rows = [[f'j.0.0.{number}', 1], ['j.0.1.2', 3]]
+    body = msgspec.json.encode({'wall_ms': 9, 'running': rows})
+    report = make_worker_report(decode(body, WorkerReportBody))
+    assert [run.task for run in report.running] == [TaskKey('j', 0, 1, 2)]
+
+
 def test_rate_of_a_team_is_its_weight() -> None:
     """Guard against teams without a rate, or with one they did not declare."""
     tenants = [{'name': 'a', 'weight': 2.5}, {'name': 'b'}]
