Test the loss of two disks and of all power at once

Cause: the fuzz lost one disk at a time and never the power of all replicas, so that nothing covered two wiped disks of five while the others lose power right after an acknowledgement, in the middle of another operation. A node with an empty folder also kept the fuzz from losing any other folder.

--- a/tests/builders/replicas.py
+++ b/tests/builders/replicas.py
@@ -41,6 +41,7 @@
 _AGREE_STEPS = 5
 _SETTLE_ROUNDS = 25
 _TIMEOUT_SPREAD = 0.4
+_SEED_COUNT = 3
 
 
 class Envelope(NamedTuple):
@@ -196,6 +197,8 @@
         self.leaders: dict[int, str] = {}
         self.acknowledged_index = 0
         self._proposal_count = 0
+        self._replacement_count = 0
+        self.preferred_loss: Node | None = None
         for node in self.nodes.values():
             node.start()
 
@@ -206,7 +209,7 @@
             node.start()
 
     def add(self, name: str, voters_max: int) -> Node:
-        """Start a replica that knows only the names of the founders."""
+        """Start a replica that knows only the names in the settings."""
         node = Node(name, self.names, 1)
         node.settings = node.settings._replace(voters_max=voters_max)
         node.disk = Disk(node.disk.folder._replace(may_found=False))
@@ -214,6 +217,43 @@
         node.start()
         return node
 
+    def replace(self, node: Node, voters_max: int) -> Node:
+        """Remove a node for good, and start another one with a new name.
+
+        Settings name three nodes that run; a node reads them at its start.
+        """
+        del self.nodes[node.name]
+        self.in_flight = [
+            envelope for envelope in self.in_flight if envelope.to in self.nodes
+        ]
+        self.names = tuple(self.nodes)[:_SEED_COUNT]
+        for kept in self.nodes.values():
+            kept.settings = kept.settings._replace(voters=self.names)
+        self._replacement_count += 1
+        return self.add(f'replacement-{self._replacement_count}', voters_max)
+
+    def lose_power(
+        self, lost: tuple[Node, ...], outputs: tuple[int, ...] = ()
+    ) -> None:
+        """Crash all nodes at once, and empty the disks of some.
+
+        ``outputs`` holds for each node how many further outputs it executes,
+        so that the power is lost in the middle of its next writes.
+        """
+        nodes = tuple(self.nodes.values())
+        for number, node in enumerate(nodes):
+            if outputs:
+                node.outputs_until_crash = outputs[number % len(outputs)]
+        if outputs:
+            self.run(1)
+        for crashed in nodes:
+            crashed.crash()
+        for restarted in nodes:
+            if restarted in lost:
+                restarted.lose_folder(may_found=False)
+            else:
+                restarted.start()
+
     def get_voters(self) -> set[str]:
         """Return the voters in the leader's configuration."""
         for node in self.nodes.values():
@@ -291,8 +331,8 @@
         for node in tuple(self.get_running_nodes()):
             self.feed(node, RepairRequested(0, name))
 
-    def can_lose_folder(self, node: Node) -> bool:
-        """Check that each configuration keeps a majority without the node."""
+    def can_lose_folders(self, *lost: Node) -> bool:
+        """Check that each configuration keeps a majority without the nodes."""
         if not self.acknowledged_index:
             return False
         retiring = {
@@ -303,12 +343,13 @@
         kept = {
             other.disk.folder.identity
             for other in self.nodes.values()
-            if other is not node
+            if other not in lost
         } - retiring
         for other in self.nodes.values():
             members = other.disk.configuration.members
             voters = {member.identity for member in members if member.is_voter}
-            if 2 * len(voters & kept) <= len(voters):
+            # An empty folder has no configuration yet.
+            if voters and 2 * len(voters & kept) <= len(voters):
                 return False
         return True
 
@@ -373,14 +414,21 @@
         return bool(node.replica and node.applied_term == node.replica.term)
 
     def _write_partially(self, node: Node, output: Output) -> None:
-        # A crash during a write may leave a prefix of it on disk.
+        # A write that is not synced may be lost, torn or kept.
+        halves = (node.starts + len(node.disk.entries)) % 3
         if isinstance(output, AppendToLog):
-            kept = len(output.entries) * (node.starts % 2) // 2
+            kept = len(output.entries) * halves // 2
             node.disk.append(output.entries[:kept])
+        elif isinstance(output, SaveHardState) and halves == 2:
+            node.disk.hard_state = output.hard_state
+        elif isinstance(output, SaveSnapshot) and halves == 2:
+            node.disk.snapshot = output.snapshot
+            node.disk.entries = list(output.entries)
 
     def _execute(self, node: Node, output: Output) -> None:
         if isinstance(output, SendMessage):
-            if (node.name, output.to) not in self.cut_links:
+            is_cut = (node.name, output.to) in self.cut_links
+            if output.to in self.nodes and not is_cut:
                 self.in_flight.append(
                     Envelope(output.to, node.name, output.message, output.route)
                 )
--- a/tests/consensus/test_folder_replacement.py
+++ b/tests/consensus/test_folder_replacement.py
@@ -100,6 +100,6 @@
     node = next(filter(is_not_leader, cluster.nodes.values()))
     node.lose_folder(may_found=True)
     cluster.run(10 + steps)
-    if cluster.can_lose_folder(node):
+    if cluster.can_lose_folders(node):
         node.lose_folder(may_found=True)
     cluster.settle()
--- a/tests/consensus/test_replica_fuzz.py
+++ b/tests/consensus/test_replica_fuzz.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.fuzz
 _NODES = st.integers(0, 4)
 _POSITIONS = st.integers(0, 40)
+_JOINING_STEPS = 2 * ELECTION_STEPS
 
 
 class Elections(RuleBasedStateMachine):
@@ -62,7 +63,7 @@
     def isolate(self, number: int) -> None:
         """Drop all messages between one replica and the others."""
         name = self.pick(number).name
-        for other in self.cluster.names:
+        for other in self.cluster.nodes:
             self.cluster.cut_links.update(((name, other), (other, name)))
 
     @rule(number=_NODES)
@@ -95,7 +96,7 @@
     def lose_folder(self, number: int, is_copy: bool) -> None:
         """Delete a data folder, or put an old copy in its place."""
         node = self.pick(number)
-        if not self.cluster.can_lose_folder(node):
+        if not self.cluster.can_lose_folders(node):
             return
         if is_copy:
             node.restore_backup()
@@ -106,7 +107,7 @@
     def request_repair(self, number: int) -> None:
         """Request the repair of a replica."""
         node = self.pick(number)
-        if self.cluster.can_lose_folder(node):
+        if self.cluster.can_lose_folders(node):
             self.cluster.request_repair(node.name)
 
     @rule(number=_NODES, steps=st.integers(1, 30))
@@ -162,6 +163,19 @@
         """Take a snapshot of what a replica has applied."""
         self.cluster.snapshot(self.pick(number))
 
+    @rule(
+        first=_NODES,
+        distance=st.integers(1, 4),
+        outputs=st.lists(st.integers(0, 8), max_size=5),
+    )
+    def lose_power(self, first: int, distance: int, outputs: list[int]) -> None:
+        """Cut the power of all replicas while as many as allowed lose disks."""
+        lost_count = (self.count - 1) // 2
+        numbers = (first, first + distance)[:lost_count]
+        lost = tuple(self.pick(number) for number in numbers)
+        if self.cluster.can_lose_folders(*lost):
+            self.cluster.lose_power(lost, tuple(outputs))
+
 
 class FiveReplicas(ThreeReplicas):
     """Run five replicas."""
@@ -169,6 +183,30 @@
     count = 5
 
 
+class JoiningReplicas(FiveReplicas):
+    """Run three founders and two replicas that join, and replace some."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster(3, self.rates)
+        self.cluster.open(self.count)
+        for number in (4, 5):
+            self.cluster.add(f'control-{number}', self.count)
+
+    @initialize(steps=st.sampled_from((_JOINING_STEPS, ELECTION_STEPS)))
+    def bootstrap(self, steps: int) -> None:
+        """Bootstrap the founders, and let the others join or begin to."""
+        self.cluster.run(steps)
+        self.cluster.propose()
+
+    @rule(number=_NODES)
+    def replace(self, number: int) -> None:
+        """Remove a replica for good, and add an empty one with a new name."""
+        node = self.pick(number)
+        if self.cluster.can_lose_folders(node):
+            self.cluster.replace(node, self.count)
+
+
 # A Hypothesis profile may ask for more examples, as in a soak test.
 _SETTINGS = settings(
     max_examples=max(2000, settings().max_examples),
@@ -182,3 +220,8 @@
 TestThreeReplicas.settings = _SETTINGS
 TestFiveReplicas = FiveReplicas.TestCase
 TestFiveReplicas.settings = _SETTINGS
+TestJoiningReplicas = JoiningReplicas.TestCase
+TestJoiningReplicas.settings = settings(
+    max_examples=max(300, settings().max_examples),
+    stateful_step_count=30,
+)
