Choose the newest worker of an instance regardless of insertion order

Cause: two workers of an instance that started in the same millisecond were told apart by the order in which the index got them. Change: the name breaks the tie. Result: the test failed before, with the newest worker as the only difference; 300 histories pass now in 4 s.

--- a/src/sardinemast/jobs/_worker_index.py
+++ b/src/sardinemast/jobs/_worker_index.py
@@ -31,9 +31,11 @@
 
     def find_newest(self, instance: str) -> Worker | None:
         """Return the worker of an instance that started last."""
+        # A tie must not depend on the order of insertion, which a snapshot does
+        # not keep.
         return max(
             self.list_on_instance(instance),
-            key=lambda worker: worker.boot_ms,
+            key=lambda worker: (worker.boot_ms, worker.name),
             default=None,
         )
 
