Lose disks and all processes at once in the soak

Cause: the soak emptied one disk at a time, never stopped entries and control processes at the same moment, had no long-running tasks, and read the state of a job only right after its submission. Change: each run ends with all processes killed right after an acknowledgement and as many disks emptied as may fail. Then the states of all accepted jobs are read, and a confirmed wave must be known. Long-running jobs fail every few seconds; the ledger requires that each task runs within 6 s of its last run once a healthy worker has had room for it twice over for 3 s and neither a fault nor a stall of the host was seen for 7 s. A stall is a sleep and a sync that take 0.3 s too long: on a stalled host two independent sites lost their leaders at once.

--- a/tests/builders/platform_processes.py
+++ b/tests/builders/platform_processes.py
@@ -53,6 +53,14 @@
         process.send_signal(signal_number)
         return process.wait(_WAIT_S)
 
+    def kill(self, names: tuple[str, ...]) -> None:
+        """Kill processes at the same moment, and wait for their exits."""
+        killed = [self._processes.pop(name) for name in names]
+        for process in killed:
+            process.kill()
+        for ended in killed:
+            ended.wait(_WAIT_S)
+
     def send_signal(self, name: str, signal_number: int) -> None:
         """Send a signal to a process without waiting."""
         self._processes[name].send_signal(signal_number)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,11 +8,13 @@
 
 import fire
 
-from soak.run import run_seed
+from soak.run import Durations, run_seed
 from soak.seeds import FAILED
 from soak.site import Sizes
 
 _SEEDS_END = 10**9
+# Long enough to see that stopped long-running tasks run again.
+_CALM_S = 12.0
 
 
 def soak(
@@ -38,12 +40,13 @@
     """
     drawn = [SystemRandom().randrange(_SEEDS_END) for _ in range(fresh)]
     sizes = Sizes(controls, entries)
+    durations = Durations(length_s, _CALM_S)
     root = Path(keep or tempfile.mkdtemp(prefix='soak-'))
     failed = 0
     for seed in (*seeds, *(FAILED if known else ()), *drawn):
         folder = root / str(seed)
         folder.mkdir(parents=True)
-        verdict = asyncio.run(run_seed(seed, length_s, folder, sizes))
+        verdict = asyncio.run(run_seed(seed, durations, folder, sizes))
         sys.stdout.write(f'{verdict}\n')
         sys.stdout.flush()
         failed += bool(verdict.broken)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,10 @@
 _DISK_LOSS_PAUSE_S = 9.0
 _FULL_DISK_BYTES = 1
 _POLL_S = 0.01
+_FINAL_KIND = 'disks.lose'
+_FINAL_PAUSE_S = 0.5
+_ACKNOWLEDGEMENT_TIMEOUT_S = 20.0
+_ACKNOWLEDGEMENT_POLL_S = 0.001
 _NO_LIMIT = -1
 _PARTIAL_RECORD = b'\xa5\x01torn'
 
@@ -87,6 +91,27 @@
         async with asyncio.TaskGroup() as tasks:
             for fault in faults:
                 tasks.create_task(self._run_one(fault))
+        await self.lose_most_disks()
+
+    async def lose_most_disks(self) -> None:
+        """Kill all processes at once, and empty as many disks as allowed.
+
+        This happens right after an acknowledgement, of which the processes
+        that keep their disks may know least.
+        """
+        pause_s = max(self._next_disk_loss_s - time.monotonic(), 0)
+        await asyncio.sleep(pause_s)
+        await self._wait_for_acknowledgement()
+        self.site.processes.kill(self.site.names)
+        self._log_event('fault', kind=_FINAL_KIND)
+        self._ledger.note_fault(time.monotonic(), is_begun=True)
+        for name in self.site.draw_lost_controls():
+            shutil.rmtree(self.site.get_folder(name))
+        await asyncio.sleep(_FINAL_PAUSE_S)
+        for restarted in self.site.names:
+            self.site.start(restarted)
+        self._ledger.note_fault(time.monotonic(), is_begun=False)
+        self._log_event('fault.over', kind=_FINAL_KIND)
 
     def pick(self, fault: Fault, names: tuple[str, ...]) -> str:
         """Return the process that a fault's target number selects."""
@@ -277,6 +302,14 @@
         finally:
             self._note('fault.over', fault, is_begun=False)
 
+    async def _wait_for_acknowledgement(self) -> None:
+        known = self._ledger.acknowledgement_count
+        due_s = time.monotonic() + _ACKNOWLEDGEMENT_TIMEOUT_S
+        while self._ledger.acknowledgement_count == known:
+            if time.monotonic() >= due_s:
+                return
+            await asyncio.sleep(_ACKNOWLEDGEMENT_POLL_S)
+
     def _note(self, event: str, fault: Fault, *, is_begun: bool) -> None:
         self._log_event(event, kind=fault.kind, target=fault.target)
         self._ledger.note_fault(time.monotonic(), is_begun=is_begun)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -18,7 +18,9 @@
     """Store the time limits within which each guarantee must take effect.
 
     ``recovery_s`` is the recovery time after the last fault, which is added to
-    the limits for cancellations and drains.
+    the limits for cancellations and drains. A long-running task must run within
+    ``restart_s`` of its last run, once there has been room for it for
+    ``restart_room_s`` and no fault for ``restart_calm_s``.
     """
 
     recovery_s: float = 3.0
@@ -27,6 +29,9 @@
     in_force_s: float = 2.0
     revoke_s: float = 5.0
     holder_s: float = 3.0
+    restart_s: float = 6.0
+    restart_room_s: float = 3.0
+    restart_calm_s: float = 7.0
 
 
 class Step(NamedTuple):
@@ -35,6 +40,7 @@
     task_count: int
     millicores: int
     required_steps: tuple[int, ...] = ()
+    is_long_running: bool = False
 
 
 class Task(NamedTuple):
@@ -58,6 +64,7 @@
         self.team = team
         self.steps = steps
         self.is_accepted = False
+        self.accepted_s: float = 0
         self.is_outcome_unknown = False
         self.cancelled_s: float | None = None
         self.done: set[Task] = set()
@@ -67,6 +74,20 @@
         """Check whether all tasks have succeeded."""
         return len(self.done) == sum(step.task_count for step in self.steps)
 
+    @property
+    def is_owed(self) -> bool:
+        """Check whether the job was accepted and is not cancelled."""
+        return self.is_accepted and self.cancelled_s is None
+
+    def list_long_running(self, name: str) -> list[Task]:
+        """Return the tasks that run until the job is cancelled."""
+        return [
+            Task(name, number, position)
+            for number, step in enumerate(self.steps)
+            if step.is_long_running
+            for position in range(step.task_count)
+        ]
+
 
 class _Order(NamedTuple):
     holder: str
@@ -81,10 +102,13 @@
         self.broken: list[str] = []
         self.jobs: dict[str, _Job] = {}
         self.acknowledged_version = 0
+        self.acknowledgement_count = 0
         self._bounds = bounds
         self._caps = caps
         self._running: dict[Task, set[str]] = defaultdict(set)
         self._recorded: set[Task] = set()
+        self._last_run_s: dict[Task, float] = {}
+        self._room_since_s: dict[Task, float] = {}
         self._versions: list[tuple[float, int]] = []
         self._draining: dict[str, float] = {}
         self._revoked: dict[str, float] = {}
@@ -98,6 +122,10 @@
         self._active_faults += 1 if is_begun else -1
         self._fault_changed_s = now_s
 
+    def note_stall(self, now_s: float) -> None:
+        """Record that the host has just stalled, as after a fault."""
+        self._fault_changed_s = now_s
+
     def note_submitted(
         self,
         name: str,
@@ -107,11 +135,13 @@
         """Record that a caller is about to submit a job."""
         self.jobs.setdefault(name, _Job(team, steps))
 
-    def note_response(self, name: str, code: int) -> None:
+    def note_response(self, name: str, code: int, now_s: float = 0) -> None:
         """Record the status code of a submission, 0 for no response."""
         job = self.jobs[name]
         if code in _ACCEPTED:
             job.is_accepted = True
+            job.accepted_s = now_s
+            self.acknowledgement_count += 1
         elif code not in _REFUSED:
             job.is_outcome_unknown = True
 
@@ -120,6 +150,7 @@
         job = self.jobs[name]
         if job.cancelled_s is None:
             job.cancelled_s = now_s
+            self.acknowledgement_count += 1
 
     def note_state(self, name: str, code: int, state: str) -> None:
         """Check the state that a caller read for an accepted job."""
@@ -163,9 +194,12 @@
             )
         self._running[task].add(worker)
 
-    def note_end(self, worker: str, task: Task, *, is_done: bool) -> None:
+    def note_end(
+        self, worker: str, task: Task, *, is_done: bool, now_s: float = 0
+    ) -> None:
         """Record that a task no longer runs on a worker."""
         self._running[task].discard(worker)
+        self._last_run_s[task] = now_s
         if is_done and task.job in self.jobs:
             self.jobs[task.job].done.add(task)
 
@@ -173,13 +207,20 @@
         """Record that the system acknowledged the success of a task."""
         self._recorded.add(task)
 
+    def note_unreadable(self, name: str) -> None:
+        """Record that the state of an accepted job could not be read."""
+        self._report_violation('LOST', f'{name} was accepted: no answer')
+
     def note_draining(self, worker: str, now_s: float) -> None:
         """Record that the system confirmed that a worker drains."""
-        self._draining.setdefault(worker, now_s)
+        if worker not in self._draining:
+            self._draining[worker] = now_s
+            self.acknowledgement_count += 1
 
     def note_version(self, version: int, now_s: float) -> None:
         """Record that a configuration version was confirmed."""
         self.acknowledged_version = max(self.acknowledged_version, version)
+        self.acknowledgement_count += 1
         self._versions.append((now_s, version))
 
     def note_read(self, version: int, sent_s: float) -> None:
@@ -248,6 +289,42 @@
                 'MIXED', f'wave {wave} is reported done without {missing}'
             )
 
+    def note_wave_begun(self) -> None:
+        """Record that a wave was confirmed."""
+        self.acknowledgement_count += 1
+
+    def note_wave_unknown(self, wave: int) -> None:
+        """Record that a confirmed wave is unknown."""
+        self._report_violation('LOST', f'wave {wave} was confirmed')
+
+    def check_long_running(
+        self, now_s: float, free_millicores: tuple[int, ...]
+    ) -> None:
+        """Check that stopped long-running tasks run again in time.
+
+        ``free_millicores`` holds the free CPU of each healthy worker.
+        """
+        bounds = self._bounds
+        for task in self.list_stopped():
+            job = self.jobs[task.job]
+            last_run_s = self._last_run_s.get(task, job.accepted_s)
+            if not self._has_room(task, free_millicores):
+                self._room_since_s.pop(task, None)
+                continue
+            room_since_s = self._room_since_s.setdefault(task, now_s)
+            due_s = max(
+                last_run_s + bounds.restart_s,
+                room_since_s + bounds.restart_room_s,
+                self._fault_changed_s + bounds.restart_calm_s,
+            )
+            if now_s >= due_s and not self._active_faults:
+                waited_s = round(now_s - last_run_s, 1)
+                self._report_violation(
+                    'LOST', f'{task} has not run for {waited_s} s'
+                )
+                # Reports the task again only after it has waited as long again.
+                self._last_run_s[task] = now_s
+
     def note_ended(self, process: str, code: int) -> None:
         """Record that a process exited without being told to."""
         self._report_violation(
@@ -255,13 +332,32 @@
         )
 
     def list_unfinished(self) -> list[str]:
-        """Return the accepted, not cancelled jobs with unfinished tasks."""
+        """Return the accepted, not cancelled jobs with unfinished tasks.
+
+        Jobs with long-running tasks, which never finish, are left out.
+        """
         return [
             name
             for name, job in self.jobs.items()
-            if job.is_accepted and job.cancelled_s is None and not job.is_done
+            if job.is_owed
+            and not job.is_done
+            and not job.list_long_running(name)
+        ]
+
+    def list_stopped(self) -> list[Task]:
+        """Return the accepted long-running tasks that do not run."""
+        return [
+            task
+            for name, job in self.jobs.items()
+            if job.is_owed
+            for task in job.list_long_running(name)
+            if not self._running.get(task)
         ]
 
+    def list_owed(self) -> list[str]:
+        """Return the accepted jobs that are not cancelled."""
+        return [name for name, job in self.jobs.items() if job.is_owed]
+
     def finish(self, version: int) -> None:
         """Check the rules that hold once faults and traffic have ended."""
         for name in self.list_unfinished():
@@ -280,6 +376,21 @@
                 'CONFIG', f'version {version} is older than the confirmed one'
             )
 
+    def _has_room(self, task: Task, free_millicores: tuple[int, ...]) -> bool:
+        job = self.jobs[task.job]
+        needed = 2 * job.steps[task.step].millicores
+        if needed > max(free_millicores, default=0):
+            return False
+        cap = self._caps.get(job.team, 0)
+        return not cap or 2 * self._count_used(job.team) < cap
+
+    def _count_used(self, team: str) -> int:
+        return sum(
+            self.jobs[task.job].steps[task.step].millicores * len(workers)
+            for task, workers in self._running.items()
+            if workers and self.jobs[task.job].team == team
+        )
+
     def _has_begun(self, name: str) -> bool:
         return any(task.job == name for task in self._running)
 
@@ -294,11 +405,7 @@
 
     def _check_cap(self, job: _Job, task: Task) -> None:
         cap = self._caps.get(job.team, 0)
-        used = sum(
-            self.jobs[other.job].steps[other.step].millicores * len(workers)
-            for other, workers in self._running.items()
-            if workers and self.jobs[other.job].team == job.team
-        )
+        used = self._count_used(job.team)
         if cap and used > cap * _CAP_SLACK:
             self._report_violation(
                 'QUOTA', f'{job.team} uses {used} millicores before {task}'
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,13 @@
 _THREADS = 64
 
 
+class Durations(NamedTuple):
+    """Store how long faults begin, and how long callers go on after them."""
+
+    faults_s: float
+    calm_s: float = 0
+
+
 class Verdict(NamedTuple):
     """Store the result of a run; ``broken`` lists the rule violations."""
 
@@ -36,7 +43,7 @@
 
 async def run_seed(
     seed: int,
-    length_s: float,
+    durations: Durations,
     folder: Path,
     sizes: Sizes,
     min_done: int = 0,
@@ -55,7 +62,7 @@
     ledger = Ledger(Bounds(), caps)
     site = Site(folder, sizes, ledger, seed)
     random = Random(seed)
-    faults = draw_faults(seed, length_s)
+    faults = draw_faults(seed, durations.faults_s)
     entries, controls = site.get_addresses()
     traffic = Traffic(ledger, Catalog(caps), entries, controls, random)
     with (folder / 'soak.log').open('a') as log:
@@ -63,7 +70,7 @@
         injector = Injector(site, traffic, ledger, log_event)
         try:
             version = await _run(
-                site, traffic, injector.run(faults), length_s, min_done
+                site, traffic, injector.run(faults), durations, min_done
             )
         finally:
             await site.stop_all()
@@ -76,7 +83,7 @@
     site: Site,
     traffic: Traffic,
     faults: Coroutine[Any, Any, None],
-    length_s: float,
+    durations: Durations,
     min_done: int,
 ) -> int:
     caller = Caller()
@@ -86,7 +93,9 @@
             await asyncio.sleep(_POLL_S)
     tasks = _start_traffic(site, traffic)
     try:
-        version = await _run_faults(traffic, caller, faults, length_s, min_done)
+        version = await _run_faults(
+            traffic, caller, faults, durations, min_done
+        )
     finally:
         for task in tasks:
             task.cancel()
@@ -99,21 +108,27 @@
     traffic: Traffic,
     caller: Caller,
     faults: Coroutine[Any, Any, None],
-    length_s: float,
+    durations: Durations,
     min_done: int,
 ) -> int:
     async with asyncio.TaskGroup() as group:
         group.create_task(faults)
-        group.create_task(asyncio.sleep(length_s))
+        group.create_task(asyncio.sleep(durations.faults_s))
+    await asyncio.sleep(durations.calm_s)
     deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
     while _count_done(traffic.ledger) < min_done:
         if time.monotonic() >= deadline_s:
             break
         await asyncio.sleep(_POLL_S)
+    while traffic.ledger.list_stopped():
+        if time.monotonic() >= deadline_s:
+            break
+        await asyncio.sleep(_POLL_S)
     traffic.is_over = True
     deadline_s = time.monotonic() + _SETTLE_TIMEOUT_S
     while traffic.ledger.list_unfinished() and time.monotonic() < deadline_s:
         await asyncio.sleep(_POLL_S)
+    await traffic.read_all_states()
     return await _read_final_version(traffic, caller, deadline_s)
 
 
@@ -124,6 +139,7 @@
     ]
     leases = [traffic.check_leases(worker) for worker in site.workers.values()]
     others = [traffic.configure(), traffic.maintain(site.instances)]
+    others.append(traffic.submit_long_running())
     others.append(site.watch())
     return [
         asyncio.create_task(coroutine)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -1,7 +1,9 @@
 """Set up the processes of a run, their proxies and the simulated workers."""
 
 import asyncio
+import os
 import signal
+import time
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -24,6 +26,8 @@
 _WORKER_HOST = '127.0.4.{}'
 _INSTANCES_HOST = '127.0.5.1'
 _WATCH_INTERVAL_S = 0.2
+# A leader that gets no answers for 0.6 s steps down.
+_STALL_S = 0.3
 
 
 class Sizes(NamedTuple):
@@ -82,6 +86,7 @@
         self._folder = folder
         self._ledger = ledger
         self.sizes = sizes
+        self._random = Random(f'disks-{seed}')
         self._ports = _find_ports()
         self._started: set[str] = set()
         self.workers = self._make_workers(ledger, Random(seed))
@@ -132,17 +137,27 @@
         self._started.add(name)
 
     async def watch(self) -> None:
-        """Record each process that exits unexpectedly, and restart it."""
+        """Restart processes that exit, and check the long-running tasks."""
         while True:
-            await asyncio.sleep(_WATCH_INTERVAL_S)
+            await self._watch_host()
             for name, code in self.processes.list_ended().items():
                 self._ledger.note_ended(name, code)
                 self.start(name)
+            free_millicores = tuple(
+                worker.get_free_millicores(POOL)
+                for worker in self.workers.values()
+            )
+            self._ledger.check_long_running(time.monotonic(), free_millicores)
 
     def pick_worker(self, target: int) -> Worker:
         """Return the worker that a fault's target number selects."""
         return tuple(self.workers.values())[target % len(self.workers)]
 
+    def draw_lost_controls(self) -> list[str]:
+        """Return as many control processes as may lose their disks at once."""
+        count_max = self.sizes.failures_tolerated
+        return self._random.sample(self.controls, count_max)
+
     def get_folder(self, name: str) -> Path:
         """Return the data folder of a process."""
         return self._folder / f'data-{name}'
@@ -151,6 +166,18 @@
         """Return the path of a control process's write-ahead log."""
         return self.get_folder(name) / 'replica' / 'log.wal'
 
+    async def _watch_host(self) -> None:
+        """Wait, and record whether the host stalls processes or its disk.
+
+        Control processes on a stalled host lose their leader.
+        """
+        began_s = time.monotonic()
+        await asyncio.sleep(_WATCH_INTERVAL_S)
+        await asyncio.to_thread(_sync_file, self._folder / 'probe')
+        now_s = time.monotonic()
+        if now_s > began_s + _WATCH_INTERVAL_S + _STALL_S:
+            self._ledger.note_stall(now_s)
+
     def _make_workers(
         self, ledger: Ledger, random: Random
     ) -> dict[str, Worker]:
@@ -207,6 +234,13 @@
         return _CONTROL_HOST.format(self.controls.index(name) + 1)
 
 
+def _sync_file(path: Path) -> None:
+    with path.open('ab') as probe:
+        probe.write(b'.')
+        probe.flush()
+        os.fdatasync(probe.fileno())
+
+
 def _find_ports() -> Ports:
     # A control process listens at the cluster port and at the next one.
     return Ports(find_port_pair(), *find_ports(3))
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -214,3 +214,90 @@
     ledger = _make_ledger()
     ledger.note_ended('127.0.1.1', 1)
     assert _list_rules(ledger) == ['ENDED']
+
+
+_FREE = (2000,)
+_LONG_RUNNING = (Step(1, 1000, is_long_running=True),)
+
+
+def _make_stopped_ledger(cap: int = 0) -> Ledger:
+    """Return a ledger with a long-running task that ended at 10 s."""
+    ledger = Ledger(Bounds(), {'breizh': cap})
+    ledger.note_submitted('job', 'breizh', _LONG_RUNNING)
+    ledger.note_response('job', 200, 1)
+    ledger.note_start('w-0', _TASK, 2)
+    ledger.note_end('w-0', _TASK, is_done=False, now_s=10)
+    return ledger
+
+
+def test_long_running_task_that_stays_stopped() -> None:
+    """A long-running task does not run again although a worker has room."""
+    ledger = _make_stopped_ledger()
+    ledger.check_long_running(12, _FREE)
+    ledger.check_long_running(15.9, _FREE)
+    assert not ledger.broken
+    ledger.check_long_running(16, _FREE)
+    assert _list_rules(ledger) == ['LOST']
+
+
+def test_long_running_task_that_never_ran() -> None:
+    """An accepted long-running job never starts."""
+    ledger = Ledger(Bounds(), {})
+    ledger.note_submitted('job', 'breizh', _LONG_RUNNING)
+    ledger.note_response('job', 200, 1)
+    ledger.check_long_running(2, _FREE)
+    ledger.check_long_running(7, _FREE)
+    assert _list_rules(ledger) == ['LOST']
+    assert ledger.list_stopped() == [_TASK]
+
+
+def test_long_running_task_without_room() -> None:
+    """A false alarm for a task for which there was room only lately."""
+    ledger = _make_stopped_ledger()
+    ledger.check_long_running(12, _FREE)
+    ledger.check_long_running(14, (1999,))
+    ledger.check_long_running(16, _FREE)
+    ledger.check_long_running(18.9, _FREE)
+    assert not ledger.broken
+
+
+def test_long_running_task_after_fault_or_stall() -> None:
+    """A false alarm for a task that stopped in a fault or a stalled host."""
+    ledger = _make_stopped_ledger()
+    ledger.note_fault(11, is_begun=True)
+    for at_s in (12, 19):
+        ledger.check_long_running(at_s, _FREE)
+    ledger.note_fault(19.5, is_begun=False)
+    ledger.check_long_running(26, _FREE)
+    ledger.note_stall(26.2)
+    ledger.check_long_running(33, _FREE)
+    assert not ledger.broken
+    ledger.check_long_running(33.2, _FREE)
+    assert _list_rules(ledger) == ['LOST']
+
+
+def test_long_running_task_of_team_at_its_cap() -> None:
+    """A false alarm for a task whose team uses half of its cap."""
+    ledger = _make_stopped_ledger(2000)
+    ledger.note_submitted('other', 'breizh', (Step(1, 1000),))
+    ledger.note_start('w-1', Task('other', 0, 0), 11)
+    for at_s in (12, 20):
+        ledger.check_long_running(at_s, _FREE)
+    assert not ledger.broken
+
+
+def test_cancelled_long_running_task() -> None:
+    """A false alarm for a cancelled task that does not run again."""
+    ledger = _make_stopped_ledger()
+    ledger.note_cancelled('job', 11)
+    for at_s in (12, 20):
+        ledger.check_long_running(at_s, _FREE)
+    assert not ledger.broken
+
+
+def test_state_and_wave_that_are_gone() -> None:
+    """A confirmed wave is unknown, or the state of a job cannot be read."""
+    ledger = _make_ledger()
+    ledger.note_unreadable('job')
+    ledger.note_wave_unknown(1)
+    assert _list_rules(ledger) == ['LOST', 'LOST']
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -14,6 +14,7 @@
 QUEUE = '/seats/'
 TEAMS = ('breizh', 'algo')
 _DONE = 200
+_GONE = 410
 _REFUSED = frozenset((429, 503))
 _INVALID = range(400, 500)
 _RETRY_INTERVAL_S = 0.25
@@ -21,6 +22,9 @@
 _TASK_MS = (50, 900)
 _MILLICORES = (500, 2000)
 _CANCELLATION_SHARE = 0.1
+_LONG_RUNNING_COUNT = 4
+_LONG_RUNNING_INTERVAL_S = (0.5, 3.0)
+_LONG_RUNNING_MS = (2000, 6000)
 _ANNOUNCE_INTERVAL_S = 0.5
 _CHANGE_INTERVAL_S = (0.4, 1.5)
 _TRIES = 40
@@ -119,6 +123,28 @@
                 await self._poll_state(caller, name)
         caller.close()
 
+    async def submit_long_running(self) -> None:
+        """Submit jobs whose tasks run until they are cancelled."""
+        caller = Caller()
+        for _ in range(_LONG_RUNNING_COUNT):
+            if self.is_over:
+                break
+            millicores = self._random.randint(*_MILLICORES)
+            step = Step(2, millicores, is_long_running=True)
+            name = await self._submit(caller, (step,))
+            if name and self._random.random() < _CANCELLATION_SHARE:
+                await self._cancel(caller, name)
+            await asyncio.sleep(self._random.uniform(*_LONG_RUNNING_INTERVAL_S))
+        caller.close()
+
+    async def read_all_states(self) -> None:
+        """Read the states of all accepted jobs that are not cancelled."""
+        caller = Caller()
+        for name in self.ledger.list_owed():
+            if not await self._poll_state(caller, name):
+                self.ledger.note_unreadable(name)
+        caller.close()
+
     async def announce(self, worker: Worker) -> None:
         """Announce a worker, to the control process that last accepted it."""
         caller = Caller()
@@ -221,10 +247,16 @@
                 caller, 'POST', '/wave-start', body
             )
             if response.code == _DONE:
+                self.ledger.note_wave_begun()
                 break
             await asyncio.sleep(_RETRY_INTERVAL_S)
+        else:
+            return
         for _ in range(_TRIES):
             read = await self._call_control(caller, 'GET', f'/wave-get/{wave}')
+            if read.code == _GONE:
+                self.ledger.note_wave_unknown(wave)
+                return
             if read.code == _DONE and read.body['state'] == 'done':
                 missing = set(chosen) - instances.maintained[wave]
                 self.ledger.note_wave_done(wave, missing)
@@ -241,7 +273,9 @@
                 'CONFIG: an invalid configuration is confirmed.'
             )
 
-    async def _submit(self, caller: Caller) -> str:
+    async def _submit(
+        self, caller: Caller, long_running: tuple[Step, ...] = ()
+    ) -> str:
         """Submit a job until it is accepted or refused.
 
         Return its name, or an empty string if it was not accepted. Some
@@ -253,13 +287,13 @@
         team = self.overloading_team or team
         keys = self._catalog.keys[team] + self._catalog.revoked[team]
         key = self._random.choice([*keys, keys[0], keys[0]])
-        steps = self._make_steps()
+        steps = long_running or self._make_steps()
         self.ledger.note_submitted(name, team, steps)
         for _ in range(_TRIES):
             response = await self._call_entry(
                 caller, 'POST', name, self._make_job(steps), key
             )
-            self.ledger.note_response(name, response.code)
+            self.ledger.note_response(name, response.code, time.monotonic())
             self.ledger.note_key_used(key, response.code, response.sent_s)
             if response.code == _DONE:
                 return name
@@ -268,22 +302,24 @@
             await asyncio.sleep(_RETRY_INTERVAL_S)
         return ''
 
-    async def _poll_state(self, caller: Caller, name: str) -> None:
+    async def _poll_state(self, caller: Caller, name: str) -> bool:
+        """Read the state of a job until it has begun."""
         key = self._get_key(name)
         for _ in range(_TRIES):
             response = await self._call_entry(caller, 'GET', name, None, key)
-            if response.code in {_DONE, 410}:
+            if response.code in {_DONE, _GONE}:
                 state = response.body['state'] if response.body else ''
                 self.ledger.note_state(name, response.code, state)
                 if state != 'queued':
-                    return
+                    return True
             await asyncio.sleep(_RETRY_INTERVAL_S)
+        return False
 
     async def _cancel(self, caller: Caller, name: str) -> None:
         key = self._get_key(name)
         for _ in range(_TRIES):
             response = await self._call_entry(caller, 'DELETE', name, None, key)
-            if response.code in {_DONE, 410}:
+            if response.code in {_DONE, _GONE}:
                 self.ledger.note_cancelled(name, time.monotonic())
                 return
             await asyncio.sleep(_RETRY_INTERVAL_S)
@@ -300,9 +336,13 @@
         return (first, second)
 
     def _make_job(self, steps: tuple[Step, ...]) -> dict[str, Any]:
-        duration_ms = self._random.randint(*_TASK_MS)
+        is_long_running = steps[0].is_long_running
+        outcome = 'failed' if is_long_running else 'done'
+        duration_ms = self._random.randint(
+            *(_LONG_RUNNING_MS if is_long_running else _TASK_MS)
+        )
         return {
-            'spec': f'{duration_ms}:{steps[0].millicores}',
+            'spec': f'{duration_ms}:{steps[0].millicores}:{outcome}',
             'phases': [
                 {
                     'count': step.task_count,
@@ -310,6 +350,7 @@
                     'mem_mb': 8,
                     'est_ms': duration_ms,
                     'deps': list(step.required_steps),
+                    'long_running': step.is_long_running,
                 }
                 for step in steps
             ],
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -1,7 +1,7 @@
 """Simulated workers that run tasks by the platform's protocol.
 
-A task's spec sets its duration. Faults make workers unresponsive, late or
-slow, or replace them by a new worker at the same address.
+A task's spec sets its duration, CPU and outcome. Faults make workers
+unresponsive, late or slow, or replace them by a new worker at the same address.
 """
 
 import asyncio
@@ -113,6 +113,17 @@
             task.cancel()
         await self._server.stop()
 
+    def get_free_millicores(self, pool: str) -> int:
+        """Return the free CPU, 0 unless the worker is healthy and in a pool."""
+        incarnation = self.incarnation
+        if incarnation is None or incarnation.pool != pool:
+            return 0
+        is_impaired = self.is_silent or self.late_share or self.slowness > 1
+        if is_impaired or incarnation.is_draining:
+            return 0
+        used = sum(incarnation.task_millicores.values())
+        return CAPACITY_MILLICORES - used
+
     def check_lease(self) -> None:
         """End all tasks if the lease has expired."""
         incarnation = self.incarnation
@@ -185,19 +196,21 @@
             return _make_reply(incarnation, 409, reason='old')
         if body['expires_ms'] < incarnation.get_clock_ms():
             return _make_reply(incarnation, 409, reason='late')
-        duration_ms, millicores = map(int, body['spec'].split(':'))
+        duration_ms, millicores, outcome = body['spec'].split(':')
+        needed = int(millicores)
         if (
-            sum(incarnation.task_millicores.values()) + millicores
+            sum(incarnation.task_millicores.values()) + needed
             > CAPACITY_MILLICORES
         ):
             return _make_reply(incarnation, 409, reason='room')
         incarnation.highest_runs[task] = run
         incarnation.running[task] = run
-        incarnation.task_millicores[task] = millicores
+        incarnation.task_millicores[task] = needed
         self._ledger.note_start(
             incarnation.name, read_task(task), time.monotonic()
         )
-        self._spawn(self._work(incarnation, task, run, duration_ms / _MS_PER_S))
+        duration_s = int(duration_ms) / _MS_PER_S
+        self._spawn(self._work(incarnation, task, run, duration_s, outcome))
         return _make_reply(incarnation, 200)
 
     def _stop(self, incarnation: Incarnation, body: _Body) -> None:
@@ -243,14 +256,19 @@
                 return
 
     async def _work(
-        self, incarnation: Incarnation, task: str, run: int, duration_s: float
+        self,
+        incarnation: Incarnation,
+        task: str,
+        run: int,
+        duration_s: float,
+        outcome: str,
     ) -> None:
         left_s = duration_s
         while left_s > 0:
             await asyncio.sleep(min(left_s, 0.1))
             left_s -= 0.1 / self.slowness
         if incarnation.running.get(task) == run and not incarnation.has_ended:
-            self._finish(incarnation, task, 'done')
+            self._finish(incarnation, task, outcome)
 
     def _finish(
         self, incarnation: Incarnation, task: str, outcome: str
@@ -258,7 +276,12 @@
         run = incarnation.running.pop(task)
         incarnation.task_millicores.pop(task)
         key = read_task(task)
-        self._ledger.note_end(incarnation.name, key, is_done=outcome == 'done')
+        self._ledger.note_end(
+            incarnation.name,
+            key,
+            is_done=outcome == 'done',
+            now_s=time.monotonic(),
+        )
         incarnation.end_count += 1
         incarnation.unacked_ends.append(
             [incarnation.end_count, task, run, outcome, '']
