Answer requests whose handler fails

Cause: an error in a handler left the request without an answer, and its caller waited until the timeout. A deadline header of digits that are no decimal numbers caused one. Change: the server logs the error and answers 500; such a deadline is ignored.

--- a/src/sardinemast/platform/_caller_http.py
+++ b/src/sardinemast/platform/_caller_http.py
@@ -92,6 +92,7 @@
 
 def _get_timeout_s(request: HTTPServerRequest) -> float:
     deadline_header = request.headers.get('X-Deadline-Ms', '')
-    if not deadline_header.isdigit():
+    # Some digits of other scripts are no decimal numbers.
+    if not deadline_header.isdecimal():
         return _TIMEOUT_S
     return min(int(deadline_header) / _MS * _DEADLINE_SHARE, _TIMEOUT_S)
--- a/src/sardinemast/platform/_http_server.py
+++ b/src/sardinemast/platform/_http_server.py
@@ -63,8 +63,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _get_response(self, request: HTTPServerRequest) -> HttpResponse:
+        try:
+            return await self._handle(request)
+        except Exception:
+            # Without a response the client would wait until its timeout.
+            _log.exception('{} {} failed.', request.method, request.path)
+            return HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
+
     async def _respond(self, request: HTTPServerRequest) -> None:
-        response = await self._handle(request)
+        response = await self._get_response(request)
         connection = request.connection
         if connection is None:
             return
