Answer all requests that a stopping entry has read

Cause: an entry closes its connections 5 s after SIGTERM, but a request that it read in the last 2.5 s could wait up to 2.5 s for a leader that was silent or just elected. Its caller saw the connection end without an answer. Change: while the entry stops, a call waits at most until 0.2 s before the end, and is refused unsent if no time is left.

--- a/src/sardinemast/platform/_caller_http.py
+++ b/src/sardinemast/platform/_caller_http.py
@@ -14,7 +14,12 @@
 from sardinemast.platform._job_bodies import JobBody
 from sardinemast.platform._responses import make_response
 from sardinemast.platform._translate import make_request
-from sardinemast.protocol import CallOutcome, JobAction, JobCall
+from sardinemast.protocol import (
+    CallAnswer,
+    CallOutcome,
+    JobAction,
+    JobCall,
+)
 from sardinemast.shell import LeaderRelay
 
 _log = Logger('front')
@@ -28,6 +33,8 @@
 _MS = 1000
 # For callers without a deadline; the platform's clients wait 3 s.
 _TIMEOUT_S = 2.5
+# Left to return the response before a stopping entry closes its connections.
+_ANSWER_S = 0.2
 # Leaves time to return the response before the caller's deadline.
 _DEADLINE_SHARE = 0.8
 
@@ -36,10 +43,14 @@
     """Forward callers' requests to the leader."""
 
     def __init__(self, relay: LeaderRelay, metrics: ProcessMetrics) -> None:
-        self.is_stopping = False
+        self._stops_at_s: float | None = None
         self._relay = relay
         self._metrics = metrics
 
+    def start_stopping(self, delay_s: float) -> None:
+        """Report not ready, and answer all requests within the delay."""
+        self._stops_at_s = time.monotonic() + delay_s
+
     async def handle(self, request: HTTPServerRequest) -> HttpResponse:
         """Return the response to a caller."""
         action = _ACTIONS_BY_METHOD.get(request.method or '')
@@ -60,7 +71,7 @@
             job,
         )
         started_s = time.monotonic()
-        answer = await self._relay.call(call, _get_timeout_s(request))
+        answer = await self._call(call, _get_timeout_s(request))
         elapsed_s = time.monotonic() - started_s
         outcome = answer.outcome.value
         self._metrics.record_call(action.value, outcome, elapsed_s)
@@ -78,11 +89,19 @@
 
     async def handle_ready(self, request: HTTPServerRequest) -> HttpResponse:
         """Answer the load balancer's readiness probe."""
-        is_ready = self._relay.is_connected and not self.is_stopping
+        is_ready = self._relay.is_connected and self._stops_at_s is None
         if is_ready:
             return HttpResponse(HTTPStatus.OK)
         return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    async def _call(self, call: JobCall, timeout_s: float) -> CallAnswer:
+        if self._stops_at_s is not None:
+            left_s = self._stops_at_s - time.monotonic() - _ANSWER_S
+            timeout_s = min(timeout_s, left_s)
+        if timeout_s <= 0:
+            return CallAnswer(CallOutcome.refused, text='No time is left.')
+        return await self._relay.call(call, timeout_s)
+
 
 def _encode_status(status: str, waiting: int) -> bytes:
     if status:
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -123,7 +123,7 @@
     readiness = RequestServer(caller_handler.handle_ready)
     readiness.listen(_get_address(process.settings.readiness))
     await process.stopping.wait()
-    caller_handler.is_stopping = True
+    caller_handler.start_stopping(_READINESS_GRACE_S + _DRAIN_TIMEOUT_S)
     server.is_stopping = True
     await asyncio.sleep(_READINESS_GRACE_S)
     await _drain(server)
--- a/tests/platform/test_caller_http.py
+++ b/tests/platform/test_caller_http.py
@@ -67,3 +67,21 @@
     answer = asyncio.run(_send(handler.handle, b'X-Deadline-Ms: \xb2\r\n'))
     assert answer.startswith(b'HTTP/1.1 504 ')
     assert timeouts_s == [2.5]
+
+
+def test_call_does_not_outlast_the_drain_of_a_stopping_entry() -> None:
+    """A call that waits for a silent leader is cut off when its entry stops."""
+    handler, timeouts_s = _make_handler()
+    handler.start_stopping(2)
+    answer = asyncio.run(_send(handler.handle))
+    assert answer.startswith(b'HTTP/1.1 504 ')
+    assert 0 < timeouts_s[0] < 2
+
+
+def test_call_at_the_end_of_the_drain_is_refused() -> None:
+    """A call is sent to the leader although no time is left for its answer."""
+    handler, timeouts_s = _make_handler()
+    handler.start_stopping(0)
+    answer = asyncio.run(_send(handler.handle))
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert not timeouts_s
