Sync a new data folder also after a start that failed

Cause: the parent of the data folder was synced only by the start that made the folder. If that start was killed or its disk refused the sync, no later one synced it, and a loss of power could remove the whole folder, with all that it had acknowledged. Change: each start syncs the parent.

--- a/src/sardinemast/storage/_log_store.py
+++ b/src/sardinemast/storage/_log_store.py
@@ -161,10 +161,9 @@
     folder: Path,
     files: FileFunctions,
 ) -> tuple[LogStore, LoadedLog]:
-    is_new = not folder.exists()
     folder.mkdir(parents=True, exist_ok=True)
-    if is_new:
-        files.sync_folder(folder.parent)
+    # An earlier start may have failed between making and syncing the folder.
+    files.sync_folder(folder.parent)
     path = folder / _FILE_NAME
     if path.exists():
         loaded = _load(folder, path.read_bytes())
--- a/tests/builders/disks.py
+++ b/tests/builders/disks.py
@@ -15,13 +15,14 @@
     """Perform file operations and inject a fault after a set number.
 
     ``lose_power`` reverts what was not synced: bytes at the end of files, and
-    renames in a folder that was not synced.
+    renames in a folder that was not synced. Some of both may be kept.
     """
 
     def __init__(self) -> None:
         self.operations_until_kill: int | None = None
         self.operations_until_error: int | None = None
         self.fails_sync = False
+        self.synced_folders: list[Path] = []
         self._paths: dict[int, Path] = {}
         self._synced_bytes: dict[Path, int] = {}
         self._renames: list[tuple[Path, bytes | None]] = []
@@ -39,18 +40,29 @@
             self._sync_folder,
         )
 
-    def lose_power(self) -> None:
-        """Discard all writes and renames that were not synced."""
+    def lose_power(
+        self, kept_quarters: int = 0, *, keeps_renames: bool = False
+    ) -> None:
+        """Discard writes and renames that were not synced.
+
+        ``kept_quarters`` of the bytes that a file has beyond its synced ones
+        are kept.
+        """
         for path, size in self._synced_bytes.items():
             if path.exists() and path.stat().st_size > size:
-                os.truncate(path, size)
+                unsynced = path.stat().st_size - size
+                os.truncate(path, size + unsynced * kept_quarters // 4)
+        if not keeps_renames:
+            self._revert_renames()
+        self._renames.clear()
+        self._synced_bytes.clear()
+
+    def _revert_renames(self) -> None:
         for path, content in reversed(self._renames):
             if content is None:
                 path.unlink()
             else:
                 path.write_bytes(content)
-        self._renames.clear()
-        self._synced_bytes.clear()
 
     def _step(self) -> None:
         if self.operations_until_error is not None:
@@ -101,4 +113,5 @@
 
     def _sync_folder(self, folder: Path) -> None:
         self._step()
+        self.synced_folders.append(folder)
         self._renames.clear()
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -138,3 +138,18 @@
     files.lose_power()
     _, loaded = open_log_store(tmp_path, files.functions)
     assert loaded.entries == _ENTRIES[:1]
+
+
+def test_new_folder_is_synced_after_a_failed_start(tmp_path: Path) -> None:
+    """A loss of power removes a folder whose first start failed.
+
+    The name of the folder is not durable until its parent is synced, and the
+    replica would come back as one that lost its disk.
+    """
+    files = FaultyFiles()
+    files.operations_until_error = 0
+    with pytest.raises(StorageError, match=r'storage\.E002'):
+        open_log_store(tmp_path / 'replica', files.functions)
+    files.operations_until_error = None
+    open_log_store(tmp_path / 'replica', files.functions)
+    assert tmp_path in files.synced_folders
