Keep parts of unsynced writes in the fuzz of the log store

Cause: the fuzz took all unsynced bytes and renames back at a loss of power; a disk may also keep them, or a part of the bytes. Change: a loss of power at an interrupted write keeps zero to four quarters of the unsynced bytes, and the renames or not.

--- a/tests/storage/test_log_store_fuzz.py
+++ b/tests/storage/test_log_store_fuzz.py
@@ -3,6 +3,7 @@
 import os
 import tempfile
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 from hypothesis import settings
@@ -22,6 +23,14 @@
 # File operations before the fault; a large number means no fault.
 _FAULT_STEPS = st.integers(0, 24)
 
+
+class _PowerLoss(NamedTuple):
+    """Tell what is kept of the writes and renames that are not synced."""
+
+    kept_quarters: int
+    keeps_renames: bool
+
+
 State = tuple[HardState, Snapshot | None, tuple[LogEntry, ...]]
 
 
@@ -43,6 +52,7 @@
         self.store: LogStore | None = None
         self.state: State = (HardState(), None, ())
         self.possible_states: list[State] = []
+        self.power_loss: _PowerLoss | None = None
         self.reopen()
 
     def reopen(self) -> None:
@@ -81,6 +91,13 @@
             self.files.lose_power()
         self.reopen()
 
+    @rule(kept_quarters=st.integers(0, 4), keeps_renames=st.booleans())
+    def prepare_power_loss(
+        self, kept_quarters: int, keeps_renames: bool
+    ) -> None:
+        """Let the power fail when the next write fails or is interrupted."""
+        self.power_loss = _PowerLoss(kept_quarters, keeps_renames)
+
     @rule(
         term=st.integers(1, 9),
         operations_until_kill=_FAULT_STEPS,
@@ -166,6 +183,7 @@
             if isinstance(error, StorageError):
                 with pytest.raises(StorageError, match=r'storage\.E002'):
                     self.store.append_entries(added)
+            self._lose_power()
             self.reopen()
             return
         self.files.operations_until_kill = None
@@ -190,6 +208,12 @@
         self.reopen()
         self.temporary_folder.cleanup()
 
+    def _lose_power(self) -> None:
+        if self.power_loss is not None:
+            kept_quarters, keeps_renames = self.power_loss
+            self.files.lose_power(kept_quarters, keeps_renames=keeps_renames)
+        self.power_loss = None
+
 
 TestStore = StoreMachine.TestCase
 # A Hypothesis profile may ask for more examples, as in a soak test.
