Ignore a last record that ends in zeros

Cause: a loss of power may leave a file at its new size with only the beginning of the last write, and zeros after it. Such a record had a wrong checksum and was taken for damage of synced data, so that the folder was set aside. With two disks of five lost at the same moment, no majority was left for ever. Change: a damaged record is incomplete if zeros reach from inside it to the end of the file; no record that is appended ends in a zero byte. The fuzz of the log store keeps sizes at a loss of power. Whether a disk of a deployment does this is not known.

--- a/src/sardinemast/storage/_records.py
+++ b/src/sardinemast/storage/_records.py
@@ -30,10 +30,11 @@
 def read_records(content: bytes) -> ReadRecords:
     """Read all records, except for an incomplete one at the end.
 
-    A crash during an append leaves a short last record, or zeros if the file
-    grew before its content was written. That record was not acknowledged and
-    is ignored. Any other damage concerns synced records. Ignoring it could
-    lose an acknowledged command, so that ``storage.E001`` is raised.
+    A crash during an append leaves a short last record, or one that ends in
+    zeros if the file grew before its content was written. That record was not
+    acknowledged and is ignored. Any other damage concerns synced records.
+    Ignoring it could lose an acknowledged command, so that ``storage.E001`` is
+    raised.
     """
     records: list[bytes] = []
     position = 0
@@ -53,18 +54,28 @@
     header = content[position : position + _HEADER.size]
     header_checksum = content[position + _HEADER.size : start]
     if _HEADER_CHECKSUM.pack(zlib.crc32(header)) != header_checksum:
-        if any(content[position:]):
-            raise _make_damage_error(position)
+        _check_torn(content, position, start)
         return None
     length, checksum = _HEADER.unpack(header)
     record = content[start : start + length]
     if len(record) < length:
         return None
     if zlib.crc32(record) != checksum:
-        raise _make_damage_error(position)
+        _check_torn(content, position, start + length)
+        return None
     return record
 
 
+def _check_torn(content: bytes, position: int, end: int) -> None:
+    """Raise ``storage.E001`` unless zeros follow from inside a record.
+
+    No complete record that is appended ends in a zero byte: it ends in a text,
+    a boolean, an empty list or null.
+    """
+    if any(content[end - 1 :]):
+        raise _make_damage_error(position)
+
+
 def _make_damage_error(position: int) -> StorageError:
     return StorageError(
         'storage.E001',
--- a/tests/builders/disks.py
+++ b/tests/builders/disks.py
@@ -41,17 +41,24 @@
         )
 
     def lose_power(
-        self, kept_quarters: int = 0, *, keeps_renames: bool = False
+        self,
+        kept_quarters: int = 0,
+        *,
+        keeps_renames: bool = False,
+        keeps_sizes: bool = False,
     ) -> None:
         """Discard writes and renames that were not synced.
 
         ``kept_quarters`` of the bytes that a file has beyond its synced ones
-        are kept.
+        are kept. If sizes are kept, the others become zeros.
         """
         for path, size in self._synced_bytes.items():
             if path.exists() and path.stat().st_size > size:
-                unsynced = path.stat().st_size - size
-                os.truncate(path, size + unsynced * kept_quarters // 4)
+                old_size = path.stat().st_size
+                kept = (old_size - size) * kept_quarters // 4
+                os.truncate(path, size + kept)
+                if keeps_sizes:
+                    os.truncate(path, old_size)
         if not keeps_renames:
             self._revert_renames()
         self._renames.clear()
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -43,6 +43,28 @@
     assert loaded.entries == _ENTRIES[:1]
 
 
+@pytest.mark.parametrize('written', range(1, 40))
+def test_last_record_that_ends_in_zeros_is_ignored(
+    tmp_path: Path, written: int
+) -> None:
+    """Ignore a last record of which a loss of power left only the beginning.
+
+    The file may have grown before its content was written. If the folder were
+    set aside while two other replicas lose their disks, no majority would be
+    left.
+    """
+    path = _write(tmp_path)
+    store, _ = open_log_store(tmp_path)
+    synced = path.stat().st_size
+    store.append_entries((LogEntry(3, 1, b'third' * 9), LogEntry(4, 1, b'')))
+    store.close()
+    content = path.read_bytes()
+    torn = content[: synced + written].ljust(len(content), b'\0')
+    path.write_bytes(torn)
+    _, loaded = open_log_store(tmp_path)
+    assert loaded.entries == _ENTRIES
+
+
 def test_damaged_record_is_rejected(tmp_path: Path) -> None:
     """Reject a log in which a synced record is damaged.
 
--- a/tests/storage/test_log_store_fuzz.py
+++ b/tests/storage/test_log_store_fuzz.py
@@ -29,6 +29,7 @@
 
     kept_quarters: int
     keeps_renames: bool
+    keeps_sizes: bool
 
 
 State = tuple[HardState, Snapshot | None, tuple[LogEntry, ...]]
@@ -91,12 +92,16 @@
             self.files.lose_power()
         self.reopen()
 
-    @rule(kept_quarters=st.integers(0, 4), keeps_renames=st.booleans())
+    @rule(
+        kept_quarters=st.integers(0, 4),
+        keeps_renames=st.booleans(),
+        keeps_sizes=st.booleans(),
+    )
     def prepare_power_loss(
-        self, kept_quarters: int, keeps_renames: bool
+        self, kept_quarters: int, keeps_renames: bool, keeps_sizes: bool
     ) -> None:
         """Let the power fail when the next write fails or is interrupted."""
-        self.power_loss = _PowerLoss(kept_quarters, keeps_renames)
+        self.power_loss = _PowerLoss(kept_quarters, keeps_renames, keeps_sizes)
 
     @rule(
         term=st.integers(1, 9),
@@ -210,8 +215,12 @@
 
     def _lose_power(self) -> None:
         if self.power_loss is not None:
-            kept_quarters, keeps_renames = self.power_loss
-            self.files.lose_power(kept_quarters, keeps_renames=keeps_renames)
+            kept_quarters, keeps_renames, keeps_sizes = self.power_loss
+            self.files.lose_power(
+                kept_quarters,
+                keeps_renames=keeps_renames,
+                keeps_sizes=keeps_sizes,
+            )
         self.power_loss = None
 
 
