Request an instance for long-running tasks that find no room

Cause: a pool leaves a shortfall below 15% to tasks that end, and counts cordoned workers as its own. For long-running tasks nothing ends: drained ones waited, or a wave waited to its end for room that nobody requested. Change: long-running tasks that have waited for 1 s and fit on no usable worker, and those on a worker to be emptied without room elsewhere, are stranded demand, for which a pool requests instances however small it is. Result: test_instance_is_brought_in_for_tasks_that_must_leave fails without the request (no maintenance is ordered within 20 s) and passes with it.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -19,6 +19,7 @@
 from sardinemast.dispatch._load_measurement import (
     MEASURE_INTERVAL_S,
     measure_loads,
+    measure_stranded,
 )
 from sardinemast.dispatch._long_running_waits import LongRunningWaits
 from sardinemast.dispatch._maintenance import MaintenanceRunner
@@ -231,7 +232,11 @@
 
     def _measure_pools(self, now_s: float, now_ms: int) -> None:
         self._long_running_waits.update(self._state.jobs, now_s)
-        self._state.loads = measure_loads(self._state, now_s)
+        stranded = measure_stranded(
+            self._state, self._long_running_waits, now_s
+        )
+        stranded.update(self._maintenance.displaced_millicores)
+        self._state.loads = measure_loads(self._state, stranded, now_s)
         self._balancer.tick(now_s, now_ms)
         self.waits.measure(now_s)
 
--- a/src/sardinemast/dispatch/_load_measurement.py
+++ b/src/sardinemast/dispatch/_load_measurement.py
@@ -1,7 +1,10 @@
 """Measure the load of all pools."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Mapping
 
+from sardinemast.dispatch._eligibility import fits_team_cap
+from sardinemast.dispatch._long_running_waits import LongRunningWaits
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._worker_session import WorkerSession
@@ -10,6 +13,8 @@
 # Short compared to a move of an instance, which takes one or two seconds, and
 # long compared to the measurement itself.
 MEASURE_INTERVAL_S = 0.15
+# A task that waits longer was not placed as soon as others ended.
+_STRANDED_AFTER_S = 1.0
 
 
 class _PoolTally:
@@ -62,11 +67,47 @@
         )
 
 
-def measure_loads(state: DispatchState, now_s: float) -> dict[str, PoolLoad]:
+def measure_stranded(
+    state: DispatchState, waits: LongRunningWaits, now_s: float
+) -> Counter[str]:
+    """Return the millicores of long-running tasks without room, by pool.
+
+    Such a task does not wait for other tasks to end: these may be long-running
+    too, and it should be away for a few seconds at most.
+    """
+    stranded: Counter[str] = Counter()
+    for task in waits.list_waiting(now_s, _STRANDED_AFTER_S):
+        step = state.jobs.find_step(task)
+        if step is not None and not _may_find_room(state, step, now_s):
+            pool = state.jobs.get_queue(step).pool
+            stranded[pool] += step.spec.reserved_size.millicores
+    return stranded
+
+
+def measure_loads(
+    state: DispatchState, stranded: Mapping[str, int], now_s: float
+) -> dict[str, PoolLoad]:
     """Return the load of each pool that has workers or ready steps."""
     tallies: dict[str, _PoolTally] = defaultdict(_PoolTally)
     for session in state.sessions.values():
         tallies[session.worker.pool].add_session(state, session, now_s)
     for step in state.jobs.ready.values():
         tallies[state.jobs.get_queue(step).pool].add_step(step)
-    return {pool: tally.make_load() for pool, tally in tallies.items()}
+    return {
+        pool: tally.make_load()._replace(stranded=stranded.get(pool, 0))
+        for pool, tally in tallies.items()
+    }
+
+
+def _may_find_room(state: DispatchState, step: StepState, now_s: float) -> bool:
+    """Check whether more workers would not help a waiting task."""
+    if not fits_team_cap(state.jobs, step, state.jobs.usage.by_team):
+        return True
+    fitting = state.jobs.usage.free.iterate_fitting(
+        state.jobs.get_queue(step).pool, step.spec.reserved_size
+    )
+    return any(
+        state.is_usable(state.sessions[name], now_s)
+        for name in fitting
+        if name in state.sessions
+    )
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -1,5 +1,7 @@
 """Run maintenance waves: drain workers and order their instances down."""
 
+from collections.abc import Mapping
+
 from sardinemast.dispatch._cordons import (
     bind_cordon,
     cordon_for_wave,
@@ -52,6 +54,11 @@
         self._down_since_s.clear()
         self._down_confirmed_s.clear()
 
+    @property
+    def displaced_millicores(self) -> Mapping[str, int]:
+        """Return, by pool, the tasks to be drained that find no room."""
+        return self._drainer.without_room
+
     def tick(self, now_s: float, now_ms: int) -> None:
         """Advance all unfinished waves and drain cordoned workers."""
         waves = [
--- a/src/sardinemast/dispatch/_pool_load.py
+++ b/src/sardinemast/dispatch/_pool_load.py
@@ -10,6 +10,7 @@
 
     ``queued`` is the demand of tasks that wait, ``batch`` the usage of tasks
     that end by themselves. ``workers`` also counts cordoned workers.
+    ``stranded`` is the demand of long-running tasks that find no room.
     ``idle_workers`` holds the usable workers without runs.
     """
 
@@ -19,6 +20,7 @@
     batch: int = 0
     workers: int = 0
     idle_workers: tuple[Worker, ...] = ()
+    stranded: int = 0
 
     @property
     def shortfall(self) -> int:
--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -117,7 +117,11 @@
     policy: PoolPolicy,
 ) -> int:
     worker_millicores = baseline.worker_millicores
-    extra = _count_shortfall(load, worker_millicores, policy)
+    # Whatever the shortfall, a stranded task gets a worker.
+    extra = max(
+        _count_shortfall(load, worker_millicores, policy),
+        ceil(load.stranded / worker_millicores),
+    )
     if peaks.is_peaking(pool):
         extra = max(extra, _count_headroom(load, worker_millicores, policy))
     if extra > 0:
--- a/tests/dispatch/test_wave_deferral.py
+++ b/tests/dispatch/test_wave_deferral.py
@@ -1,7 +1,8 @@
 """Test that a wave that is put off keeps no worker from its tasks."""
 
+from builders.instance_fleets import InstanceFleet
 from builders.maintained_fleets import MaintainedFleet
-from builders.workers import ModelFleet, make_step
+from builders.workers import POOL, ModelFleet, make_step
 from sardinemast.jobs.commands import DeclareWave
 
 # A long-running task must run again within this time while there is room.
@@ -29,3 +30,18 @@
     maintained = MaintainedFleet(fleet)
     maintained.run(45)
     assert max(maintained.longest_waits_s.values(), default=0) <= _WAIT_MAX_S
+
+
+def test_instance_is_brought_in_for_tasks_that_must_leave() -> None:
+    """A wave waited to its end for room in a pool that requested none."""
+    fleet = InstanceFleet(_WORKERS)
+    fleet.run(4)
+    task_count = _WORKERS * _CORES - 1
+    step = make_step(task_count, is_long_running=True, max_unavailable=1)
+    fleet.submit('watch', step)
+    fleet.run(2)
+    fleet.instances.standby = {'spare'}
+    _declare_wave(fleet, 1, 1000)
+    fleet.run(20)
+    assert fleet.instances.maintenance_orders
+    assert any(move.pool == POOL for move in fleet.instances.moves)
