--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -1,7 +1,7 @@
 """Choose which tasks to start, and on which workers."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator, Mapping, Set
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 from heapq import heapify, heappop, heappush
 from types import MappingProxyType
 from typing import NamedTuple
@@ -43,7 +43,7 @@
     whether a task should rather not run on a worker, ``is_allowed`` whether a
     step may run on it at all beside so many planned starts. With ``shares``,
     these replace ``order``. Of a job in ``held``, only the tasks listed there
-    may start.
+    and long-running ones may start.
     """
 
     def __init__(
@@ -90,6 +90,28 @@
             self._place_step(step)
         return tuple(self._starts)
 
+    def add_starts(
+        self, tasks: Iterable[TaskKey], is_usable: Callable[[str], bool]
+    ) -> tuple[RunStart, ...]:
+        """Place tasks that found no worker on others; return all starts."""
+        self._is_usable = is_usable
+        self._usable.clear()
+        self._unplaceable_sizes.clear()
+        planned = {start.task: start.worker for start in self._starts}
+        for task in tasks:
+            step = self._state.find_step(task)
+            if step is None or task in planned:
+                continue
+            if task.position not in self._list_startable(step):
+                continue
+            on_worker = count_by_worker(step)
+            for other, name in planned.items():
+                on_worker[name] += StepKey(*other[:-1]) == step.key
+            worker = self._place_task(step, task.position, on_worker, '')
+            if worker is not None:
+                planned[task] = worker
+        return tuple(self._starts)
+
     def _place_by_shares(
         self, candidates: list[StepState], shares: PlanShares
     ) -> None:
@@ -154,17 +176,24 @@
 
     def _list_startable(self, step: StepState) -> tuple[int, ...]:
         waiting = tuple(step.waiting)
-        held_tasks = self._held.get(step.key.job)
-        if held_tasks is None:
+        if not self._is_held_back(step):
             return waiting
+        held_tasks = self._held[step.key.job]
         return tuple(
             index for index in waiting if step.get_task(index) in held_tasks
         )
 
+    def _is_held_back(self, step: StepState) -> bool:
+        """Check whether only the failing tasks of a step may start.
+
+        Long-running tasks serve their users whether the job's others fail.
+        """
+        return not step.spec.is_long_running and step.key.job in self._held
+
     def _place_gang(self, step: StepState) -> None:
         # Members wait for each other while they occupy their workers, so a gang
         # starts as a whole or not at all.
-        if step.running or step.key.job in self._held:
+        if step.running or self._is_held_back(step):
             return
         racks = self._get_racks(step) if step.spec.is_same_rack else ['']
         # A failed attempt is rolled back, so it must not mark sizes as
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -1,6 +1,7 @@
 """Session of the leader with one worker."""
 
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import NamedTuple
 
 from sardinemast.dispatch._events import ReportedRun
@@ -22,11 +23,23 @@
     sent_s: float = float('-inf')
 
 
+class CordonReason(StrEnum):
+    """Name what cordons a worker, and alone may release it."""
+
+    maintenance = 'maintenance'
+    move = 'move'
+
+
 class Cordon(NamedTuple):
-    """Hold since when a worker is cordoned, and for what."""
+    """Hold since when a worker is cordoned, and for what.
+
+    It ``is_binding`` once the instance may be taken at any moment.
+    """
 
     since_s: float
+    reason: CordonReason
     details: Mapping[str, str | int]
+    is_binding: bool = False
 
 
 class SentStop(NamedTuple):
@@ -154,7 +167,8 @@
         """
         self.worker = worker
         self.is_synced = False
-        # The failures were those of the previous boot.
+        # Shutdown and failures were those of the previous boot.
+        self.is_leaving = False
         self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
         self.reported_runs = {}
@@ -173,9 +187,13 @@
         return self.find_withheld_reason(now_s, has_runs=has_runs) is None
 
     def find_withheld_reason(
-        self, now_s: float, *, has_runs: bool
+        self, now_s: float, *, has_runs: bool, is_last_resort: bool = False
     ) -> WithheldReason | None:
-        """Return the first reason for which the worker gets no new runs."""
+        """Return the first reason for which the worker gets no new runs.
+
+        With ``is_last_resort``, precautions do not count: a backoff, and a
+        cordon until its order is recorded.
+        """
         if not self.is_synced:
             return WithheldReason.not_synced
         if self.worker.is_draining:
@@ -183,8 +201,9 @@
         if self.is_leaving:
             return WithheldReason.leaving
         if self.cordon is not None:
-            return WithheldReason.cordoned
-        if now_s < self.backoff.until_s:
+            if self.cordon.is_binding or not is_last_resort:
+                return WithheldReason.cordoned
+        if now_s < self.backoff.until_s and not is_last_resort:
             return WithheldReason.backing_off
         settings = self._settings
         quiet_s = settings.quiet_s if has_runs else settings.idle_quiet_s
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -41,6 +41,11 @@
 
 _MIB_BYTES = 1024 * 1024
 _TASK_NUMBERS = 3
+# ``int`` refuses numbers of several thousand digits.
+_DIGITS_MAX = 18
+_PORT_MAX = 65_535
+# Integers up to this size are exact as floats, which estimates use.
+_NUMBER_MAX = 9_007_199_254_740_992
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -53,13 +58,17 @@
     for number, step in enumerate(steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
             raise ValueError('A step may depend on earlier steps only.')
-    return JobRequest(
+    request = JobRequest(
         body.get('spec', ''),
         steps,
         body.get('times', 0),
         body.get('start_at_ms', 0),
         body.get('interval_ms', 0),
     )
+    _check_numbers(
+        request.occurrences, request.first_due_ms, request.interval_ms
+    )
+    return request
 
 
 def make_catalog(body: ConfigBody) -> Catalog:
@@ -84,18 +93,21 @@
     if body['state'] not in {_READY, _DRAINING}:
         raise ValueError(f'{body["state"]!r} is not a known worker state.')
     host, _, port = body['addr'].rpartition(':')
-    if not host or not port.isdigit():
+    if not host or not _is_port(port):
         raise ValueError(f'{body["addr"]!r} is not a valid address.')
     labels = tuple(body.get('labels', ()))
+    capacity = _make_size(body.get('capacity', {}))
+    boot_ms = body.get('born', 0)
+    _check_numbers(*capacity, boot_ms)
     return Worker(
         name,
-        body.get('born', 0),
+        boot_ms,
         body['addr'],
         body['service'],
         body.get('zone', ''),
         labels[1] if len(labels) > 1 else '',
         labels,
-        _make_size(body.get('capacity', {})),
+        capacity,
         body.get('machine', ''),
         body['state'] == _DRAINING,
     )
@@ -119,10 +131,10 @@
 def make_instance(body: InstanceBody) -> ListedInstance:
     """Return an instance of the platform's list."""
     return ListedInstance(
-        body.get('machine', ''),
-        body.get('pool', ''),
-        body.get('state', '') == 'up',
-        body.get('state', '') == 'down',
+        body['machine'],
+        body['pool'],
+        body['state'] == 'up',
+        body['state'] == 'down',
         body.get('zone', ''),
     )
 
@@ -132,11 +144,19 @@
     parts = name.rsplit('.', _TASK_NUMBERS)
     if len(parts) != _TASK_NUMBERS + 1:
         return None
-    if not all(part.isdigit() for part in parts[1:]):
+    # Other digits of Unicode are either refused by ``int`` or not as written.
+    if not all(part.isascii() and part.isdigit() for part in parts[1:]):
+        return None
+    if any(len(part) > _DIGITS_MAX for part in parts[1:]):
         return None
     return TaskKey(parts[0], *map(int, parts[1:]))
 
 
+def _is_port(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+    return is_number and 0 < int(text) <= _PORT_MAX
+
+
 def _iterate_runs(rows: list[RunRow]) -> Any:
     for row in rows:
         task = parse_task_key(row.task)
@@ -157,6 +177,12 @@
             yield ReportedEnd(row.position, task, row.run, row.how, row.saved)
 
 
+def _check_numbers(*numbers: int) -> None:
+    """Raise ``ValueError`` for a number that is negative or too large."""
+    if not all(0 <= number <= _NUMBER_MAX for number in numbers):
+        raise ValueError('A number is out of range.')
+
+
 def _make_size(body: CapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
@@ -166,10 +192,13 @@
 
 
 def _make_step(body: StepBody) -> Step:
+    size = _make_size(body)
+    estimate_ms = body.get('est_ms', 0)
+    _check_numbers(*size, estimate_ms)
     return Step(
         task_count=body.get('count', 0),
-        size=_make_size(body),
-        estimate_ms=body.get('est_ms', 0),
+        size=size,
+        estimate_ms=estimate_ms,
         depends_on=tuple(body.get('deps', ())),
         can_checkpoint=body.get('checkpoints', False),
         is_gang=body.get('gang', False),
@@ -187,6 +216,7 @@
 
 
 def _make_queue(body: QueueBody) -> Queue:
+    _check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
     return Queue(
         body['name'],
         body['host'],
@@ -205,7 +235,9 @@
 def _make_advice(body: AdviceBody | None) -> Advice | None:
     if not body:
         return None
-    return Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
+    advice = Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
+    _check_numbers(*advice)
+    return advice
 
 
 def _make_team(body: TeamBody) -> Team:
