Count an order as unanswered if its result never comes

Cause: a start whose result is lost in this process left its run in the log until the end of the term, so that a long-running task ran nowhere and did not wait either; a lost poll kept its worker from being polled again. Only a log line told.

--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -122,7 +122,7 @@
         self._maintenance.tick(now_s, now_ms)
         self._learner.tick(now_s)
         self._preemptor.tick(now_s, now_ms)
-        self._log_waits(now_s)
+        self._resolve_waits(now_s)
         return self._finish(now_s, now_ms)
 
     def step(
@@ -272,10 +272,11 @@
             self._recorder.handle_answer(session, event, now_s)
             self._poller.poll(session, now_s)
 
-    def _log_waits(self, now_s: float) -> None:
-        """Log tasks and orders that have waited for too long."""
+    def _resolve_waits(self, now_s: float) -> None:
+        """Log tasks that wait for long, and resolve overdue orders."""
         self._waiting_tasks.tick(now_s)
-        self._unresolved.tick(now_s)
+        for result in self._unresolved.take_overdue(now_s):
+            self._handle_worker_answer(result, now_s)
 
     def _finish(self, now_s: float, now_ms: int) -> list[DispatchOutput]:
         """Propose starts and ends, and return all outputs."""
--- a/src/sardinemast/dispatch/_unresolved_orders.py
+++ b/src/sardinemast/dispatch/_unresolved_orders.py
@@ -1,4 +1,4 @@
-"""Report orders to workers whose result never came, not even a timeout."""
+"""Resolve orders to workers whose result never came, not even a timeout."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -11,6 +11,7 @@
     StartRun,
     WorkerPolled,
 )
+from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import TaskKey
 
@@ -33,25 +34,32 @@
 
 
 _OrderKey = _PollKey | _StartKey
+_Result = WorkerPolled | StartAnswered
+
+
+class _SentOrder(NamedTuple):
+    sent_s: float
+    fence: int
 
 
 class UnresolvedOrders:
     """Hold the polls and starts without a result, in the order of sending.
 
     A poll without a result keeps its worker from being polled again, and a
-    start without one keeps its run in the log.
+    start without one keeps its run in the log. Such an order is overdue and
+    then counts as one without an answer.
     """
 
     def __init__(self, state: DispatchState) -> None:
         self._state = state
-        self._sent_s: dict[_OrderKey, float] = {}
+        self._sent: dict[_OrderKey, _SentOrder] = {}
         self._budget = EventBudget(_LINES_PER_S)
         self._ticked_s = float('-inf')
         self._resumed_s = float('-inf')
 
     def start_term(self) -> None:
         """Discard the orders of the previous term."""
-        self._sent_s.clear()
+        self._sent.clear()
         self._ticked_s = float('-inf')
 
     def record_sent(
@@ -61,34 +69,39 @@
         for order in outputs:
             if isinstance(order, PollWorker):
                 poll_key = _PollKey(order.worker.name, order.sent_s)
-                self._sent_s[poll_key] = now_s
+                self._sent[poll_key] = _SentOrder(now_s, order.fence)
             elif isinstance(order, StartRun):
                 start_key = _StartKey(
                     order.worker.name, order.task, order.number
                 )
-                self._sent_s[start_key] = now_s
+                self._sent[start_key] = _SentOrder(now_s, order.fence)
 
     def record_result(self, event: WorkerPolled | StartAnswered) -> None:
         """Record the result of an order."""
         if isinstance(event, WorkerPolled):
-            self._sent_s.pop(_PollKey(event.worker, event.sent_s), None)
+            self._sent.pop(_PollKey(event.worker, event.sent_s), None)
         else:
             start_key = _StartKey(event.worker, event.task, event.number)
-            self._sent_s.pop(start_key, None)
+            self._sent.pop(start_key, None)
 
-    def tick(self, now_s: float) -> None:
-        """Log each overdue order once."""
+    def take_overdue(self, now_s: float) -> list[_Result]:
+        """Remove and log the overdue orders; return a result for each."""
         if now_s > self._ticked_s + _PAUSE_MIN_S:
             self._resumed_s = now_s
         self._ticked_s = now_s
         if now_s < self._resumed_s + _GRACE_S:
-            return
-        overdue_s = self._get_overdue_s()
-        while self._sent_s:
-            key = next(iter(self._sent_s))
-            if now_s <= self._sent_s[key] + overdue_s:
-                return
-            self._log(key, now_s - self._sent_s.pop(key), now_s)
+            return []
+        sent_before_s = now_s - self._get_overdue_s()
+        results: list[_Result] = []
+        while self._sent:
+            key = next(iter(self._sent))
+            sent = self._sent[key]
+            if sent.sent_s >= sent_before_s:
+                break
+            self._sent.pop(key)
+            self._log(key, now_s - sent.sent_s, now_s)
+            results.append(_make_result(key, sent))
+        return results
 
     def _get_overdue_s(self) -> float:
         settings = self._state.settings
@@ -112,3 +125,10 @@
             unresolved_s=round(unresolved_s, 3),
             omitted=self._budget.pop_omitted(),
         )
+
+
+def _make_result(key: _OrderKey, sent: _SentOrder) -> _Result:
+    unknown = OrderOutcome.unknown
+    if isinstance(key, _StartKey):
+        return StartAnswered(key.worker, key.task, key.number, unknown)
+    return WorkerPolled(key.worker, sent.fence, key.sent_s, unknown)
