Start no member of a gang alone, and bound the last resort

Starts on withheld workers placed the members of a gang one by one, which then waited for each other or were proposed without end, and had no bound on the starts of a plan. Change: gangs are left out; a size that fits nowhere is tried once, and the bound of a plan holds.

--- a/src/sardinemast/dispatch/_planner.py
+++ b/src/sardinemast/dispatch/_planner.py
@@ -93,25 +93,42 @@
     def add_starts(
         self, tasks: Iterable[TaskKey], is_usable: Callable[[str], bool]
     ) -> tuple[RunStart, ...]:
-        """Place tasks that found no worker on others; return all starts."""
+        """Place long-running tasks on these workers too; return all starts."""
         self._is_usable = is_usable
         self._usable.clear()
         self._unplaceable_sizes.clear()
-        planned = {start.task: start.worker for start in self._starts}
+        planned = {start.task for start in self._starts}
+        on_workers: dict[StepKey, dict[str, int]] = {}
+        for start in self._starts:
+            on_worker = self._get_on_worker(on_workers, start.task)
+            on_worker[start.worker] += 1
         for task in tasks:
+            if len(self._starts) >= _STARTS_MAX:
+                break
             step = self._state.find_step(task)
-            if step is None or task in planned:
-                continue
-            if task.position not in self._list_startable(step):
+            if step is None or task in planned or not self._may_add(step, task):
                 continue
-            on_worker = count_by_worker(step)
-            for other, name in planned.items():
-                on_worker[name] += StepKey(*other[:-1]) == step.key
+            on_worker = self._get_on_worker(on_workers, task)
             worker = self._place_task(step, task.position, on_worker, '')
             if worker is not None:
-                planned[task] = worker
+                on_worker[worker] += 1
         return tuple(self._starts)
 
+    def _may_add(self, step: StepState, task: TaskKey) -> bool:
+        # A gang starts as a whole or not at all.
+        if step.spec.is_gang or self._is_known_unplaceable(step):
+            return False
+        return task.position in step.waiting
+
+    def _get_on_worker(
+        self, on_workers: dict[StepKey, dict[str, int]], task: TaskKey
+    ) -> dict[str, int]:
+        key = StepKey(*task[:-1])
+        if key not in on_workers:
+            step = self._state.find_step(task)
+            on_workers[key] = count_by_worker(step) if step else Counter()
+        return on_workers[key]
+
     def _place_by_shares(
         self, candidates: list[StepState], shares: PlanShares
     ) -> None:
