Let a wave end in a pool without room

Cause: found in review. The time left of a wave was never taken as less than 6 s, so that one or two instances of a pool could be put off beyond the deadline for ever, now also while their tasks waited for room. Change: the time left counts as it is. No more workers are emptied without room than there are free slots, and an order binds the cordon when it is sent again. Result: test_wave_ends_in_a_pool_without_room failed before and passes.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -212,6 +212,7 @@
                 wave, worker, now_s
             ):
                 self._ordered_at_s[key] = now_s
+                self._bind(worker)
                 self._order(wave, item, worker)
 
     def _cordon_and_check_empty(
@@ -251,17 +252,16 @@
         now_s: float,
         now_ms: int,
     ) -> None:
-        in_progress = sum(item.status in IN_PROGRESS for item in wave.items)
-        in_progress += sum(
-            key[0] == wave.number and status is MaintenanceStatus.ordered
-            for key, status in self._proposed.items()
-        )
-        order = WaveOrder(self._state, wave, workers, now_ms)
-        for item, worker, is_urgent in order.choose():
+        in_progress = self._count_in_progress(wave)
+        urgent_count = 0
+        for item, worker, is_urgent in WaveOrder(
+            self._state, wave, workers, now_ms
+        ).choose():
             is_empty = self._cordon_and_check_empty(wave, worker, now_s)
             if in_progress >= wave.cap:
                 continue
-            if worker and is_urgent:
+            if worker and is_urgent and in_progress + urgent_count < wave.cap:
+                urgent_count += not is_empty
                 self._urgent.add(worker.name)
             if is_empty:
                 in_progress += 1
@@ -273,6 +273,14 @@
                     worker.boot_ms if worker else 0,
                 )
 
+    def _count_in_progress(self, wave: Wave) -> int:
+        """Count the instances that are ordered or down, or about to be."""
+        proposed = sum(
+            key[0] == wave.number and status is MaintenanceStatus.ordered
+            for key, status in self._proposed.items()
+        )
+        return proposed + sum(item.status in IN_PROGRESS for item in wave.items)
+
     def _cordon(self, wave: Wave, session: WorkerSession, now_s: float) -> None:
         self._wanted_cordons.add(session.worker.name)
         cordon_for_wave(self._state, session, wave.number, now_s)
--- a/src/sardinemast/dispatch/_wave_order.py
+++ b/src/sardinemast/dispatch/_wave_order.py
@@ -56,9 +56,7 @@
             if item.status is MaintenanceStatus.waiting
             and item.instance not in state.moving
         ]
-        self._remaining_s = max(
-            (wave.due_ms - now_ms) / _MS - _DEADLINE_MARGIN_S, _CYCLE_S
-        )
+        self._remaining_s = (wave.due_ms - now_ms) / _MS - _DEADLINE_MARGIN_S
         self._waiting_counts = Counter(
             one.worker.pool for one in self._waiting if one.worker
         )
@@ -85,7 +83,7 @@
         if self._is_cordoned(worker):
             return True
         count = self._waiting_counts[worker.pool]
-        allowed = 1 + int(count * _CYCLE_S / self._remaining_s)
+        allowed = 1 + int(count * _CYCLE_S / max(self._remaining_s, _CYCLE_S))
         return (
             self._started.total() < self._cap
             and self._started[worker.pool] < allowed
