Bound the starts of failing long-running tasks, and hold starts behind orders

Cause: found in review. A task that failed at once on its last resort was seen as waiting all the time and started at each plan; a failure that repeats on the same worker did not count against it. A start that was recorded while the order for its instance went out was still sent, so that the order could end its run. Change: a recorded start begins a new wait; repeated failures of a long-running task on its only worker count; a start is not sent behind a binding cordon, which a move has from its order on and only a move ends.

--- a/src/sardinemast/dispatch/_cordons.py
+++ b/src/sardinemast/dispatch/_cordons.py
@@ -20,8 +20,7 @@
     state: DispatchState, session: WorkerSession, pool: str, now_s: float
 ) -> None:
     """Cordon a worker for a move to a pool, unless it is cordoned."""
-    details = {'to_pool': pool}
-    cordon = Cordon(now_s, CordonReason.move, details, is_binding=True)
+    cordon = Cordon(now_s, CordonReason.move, {'to_pool': pool})
     _cordon(state, session, cordon)
 
 
@@ -31,6 +30,13 @@
         session.cordon = session.cordon._replace(is_binding=True)
 
 
+def end_move_cordon(
+    state: DispatchState, session: WorkerSession, cause: str, now_s: float
+) -> None:
+    """End the cordon of a worker if it is cordoned for a move."""
+    end_cordon(state, session, cause, now_s, CordonReason.move)
+
+
 def is_cordoned_for_wave(session: WorkerSession | None) -> bool:
     """Check whether a worker is cordoned for maintenance."""
     cordon = session.cordon if session else None
@@ -38,11 +44,15 @@
 
 
 def end_cordon(
-    state: DispatchState, session: WorkerSession, cause: str, now_s: float
+    state: DispatchState,
+    session: WorkerSession,
+    cause: str,
+    now_s: float,
+    reason: CordonReason | None = None,
 ) -> None:
-    """End the cordon of a worker, if it has one."""
+    """End the cordon of a worker; with a reason, only one for that reason."""
     cordon = session.cordon
-    if cordon is None:
+    if cordon is None or reason not in {None, cordon.reason}:
         return
     session.cordon = None
     state.log(
--- a/src/sardinemast/dispatch/_long_running_waits.py
+++ b/src/sardinemast/dispatch/_long_running_waits.py
@@ -22,6 +22,10 @@
             for task in map(step.get_task, step.waiting)
         }
 
+    def record_start(self, task: TaskKey) -> None:
+        """Let a task that starts wait anew if its start fails."""
+        self.since_s.pop(task, None)
+
     def list_waiting(self, now_s: float, min_s: float) -> list[TaskKey]:
         """Return the tasks that have waited for at least a time."""
         return [
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -9,7 +9,11 @@
 from operator import itemgetter
 from typing import NamedTuple
 
-from sardinemast.dispatch._cordons import cordon_for_move, end_cordon
+from sardinemast.dispatch._cordons import (
+    bind_cordon,
+    cordon_for_move,
+    end_move_cordon,
+)
 from sardinemast.dispatch._instance_events import (
     InstancesListed,
     ListInstances,
@@ -301,9 +305,10 @@
                 or session.worker.is_draining
                 or self._state.suspected.is_withheld(name)
             ):
-                end_cordon(self._state, session, 'move abandoned', now_s)
+                end_move_cordon(self._state, session, 'move abandoned', now_s)
                 continue
             worker = session.worker
+            bind_cordon(session)
             self._order_move(worker.instance, pool, now_s)
             self._state.log(
                 'instance.moved',
@@ -331,6 +336,7 @@
                 # It may have restarted since; the move would end its new runs.
                 session = self._state.sessions[worker.name]
                 cordon_for_move(self._state, session, move.pool, now_s)
+                bind_cordon(session)
 
     def _finish_move(self, instance: str, cause: str, now_s: float) -> None:
         self._pending_moves.pop(instance, None)
@@ -338,7 +344,7 @@
         for worker in self._state.jobs.worker_index.list_on_instance(instance):
             session = self._state.sessions.get(worker.name)
             if session is not None:
-                end_cordon(self._state, session, cause, now_s)
+                end_move_cordon(self._state, session, cause, now_s)
 
     def _propose_forget_workers(self, event: MoveAnswered) -> None:
         # The workers were idle. One that still exists registers again with its
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -86,8 +86,7 @@
                 records.record_failure(
                     instance, finished_run.task, self._state.now_ms
                 )
-                # A task that also failed elsewhere is likely at fault itself.
-                if not self._failed_workers[finished_run.task]:
+                if self._is_worker_at_fault(session, finished_run.task):
                     session.backoff.failures += 1
                     has_failed = True
                 self._failed_workers[finished_run.task].add(session.worker.name)
@@ -116,6 +115,7 @@
             return False
         self._recording = None
         for start in command.starts:
+            self._waits.record_start(start.task)
             step = self._state.jobs.find_step(start.task)
             run = step.running.get(start.task.position) if step else None
             if step and run == (start.number, start.worker):
@@ -191,6 +191,18 @@
                 return False
         return self._tickets.is_allowed(step, worker, now_s)
 
+    def _is_worker_at_fault(
+        self, session: WorkerSession, task: TaskKey
+    ) -> bool:
+        failed_workers = self._failed_workers[task]
+        # A task that also failed elsewhere is likely at fault itself.
+        if failed_workers - {session.worker.name}:
+            return False
+        step = self._state.jobs.find_step(task)
+        # A long-running task has no limit of attempts that ends its failures.
+        is_long_running = step is not None and step.spec.is_long_running
+        return is_long_running or not failed_workers
+
     def _avoid_failing(self, session: WorkerSession, now_s: float) -> None:
         doublings = min(
             session.backoff.failures - _FAILURES_TO_AVOID, _DOUBLINGS_MAX
@@ -300,9 +312,11 @@
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
 
-        The worker or its rack may have been lost, or its data centre evacuated,
-        while the start was being recorded.
+        The worker or its rack may have been lost, its data centre evacuated, or
+        its instance ordered away, while the start was being recorded.
         """
+        if session.cordon is not None and session.cordon.is_binding:
+            return False
         if self._state.suspected.is_withheld(session.worker.name):
             return False
         is_evacuated = self._state.is_evacuated(session.worker)
