Look up the stop of a run in one place

Cause: the new drainer wrote again the check that a stop was sent for a run, which already stood in four places. Change: WorkerSession.find_stop serves all five; the drainer lists the runs of a worker once to tell whether it can be emptied.

--- a/src/sardinemast/dispatch/_disruptions.py
+++ b/src/sardinemast/dispatch/_disruptions.py
@@ -22,8 +22,7 @@
     if reported is None or reported.number != run.number:
         return False
     # A report sent before the stop arrived still lists the run.
-    last_stop = session.sent_stops.get(task)
-    if last_stop is not None and last_stop.number == run.number:
+    if session.find_stop(task, run.number) is not None:
         return False
     is_recent = now_s < session.last_heard_s + state.settings.quiet_s
     return is_recent and reported.percent >= _SERVING_PERCENT
--- a/src/sardinemast/dispatch/_draining.py
+++ b/src/sardinemast/dispatch/_draining.py
@@ -57,7 +57,7 @@
                 continue
             if (
                 is_forced
-                or _is_stopping(session, task, number)
+                or session.find_stop(task, number)
                 or self._get_room(session, now_s).take(step)
             ):
                 self._state.stop_run(session, task, number, now_s)
@@ -68,8 +68,9 @@
 
     def _can_empty(self, session: WorkerSession, now_s: float) -> bool:
         """Check whether the limits of all steps allow to stop all tasks."""
-        steps = {step.key: step for _, _, step in self._list_runs(session)}
-        counts = Counter(step.key for _, _, step in self._list_runs(session))
+        runs = self._list_runs(session)
+        steps = {step.key: step for _, _, step in runs}
+        counts = Counter(step.key for _, _, step in runs)
         return all(
             counts[key] <= count_stoppable(self._state, step, now_s)
             for key, step in steps.items()
@@ -89,7 +90,7 @@
             if session.worker.pool != pool or not session.sent_stops:
                 continue
             for task, number, step in self._list_runs(session):
-                if _is_stopping(session, task, number):
+                if session.find_stop(task, number):
                     room.take(step)
 
     def _list_runs(
@@ -102,8 +103,3 @@
             )
             if step.spec.is_long_running
         ]
-
-
-def _is_stopping(session: WorkerSession, task: TaskKey, number: int) -> bool:
-    last_stop = session.sent_stops.get(task)
-    return last_stop is not None and last_stop.number == number
--- a/src/sardinemast/dispatch/_preemption_costs.py
+++ b/src/sardinemast/dispatch/_preemption_costs.py
@@ -106,10 +106,8 @@
 def _is_stopping(
     session: WorkerSession, task: TaskKey, run: Run, now_s: float
 ) -> bool:
-    last_stop = session.sent_stops.get(task)
-    if last_stop is None or last_stop.number != run.number:
-        return False
-    return now_s < last_stop.sent_s + STOP_TIMEOUT_S
+    last_stop = session.find_stop(task, run.number)
+    return last_stop is not None and now_s < last_stop.sent_s + STOP_TIMEOUT_S
 
 
 def get_elapsed_s(
--- a/src/sardinemast/dispatch/_preemptor.py
+++ b/src/sardinemast/dispatch/_preemptor.py
@@ -134,8 +134,7 @@
     def _repeat_stops(self, preemption: Preemption, now_s: float) -> None:
         session = self._state.sessions.get(preemption.worker)
         for victim in preemption.victims:
-            sent = session and session.sent_stops.get(victim.task)
-            if session and sent and sent.number == victim.number:
+            if session and session.find_stop(victim.task, victim.number):
                 if self._is_running(victim):
                     self._state.stop_run(session, *victim[:2], now_s)
 
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -219,8 +219,8 @@
         now_s: float,
     ) -> None:
         """Send a stop for a run, at most once per ``stop_again_s``."""
-        last_stop = session.sent_stops.get(task)
-        if last_stop is not None and last_stop.number == number:
+        last_stop = session.find_stop(task, number)
+        if last_stop is not None:
             if now_s < last_stop.sent_s + self.settings.stop_again_s:
                 return
         session.sent_stops[task] = SentStop(number, now_s)
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -135,6 +135,13 @@
         """Check whether the worker's clock is known."""
         return self._clock_at_s is not None
 
+    def find_stop(self, task: TaskKey, number: int) -> SentStop | None:
+        """Return the last stop that was sent for a run, if there is one."""
+        last_stop = self.sent_stops.get(task)
+        if last_stop is None or last_stop.number != number:
+            return None
+        return last_stop
+
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Record a reading of the worker's clock, unless it is outdated."""
         if clock_ms > 0 and clock_ms >= self._get_clock_ms(
