Check limits of steps and caps of teams by one piece

Preemption keeps its own check of the limit per worker: counting all runs of a step for each worker would cost more. Result: no change of behaviour; tests of tickets, preemption and waves pass.

--- a/src/sardinemast/dispatch/_preemption_round.py
+++ b/src/sardinemast/dispatch/_preemption_round.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from sardinemast.dispatch._disruptions import count_stoppable
+from sardinemast.dispatch._eligibility import fits_team_cap
 from sardinemast.dispatch._expected_ends import ExpectedEnds
 from sardinemast.dispatch._preemption import (
     Candidate,
@@ -170,17 +171,12 @@
 
     def _charge_team(self, pressed: PressedStep) -> bool:
         """Count a task against its team's cap, and return whether it fits."""
-        jobs = self._state.jobs
-        name = jobs.get_job(pressed.step).team
-        team = jobs.teams.get(name)
-        used = self._used_by_team.get(name, ZERO_SIZE).plus(
-            pressed.step.spec.size
-        )
-        self._used_by_team[name] = used
-        return team is None or all(
-            cap <= 0 or taken <= cap
-            for taken, cap in zip(used, team.cap, strict=True)
-        )
+        jobs, step = self._state.jobs, pressed.step
+        fits = fits_team_cap(jobs, step, self._used_by_team)
+        name = jobs.get_job(step).team
+        used = self._used_by_team.get(name, ZERO_SIZE)
+        self._used_by_team[name] = used.plus(step.spec.size)
+        return fits
 
     def _get_candidates(self, pressed: PressedStep) -> _Candidates:
         key = (pressed.pool, pressed.rank)
--- a/src/sardinemast/dispatch/_tickets.py
+++ b/src/sardinemast/dispatch/_tickets.py
@@ -1,9 +1,9 @@
 """Request and cache tickets of the external placement policy."""
 
-from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
+from sardinemast.dispatch._eligibility import count_by_worker, is_eligible
 from sardinemast.dispatch._events import AdviceAnswered, RequestAdvice
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._step_priority import get_step_priority
@@ -149,15 +149,14 @@
         jobs = self._state.jobs
         pool = jobs.get_queue(step).pool
         spec = step.spec
-        full_workers = _find_full_workers(step)
+        on_worker = count_by_worker(step)
         fitting = [
             jobs.workers[name]
             for name in jobs.usage.free.iterate_fitting(
                 pool, spec.reserved_size
             )
-            if spec.allows_labels(jobs.workers[name].labels)
+            if is_eligible(step, jobs.workers[name], on_worker)
             and is_usable(name)
-            and name not in full_workers
         ]
         ticketed = [
             worker for worker in fitting if self.get_ticket(step, worker, now_s)
@@ -222,12 +221,3 @@
         # A denial is final for a boot of a worker; only tickets expire.
         is_denied = not cached.ticket
         return cached if is_denied or now_s < cached.expires_s else None
-
-
-def _find_full_workers(step: StepState) -> set[str]:
-    """Return the workers with as many tasks of a step as they may have."""
-    limit = step.spec.max_per_worker
-    if not limit:
-        return set()
-    counted = Counter(run.worker for run in step.running.values())
-    return {worker for worker, count in counted.items() if count >= limit}
