Find usable workers and sessions in one place

Cause: measuring stranded tasks wrote again how stragglers look for a usable worker with room; the last resort had a twin of the check for usable workers, and maintenance looked up a session by worker in three places. One constant was dead. Change: DispatchState.iterate_usable and find_session serve them.

--- a/src/sardinemast/dispatch/_load_measurement.py
+++ b/src/sardinemast/dispatch/_load_measurement.py
@@ -118,9 +118,4 @@
         if session.worker.pool == pool
     ):
         return False
-    fitting = state.jobs.usage.free.iterate_fitting(pool, size)
-    return not any(
-        state.is_usable(state.sessions[name], now_s)
-        for name in fitting
-        if name in state.sessions
-    )
+    return next(state.iterate_usable(pool, size, now_s), None) is None
--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -22,7 +22,6 @@
 from sardinemast.jobs import MaintenanceStatus, Wave, WaveItem, Worker
 from sardinemast.jobs.commands import NoteUpkeep
 
-_MS = 1000
 # How often the list shows whether an instance that refuses is lost, and whether
 # a standby instance is back.
 _LIST_INTERVAL_S = 1.0
@@ -223,7 +222,7 @@
         This also applies to recorded orders: a new leader does not know
         whether one was sent, nor which runs have started since.
         """
-        session = self._state.sessions.get(worker.name) if worker else None
+        session = self._state.find_session(worker)
         if session is None:
             return True
         self._cordon(wave, session, now_s)
@@ -286,7 +285,7 @@
         cordon_for_wave(self._state, session, wave.number, now_s)
 
     def _bind(self, worker: Worker | None) -> None:
-        session = self._state.sessions.get(worker.name) if worker else None
+        session = self._state.find_session(worker)
         if session is not None:
             bind_cordon(session)
 
@@ -301,7 +300,7 @@
 
         One with a later boot is cordoned only once the order is repeated.
         """
-        session = self._state.sessions.get(worker.name) if worker else None
+        session = self._state.find_session(worker)
         if session is None:
             return
         is_repeated = (
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -272,7 +272,8 @@
         stranded = self._waits.list_waiting(now_s, _LAST_RESORT_AFTER_S)
         if stranded:
             starts = planner.add_starts(
-                stranded, lambda name: self._is_last_resort(name, now_s)
+                stranded,
+                lambda name: self._is_usable(name, now_s, is_last_resort=True),
             )
         if shares is not None:
             self._record_shares(shares)
@@ -284,14 +285,12 @@
         kept = {pool: last[pool] for pool in shares.full_pools & last.keys()}
         self._state.team_shares = {**kept, **shares.get_shares()}
 
-    def _is_usable(self, name: str, now_s: float) -> bool:
-        session = self._state.sessions.get(name)
-        return session is not None and self._state.is_usable(session, now_s)
-
-    def _is_last_resort(self, name: str, now_s: float) -> bool:
+    def _is_usable(
+        self, name: str, now_s: float, *, is_last_resort: bool = False
+    ) -> bool:
         session = self._state.sessions.get(name)
         return session is not None and self._state.is_usable(
-            session, now_s, is_last_resort=True
+            session, now_s, is_last_resort=is_last_resort
         )
 
     def _is_avoided(self, task: TaskKey, worker: str) -> bool:
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -26,6 +26,7 @@
     JobsState,
     MaintenanceStatus,
     RunEnd,
+    Size,
     StepState,
     TaskKey,
     Worker,
@@ -156,6 +157,19 @@
             now_s, has_runs=has_runs, is_last_resort=is_last_resort
         )
 
+    def find_session(self, worker: Worker | None) -> WorkerSession | None:
+        """Return the session with a worker, if there is one."""
+        return self.sessions.get(worker.name) if worker else None
+
+    def iterate_usable(
+        self, pool: str, size: Size, now_s: float
+    ) -> Iterator[str]:
+        """Yield the usable workers of a pool with free capacity for a size."""
+        for name in self.jobs.usage.free.iterate_fitting(pool, size):
+            session = self.sessions.get(name)
+            if session is not None and self.is_usable(session, now_s):
+                yield name
+
     def is_evacuated(self, worker: Worker) -> bool:
         """Check whether a worker is in an evacuated data centre."""
         return self.jobs.data_centres.is_evacuated(worker.data_centre)
--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -235,19 +235,13 @@
         session: WorkerSession,
         now_s: float,
     ) -> bool:
-        state = self._state
-        step = state.jobs.find_step(task)
+        step = self._state.jobs.find_step(task)
         if step is None:
             return False
-        fitting = state.jobs.usage.free.iterate_fitting(
-            session.worker.pool,
-            step.spec.reserved_size,
-        )
-        return any(
-            state.is_usable(state.sessions[name], now_s)
-            for name in fitting
-            if name != session.worker.name and name in state.sessions
+        usable = self._state.iterate_usable(
+            session.worker.pool, step.spec.reserved_size, now_s
         )
+        return any(name != session.worker.name for name in usable)
 
 
 def _get_total_s(tracked: _TrackedRun, percent: float, now_s: float) -> float:
--- a/src/sardinemast/dispatch/_unresolved_orders.py
+++ b/src/sardinemast/dispatch/_unresolved_orders.py
@@ -15,6 +15,7 @@
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.jobs import TaskKey
 
+_MS = 1000
 # Time beyond the longest timeout of an order after which it is reported.
 _GRACE_S = 2.0
 # After a pause of this process, results that wait are handled first.
@@ -105,7 +106,7 @@
 
     def _get_overdue_s(self) -> float:
         settings = self._state.settings
-        poll_s = settings.wait_ms / 1000 + settings.answer_s
+        poll_s = settings.wait_ms / _MS + settings.answer_s
         return max(poll_s, settings.start_answer_s) + _GRACE_S
 
     def _log(self, key: _OrderKey, unresolved_s: float, now_s: float) -> None:
--- a/src/sardinemast/dispatch/_wave_order.py
+++ b/src/sardinemast/dispatch/_wave_order.py
@@ -100,8 +100,7 @@
         return needed_s < self._remaining_s
 
     def _is_cordoned(self, worker: Worker) -> bool:
-        session = self._state.sessions.get(worker.name)
-        return is_cordoned_for_wave(session)
+        return is_cordoned_for_wave(self._state.find_session(worker))
 
     def _serves_nothing(self, worker: Worker) -> bool:
         """Check whether a worker is evacuated and has no runs."""
