Check numbers of the platform by one function

Cause: three places checked a text of digits with the same bound, two constants among them. Change: is_number beside decode.

--- a/src/sardinemast/platform/_caller_http.py
+++ b/src/sardinemast/platform/_caller_http.py
@@ -9,7 +9,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from sardinemast.metrics import ProcessMetrics
-from sardinemast.platform._decoding import DECODE_ERRORS, decode
+from sardinemast.platform._decoding import DECODE_ERRORS, decode, is_number
 from sardinemast.platform._http_server import HttpResponse
 from sardinemast.platform._job_bodies import JobBody
 from sardinemast.platform._responses import make_response
@@ -37,8 +37,6 @@
 _ANSWER_S = 0.2
 # Leaves time to return the response before the caller's deadline.
 _DEADLINE_SHARE = 0.8
-# ``int`` refuses numbers of several thousand digits.
-_DEADLINE_DIGITS_MAX = 18
 
 
 class CallerHandler:
@@ -113,7 +111,6 @@
 
 def _get_timeout_s(request: HTTPServerRequest) -> float:
     deadline_header = request.headers.get('X-Deadline-Ms', '')
-    is_number = deadline_header.isascii() and deadline_header.isdigit()
-    if not is_number or len(deadline_header) > _DEADLINE_DIGITS_MAX:
+    if not is_number(deadline_header):
         return _TIMEOUT_S
     return min(int(deadline_header) / _MS * _DEADLINE_SHARE, _TIMEOUT_S)
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -21,6 +21,7 @@
     Team,
     Worker,
 )
+from sardinemast.platform._decoding import is_number
 from sardinemast.platform._job_bodies import (
     AdviceBody,
     CapacityBody,
@@ -41,8 +42,6 @@
 
 _MIB_BYTES = 1024 * 1024
 _TASK_NUMBERS = 3
-# ``int`` refuses numbers of several thousand digits.
-_DIGITS_MAX = 18
 _PORT_MAX = 65_535
 # Integers up to this size are exact as floats, which estimates use.
 _NUMBER_MAX = 9_007_199_254_740_992
@@ -144,17 +143,13 @@
     parts = name.rsplit('.', _TASK_NUMBERS)
     if len(parts) != _TASK_NUMBERS + 1:
         return None
-    # Other digits of Unicode are either refused by ``int`` or not as written.
-    if not all(part.isascii() and part.isdigit() for part in parts[1:]):
-        return None
-    if any(len(part) > _DIGITS_MAX for part in parts[1:]):
+    if not all(map(is_number, parts[1:])):
         return None
     return TaskKey(parts[0], *map(int, parts[1:]))
 
 
 def _is_port(text: str) -> bool:
-    is_number = text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
-    return is_number and 0 < int(text) <= _PORT_MAX
+    return is_number(text) and 0 < int(text) <= _PORT_MAX
 
 
 def _iterate_runs(rows: list[RunRow]) -> Any:
