--- a/tests/dispatch/test_long_running_fuzz.py
+++ b/tests/dispatch/test_long_running_fuzz.py
@@ -215,17 +215,13 @@
         super().__init__(_STANDBY)
 
 
-TestStandby = StandbyMachine.TestCase
-TestStandby.settings = settings(
+_SETTINGS = settings(
     stateful_step_count=15,
     max_examples=250,
     deadline=None,
     report_multiple_bugs=False,
 )
+TestStandby = StandbyMachine.TestCase
+TestStandby.settings = _SETTINGS
 TestLongRunning = LongRunningMachine.TestCase
-TestLongRunning.settings = settings(
-    stateful_step_count=15,
-    max_examples=250,
-    deadline=None,
-    report_multiple_bugs=False,
-)
+TestLongRunning.settings = _SETTINGS
--- a/tests/platform/test_caller_deadlines.py
+++ b/tests/platform/test_caller_deadlines.py
@@ -3,32 +3,16 @@
 import asyncio
 
 import pytest
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
+from builders.platform_requests import FakeRelay, make_request
 from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._caller_http import CallerHandler
-from sardinemast.protocol import Call, CallAnswer, CallOutcome
-
-
-class FakeRelay:
-    """Record the timeout of each call, and answer that it is done."""
-
-    def __init__(self) -> None:
-        self.timeouts_s: list[float] = []
-
-    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
-        """Answer at once."""
-        self.timeouts_s.append(timeout_s)
-        return CallAnswer(CallOutcome.done)
 
 
 def _get_timeout_s(deadline: str) -> float:
     relay = FakeRelay()
     handler = CallerHandler(relay, ProcessMetrics())  # type: ignore[arg-type]
-    request = HTTPServerRequest(
-        headers=HTTPHeaders({'Host': 'h', 'X-Deadline-Ms': deadline}),
-        start_line=RequestStartLine('GET', '/seats/', 'HTTP/1.1'),
-    )
+    request = make_request('GET', '/seats/', {'X-Deadline-Ms': deadline})
     asyncio.run(handler.handle(request))
     return relay.timeouts_s[0]
 
--- a/tests/platform/test_control_http.py
+++ b/tests/platform/test_control_http.py
@@ -3,34 +3,21 @@
 import asyncio
 
 import pytest
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
+from builders.platform_requests import FakeRelay, make_request
 from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._control_http import ControlHandler
-from sardinemast.protocol import Call, CallAnswer, CallOutcome
-
-
-class FakeRelay:
-    """Record each call, and answer that it is done."""
-
-    def __init__(self) -> None:
-        self.calls: list[Call] = []
-
-    async def call(self, call: Call, timeout_s: float) -> CallAnswer:
-        """Answer at once."""
-        self.calls.append(call)
-        return CallAnswer(CallOutcome.done)
 
 
 def _begin_wave(deadline_s: str, cap: int = 1) -> tuple[int, int]:
     """Return the status code and the number of calls to the leader."""
     relay = FakeRelay()
     handler = ControlHandler(relay, ProcessMetrics())  # type: ignore[arg-type]
-    request = HTTPServerRequest(
-        headers=HTTPHeaders({'Host': 'h'}),
+    request = make_request(
+        'POST',
+        '/wave-start',
         body=b'{"wave":1,"machines":["m-1"],"deadline_s":%b,"cap":%d}'
         % (deadline_s.encode(), cap),
-        start_line=RequestStartLine('POST', '/wave-start', 'HTTP/1.1'),
     )
     response = asyncio.run(handler.handle(request))
     return response.code, len(relay.calls)
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -6,10 +6,10 @@
 from tornado.httputil import (
     HTTPHeaders,
     HTTPServerRequest,
-    RequestStartLine,
     ResponseStartLine,
 )
 
+from builders.platform_requests import make_request
 from sardinemast.platform._http_server import HttpResponse, RequestServer
 
 
@@ -42,13 +42,7 @@
 
 async def _request(connection: FakeConnection) -> None:
     server = RequestServer(_fail)
-    server._start_task(
-        HTTPServerRequest(
-            headers=HTTPHeaders({'Host': 'h'}),
-            start_line=RequestStartLine('GET', '/', 'HTTP/1.1'),
-            connection=connection,  # type: ignore[arg-type]
-        )
-    )
+    server._start_task(make_request('GET', '/', connection=connection))
     await asyncio.gather(*server._tasks, return_exceptions=True)
 
 
