--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -12,6 +12,7 @@
 _BEAT_S = 1.5
 _STOP_S = 0.05
 _WAIT_MAX_MS = 2000
+_POLL_S = 0.02
 
 
 class _Run:
@@ -28,6 +29,8 @@
 
     ``get_work_s(task)`` tells how long a work item works, None: until it is
     stopped. ``sizes`` maps a job's id to the cpu and memory of each step.
+    ``clock_rate`` is the speed of the steady clock; the page allows 0.98.
+    While ``is_cut``, nothing goes in or out, and what runs goes on.
     """
 
     def __init__(self, deployed, number, port, get_work_s, sizes, **facts):
@@ -36,6 +39,8 @@
         self.host = f'{deployed.subnet}.{100 + number}'
         self.address = f'{self.host}:{port}'
         self.is_unhealthy = False
+        self.is_cut = False
+        self.clock_rate = 1.0
         self.capacity = {'cpu': 64_000, 'mem_mb': 131_072, 'gpu': 0}
         self.labels = ['a', f'r1-{number // 4}']
         self.service = deployment.SERVICE
@@ -74,12 +79,15 @@
 
     def get_clock_ms(self):
         """Return the time on this executor's own steady clock."""
-        return int((time.monotonic() - self._born_s) * _MS) + 1000
+        age_s = (time.monotonic() - self._born_s) * self.clock_rate
+        return int(age_s * _MS) + 1000
 
     async def _beat(self):
         controls = self._deployed.controls
         turn = int(self.id[2:], 16)
         while True:
+            while self.is_cut:
+                await asyncio.sleep(_POLL_S)
             self._seq += 1
             report = {
                 'service': self.service,
@@ -125,6 +133,17 @@
                     self._end(task, 'lapsed')
 
     async def _handle(self, request):
+        while self.is_cut:
+            await asyncio.sleep(_POLL_S)
+            if not self.is_cut:
+                # What a cut held up is lost.
+                raise ConnectionError
+        code, body = await self._respond(request)
+        if self.is_cut:
+            raise ConnectionError
+        return code, body
+
+    async def _respond(self, request):
         if request.method == 'GET':
             return (503 if self.is_unhealthy else 200), {}
         if request.headers.get('x-expect-instance', self.id) != self.id:
@@ -187,7 +206,14 @@
             timer = loop.call_later(work_s, self._end, task, 'done')
         self._last_runs[task] = number
         self.running[task] = _Run(number, size, timer)
-        self._record.write('start', executor=self.id, task=task, run=number)
+        self._record.write(
+            'start',
+            executor=self.id,
+            task=task,
+            run=number,
+            clock_ms=self.get_clock_ms(),
+            expires_ms=body['expires_ms'],
+        )
         return 200, {'wall_ms': self.get_clock_ms()}
 
     def _stop(self, body):
