--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -10,6 +10,7 @@
 _ENDS_AT_A_TIME = 500
 _HOLD_MAX_MS = 10_000
 _BEAT_S = 1.5
+_RETRY_S = 0.1
 _STOP_S = 0.05
 _WAIT_MAX_MS = 2000
 _POLL_S = 0.02
@@ -46,36 +47,71 @@
         self.service = deployment.SERVICE
         self.zone = 'rennes'
         self.__dict__.update(facts)
-        self.born_ms = int(time.time() * _MS)
+        self.is_up = False
         self.running = {}
-        self.ended = []
         self._deployed = deployed
         self._record = deployed.record
         self._port = port
         self._get_work_s = get_work_s
         self._sizes = sizes
-        self._born_s = time.monotonic()
-        self._last_runs = {}
-        self._position = 0
-        self._fence = 0
-        self._expires_ms = 0
-        self._seq = 0
-        self._has_end = asyncio.Event()
         self._tasks = []
+        self._server = None
+        self._turn = int(self.id[2:], 16)
+        self._forget()
 
     async def start(self):
         """Serve orders and send status reports until stopped."""
-        server = await web.serve(self.host, self._port, self._handle)
+        self._forget()
+        self._server = await web.serve(self.host, self._port, self._handle)
         self._tasks = [
-            asyncio.create_task(server.serve_forever()),
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._watch_lease()),
         ]
+        self.is_up = True
+        self._record.write('executor starts', executor=self.id)
 
     def close(self):
-        """Stop at once."""
+        """Stop at once; what runs is gone."""
         for task in self._tasks:
             task.cancel()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for run in self.running.values():
+            if run.timer is not None:
+                run.timer.cancel()
+        if self.is_up:
+            self.is_up = False
+            self._record.write(
+                'executor ends', executor=self.id, gone=list(self.running)
+            )
+        self.running = {}
+
+    async def drain(self, serve_s):
+        """Report that this executor drains; end ``serve_s`` after that.
+
+        It serves on after the confirmation, says that it leaves, and ends.
+        """
+        self.state = 'draining'
+        while not await self._report():
+            await asyncio.sleep(_RETRY_S)
+        await asyncio.sleep(serve_s)
+        await self._call('DELETE')
+        self.close()
+
+    def _forget(self):
+        """Begin a life that holds and knows nothing of before."""
+        self.born_ms = int(time.time() * _MS)
+        self.state = 'ready'
+        self.running = {}
+        self.ended = []
+        self._born_s = time.monotonic()
+        self._last_runs = {}
+        self._position = 0
+        self._fence = 0
+        self._expires_ms = 0
+        self._seq = 0
+        self._has_end = asyncio.Event()
 
     def get_clock_ms(self):
         """Return the time on this executor's own steady clock."""
@@ -83,44 +119,66 @@
         return int(age_s * _MS) + 1000
 
     async def _beat(self):
-        controls = self._deployed.controls
-        turn = int(self.id[2:], 16)
         while True:
             while self.is_cut:
                 await asyncio.sleep(_POLL_S)
-            self._seq += 1
-            report = {
-                'service': self.service,
-                'addr': self.address,
-                'zone': self.zone,
-                'version': 'v1',
-                'slots': 8,
-                'state': 'ready',
-                'cold_left_ms': 0,
-                'capacity': self.capacity,
-                'labels': self.labels,
-                'machine': self.machine,
-                'wall_ms': self.get_clock_ms(),
-                'seq': self._seq,
-                'born': self.born_ms,
-            }
-            for _ in controls:
-                ip = controls[turn % len(controls)]
-                try:
-                    code, _ = await web.call(
-                        f'{ip}:{self._deployed.control}',
-                        'PUT',
-                        f'/instances/{self.id}',
-                        report,
-                        timeout_s=1.0,
-                    )
-                except (OSError, TimeoutError):
-                    code = 0
-                if 200 <= code < 300:
-                    break
-                turn += 1
+            pause_s = _RETRY_S
+            while not await self._report():
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, _BEAT_S)
             await asyncio.sleep(_BEAT_S)
 
+    async def _report(self):
+        """Send a status report; return whether it was confirmed."""
+        self._seq += 1
+        state = self.state
+        report = {
+            'service': self.service,
+            'addr': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold_left_ms': 0,
+            'capacity': self.capacity,
+            'labels': self.labels,
+            'machine': self.machine,
+            'wall_ms': self.get_clock_ms(),
+            'seq': self._seq,
+            'born': self.born_ms,
+        }
+        if state == 'draining':
+            report['remaining_ms'] = 2000
+        is_confirmed = await self._call('PUT', report)
+        self._record.write(
+            'report',
+            executor=self.id,
+            state=state,
+            born=self.born_ms,
+            confirmed=is_confirmed,
+        )
+        return is_confirmed
+
+    async def _call(self, method, report=None):
+        """Call each control process once, until one confirms."""
+        controls = self._deployed.controls
+        for _ in controls:
+            ip = controls[self._turn % len(controls)]
+            try:
+                code, _ = await web.call(
+                    f'{ip}:{self._deployed.control}',
+                    method,
+                    f'/instances/{self.id}',
+                    report,
+                    timeout_s=1.0,
+                )
+            except (OSError, TimeoutError):
+                code = 0
+            if 200 <= code < 300:
+                return True
+            self._turn += 1
+        return False
+
     async def _watch_lease(self):
         is_held = False
         while True:
