--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""An executor restarts as planned while the control processes are away."""
+"""Executors restart as planned while the control processes are away."""
 
 import asyncio
 import os
@@ -13,6 +13,8 @@
 
 _JOB = '5c0e7a21d94b36f8'
 _EXECUTORS = 4
+_RESTARTED = 2
+_NEXT_S = 0.3
 _CPU = 5300
 _MEM_MB = 17_000
 _SERVE_S = 2.5
@@ -50,8 +52,9 @@
     raise TimeoutError('The work items did not start.')
 
 
-async def _restart(worker):
+async def _restart(worker, pause_s):
     """Restart an executor as planned, under the id that it has."""
+    await asyncio.sleep(pause_s)
     await worker.drain(_SERVE_S)
     await asyncio.sleep(_ENDED_S)
     await worker.start()
@@ -92,20 +95,26 @@
         await deployed.wait_for(200, entry, 'GET', deployment.PREFIX)
         await deployed.wait_for(200, entry, 'POST', path, _make_job())
         await _wait_for_all(workers)
-        restart = asyncio.create_task(_restart(workers[0]))
-        while workers[0].state != 'draining':
-            await asyncio.sleep(0)
+        restarted = workers[:_RESTARTED]
+        restarts = [
+            asyncio.create_task(_restart(worker, number * _NEXT_S))
+            for number, worker in enumerate(restarted)
+        ]
+        while restarted[-1].state != 'draining':
+            await asyncio.sleep(_STEP_S)
         if _HAS_TROUBLE:
             await _switch_off(deployed, record)
-        await restart
+        await asyncio.gather(*restarts)
         since_s = record.now_s()
-        while record.now_s() < since_s + _WATCH_S and not workers[0].running:
+        while record.now_s() < since_s + _WATCH_S:
+            if all(worker.running for worker in restarted):
+                break
             await asyncio.sleep(_STEP_S)
         await deployed.call(entry, 'GET', path)
         for worker in workers:
             tasks = list(worker.running)
             record.write('runs', executor=worker.id, tasks=tasks)
-        if workers[0].running:
+        if all(worker.running for worker in restarted):
             return 0
         return record.now_s() - since_s
     finally:
