--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -186,6 +186,7 @@
             'call',
             to=ip,
             call=f'{method} {path}',
+            sent=body,
             status=answer[0],
             answer=answer[1],
         )
