dispatch: take a missing run for lost only once all ends are listed

Cause: a worker lists its oldest ends, a number at a time. find_lost_runs took each run that was neither active nor among the ends listed for one that does not exist, also where the list was cut and the end stood in the next report.

Change: a missing run is lost once a report lists no new end, or once a run has ended that was active in an earlier report, from which it was missing too. Ends are listed in order, so that all earlier ones are known then. Meanwhile polls don't wait. The number of ends per report plays no part.

Like it: the same happened under one leader while its log stalled; failures listed later did not count as attempts, checkpoints listed later were not used.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -5,6 +5,7 @@
     PollWorker,
     ThrottleRun,
     WorkerPolled,
+    WorkerReport,
 )
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._reconcile import (
@@ -113,8 +114,9 @@
             and not session.poll_state.misses
             and not is_withheld
         )
-        # A poll that settles whether a start was executed returns at once.
-        may_wait = is_responsive and not is_raising
+        # A poll that settles what became of a run returns at once.
+        is_settling = is_raising or bool(session.missing_runs)
+        may_wait = is_responsive and not is_settling
         wait_ms = self._get_wait_ms(session) if may_wait else 0
         session.poll_state.is_pending = True
         session.poll_state.sent_fence = session.fence
@@ -258,37 +260,43 @@
             name = session.worker.name
             self._state.log('worker.heard', name, runs=runs)
         session.is_synced = session.has_clock
-        session.reported_runs = {one.task: one for one in answer.running}
-        ends = collect_new_ends(session, polled)
+        ends = collect_new_ends(session, answer)
         if ends:
             self._sessions_with_ends[session.worker.name] = session
         for finished_run in ends:
             self._state.record_end(finished_run)
-        self._reconcile(session, polled, now_s)
+        self._record_lost_runs(session, polled, answer, ends)
+        session.reported_runs = {one.task: one for one in answer.running}
+        for orphan in find_orphan_runs(self._state.jobs, session):
+            self._state.stop_run(session, orphan.task, orphan.number, now_s)
         self._throttle_runs(session, now_s)
         return ends
 
-    def _reconcile(
+    def _record_lost_runs(
         self,
         session: WorkerSession,
         polled: WorkerPolled,
-        now_s: float,
+        report: WorkerReport,
+        ends: list[FinishedRun],
     ) -> None:
         state = self._state
-        ending_tasks = set(state.pending_ends)
-        for lost_run in find_lost_runs(
-            state.jobs, session, polled, ending_tasks
-        ):
-            state.record_end(lost_run)
+        lost_runs = find_lost_runs(
+            state.jobs,
+            session,
+            polled,
+            report,
+            ends,
+            state.pending_ends,
+        )
+        for run in sorted(lost_runs):
+            state.record_end(FinishedRun(run.task, run.number, RunEnd.lost))
             state.log(
                 'run.lost',
-                str(lost_run.task),
-                run=lost_run.number,
+                str(run.task),
+                run=run.number,
                 worker=polled.worker,
                 fence=polled.fence,
             )
-        for orphan in find_orphan_runs(state.jobs, session):
-            state.stop_run(session, orphan.task, orphan.number, now_s)
 
     def _throttle_runs(self, session: WorkerSession, now_s: float) -> None:
         state = self._state
--- a/src/sardinemast/dispatch/_reconcile.py
+++ b/src/sardinemast/dispatch/_reconcile.py
@@ -1,34 +1,28 @@
 """Compare the runs that a worker reports with the log."""
 
+import itertools
+from collections.abc import Container
 from types import MappingProxyType
-from typing import NamedTuple
 
 from sardinemast.dispatch._events import (
     ReportedEnd,
     WorkerPolled,
+    WorkerReport,
 )
-from sardinemast.dispatch._worker_session import WorkerSession
+from sardinemast.dispatch._worker_session import NumberedRun, WorkerSession
 from sardinemast.jobs import JobsState, RunEnd, TaskKey
 from sardinemast.jobs.commands import FinishedRun
 
 _RUN_ENDS = MappingProxyType({'done': RunEnd.done, 'failed': RunEnd.failed})
 
 
-class OrphanRun(NamedTuple):
-    """Identify a reported run that must be stopped."""
-
-    task: TaskKey
-    number: int
-
-
 def collect_new_ends(
-    session: WorkerSession, polled: WorkerPolled
+    session: WorkerSession, report: WorkerReport
 ) -> list[FinishedRun]:
     """Return the ends not reported before, and advance the cursor."""
-    reported_ends = polled.answer.ended if polled.answer else ()
     new_ends = [
         one
-        for one in reported_ends
+        for one in report.ended
         if one.position > session.end_cursor.reported
     ]
     if new_ends:
@@ -40,35 +34,69 @@
     state: JobsState,
     session: WorkerSession,
     polled: WorkerPolled,
-    ending_tasks: set[TaskKey],
-) -> list[FinishedRun]:
-    """Return the runs in the log that certainly do not exist on the worker.
-
-    A run that is not reported may still start later, unless the worker
-    confirmed its start before the poll was sent or now refuses its fence.
+    report: WorkerReport,
+    new_ends: list[FinishedRun],
+    ending_tasks: Container[TaskKey],
+) -> set[NumberedRun]:
+    """Return the runs in the log that neither exist nor ended on the worker.
+
+    The session must hold the previous report. A report lists the oldest ends
+    only, so the end of a missing run may be listed by a later one. All ends are
+    known once a report lists no new one. Those before the previous report are
+    known once a run has ended that was active in it; otherwise a worker whose
+    runs end all the time would never be settled.
     """
-    lost_runs = []
-    for task, number in state.runs.get(polled.worker, {}).items():
-        reported = session.reported_runs.get(task)
-        if task in ending_tasks or (reported and reported.number == number):
-            continue
-        if _is_certainly_absent(session, task, number, polled):
-            lost_runs.append(FinishedRun(task, number, RunEnd.lost))
+    missing_runs = {
+        run
+        for run in _find_missing_runs(state, session, polled, report)
+        if run.task not in ending_tasks
+    }
+    lost_runs = missing_runs
+    if new_ends:
+        is_covered = any(_was_active(session, one) for one in new_ends)
+        lost_runs = missing_runs & session.missing_runs if is_covered else set()
+    session.missing_runs = missing_runs - lost_runs
     return lost_runs
 
 
 def find_orphan_runs(
     state: JobsState, session: WorkerSession
-) -> list[OrphanRun]:
+) -> list[NumberedRun]:
     """Return the reported runs that the log has ended or never had."""
     runs = state.runs.get(session.worker.name, {})
     return [
-        OrphanRun(task, reported.number)
+        NumberedRun(task, reported.number)
         for task, reported in session.reported_runs.items()
         if runs.get(task) != reported.number or state.jobs[task.job].is_over
     ]
 
 
+def _find_missing_runs(
+    state: JobsState,
+    session: WorkerSession,
+    polled: WorkerPolled,
+    report: WorkerReport,
+) -> set[NumberedRun]:
+    """Return the runs in the log that are not active and cannot start.
+
+    A run that is not reported may still start later, unless the worker
+    confirmed its start before the poll was sent or now refuses its fence.
+    """
+    active_runs = {NumberedRun(one.task, one.number) for one in report.running}
+    recorded_runs = state.runs.get(polled.worker, {}).items()
+    return {
+        run
+        for run in itertools.starmap(NumberedRun, recorded_runs)
+        if run not in active_runs
+        and _is_certainly_absent(session, run.task, run.number, polled)
+    }
+
+
+def _was_active(session: WorkerSession, ended: FinishedRun) -> bool:
+    reported = session.reported_runs.get(ended.task)
+    return reported is not None and reported.number == ended.number
+
+
 def _make_finished_run(reported_end: ReportedEnd) -> FinishedRun:
     return FinishedRun(
         reported_end.task,
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -14,6 +14,13 @@
 _MS = 1000
 
 
+class NumberedRun(NamedTuple):
+    """Identify a run of a task."""
+
+    task: TaskKey
+    number: int
+
+
 class SentStart(NamedTuple):
     """Hold a start, when it was sent and when the worker confirmed it."""
 
@@ -94,6 +101,9 @@
 class WorkerSession:
     """Hold fence, clock, lease and reported runs of one boot of a worker.
 
+    ``missing_runs`` holds the runs in the log that are missing from the last
+    report and whose ends may be listed by a later one.
+
     Orders of earlier leaders, and own orders without an answer, may reach the
     worker late. Once it has answered a poll with a higher fence, it refuses
     them. ``is_synced`` is set once the worker has answered a poll of this term
@@ -119,6 +129,7 @@
         self.backoff = FailureBackoff()
         self.sent_starts: dict[TaskKey, SentStart] = {}
         self.reported_runs: dict[TaskKey, ReportedRun] = {}
+        self.missing_runs: set[NumberedRun] = set()
         self.sent_stops: dict[TaskKey, SentStop] = {}
         self.lease_ends_s = lease_ends_s
         self._settings = settings
@@ -179,6 +190,7 @@
         self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
         self.reported_runs = {}
+        self.missing_runs = set()
         self._clock_ms = 0
         self._clock_at_s = None
         self.poll_state.must_raise_fence = True
--- a/tests/builders/election_rules.py
+++ b/tests/builders/election_rules.py
@@ -1,7 +1,12 @@
 """Hypothesis rules for random leader changes."""
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
 
 from builders.workers import SETTINGS, ModelFleet
 from sardinemast.dispatch import DispatchSettings
@@ -20,6 +25,13 @@
         self.last_boot_ms = 1
         self.jobs = 0
 
+    @initialize(ends_per_report=st.integers(1, 3))
+    def cut_reports(self, ends_per_report: int) -> None:
+        """Let workers list only a few ends in each report."""
+        self.fleet.ends_per_report = ends_per_report
+        for model in self.fleet.workers.values():
+            model.ends_per_report = ends_per_report
+
     @rule()
     def hold(self) -> None:
         """Hold proposals, or release and commit those that are held."""
@@ -35,6 +47,19 @@
         for command in commands:
             self.fleet.commit(command)
 
+    @invariant()
+    def keeps_acknowledged_ends(self) -> None:
+        """Check that a task whose end was acknowledged never runs again.
+
+        Long-running tasks run again however they end.
+        """
+        for model in self.fleet.workers.values():
+            for task in model.acknowledged:
+                step = self.fleet.state.find_step(task)
+                if step is not None and not step.spec.is_long_running:
+                    assert task.position not in step.waiting
+                    assert task.position not in step.running
+
     @invariant()
     def runs_once(self) -> None:
         """Check that no task runs on two workers at once."""
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -26,7 +26,9 @@
 
     With ``is_unreachable`` it receives no orders; with ``loses_responses`` it
     executes orders, but its responses are lost. With ``loses_results`` the
-    dispatcher is not even told that an order timed out.
+    dispatcher is not even told that an order timed out. A report lists at most
+    ``ends_per_report`` ends. ``acknowledged`` holds the tasks that are done and
+    whose end was acknowledged under an unbroken lease.
     """
 
     def __init__(self, worker: Worker, rate: float = 1) -> None:
@@ -40,6 +42,9 @@
         self.running: dict[TaskKey, int] = {}
         self.highest_numbers: dict[TaskKey, int] = {}
         self.ends: list[ReportedEnd] = []
+        self.ends_per_report: int | None = None
+        self.acknowledged: set[TaskKey] = set()
+        self._ended_under_lease: dict[int, TaskKey] = {}
         self.speeds_percent: dict[TaskKey, int] = {}
         self.reported_gauges: dict[TaskKey, int] = {}
         self.percent = 100
@@ -58,9 +63,10 @@
                 self.stopping.pop(stopped)
                 if stopped in self.running:
                     self.end(stopped, 'stopped')
-        if self.running and self.get_clock_ms(true_s) > self.expires_ms:
+        if self.get_clock_ms(true_s) > self.expires_ms:
             for task in tuple(self.running):
                 self.end(task, 'lapsed')
+            self._ended_under_lease.clear()
 
     def end(self, task: TaskKey, result: str, checkpoint: str = '') -> None:
         """End a run and queue its end for the next report."""
@@ -69,6 +75,8 @@
         self.ends.append(
             ReportedEnd(self._position, task, number, result, checkpoint),
         )
+        if result == 'done':
+            self._ended_under_lease[self._position] = task
 
     def carry_out(self, order: Any, true_s: float) -> Any:
         """Execute an order and return the outcome and a body."""
@@ -88,11 +96,7 @@
 
     def _poll(self, order: PollWorker, true_s: float) -> WorkerReport:
         self.expires_ms = max(self.expires_ms, order.expires_ms or 0)
-        self.ends = [
-            ended_run
-            for ended_run in self.ends
-            if ended_run.position > order.acked_position
-        ]
+        self._forget_ends(order.acked_position)
         return WorkerReport(
             self.worker.boot_ms,
             self.get_clock_ms(true_s),
@@ -106,9 +110,16 @@
                 )
                 for task, number in self.running.items()
             ),
-            tuple(self.ends),
+            tuple(self.ends[: self.ends_per_report]),
         )
 
+    def _forget_ends(self, acked_position: int) -> None:
+        self.ends = [one for one in self.ends if one.position > acked_position]
+        for position, task in tuple(self._ended_under_lease.items()):
+            if position <= acked_position:
+                self._ended_under_lease.pop(position)
+                self.acknowledged.add(task)
+
     def _start(self, order: StartRun, true_s: float) -> Any:
         self.expires_ms = max(self.expires_ms, order.expires_ms)
         if self.running.get(order.task) == order.number:
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -145,7 +145,7 @@
     Orders to an unreachable worker are kept in ``undelivered_orders``, so
     that a test can deliver them later; so are the next ``starts_to_lose``
     starts. While ``is_held``, proposals are not
-    committed.
+    committed. Workers that are added list at most ``ends_per_report`` ends.
     """
 
     def __init__(
@@ -164,6 +164,7 @@
         self.follower = Dispatcher(self._settings)
         self.follower.reset_order_times(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
+        self.ends_per_report: int | None = None
         self.is_held = False
         self.proposed: deque[Command] = deque()
         self.undelivered_orders: list[tuple[ModelWorker, Any]] = []
@@ -189,6 +190,7 @@
     def add_worker(self, worker: Worker, rate: float = 1) -> ModelWorker:
         """Add a worker and register it."""
         model = ModelWorker(worker, rate)
+        model.ends_per_report = self.ends_per_report
         self.workers[worker.name] = model
         self.commit(RegisterWorker(worker))
         return model
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -80,6 +80,13 @@
             task = next(iter(model.running))
             model.end(task, result)
 
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def end_all_runs(self, number: int) -> None:
+        """End all runs on a worker."""
+        model = self.fleet.workers[f'w-{number}']
+        for task in tuple(model.running):
+            model.end(task, 'done')
+
     @rule(number=st.integers(0, _WORKERS - 1))
     def toggle_connection(self, number: int) -> None:
         """Disconnect a worker, or reconnect it."""
