dispatch: withhold a restarted worker until its boot announces itself

The worker had drained, and restarted under its name while all control processes were away.

Cause: a new leader polls workers before their announcements reach it. An answer from a later boot registered that boot with all that the one before had announced, its draining too; and since a boot does not resume after draining, each ready announcement of it was then taken for a delayed one.

Evidence: the leader's log of the case has task.waits with withheld_draining 2 every 5 s, while the workers' record has confirmed ready announcements of the later boot only.

Change: a poll registers nothing. The session goes on with the later boot, and the worker is withheld as not_announced until that boot announces itself; a recorded start is not sent to it. Runs of the earlier boot are found lost by a poll with a higher fence, as before. The line worker.restarted shows what left no trace so far.

Like it: capacity, labels, rack and pool of the earlier boot decided on starts until the next announcement; the estimate of waits and planned moves used its draining.

The dispatch fuzz restarts workers in other sizes before they announce it.

--- a/src/sardinemast/dispatch/_draining.py
+++ b/src/sardinemast/dispatch/_draining.py
@@ -47,7 +47,7 @@
                 self._drain(session, now_s, is_forced=is_forced)
 
     def _is_to_be_emptied(self, session: WorkerSession) -> bool:
-        return session.is_cordoned or session.worker.is_draining
+        return session.is_cordoned or session.is_draining
 
     def _drain(
         self, session: WorkerSession, now_s: float, *, is_forced: bool
--- a/src/sardinemast/dispatch/_failure_domains.py
+++ b/src/sardinemast/dispatch/_failure_domains.py
@@ -223,7 +223,7 @@
         return (
             session.is_leaving
             or session.is_cordoned
-            or worker.is_draining
+            or session.is_draining
             or worker.instance in self._state.moving
             or self._state.is_evacuated(worker)
         )
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -17,7 +17,7 @@
 from sardinemast.dispatch._throttling import BestEffortThrottle
 from sardinemast.dispatch._worker_session import WorkerSession
 from sardinemast.jobs import RunEnd, Worker
-from sardinemast.jobs.commands import FinishedRun, ForgetWorker, RegisterWorker
+from sardinemast.jobs.commands import FinishedRun, ForgetWorker
 
 _MS = 1000
 
@@ -53,24 +53,11 @@
         for worker in state.jobs.workers.values():
             session = state.sessions.get(worker.name)
             if session is None:
-                session = WorkerSession(
-                    worker,
-                    state.term,
-                    state.settings,
-                    state.earlier_leases_end_s,
-                )
-                # A worker that was forgotten and registers again knows the
-                # fences of its closed session and refuses lower ones. A higher
-                # one also voids orders that were sent in it.
-                session.fence = max(session.fence, self._next_fence)
-                # Otherwise a new worker would count as silent and be forgotten
-                # before its first poll.
-                session.last_announced_s = now_s
-                state.sessions[worker.name] = session
-            elif worker.boot_ms > session.worker.boot_ms:
-                self._restart(session, worker, now_s)
-            elif worker.boot_ms == session.worker.boot_ms:
-                session.worker = worker
+                state.sessions[worker.name] = self._open_session(worker, now_s)
+                continue
+            if worker.boot_ms > session.boot_ms:
+                self._restart(session, worker.boot_ms, now_s)
+            session.worker = worker
 
     def expire_lease(self, session: WorkerSession, now_s: float) -> None:
         """Report all runs of a worker as lost once its lease has expired."""
@@ -149,12 +136,11 @@
             self.propose_forget(session)
         elif answer is None:
             self._record_miss(session, now_s)
-        elif answer.boot_ms > session.worker.boot_ms:
-            # The worker restarted and has not announced itself yet.
-            worker = session.worker._replace(boot_ms=answer.boot_ms)
-            self._restart(session, worker, now_s)
-            self._state.propose(RegisterWorker(worker))
-        elif not answer.boot_ms or answer.boot_ms == session.worker.boot_ms:
+        elif answer.boot_ms > session.boot_ms:
+            # The worker has restarted. Its capacity, labels, pool and state may
+            # be others now, so it gets no runs until it announces them.
+            self._restart(session, answer.boot_ms, now_s)
+        elif not answer.boot_ms or answer.boot_ms == session.boot_ms:
             ends = self._process_report(session, polled, now_s)
         session.poll_state.due_s = max(session.poll_state.due_s, now_s)
         self.poll(session, now_s)
@@ -191,12 +177,28 @@
         """Handle the removal of a worker from the log."""
         self._forgetting.discard((forgotten.name, forgotten.boot_ms))
 
+    def _open_session(self, worker: Worker, now_s: float) -> WorkerSession:
+        state = self._state
+        session = WorkerSession(
+            worker, state.term, state.settings, state.earlier_leases_end_s
+        )
+        # A worker that was forgotten and registers again knows the fences of
+        # its closed session and refuses lower ones. A higher one also voids
+        # orders that were sent in it.
+        session.fence = max(session.fence, self._next_fence)
+        # Otherwise a new worker would count as silent and be forgotten before
+        # its first poll.
+        session.last_announced_s = now_s
+        return session
+
     def _restart(
-        self, session: WorkerSession, worker: Worker, now_s: float
+        self, session: WorkerSession, boot_ms: int, now_s: float
     ) -> None:
         """Continue a session with a later boot, which is not cordoned yet."""
+        name = session.worker.name
+        self._state.log('worker.restarted', name, boot_ms=boot_ms)
         end_cordon(self._state, session, 'worker restarted', now_s)
-        session.restart(worker, now_s)
+        session.restart(boot_ms, now_s)
 
     def _forget_if_silent(self, session: WorkerSession, now_s: float) -> None:
         silence_s = now_s - max(session.last_heard_s, session.last_announced_s)
--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -302,7 +302,8 @@
                 continue
             if (
                 self._state.get_runs(name)
-                or session.worker.is_draining
+                or not session.is_announced
+                or session.is_draining
                 or self._state.suspected.is_withheld(name)
             ):
                 end_move_cordon(self._state, session, 'move abandoned', now_s)
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -311,15 +311,17 @@
     def _may_send(self, session: WorkerSession) -> bool:
         """Check whether a recorded start may be sent.
 
-        The worker or its rack may have been lost, its data centre evacuated, or
-        its instance ordered away, while the start was being recorded.
+        The worker or its rack may have been lost, its data centre evacuated,
+        its instance ordered away, or a later boot found, while the start was
+        being recorded.
         """
         if session.cordon is not None and session.cordon.is_binding:
             return False
         if self._state.suspected.is_withheld(session.worker.name):
             return False
-        is_evacuated = self._state.is_evacuated(session.worker)
-        return session.is_synced and not is_evacuated
+        if not (session.is_synced and session.is_announced):
+            return False
+        return not self._state.is_evacuated(session.worker)
 
     def _send_start(
         self, step: StepState, start: RunStart, now_s: float
--- a/src/sardinemast/dispatch/_wait_estimates.py
+++ b/src/sardinemast/dispatch/_wait_estimates.py
@@ -210,11 +210,13 @@
     def _iterate_unknown(self, pool: str) -> Iterator[int]:
         """Yield the capacity of workers not polled yet, which may be free.
 
-        A new leader has polled no worker, and a restarted one has no clock.
+        A new leader has polled no worker, and a restarted one has no clock or
+        has not announced itself.
         """
         for session in self._state.sessions.values():
             worker = session.worker
-            is_unknown = not (session.is_synced or worker.is_draining)
+            is_known = session.is_synced and session.is_announced
+            is_unknown = not (is_known or session.is_draining)
             if worker.pool == pool and is_unknown:
                 yield worker.capacity.millicores
 
--- a/src/sardinemast/dispatch/_withheld_reasons.py
+++ b/src/sardinemast/dispatch/_withheld_reasons.py
@@ -9,6 +9,7 @@
     evacuated = 'evacuated'
     rack_suspected = 'rack_suspected'
     not_synced = 'not_synced'
+    not_announced = 'not_announced'
     draining = 'draining'
     leaving = 'leaving'
     cordoned = 'cordoned'
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -101,6 +101,9 @@
 class WorkerSession:
     """Hold fence, clock, lease and reported runs of one boot of a worker.
 
+    ``boot_ms`` is that boot. ``worker`` is what the worker last announced; if
+    that was in an earlier boot, it may be outdated in all but its name.
+
     ``missing_runs`` holds the runs in the log that are missing from the last
     report and whose ends may be listed by a later one.
 
@@ -118,6 +121,7 @@
         lease_ends_s: float,
     ) -> None:
         self.worker = worker
+        self.boot_ms = worker.boot_ms
         self.fence = term * _FENCES_PER_TERM
         self.is_synced = False
         self.is_leaving = False
@@ -141,6 +145,19 @@
         """Check whether the worker is kept free for a wave or a move."""
         return self.cordon is not None
 
+    @property
+    def is_announced(self) -> bool:
+        """Check whether the current boot has announced itself.
+
+        A worker that announces no boot cannot be told apart from its next one.
+        """
+        return not self.worker.boot_ms or self.worker.boot_ms >= self.boot_ms
+
+    @property
+    def is_draining(self) -> bool:
+        """Check whether the current boot has announced that it drains."""
+        return self.is_announced and self.worker.is_draining
+
     @property
     def has_clock(self) -> bool:
         """Check whether the worker's clock is known."""
@@ -176,14 +193,14 @@
         )
         return self._get_clock_ms(now_s, is_upper_bound=True) + lease_ms
 
-    def restart(self, worker: Worker, now_s: float) -> None:
+    def restart(self, boot_ms: int, now_s: float) -> None:
         """Continue with a later boot of the worker.
 
         A start sent to the previous boot may have reached the new one, with a
         lease expiry on the old clock. A poll with a higher fence reveals such
         runs; otherwise they end when the longest granted lease expires.
         """
-        self.worker = worker
+        self.boot_ms = boot_ms
         self.is_synced = False
         # Shutdown and failures were those of the previous boot.
         self.is_leaving = False
@@ -213,12 +230,9 @@
         With ``is_last_resort``, precautions do not count: a backoff, and a
         cordon until its order is recorded.
         """
-        if not self.is_synced:
-            return WithheldReason.not_synced
-        if self.worker.is_draining:
-            return WithheldReason.draining
-        if self.is_leaving:
-            return WithheldReason.leaving
+        reason = self._find_own_reason()
+        if reason is not None:
+            return reason
         if self.cordon is not None:
             if self.cordon.is_binding or not is_last_resort:
                 return WithheldReason.cordoned
@@ -232,6 +246,16 @@
         )
         return None if is_heard else WithheldReason.silent
 
+    def _find_own_reason(self) -> WithheldReason | None:
+        """Return why the worker itself cannot take new runs, if it cannot."""
+        if not self.is_synced:
+            return WithheldReason.not_synced
+        if not self.is_announced:
+            return WithheldReason.not_announced
+        if self.is_draining:
+            return WithheldReason.draining
+        return WithheldReason.leaving if self.is_leaving else None
+
     def _get_clock_ms(self, now_s: float, *, is_upper_bound: bool) -> int:
         if self._clock_at_s is None:
             return 0
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -26,7 +26,8 @@
 
     With ``is_unreachable`` it receives no orders; with ``loses_responses`` it
     executes orders, but its responses are lost. With ``loses_results`` the
-    dispatcher is not even told that an order timed out. A report lists at most
+    dispatcher is not even told that an order timed out. With ``is_silent`` it
+    answers orders but announces nothing. A report lists at most
     ``ends_per_report`` ends. ``acknowledged`` holds the tasks that are done and
     whose end was acknowledged under an unbroken lease.
     """
@@ -37,6 +38,7 @@
         self.is_unreachable = False
         self.loses_responses = False
         self.loses_results = False
+        self.is_silent = False
         self.fence = 0
         self.expires_ms: float = 0
         self.running: dict[TaskKey, int] = {}
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -195,6 +195,22 @@
         self.commit(RegisterWorker(worker))
         return model
 
+    def restart_silently(self, number: int, **changes: Any) -> ModelWorker:
+        """Restart a worker under its name; it announces nothing yet."""
+        old = self.workers[f'w-{number}'].worker
+        boot_ms = old.boot_ms + 1
+        worker = old._replace(boot_ms=boot_ms, is_draining=False, **changes)
+        model = ModelWorker(worker)
+        model.ends_per_report = self.ends_per_report
+        model.is_silent = True
+        self.workers[worker.name] = model
+        return model
+
+    def announce(self, model: ModelWorker) -> None:
+        """Let a worker announce itself as it is now."""
+        model.is_silent = False
+        self.commit(RegisterWorker(model.worker))
+
     def drain_worker(self, number: int) -> None:
         """Register a worker as draining."""
         model = self.workers[f'w-{number}']
@@ -263,7 +279,8 @@
             self.now_s += step_s
             for model in tuple(self.workers.values()):
                 model.advance_clock(self.now_s)
-                if not (model.is_unreachable or model.loses_responses):
+                is_cut = model.is_unreachable or model.loses_responses
+                if not (is_cut or model.is_silent):
                     name = model.worker.name
                     self.dispatcher.record_announcement(name, self.now_s)
             self._answer_due()
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -9,6 +9,7 @@
 from builders.workers import (
     CORE,
     DATA_CENTRE,
+    MIB,
     OTHER_DATA_CENTRE,
     SETTINGS,
     SETTINGS_WITH_RACKS,
@@ -18,7 +19,7 @@
     make_worker,
 )
 from sardinemast.dispatch import DispatchSettings
-from sardinemast.jobs import ZERO_SIZE, TaskKey
+from sardinemast.jobs import ZERO_SIZE, Size, TaskKey
 from sardinemast.jobs.commands import (
     CancelJob,
     EvacuateDataCentre,
@@ -105,6 +106,26 @@
         self.last_boot_ms += 1
         self.fleet.add_worker(make_worker(number, boot_ms=self.last_boot_ms))
 
+    @rule(
+        number=st.integers(0, _WORKERS - 1),
+        cores=st.integers(1, 4),
+        is_draining=st.booleans(),
+    )
+    def restart_silently(
+        self, number: int, cores: int, *, is_draining: bool
+    ) -> None:
+        """Restart a worker in another size, before it announces itself."""
+        if is_draining:
+            self.fleet.drain_worker(number)
+        capacity = Size(cores * CORE, 8192 * MIB)
+        model = self.fleet.restart_silently(number, capacity=capacity)
+        self.last_boot_ms = max(self.last_boot_ms, model.worker.boot_ms)
+
+    @rule(number=st.integers(0, _WORKERS - 1))
+    def announce(self, number: int) -> None:
+        """Let a worker announce itself."""
+        self.fleet.announce(self.fleet.workers[f'w-{number}'])
+
     @rule(name=st.sampled_from(_DATA_CENTRES))
     def evacuate(self, name: str) -> None:
         """Evacuate a data centre."""
@@ -171,6 +192,7 @@
         for model in fleet.workers.values():
             model.is_unreachable = False
             model.loses_responses = False
+            fleet.announce(model)
         fleet.run(8)
         for _ in range(60):
             if not fleet.state.live:
