dispatch: drop answers to orders for an earlier boot of a worker

Callers could see: a task that runs twice, or a worker that is forgotten while it runs tasks.

A session kept the starts and the poll that it had sent to the earlier boot. The late answer to such a start set the clock of the new boot by the old clock, so that leases were granted far beyond those that the leader reckons with. The late answer to the poll, given at the former address by another worker, removed the new boot.

Change: a restart drops the starts and stops sent, raises the fence at once and begins polling anew, so that earlier answers are not matched.

Tests: the two new ones in test_restarted_workers failed before.

--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -208,10 +208,16 @@
         self.end_cursor = EndCursor()
         self.reported_runs = {}
         self.missing_runs = set()
+        # Answers to orders for the previous boot may still arrive; they say
+        # nothing about this one, and their clock readings are of another clock.
+        self.sent_starts = {}
+        self.sent_stops = {}
         self._clock_ms = 0
         self._clock_at_s = None
-        self.poll_state.must_raise_fence = True
+        self.poll_state = PollState()
         self.poll_state.due_s = now_s
+        self.raise_fence()
+        self.poll_state.sent_fence = self.fence
 
     def raise_fence(self) -> None:
         """Void all orders sent so far, once the next poll is answered."""
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -286,6 +286,11 @@
             self._answer_due()
             self._execute(self.dispatcher.tick(self.now_s, self.now_ms))
 
+    def deliver(self, event: DispatchEvent) -> None:
+        """Deliver an answer to the leader, besides those of the workers."""
+        outputs = self.dispatcher.step(event, self.now_s, self.now_ms)
+        self._execute(outputs)
+
     def list_decisions(self, event: str) -> list[LogDecision]:
         """Return the log lines of an event."""
         return [one for one in self.decisions if one.event == event]
@@ -396,9 +401,7 @@
         else:
             event = self._answer_worker(order)
         if event is not None:
-            self._execute(
-                self.dispatcher.step(event, self.now_s, self.now_ms),
-            )
+            self.deliver(event)
 
     def _list_instances(self) -> tuple[ListedInstance, ...]:
         at_work = [
--- a/tests/dispatch/test_restarted_workers.py
+++ b/tests/dispatch/test_restarted_workers.py
@@ -9,7 +9,12 @@
 from builders.call_leaders import CallLeader
 from builders.workers import CORE, MIB, POOL, ModelFleet, make_step, make_worker
 from sardinemast import control
-from sardinemast.dispatch import OrderOutcome, WorkerPolled, WorkerReport
+from sardinemast.dispatch import (
+    OrderOutcome,
+    StartAnswered,
+    WorkerPolled,
+    WorkerReport,
+)
 from sardinemast.jobs import Size, TaskKey, Worker
 from sardinemast.jobs.commands import RegisterWorker
 from sardinemast.protocol import AnnounceWorker
@@ -17,6 +22,8 @@
 _TASK = TaskKey('job', 0, 0, 0)
 _LABEL = 'gpu'
 _OTHER_POOL = 'pricing'
+# Later than the clock of any boot here.
+_LATE_CLOCK_MS = 10**9
 # Within this a task restarts that ran on a worker that restarted.
 _RESTARTED_S = 0.5
 
@@ -142,3 +149,40 @@
     fleet.run(_RESTARTED_S)
     assert len(fleet.get_running_workers(_TASK)) == 1
     assert fleet.get_running_workers(_TASK) != [worker]
+
+
+def test_answer_to_a_start_of_the_last_boot_sets_no_clock() -> None:
+    """Guard against leases by the clock of a boot that has ended.
+
+    The new boot's clock starts anew, so that they would outlast the leader's.
+    """
+    fleet = ModelFleet(1)
+    fleet.run(5)
+    fleet.starts_to_lose = 1
+    fleet.submit('job', make_step())
+    fleet.run(0.05)
+    start = fleet.started[0]
+    fleet.announce(fleet.restart_silently(0))
+    late = StartAnswered(
+        'w-0', start.task, start.number, OrderOutcome.done, '', _LATE_CLOCK_MS
+    )
+    fleet.deliver(late)
+    fleet.run(3)
+    assert len(fleet.started) > 1
+    assert fleet.started[-1].expires_ms < _LATE_CLOCK_MS
+
+
+def test_answer_to_a_poll_of_the_last_boot_forgets_nothing() -> None:
+    """Guard against a worker that is forgotten while it runs tasks.
+
+    Another worker has its former address and answers the poll in flight.
+    """
+    fleet = ModelFleet(1)
+    fleet.run(5)
+    fleet.submit('job', make_step())
+    fleet.run(2)
+    session = fleet.dispatcher._state.sessions['w-0']
+    polled = WorkerPolled('w-0', session.fence, fleet.now_s, OrderOutcome.gone)
+    fleet.announce(fleet.restart_silently(0, address='10.0.0.9:80'))
+    fleet.deliver(polled)
+    assert 'w-0' in fleet.state.workers
