--- a/tests/builders/disks.py
+++ b/tests/builders/disks.py
@@ -11,6 +11,18 @@
     """Raised where a simulated crash interrupts a file operation."""
 
 
+def limit_disk(folder: Path, capacity: int) -> FileFunctions:
+    """Return the file functions of a disk that holds only so many bytes."""
+
+    def write(descriptor: int, content: bytes) -> int:
+        used = sum(path.stat().st_size for path in folder.iterdir())
+        if used + len(content) > capacity:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        return os.write(descriptor, content)
+
+    return OS_FILE_FUNCTIONS._replace(write=write)
+
+
 class FaultyFiles:
     """Perform file operations and inject a fault after a set number.
 
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -3,10 +3,16 @@
 from random import Random
 
 from builders import make_document
+from builders.workers import make_catalog
 from sardinemast import consensus, control
 from sardinemast.fleet import ApplyDocument, dump_state
+from sardinemast.protocol import ReplaceCatalog
 
 _NAME = 'control-1'
+_MIB_BYTES = 1024 * 1024
+# The smallest disk of a control process, and a change with 1,400 queues.
+_DISK_BYTES = 128 * _MIB_BYTES
+_CHANGE_BYTES = 270 * 1024
 _SETTINGS = control.ControlSettings(
     consensus.ReplicaSettings(_NAME, (_NAME,)),
     snapshot_entries=2,
@@ -34,3 +40,25 @@
         snapshot=saved[-1].snapshot,
     )
     assert dump_state(restarted.state) == dump_state(core.state)
+
+
+def test_log_is_cut_by_its_size() -> None:
+    """Guard against large changes that fill the disk between two snapshots.
+
+    A start writes the log anew beside the old one, so that it must fit twice.
+    """
+    settings = control.ControlSettings(_SETTINGS.replica)
+    core = control.ControlCore(settings, consensus.HardState(), (), Random(1))
+    core.step(control.Tick(), 0)
+    core.step(control.Tick(), 10)
+    log_bytes = 0
+    for version in range(1, 2 + _DISK_BYTES // 2 // _CHANGE_BYTES):
+        change = ReplaceCatalog(make_catalog(version), bytes(_CHANGE_BYTES))
+        core.step(control.CallReceived(1, version, change, 0), 10)
+        for output in core.step(control.ProposalsDue(), 10):
+            if isinstance(output, consensus.AppendToLog):
+                log_bytes += sum(len(one.payload) for one in output.entries)
+            elif isinstance(output, consensus.SaveSnapshot):
+                log_bytes = 0
+        assert log_bytes < _DISK_BYTES // 2
+    assert log_bytes
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from builders.disks import FaultyFiles
+from builders.disks import FaultyFiles, limit_disk
 from sardinemast.consensus import HardState, LogEntry
 from sardinemast.storage import (
     StorageError,
@@ -175,3 +175,18 @@
     files.operations_until_error = None
     open_log_store(tmp_path / 'replica', files.functions)
     assert tmp_path in files.synced_folders
+
+
+def test_start_needs_no_room_for_a_second_log(tmp_path: Path) -> None:
+    """Guard against a replica that never starts again.
+
+    Its log is larger than half of the disk, which held it while it ran.
+    """
+    files = limit_disk(tmp_path, 1000)
+    store, _ = open_log_store(tmp_path, files)
+    entries = tuple(LogEntry(index, 1, bytes(100)) for index in range(1, 6))
+    for entry in entries:
+        store.append_entries((entry,))
+    store.close()
+    _, loaded = open_log_store(tmp_path, files)
+    assert loaded.entries == entries
