tests, bench: build model workers in one place, drop an unused field

Cause: the two ways to add a model worker repeated three lines, and the bench of starts kept a figure that nothing prints. Nothing under src or deploy changes.

--- a/bench/log_starts.py
+++ b/bench/log_starts.py
@@ -39,9 +39,8 @@
 
 
 class _Start(NamedTuple):
-    """Hold the memory before and at most, the time, and what was written."""
+    """Hold the most memory, the time, and what was written."""
 
-    before_mb: float
     peak_mb: float
     duration_s: float
     written_mb: float
@@ -113,7 +112,6 @@
         written.append(OS_FILE_FUNCTIONS.write(descriptor, content))
         return written[-1]
 
-    before_mb = _get_peak_mb()
     began_s = monotonic()
     store, loaded = open_log_store(
         folder, OS_FILE_FUNCTIONS._replace(write=count_written)
@@ -122,9 +120,7 @@
     store.close()
     if not loaded.entries:
         raise ValueError('The log is empty.')
-    return _Start(
-        before_mb, _get_peak_mb(), duration_s, sum(written) / _MB_BYTES
-    )
+    return _Start(_get_peak_mb(), duration_s, sum(written) / _MB_BYTES)
 
 
 def _make_change(routes: int, version: int) -> PutCatalog:
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -189,9 +189,7 @@
 
     def add_worker(self, worker: Worker, rate: float = 1) -> ModelWorker:
         """Add a worker and register it."""
-        model = ModelWorker(worker, rate)
-        model.ends_per_report = self.ends_per_report
-        self.workers[worker.name] = model
+        model = self._put_model(worker, rate)
         self.commit(RegisterWorker(worker))
         return model
 
@@ -200,10 +198,8 @@
         old = self.workers[f'w-{number}'].worker
         boot_ms = old.boot_ms + 1
         worker = old._replace(boot_ms=boot_ms, is_draining=False, **changes)
-        model = ModelWorker(worker)
-        model.ends_per_report = self.ends_per_report
+        model = self._put_model(worker)
         model.is_silent = True
-        self.workers[worker.name] = model
         return model
 
     def announce(self, model: ModelWorker) -> None:
@@ -309,6 +305,12 @@
             if task in model.running
         ]
 
+    def _put_model(self, worker: Worker, rate: float = 1) -> ModelWorker:
+        model = ModelWorker(worker, rate)
+        model.ends_per_report = self.ends_per_report
+        self.workers[worker.name] = model
+        return model
+
     def _execute(self, outputs: list[DispatchOutput]) -> None:
         for output in outputs:
             if isinstance(output, Propose):
