--- /dev/null
+++ b/review/standins2/workers.py
@@ -0,0 +1,227 @@
+"""Executors and the list of machines, as PROTOCOL.md describes them."""
+
+import json
+import random
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from deployment import request
+
+STOP_S = 0.1
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def _answer(self):
+        size = int(self.headers.get('Content-Length') or 0)
+        content = self.rfile.read(size)
+        body = json.loads(content) if content else {}
+        code, answer = self.server.owner.handle(self.command, self.path, body, self.headers)
+        if code is None:
+            self.close_connection = True
+            return
+        data = json.dumps(answer).encode()
+        self.send_response(code)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _answer
+
+
+def serve(owner, host, port=0):
+    server = _Server((host, port), _Handler)
+    server.owner = owner
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Executor:
+    """One executor: it runs work items and reports to the control processes.
+
+    ``work_s`` gives the duration of a work item by its spec; None is for ever.
+    """
+
+    def __init__(self, name, service, host, controls, record, work_s, *,
+                 capacity, rack='r1', kind='a', heartbeat_s=1.5, hold_max_ms=10000):
+        self.name, self.service, self.controls = name, service, controls
+        self.record, self.work_s = record, work_s
+        self.capacity, self.labels = capacity, [kind, rack]
+        self.machine = f'm-{name}'
+        self.heartbeat_s, self.hold_max_ms = heartbeat_s, hold_max_ms
+        self.is_up = True
+        self.refuses = False
+        self.state = 'ready'
+        self.born = int(time.time() * 1000)
+        self._start = time.monotonic()
+        self._seq = 0
+        self._fence = 0
+        self._ended = 0
+        self._condition = threading.Condition()
+        self.running = {}
+        self.finished = []
+        self._highest = {}
+        self.starts = []
+        self.server = serve(self, host)
+        self.address = f'{host}:{self.server.server_address[1]}'
+        threading.Thread(target=self._beat, daemon=True).start()
+        threading.Thread(target=self._watch, daemon=True).start()
+
+    def crash(self):
+        """End silently, for good."""
+        with self._condition:
+            self.is_up = False
+            self.running.clear()
+            self._condition.notify_all()
+        self.record(self.name, 'crashed')
+        self.server.shutdown()
+        self.server.server_close()
+
+    def clock_ms(self):
+        return 100_000 + int((time.monotonic() - self._start) * 1000)
+
+    def _beat(self):
+        while self.is_up:
+            self._seq += 1
+            body = {
+                'service': self.service, 'addr': self.address, 'zone': 'a',
+                'version': 'v1', 'slots': 8, 'state': self.state,
+                'cold_left_ms': 0, 'capacity': self.capacity,
+                'labels': self.labels, 'wall_ms': self.clock_ms(),
+                'seq': self._seq, 'born': self.born, 'machine': self.machine,
+            }
+            for control in random.sample(self.controls, len(self.controls)):
+                code, _ = request(control, 'PUT', f'/instances/{self.name}', body, timeout=1.0)
+                if code is not None and 200 <= code < 300:
+                    break
+            time.sleep(self.heartbeat_s * random.uniform(0.9, 1.1))
+
+    def _watch(self):
+        while self.is_up:
+            with self._condition:
+                now = time.monotonic()
+                for task, run in list(self.running.items()):
+                    if run['ends'] is not None and now >= run['ends']:
+                        self._end(task, run['how'])
+                    elif self.clock_ms() >= self._expires_ms:
+                        self._end(task, 'lapsed')
+            time.sleep(0.02)
+
+    _expires_ms = 0
+
+    def _end(self, task, how):
+        run = self.running.pop(task)
+        self._ended += 1
+        self.finished.append([self._ended, task, run['run'], how, ''])
+        self._highest[task] = max(self._highest.get(task, 0), run['run'])
+        self.record(self.name, f'{task} run {run["run"]} ended {how}')
+        self._condition.notify_all()
+
+    def _extend(self, body):
+        if 'expires_ms' in body:
+            longest = self.clock_ms() + self.hold_max_ms
+            self._expires_ms = max(self._expires_ms, min(body['expires_ms'], longest))
+
+    def handle(self, method, path, body, headers):
+        if not self.is_up:
+            return None, {}
+        if headers.get('X-Expect-Instance', self.name) != self.name:
+            return 421, {'wall_ms': self.clock_ms(), 'born': self.born}
+        with self._condition:
+            if path != '/hold' and self.refuses:
+                self.record(self.name, f'{path} {body.get("task")} -> 503')
+                return 503, {'wall_ms': self.clock_ms(), 'born': self.born}
+            if body.get('fence', 0) < self._fence:
+                return self._refuse('fence')
+            self._fence = body.get('fence', 0)
+            if path == '/hold':
+                return self._hold(body)
+            if path == '/run-start':
+                return self._run_start(body)
+            if path == '/run-stop':
+                return self._run_stop(body)
+            return 200, {'wall_ms': self.clock_ms(), 'born': self.born}
+
+    def _refuse(self, reason):
+        return 409, {'wall_ms': self.clock_ms(), 'born': self.born, 'reason': reason}
+
+    def _hold(self, body):
+        seen = body.get('last_seen', 0)
+        self.finished = [row for row in self.finished if row[0] > seen]
+        self._extend(body)
+        until = time.monotonic() + min(body.get('wait_ms', 0), 2000) / 1000
+        while self.is_up and not self.finished:
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            self._condition.wait(left)
+        if not self.is_up:
+            return None, {}
+        return 200, {
+            'wall_ms': self.clock_ms(), 'born': self.born,
+            'running': [[task, run['run'], '', 100, 5] for task, run in self.running.items()],
+            'finished': self.finished[:500],
+        }
+
+    def _run_start(self, body):
+        task, number = body['task'], body['run']
+        present = self.running.get(task)
+        if present is not None and present['run'] == number:
+            return 200, {'wall_ms': self.clock_ms(), 'born': self.born}
+        if body['expires_ms'] <= self.clock_ms():
+            return self._refuse('late')
+        self._extend(body)
+        if number <= self._highest.get(task, 0) or present is not None:
+            return self._refuse('old')
+        used = sum(run['cpu'] for run in self.running.values())
+        seconds, cpu = self.work_s(task, body['spec'])
+        if used + cpu > self.capacity['cpu']:
+            return self._refuse('room')
+        ends = None if seconds is None else time.monotonic() + seconds
+        self.running[task] = {'run': number, 'ends': ends, 'how': 'done', 'cpu': cpu}
+        self.starts.append((time.monotonic(), task, number))
+        self.record(self.name, f'started {task} run {number}')
+        return 200, {'wall_ms': self.clock_ms(), 'born': self.born}
+
+    def _run_stop(self, body):
+        task, number = body['task'], body['run']
+        run = self.running.get(task)
+        if run is not None and run['run'] == number:
+            run['ends'] = time.monotonic() + STOP_S
+            run['how'] = 'stopped'
+        elif run is None:
+            self._highest[task] = max(self._highest.get(task, 0), number)
+        return 200, {'wall_ms': self.clock_ms(), 'born': self.born}
+
+
+class Cloud:
+    """The list of machines; it carries out no moves and no upkeep."""
+
+    def __init__(self, host, record):
+        self.record = record
+        self.executors = []
+        self.server = serve(self, host)
+        self.address = f'{host}:{self.server.server_address[1]}'
+
+    def handle(self, method, path, body, headers):
+        if path.startswith('/machines'):
+            return 200, {'machines': [
+                {'machine': one.machine, 'pool': one.service,
+                 'state': 'up' if one.is_up else 'down', 'zone': 'a',
+                 'labels': one.labels, 'capacity': one.capacity, 'id': one.name}
+                for one in self.executors
+            ], 'next_token': ''}
+        self.record('cloud', f'{method} {path} {json.dumps(body)} -> 409 busy')
+        return 409, {'reason': 'busy'}
