--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -15,6 +15,9 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def handle_error(self, request, client_address):
+        """Callers may leave at any time."""
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
@@ -44,7 +47,7 @@
 def serve(owner, host, port=0):
     server = _Server((host, port), _Handler)
     server.owner = owner
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(target=server.serve_forever, args=(0.02,), daemon=True).start()
     return server
 
 
@@ -55,11 +58,12 @@
     """
 
     def __init__(self, name, service, host, controls, record, work_s, *,
-                 capacity, rack='r1', kind='a', heartbeat_s=1.5, hold_max_ms=10000):
+                 capacity, rack='r1', kind='a', machine=None, heartbeat_s=1.5,
+                 hold_max_ms=10000, start=True, omitted=()):
         self.name, self.service, self.controls = name, service, controls
         self.record, self.work_s = record, work_s
         self.capacity, self.labels = capacity, [kind, rack]
-        self.machine = f'm-{name}'
+        self.machine = machine or f'm-{name}'
         self.heartbeat_s, self.hold_max_ms = heartbeat_s, hold_max_ms
         self.is_up = True
         self.refuses = False
@@ -76,6 +80,13 @@
         self.starts = []
         self.server = serve(self, host)
         self.address = f'{host}:{self.server.server_address[1]}'
+        self.ends = []
+        self.omitted = omitted
+        if start:
+            self.start()
+
+    def start(self):
+        """Begin to report to the control processes."""
         threading.Thread(target=self._beat, daemon=True).start()
         threading.Thread(target=self._watch, daemon=True).start()
 
@@ -102,6 +113,8 @@
                 'labels': self.labels, 'wall_ms': self.clock_ms(),
                 'seq': self._seq, 'born': self.born, 'machine': self.machine,
             }
+            for name in self.omitted:
+                del body[name]
             for control in random.sample(self.controls, len(self.controls)):
                 code, _ = request(control, 'PUT', f'/instances/{self.name}', body, timeout=1.0)
                 if code is not None and 200 <= code < 300:
@@ -126,6 +139,7 @@
         self._ended += 1
         self.finished.append([self._ended, task, run['run'], how, ''])
         self._highest[task] = max(self._highest.get(task, 0), run['run'])
+        self.ends.append((time.monotonic(), task, how))
         self.record(self.name, f'{task} run {run["run"]} ended {how}')
         self._condition.notify_all()
 
@@ -207,21 +221,87 @@
 
 
 class Cloud:
-    """The list of machines; it carries out no moves and no upkeep."""
+    """The machines; ``revive`` makes a machine's next executor in a pool.
+
+    A machine of the standby pool is off and has no executor.
+    """
 
-    def __init__(self, host, record):
-        self.record = record
+    def __init__(self, host, record, revive=None, standby='', upkeep_s=2.0, move_s=1.5):
+        self.record, self.revive, self.standby = record, revive, standby
+        self.upkeep_s, self.move_s = upkeep_s, move_s
         self.executors = []
+        self.upkeeps = []
+        self._off = set()
+        self._away = {}
+        self._done = set()
+        self._lock = threading.Lock()
         self.server = serve(self, host)
         self.address = f'{host}:{self.server.server_address[1]}'
 
+    def newest(self, machine):
+        found = [one for one in self.executors if one.machine == machine]
+        return found[-1] if found else None
+
+    def _state(self, one):
+        if one.machine in self._away:
+            return self._away[one.machine]
+        return 'up' if one.is_up or one.machine in self._off else 'down'
+
+    def _pool(self, one):
+        return self.standby if one.machine in self._off else one.service
+
     def handle(self, method, path, body, headers):
-        if path.startswith('/machines'):
-            return 200, {'machines': [
-                {'machine': one.machine, 'pool': one.service,
-                 'state': 'up' if one.is_up else 'down', 'zone': 'a',
-                 'labels': one.labels, 'capacity': one.capacity, 'id': one.name}
-                for one in self.executors
-            ], 'next_token': ''}
-        self.record('cloud', f'{method} {path} {json.dumps(body)} -> 409 busy')
-        return 409, {'reason': 'busy'}
+        with self._lock:
+            if path.startswith('/machines'):
+                names = dict.fromkeys(one.machine for one in self.executors)
+                rows = [self.newest(name) for name in names]
+                self.record('cloud', 'GET /machines: ' + ' '.join(
+                    f'{one.machine}={self._pool(one)},{self._state(one)}' for one in rows))
+                return 200, {'machines': [
+                    {'machine': one.machine, 'pool': self._pool(one),
+                     'state': self._state(one), 'zone': 'a', 'labels': one.labels,
+                     'capacity': one.capacity, 'id': one.name}
+                    for one in rows
+                ], 'next_token': ''}
+            code, answer = self._order(path, body)
+            self.record('cloud', f'{method} {path} {json.dumps(body)} -> {code} {answer}')
+            return code, answer
+
+    def _order(self, path, body):
+        machine = body['machine']
+        one = self.newest(machine)
+        if one is None:
+            return 400, {}
+        is_upkeep = path == '/machine-upkeep'
+        if is_upkeep and (body['wave'], machine) in self._done:
+            return 200, {}
+        if not is_upkeep and self._pool(one) == body['pool']:
+            return 200, {}
+        if self._state(one) != 'up' or one.state == 'draining':
+            return 409, {'reason': 'busy'}
+        is_off = machine in self._off
+        if is_upkeep:
+            self._done.add((body['wave'], machine))
+            self.upkeeps.append((time.monotonic(), machine, body['wave']))
+            self._away[machine] = 'upkeep'
+            pool, seconds = one.service, self.upkeep_s
+        else:
+            self._off.discard(machine)
+            self._away[machine] = 'moving'
+            pool, seconds = body['pool'], self.move_s
+            is_off = pool == self.standby
+        thread = threading.Thread(target=self._carry_out, args=(one, pool, is_off, seconds))
+        thread.daemon = True
+        thread.start()
+        return 200, {}
+
+    def _carry_out(self, one, pool, is_off, seconds):
+        if one.is_up:
+            one.crash()
+        time.sleep(seconds)
+        with self._lock:
+            del self._away[one.machine]
+            if is_off:
+                self._off.add(one.machine)
+            elif self.revive is not None:
+                self.executors.append(self.revive(one, pool))
