--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -115,7 +115,7 @@
 class Deployment:
     """Some control processes and entries, each on an address of its own."""
 
-    def __init__(self, record, folder, controls=3, entries=1, cloud=None, advice=None, hidden=False):
+    def __init__(self, record, folder, controls=3, entries=1, cloud=None, advice=None):
         self.record = record
         self.folder = Path(folder)
         self.processes = {}
@@ -128,12 +128,6 @@
         self.control_port, self.front_port, self.ready_port, self.peer_port = ports
         self.controls = [f'{h}:{self.control_port}' for h in self.control_hosts]
         self.fronts = [f'{h}:{self.front_port}' for h in self.entry_hosts]
-        # Where control processes listen, if others reach them over a proxy.
-        self.hidden_hosts = {}
-        if hidden:
-            self.hidden_hosts = {
-                host: f'{first}.{60 + n}' for n, host in enumerate(self.control_hosts)
-            }
         self.cloud = cloud
         self.advice = advice
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
@@ -174,11 +168,7 @@
         settings = self.roles[role]
         template = (ROOT / settings['template']).read_text()
         path = self.folder / f'{host}.yaml'
-        text = render(template, self.fields(host, role))
-        if host in self.hidden_hosts:
-            bind = f'  bind_host: "{self.hidden_hosts[host]}"\n'
-            text = text.replace('cluster:\n', 'cluster:\n' + bind)
-        path.write_text(text)
+        path.write_text(render(template, self.fields(host, role)))
         (self.folder / f'{host}.was').touch()
         environment = {
             'PATH': os.environ['PATH'],
@@ -298,9 +288,6 @@
                 record('case', f'BROKEN {line}')
                 print('BROKEN', line)
             code = 1 if broken else 0
-            if os.environ.get('KEEP_LOGS') == '2':
-                for log in Path(scratch).glob('*.log'):
-                    print(log.name, log.read_text()[-2500:])
         except Exception as error:
             record('case', f'could not run: {type(error).__name__}: {error}')
             print(f'could not run: {type(error).__name__}: {error}')
--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -59,7 +59,7 @@
 
     def __init__(self, name, service, host, controls, record, work_s, *,
                  capacity, rack='r1', kind='a', machine=None, heartbeat_s=1.5,
-                 hold_max_ms=10000, start=True, omitted=()):
+                 hold_max_ms=10000, omitted=()):
         self.name, self.service, self.controls = name, service, controls
         self.record, self.work_s = record, work_s
         self.capacity, self.labels = capacity, [kind, rack]
@@ -82,11 +82,6 @@
         self.address = f'{host}:{self.server.server_address[1]}'
         self.ends = []
         self.omitted = omitted
-        if start:
-            self.start()
-
-    def start(self):
-        """Begin to report to the control processes."""
         threading.Thread(target=self._beat, daemon=True).start()
         threading.Thread(target=self._watch, daemon=True).start()
 
