--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -231,6 +231,16 @@
             time.sleep(0.05)
         return ends
 
+    def find_leader(self):
+        """Return the control process that said last that it leads."""
+        found = []
+        for host in self.control_hosts:
+            for line in (self.folder / f'{host}.log').read_text().splitlines():
+                match = re.search(r'"Term (\d+): leader\."', line)
+                if match:
+                    found.append((int(match.group(1)), host))
+        return max(found)[1]
+
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -59,13 +59,16 @@
 
     def __init__(self, name, service, host, controls, record, work_s, *,
                  capacity, rack='r1', kind='a', machine=None, heartbeat_s=1.5,
-                 hold_max_ms=10000, omitted=()):
+                 hold_max_ms=10000, omitted=(), rate=1.0):
         self.name, self.service, self.controls = name, service, controls
         self.record, self.work_s = record, work_s
         self.capacity, self.labels = capacity, [kind, rack]
         self.machine = machine or f'm-{name}'
         self.heartbeat_s, self.hold_max_ms = heartbeat_s, hold_max_ms
         self.is_up = True
+        # Nothing reaches an executor that is cut off, and nothing comes from it.
+        self.is_cut = False
+        self.rate = rate
         self.refuses = False
         self.state = 'ready'
         self.born = int(time.time() * 1000)
@@ -96,10 +99,13 @@
         self.server.server_close()
 
     def clock_ms(self):
-        return 100_000 + int((time.monotonic() - self._start) * 1000)
+        return 100_000 + int((time.monotonic() - self._start) * self.rate * 1000)
 
     def _beat(self):
         while self.is_up:
+            if self.is_cut:
+                time.sleep(0.1)
+                continue
             self._seq += 1
             body = {
                 'service': self.service, 'addr': self.address, 'zone': 'a',
@@ -144,6 +150,8 @@
             self._expires_ms = max(self._expires_ms, min(body['expires_ms'], longest))
 
     def handle(self, method, path, body, headers):
+        while self.is_cut and self.is_up:
+            time.sleep(0.1)
         if not self.is_up:
             return None, {}
         if headers.get('X-Expect-Instance', self.name) != self.name:
@@ -176,7 +184,7 @@
             if left <= 0:
                 break
             self._condition.wait(left)
-        if not self.is_up:
+        if not self.is_up or self.is_cut:
             return None, {}
         return 200, {
             'wall_ms': self.clock_ms(), 'born': self.born,
