--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -291,6 +291,8 @@
     record('case', f'TROUBLE={int(TROUBLE)}')
     deployments = []
     code = 2
+    # Ends the processes of the case also if it is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as scratch:
         try:
             broken = main(record, scratch, deployments)
