storage: start without a second log in memory or on the disk

Cause: a start read the whole log, decoded it, encoded it once more and wrote it anew beside the old file. The copy was there for a reason: after a failed sync the kernel may take pages for written that the disk lacks, so that what is read has to be written again.

Change: records are read one by one. Each hard state is the first record of a write, and a write begins once the one before is synced; so what stands in front of the last hard state is durable, also in files of older versions. Only what follows it is written again, where it is, and synced. An append begins with the hard state once 64 KiB have followed the last one, which bounds that part. A file that an interrupted replacement left is removed at the start.

--- a/bench/log_starts.py
+++ b/bench/log_starts.py
@@ -81,7 +81,7 @@
     _write_line(
         f'{log_mb}: {running_mb:.0f} {start.peak_mb:.0f} '
         f'{start.peak_mb / running_mb:.2f} {start.duration_s:.2f} '
-        f'{start.written_mb:.0f}',
+        f'{start.written_mb:.1f}',
     )
 
 
@@ -112,10 +112,17 @@
         written.append(OS_FILE_FUNCTIONS.write(descriptor, content))
         return written[-1]
 
-    began_s = monotonic()
-    store, loaded = open_log_store(
-        folder, OS_FILE_FUNCTIONS._replace(write=count_written)
+    def count_written_at(descriptor: int, content: bytes, position: int) -> int:
+        written.append(
+            OS_FILE_FUNCTIONS.write_at(descriptor, content, position)
+        )
+        return written[-1]
+
+    files = OS_FILE_FUNCTIONS._replace(
+        write=count_written, write_at=count_written_at
     )
+    began_s = monotonic()
+    store, loaded = open_log_store(folder, files)
     duration_s = monotonic() - began_s
     store.close()
     if not loaded.entries:
--- a/src/sardinemast/storage/_folder.py
+++ b/src/sardinemast/storage/_folder.py
@@ -7,7 +7,7 @@
 
 from sardinemast.consensus import FolderIdentity
 from sardinemast.storage._files import FileFunctions, replace_file
-from sardinemast.storage._records import frame_record, read_records
+from sardinemast.storage._records import frame_record, iterate_records
 from sardinemast.wire import MessageSet
 
 ASIDE_SUFFIX = '.aside-'
@@ -38,7 +38,7 @@
         uuid.uuid4().hex, may_found=not any(replaced_folders)
     )
     content = frame_record(_RECORDS.encode(identity))
-    replace_file(files, folder / _FILE_NAME, content)
+    replace_file(files, folder / _FILE_NAME, (content,))
     return identity
 
 
@@ -47,10 +47,11 @@
     path = folder / _FILE_NAME
     if not path.exists():
         return None
-    contents = read_records(path.read_bytes())
-    if not contents.records:
+    with path.open('rb') as file:
+        stored = next(iterate_records(file), None)
+    if stored is None:
         return None
-    identity = _RECORDS.decode(contents.records[0])
+    identity = _RECORDS.decode(stored.content)
     return identity if isinstance(identity, FolderIdentity) else None
 
 
--- a/src/sardinemast/storage/_log_store.py
+++ b/src/sardinemast/storage/_log_store.py
@@ -1,5 +1,7 @@
 """Store log, snapshot and hard state of one replica in a file."""
 
+from collections.abc import Iterable, Iterator
+from itertools import chain
 from pathlib import Path
 from typing import NamedTuple
 
@@ -10,9 +12,12 @@
     Snapshot,
 )
 from sardinemast.storage._files import (
+    CHUNK_BYTES,
     OS_FILE_FUNCTIONS,
     FileFunctions,
+    remove_unfinished_file,
     replace_file,
+    rewrite_in_place,
     write_all,
 )
 from sardinemast.storage._folder import (
@@ -21,12 +26,19 @@
     read_identity,
     read_seal,
 )
-from sardinemast.storage._records import frame_record, read_records
+from sardinemast.storage._records import (
+    StoredRecord,
+    frame_record,
+    iterate_records,
+)
 from sardinemast.storage.exceptions import StorageError
 from sardinemast.wire import MessageSet
 
 _RECORDS = MessageSet(FolderSeal, HardState, Snapshot, LogEntry)
+_Record = FolderSeal | HardState | Snapshot | LogEntry
 _FILE_NAME = 'log.wal'
+# What follows the last hard state in the file is written again at a start.
+_BYTES_PER_HARD_STATE = 65_536
 
 
 class LoadedLog(NamedTuple):
@@ -39,7 +51,12 @@
 
 
 class LogStore:
-    """Append records to the log file of one replica."""
+    """Append records to the log file of one replica.
+
+    Each hard state is the first record of a write, and a write begins once
+    the one before is synced. All that stands in front of the last hard state
+    is therefore durable, whatever became of the writes after it.
+    """
 
     def __init__(
         self,
@@ -53,10 +70,25 @@
         self._hard_state = loaded.hard_state
         self._descriptor: int | None = None
         self._is_failed = False
-        # What was read may not be synced, if the last process was killed
-        # before the sync or the sync failed. It is written and synced again,
-        # so that it cannot be lost after the replica has acknowledged it.
-        self._rewrite(loaded.snapshot, loaded.entries)
+        self._bytes_since_hard_state = 0
+
+    def create_file(self) -> None:
+        """Write and sync the file of an empty log."""
+        self._rewrite(None, ())
+
+    def sync_again(self, start_bytes: int, end_bytes: int) -> None:
+        """Make durable what was read and may not be synced.
+
+        The last process may have been killed before the sync, or the sync
+        failed. Without this, it could be lost after the replica has
+        acknowledged it. The file keeps its size, so that a start needs no
+        room on the disk.
+        """
+        self._bytes_since_hard_state = end_bytes - start_bytes
+        try:
+            rewrite_in_place(self._files, self._path, start_bytes, end_bytes)
+        except OSError as error:
+            raise self._mark_failed(error) from error
 
     def save_hard_state(self, hard_state: HardState) -> None:
         """Write and sync the hard state, or raise ``storage.E002``."""
@@ -87,16 +119,21 @@
 
     def _append(self, records: tuple[HardState | LogEntry, ...]) -> None:
         self._check_not_failed()
-        content = _encode(records)
+        if self._bytes_since_hard_state >= _BYTES_PER_HARD_STATE:
+            records = (self._hard_state, *records)
+        if isinstance(records[0], HardState):
+            self._bytes_since_hard_state = 0
         try:
-            self._write(content)
+            self._write(records)
         except OSError as error:
             raise self._mark_failed(error) from error
 
-    def _write(self, content: bytes) -> None:
+    def _write(self, records: tuple[HardState | LogEntry, ...]) -> None:
         if self._descriptor is None:
             self._descriptor = self._files.reopen(self._path)
-        write_all(self._files, self._descriptor, content)
+        for chunk in _encode(records):
+            write_all(self._files, self._descriptor, chunk)
+            self._bytes_since_hard_state += len(chunk)
         self._files.sync(self._descriptor)
 
     def _rewrite(
@@ -105,18 +142,17 @@
         entries: tuple[LogEntry, ...],
     ) -> None:
         self._check_not_failed()
-        header = (self._seal, self._hard_state)
-        records = (
-            (*header, snapshot, *entries) if snapshot else (*header, *entries)
-        )
+        snapshots = (snapshot,) if snapshot else ()
+        self.close()
         try:
-            self._replace(_encode(records))
+            replace_file(
+                self._files,
+                self._path,
+                _encode((self._seal, *snapshots, *entries, self._hard_state)),
+            )
         except OSError as error:
             raise self._mark_failed(error) from error
-
-    def _replace(self, content: bytes) -> None:
-        self.close()
-        replace_file(self._files, self._path, content)
+        self._bytes_since_hard_state = 0
 
     def _check_not_failed(self) -> None:
         if self._is_failed:
@@ -165,50 +201,87 @@
     # An earlier start may have failed between making and syncing the folder.
     files.sync_folder(folder.parent)
     path = folder / _FILE_NAME
+    remove_unfinished_file(path)
     if path.exists():
-        loaded = _load(folder, path.read_bytes())
-    else:
-        # The log is written right after the identity, so that an identity
-        # without a log was never used and can be replaced.
-        loaded = LoadedLog(make_identity(folder, files))
-    return LogStore(folder, files, loaded), loaded
+        return _open_file(folder, path, files)
+    # The log is written right after the identity, so that an identity without
+    # a log was never used and can be replaced.
+    loaded = LoadedLog(make_identity(folder, files))
+    store = LogStore(folder, files, loaded)
+    store.create_file()
+    return store, loaded
 
 
-def _load(folder: Path, content: bytes) -> LoadedLog:
-    identity = read_identity(folder)
-    records = [
-        _RECORDS.decode(record) for record in read_records(content).records
-    ]
-    is_original = (
-        identity is not None
-        and records
-        and records[0] == read_seal(folder, identity)
-    )
-    if identity is None or not is_original:
-        raise StorageError(
-            'storage.E003',
-            'The data folder is a copy or was restored from a backup.',
-            'The folder is set aside; the other replicas hold its data.',
-        )
-    return _replay(identity, records)
+class _LogReader:
+    """Rebuild a log from its records in turn.
 
+    ``hard_state_bytes`` is where the last hard state starts in the file,
+    ``end_bytes`` where the last record ends.
+    """
 
-def _replay(identity: FolderIdentity, records: list[object]) -> LoadedLog:
-    hard_state = HardState()
-    snapshot: Snapshot | None = None
-    entries: list[LogEntry] = []
-    base_index = 0
-    for record in records:
+    def __init__(self) -> None:
+        self.hard_state_bytes = 0
+        self.end_bytes = 0
+        self._hard_state = HardState()
+        self._snapshot: Snapshot | None = None
+        self._entries: list[LogEntry] = []
+
+    def add(self, stored: StoredRecord) -> None:
+        """Add the next record of the file."""
+        self.end_bytes = stored.end_bytes
+        record = _RECORDS.decode(stored.content)
         if isinstance(record, HardState):
-            hard_state = record
+            self._hard_state = record
+            self.hard_state_bytes = stored.start_bytes
         elif isinstance(record, Snapshot):
-            snapshot = record
-            base_index = snapshot.last_index
+            self._snapshot = record
         elif isinstance(record, LogEntry):
-            del entries[record.log_index - base_index - 1 :]
-            entries.append(record)
-    return LoadedLog(identity, hard_state, snapshot, tuple(entries))
+            base_index = self._snapshot.last_index if self._snapshot else 0
+            del self._entries[record.log_index - base_index - 1 :]
+            self._entries.append(record)
+
+    def get_log(self, identity: FolderIdentity) -> LoadedLog:
+        """Return what was read."""
+        return LoadedLog(
+            identity, self._hard_state, self._snapshot, tuple(self._entries)
+        )
+
 
+def _open_file(
+    folder: Path, path: Path, files: FileFunctions
+) -> tuple[LogStore, LoadedLog]:
+    identity = read_identity(folder)
+    reader = _LogReader()
+    with path.open('rb') as file:
+        records = iterate_records(file)
+        first = next(records, None)
+        if not (first and identity and _is_sealed(folder, identity, first)):
+            raise StorageError(
+                'storage.E003',
+                'The data folder is a copy or was restored from a backup.',
+                'The folder is set aside; the other replicas hold its data.',
+            )
+        for stored in chain((first,), records):
+            reader.add(stored)
+    loaded = reader.get_log(identity)
+    store = LogStore(folder, files, loaded)
+    store.sync_again(reader.hard_state_bytes, reader.end_bytes)
+    return store, loaded
 
-def _encode(records: tuple[object, ...]) -> bytes:
-    return b''.join(frame_record(_RECORDS.encode(record)) for record in records)
+
+def _is_sealed(
+    folder: Path, identity: FolderIdentity, first: StoredRecord
+) -> bool:
+    return _RECORDS.decode(first.content) == read_seal(folder, identity)
+
+
+def _encode(records: Iterable[_Record]) -> Iterator[bytes]:
+    """Yield the encoded records in chunks, to be written in turn."""
+    chunk = bytearray()
+    for record in records:
+        chunk += frame_record(_RECORDS.encode(record))
+        if len(chunk) >= CHUNK_BYTES:
+            yield bytes(chunk)
+            chunk.clear()
+    if chunk:
+        yield bytes(chunk)
--- a/src/sardinemast/storage/_records.py
+++ b/src/sardinemast/storage/_records.py
@@ -2,8 +2,10 @@
 
 import struct
 import zlib
-from typing import NamedTuple
+from collections.abc import Iterator
+from typing import BinaryIO, NamedTuple
 
+from sardinemast.storage._files import CHUNK_BYTES
 from sardinemast.storage.exceptions import StorageError
 
 # A header holds length and checksum of the record, followed by a checksum of
@@ -14,10 +16,11 @@
 _HEADER_BYTES = _HEADER.size + _HEADER_CHECKSUM.size
 
 
-class ReadRecords(NamedTuple):
-    """Hold the complete records and the position after the last one."""
+class StoredRecord(NamedTuple):
+    """Hold a complete record and where it starts and ends in the file."""
 
-    records: tuple[bytes, ...]
+    content: bytes
+    start_bytes: int
     end_bytes: int
 
 
@@ -27,8 +30,8 @@
     return header + _HEADER_CHECKSUM.pack(zlib.crc32(header)) + record
 
 
-def read_records(content: bytes) -> ReadRecords:
-    """Read all records, except for an incomplete one at the end.
+def iterate_records(file: BinaryIO) -> Iterator[StoredRecord]:
+    """Yield all records in turn, except for an incomplete one at the end.
 
     A crash during an append leaves a short last record, or one that ends in
     zeros if the file grew before its content was written. That record was not
@@ -36,44 +39,45 @@
     Ignoring it could lose an acknowledged command, so that ``storage.E001`` is
     raised.
     """
-    records: list[bytes] = []
     position = 0
-    while position < len(content):
-        record = _read_at(content, position)
-        if record is None:
-            break
-        records.append(record)
-        position += _HEADER_BYTES + len(record)
-    return ReadRecords(tuple(records), position)
-
-
-def _read_at(content: bytes, position: int) -> bytes | None:
-    start = position + _HEADER_BYTES
-    if start > len(content):
+    while True:
+        content = _read_next(file, position)
+        if content is None:
+            return
+        end = position + _HEADER_BYTES + len(content)
+        yield StoredRecord(content, position, end)
+        position = end
+
+
+def _read_next(file: BinaryIO, position: int) -> bytes | None:
+    header = file.read(_HEADER_BYTES)
+    if len(header) < _HEADER_BYTES:
         return None
-    header = content[position : position + _HEADER.size]
-    header_checksum = content[position + _HEADER.size : start]
-    if _HEADER_CHECKSUM.pack(zlib.crc32(header)) != header_checksum:
-        _check_torn(content, position, start)
+    lengths, header_checksum = header[: _HEADER.size], header[_HEADER.size :]
+    if _HEADER_CHECKSUM.pack(zlib.crc32(lengths)) != header_checksum:
+        _check_torn(file, position, header)
         return None
-    length, checksum = _HEADER.unpack(header)
-    record = content[start : start + length]
+    length, checksum = _HEADER.unpack(lengths)
+    record = file.read(length)
     if len(record) < length:
         return None
     if zlib.crc32(record) != checksum:
-        _check_torn(content, position, start + length)
+        _check_torn(file, position, record)
         return None
     return record
 
 
-def _check_torn(content: bytes, position: int, end: int) -> None:
+def _check_torn(file: BinaryIO, position: int, last_read: bytes) -> None:
     """Raise ``storage.E001`` unless zeros follow from inside a record.
 
     No complete record that is appended ends in a zero byte: it ends in a text,
     a boolean, an empty list or null.
     """
-    if any(content[end - 1 :]):
-        raise _make_damage_error(position)
+    rest = last_read[-1:]
+    while rest:
+        if any(rest):
+            raise _make_damage_error(position)
+        rest = file.read(CHUNK_BYTES)
 
 
 def _make_damage_error(position: int) -> StorageError:
--- a/tests/builders/disks.py
+++ b/tests/builders/disks.py
@@ -23,11 +23,36 @@
     return OS_FILE_FUNCTIONS._replace(write=write)
 
 
+class CountingFiles:
+    """Perform file operations and count the bytes that are written."""
+
+    def __init__(self) -> None:
+        self.written_bytes = 0
+
+    @property
+    def functions(self) -> FileFunctions:
+        """Return the file functions to pass to a store."""
+        return OS_FILE_FUNCTIONS._replace(
+            write=self._write, write_at=self._write_at
+        )
+
+    def _write(self, descriptor: int, content: bytes) -> int:
+        self.written_bytes += len(content)
+        return OS_FILE_FUNCTIONS.write(descriptor, content)
+
+    def _write_at(self, descriptor: int, content: bytes, position: int) -> int:
+        self.written_bytes += len(content)
+        return OS_FILE_FUNCTIONS.write_at(descriptor, content, position)
+
+
 class FaultyFiles:
     """Perform file operations and inject a fault after a set number.
 
     ``lose_power`` reverts what was not synced: bytes at the end of files, and
     renames in a folder that was not synced. Some of both may be kept.
+
+    After a failed sync, the kernel takes all pages for written: a later sync
+    makes only what was written since then durable.
     """
 
     def __init__(self) -> None:
@@ -37,6 +62,8 @@
         self.synced_folders: list[Path] = []
         self._paths: dict[int, Path] = {}
         self._synced_bytes: dict[Path, int] = {}
+        # Where the bytes begin that the kernel still has to write.
+        self._unwritten_from: dict[Path, int] = {}
         self._renames: list[tuple[Path, bytes | None]] = []
 
     @property
@@ -45,7 +72,10 @@
         return FileFunctions(
             self._create,
             self._reopen,
+            self._modify,
             self._write,
+            self._write_at,
+            self._truncate,
             self._sync,
             OS_FILE_FUNCTIONS.close,
             self._rename,
@@ -75,6 +105,7 @@
             self._revert_renames()
         self._renames.clear()
         self._synced_bytes.clear()
+        self._unwritten_from.clear()
 
     def _revert_renames(self) -> None:
         for path, content in reversed(self._renames):
@@ -98,6 +129,7 @@
         descriptor = OS_FILE_FUNCTIONS.create(path)
         self._paths[descriptor] = path
         self._synced_bytes[path] = 0
+        self._unwritten_from[path] = 0
         return descriptor
 
     def _reopen(self, path: Path) -> int:
@@ -107,7 +139,15 @@
         self._synced_bytes.setdefault(path, path.stat().st_size)
         return descriptor
 
+    def _modify(self, path: Path) -> int:
+        self._step()
+        descriptor = OS_FILE_FUNCTIONS.modify(path)
+        self._paths[descriptor] = path
+        self._synced_bytes.setdefault(path, path.stat().st_size)
+        return descriptor
+
     def _write(self, descriptor: int, content: bytes) -> int:
+        self._record_write(descriptor)
         half = content[: len(content) // 2]
         try:
             self._step()
@@ -116,19 +156,49 @@
             raise
         return os.write(descriptor, half or content)
 
-    def _sync(self, descriptor: int) -> None:
+    def _write_at(self, descriptor: int, content: bytes, position: int) -> int:
+        os.lseek(descriptor, position, os.SEEK_SET)
+        self._record_write(descriptor, position)
+        return self._write(descriptor, content)
+
+    def _truncate(self, descriptor: int, size: int) -> None:
         self._step()
+        path = self._paths[descriptor]
+        os.ftruncate(descriptor, size)
+        self._synced_bytes[path] = min(self._synced_bytes[path], size)
+
+    def _record_write(
+        self, descriptor: int, position: int | None = None
+    ) -> None:
+        path = self._paths[descriptor]
+        if position is None:
+            position = path.stat().st_size
+        self._unwritten_from[path] = min(
+            position, self._unwritten_from.get(path, position)
+        )
+
+    def _sync(self, descriptor: int) -> None:
+        path = self._paths[descriptor]
+        size = path.stat().st_size
+        try:
+            self._step()
+        except OSError:
+            self._unwritten_from.pop(path, None)
+            raise
+        unwritten_from = self._unwritten_from.pop(path, size)
         if self.fails_sync:
             raise OSError(errno.EIO, 'Input/output error')
-        path = self._paths[descriptor]
-        self._synced_bytes[path] = path.stat().st_size
+        if unwritten_from <= self._synced_bytes[path]:
+            self._synced_bytes[path] = size
 
     def _rename(self, source: Path, target: Path) -> None:
         self._step()
         old = target.read_bytes() if target.exists() else None
         self._renames.append((target, old))
         source.replace(target)
-        self._synced_bytes[target] = self._synced_bytes.pop(source)
+        for sizes in (self._synced_bytes, self._unwritten_from):
+            if source in sizes:
+                sizes[target] = sizes.pop(source)
 
     def _sync_folder(self, folder: Path) -> None:
         self._step()
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from builders.disks import FaultyFiles, limit_disk
+from builders.disks import CountingFiles, FaultyFiles, limit_disk
 from sardinemast.consensus import HardState, LogEntry
 from sardinemast.storage import (
     StorageError,
@@ -190,3 +190,45 @@
     store.close()
     _, loaded = open_log_store(tmp_path, files)
     assert loaded.entries == entries
+
+
+def test_read_records_outlast_a_failed_sync_before(tmp_path: Path) -> None:
+    """Guard against records that are lost after they were acknowledged.
+
+    The next start reads them from the memory of the kernel, which takes them
+    for written since the failed sync.
+    """
+    files = FaultyFiles()
+    store, _ = open_log_store(tmp_path, files.functions)
+    files.fails_sync = True
+    with pytest.raises(StorageError, match=r'storage\.E002'):
+        store.append_entries(_ENTRIES)
+    files.fails_sync = False
+    store, loaded = open_log_store(tmp_path, files.functions)
+    store.append_entries((LogEntry(3, 1, b'third'),))
+    files.lose_power()
+    _, after = open_log_store(tmp_path, files.functions)
+    assert loaded.entries == _ENTRIES
+    assert after.entries == (*_ENTRIES, LogEntry(3, 1, b'third'))
+
+
+def test_start_writes_little_of_a_large_log(tmp_path: Path) -> None:
+    """Guard against starts that take as long as the log is large."""
+    store, _ = open_log_store(tmp_path)
+    for index in range(1, 101):
+        store.append_entries((LogEntry(index, 1, bytes(10_000)),))
+    store.close()
+    files = CountingFiles()
+    _, loaded = open_log_store(tmp_path, files.functions)
+    assert len(loaded.entries) == 100
+    assert 0 < files.written_bytes < 100_000
+
+
+def test_unfinished_file_of_a_killed_process_is_removed(
+    tmp_path: Path,
+) -> None:
+    """Guard against a disk that half a snapshot fills for good."""
+    path = _write(tmp_path)
+    path.with_suffix('.new').write_bytes(bytes(64))
+    open_log_store(tmp_path)
+    assert not path.with_suffix('.new').exists()
