--- a/src/sardinemast/control/_apply_queue.py
+++ b/src/sardinemast/control/_apply_queue.py
@@ -21,6 +21,11 @@
         self._remaining = _MAX_APPLIED_PER_STEP
         self._is_step_scheduled = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Check whether all committed entries are applied."""
+        return not self._entries
+
     def begin_step(self, now_s: float) -> None:
         """Apply entries that earlier steps left in the queue."""
         self._remaining = _MAX_APPLIED_PER_STEP
@@ -51,5 +56,6 @@
 
     def _apply_pending(self, now_s: float) -> None:
         while self._entries and self._remaining:
+            entry = self._entries.popleft()
             self._remaining -= 1
-            self._apply(self._entries.popleft(), now_s)
+            self._apply(entry, now_s)
--- a/src/sardinemast/control/_core.py
+++ b/src/sardinemast/control/_core.py
@@ -31,6 +31,7 @@
 from sardinemast.control._pending_commands import PendingCommands
 from sardinemast.control._sessions import LEASE_S, EntrySessions
 from sardinemast.control._slot_allocator import SlotAllocator
+from sardinemast.control._snapshot_schedule import SnapshotSchedule
 from sardinemast.control._snapshots import encode_snapshot, restore_snapshot
 from sardinemast.fleet import (
     COMMANDS,
@@ -53,17 +54,20 @@
 )
 
 _TIME_COMMAND_INTERVAL_S = 60.0
+_SNAPSHOT_BYTES = 16_777_216
 
 
 class ControlSettings(NamedTuple):
     """Configure the replica, leases, snapshots and dispatching.
 
-    A snapshot is taken after every ``snapshot_entries`` applied entries.
+    A snapshot is taken after every ``snapshot_entries`` applied entries, and
+    earlier once they hold ``snapshot_bytes`` and more than the last snapshot.
     """
 
     replica: consensus.ReplicaSettings
     lease_s: float = LEASE_S
     snapshot_entries: int = 10_000
+    snapshot_bytes: int = _SNAPSHOT_BYTES
     dispatching: dispatch.DispatchSettings = dispatch.DispatchSettings()
 
 
@@ -91,7 +95,9 @@
         )
         if snapshot is not None:
             restore_snapshot(self.state, snapshot.image)
-        self._snapshot_entries = settings.snapshot_entries
+        self._snapshot_schedule = SnapshotSchedule(
+            settings.snapshot_entries, settings.snapshot_bytes
+        )
         self._batch: list[consensus.CommandProposed] | None = None
         self._outputs: list[ControlOutput] = []
         self._context = ControlContext(
@@ -239,8 +245,13 @@
 
     def _take_snapshot(self, now_s: float) -> None:
         index = self.state.log_index
-        covered = self.replica.log.snapshot.last_index
-        if index >= covered + self._snapshot_entries:
+        last = self.replica.log.snapshot
+        # A restarted replica applies its whole log first: a snapshot is saved
+        # with all entries that it does not cover, beside the old log.
+        if not self._apply_queue.is_empty:
+            return
+        if self._snapshot_schedule.is_due(index, last):
+            self._snapshot_schedule.restart()
             image = encode_snapshot(self.state)
             self._step_replica(consensus.SnapshotTaken(index, image), now_s)
 
@@ -254,6 +265,7 @@
         elif isinstance(output, consensus.RestoreSnapshot):
             # The snapshot contains all entries that were still queued.
             self._apply_queue.clear()
+            self._snapshot_schedule.restart()
             restore_snapshot(self.state, output.snapshot.image)
             self._job_controller.handle_restored(now_s)
         elif isinstance(output, consensus.ProposalAccepted):
@@ -270,6 +282,7 @@
         if entry.payload:
             applied = self._apply_command(entry, now_s)
         self.state.log_index = entry.log_index
+        self._snapshot_schedule.record_applied(entry)
         # Only after applying an entry of its own term does a leader know that
         # it has applied every entry acknowledged in earlier terms.
         if entry.term == self.replica.term:
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from builders import make_document
+from builders.logs import make_catalog_log, run_until_applied
 from builders.workers import make_catalog
 from sardinemast import consensus, control
 from sardinemast.fleet import ApplyDocument, dump_state
@@ -45,15 +46,17 @@
 def test_log_is_cut_by_its_size() -> None:
     """Guard against large changes that fill the disk between two snapshots.
 
-    A start writes the log anew beside the old one, so that it must fit twice.
+    A snapshot is written beside the log, so that both must fit.
     """
     settings = control.ControlSettings(_SETTINGS.replica)
     core = control.ControlCore(settings, consensus.HardState(), (), Random(1))
     core.step(control.Tick(), 0)
     core.step(control.Tick(), 10)
     log_bytes = 0
+    draw = Random(1)
     for version in range(1, 2 + _DISK_BYTES // 2 // _CHANGE_BYTES):
-        change = ReplaceCatalog(make_catalog(version), bytes(_CHANGE_BYTES))
+        source = draw.randbytes(_CHANGE_BYTES)
+        change = ReplaceCatalog(make_catalog(version), source)
         core.step(control.CallReceived(1, version, change, 0), 10)
         for output in core.step(control.ProposalsDue(), 10):
             if isinstance(output, consensus.AppendToLog):
@@ -62,3 +65,21 @@
                 log_bytes = 0
         assert log_bytes < _DISK_BYTES // 2
     assert log_bytes
+
+
+def test_restarted_replica_applies_its_log_before_a_snapshot() -> None:
+    """Guard against a snapshot that is saved with most of a large log.
+
+    Both logs would have to fit on the disk, and the replica never starts.
+    """
+    settings = control.ControlSettings(_SETTINGS.replica)
+    entries = make_catalog_log(2 * settings.snapshot_bytes, _CHANGE_BYTES)
+    core = control.ControlCore(
+        settings, consensus.HardState(1, _NAME), entries, Random(1)
+    )
+    saved = [
+        one
+        for one in run_until_applied(core)
+        if isinstance(one, consensus.SaveSnapshot)
+    ]
+    assert [one.entries for one in saved] == [()]
