control: bound the work of a step by the bytes of its entries

Cause: a restarted replica applies up to 64 entries in a step, some 10 ms of work for ordinary ones. A change with 1,400 routes takes 16 ms to decode (this machine), so that such a step takes a second: longer than the election timeout of 0.6 s, and a leader that applies its log loses its term.

Change: a step ends after 512 KiB as well.

Evidence: test_restarted_replica_decodes_few_large_changes_in_a_step failed before with 41 changes in one step, and passes with two.

--- a/src/sardinemast/control/_apply_queue.py
+++ b/src/sardinemast/control/_apply_queue.py
@@ -10,15 +10,17 @@
 # thousands of entries in one step would delay heartbeats until the leader loses
 # its term.
 _MAX_APPLIED_PER_STEP = 64
+_MAX_BYTES_PER_STEP = 524_288
 
 
 class ApplyQueue:
-    """Apply entries in log order, a bounded number in each step."""
+    """Apply entries in log order, with a bound of a step's work."""
 
     def __init__(self, apply: Callable[[LogEntry, float], None]) -> None:
         self._apply = apply
         self._entries: deque[LogEntry] = deque()
         self._remaining = _MAX_APPLIED_PER_STEP
+        self._remaining_bytes = _MAX_BYTES_PER_STEP
         self._is_step_scheduled = False
 
     @property
@@ -29,6 +31,7 @@
     def begin_step(self, now_s: float) -> None:
         """Apply entries that earlier steps left in the queue."""
         self._remaining = _MAX_APPLIED_PER_STEP
+        self._remaining_bytes = _MAX_BYTES_PER_STEP
         self._apply_pending(now_s)
 
     def put(self, entry: LogEntry, now_s: float) -> None:
@@ -55,7 +58,8 @@
         self._is_step_scheduled = False
 
     def _apply_pending(self, now_s: float) -> None:
-        while self._entries and self._remaining:
+        while self._entries and self._remaining and self._remaining_bytes > 0:
             entry = self._entries.popleft()
             self._remaining -= 1
+            self._remaining_bytes -= len(entry.payload)
             self._apply(entry, now_s)
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -1,5 +1,6 @@
 """Restart of a control process from a snapshot."""
 
+from itertools import pairwise
 from random import Random
 
 from builders import make_document
@@ -83,3 +84,20 @@
         if isinstance(one, consensus.SaveSnapshot)
     ]
     assert [one.entries for one in saved] == [()]
+
+
+def test_restarted_replica_decodes_few_large_changes_in_a_step() -> None:
+    """Guard against a leader that loses its term while it applies its log.
+
+    Each large change takes milliseconds, so that a number of entries alone
+    does not bound a step.
+    """
+    entries = make_catalog_log(40 * _CHANGE_BYTES, _CHANGE_BYTES)
+    core = control.ControlCore(
+        _SETTINGS, consensus.HardState(1, _NAME), entries, Random(1)
+    )
+    indexes = [core.state.log_index]
+    run_until_applied(core, lambda: indexes.append(core.state.log_index))
+    steps = [after - before for before, after in pairwise(indexes)]
+    assert indexes[-1] > len(entries)
+    assert max(steps) * _CHANGE_BYTES <= _MIB_BYTES
