consensus: bound the entries kept in memory by their bytes

With 364 KiB each that is 373 MB, more than a control process may use.

Evidence: test_replica_keeps_few_large_entries_in_memory fails without the bound.

--- a/src/sardinemast/consensus/_commit_tracker.py
+++ b/src/sardinemast/consensus/_commit_tracker.py
@@ -55,7 +55,10 @@
             log.get_configuration_at(taken.log_index),
             taken.image,
         )
-        log.compact(snapshot, self._state.settings.retained_entries)
+        settings = self._state.settings
+        log.compact(
+            snapshot, settings.retained_entries, settings.retained_bytes
+        )
         self._save(snapshot)
 
     def install(self, snapshot: Snapshot) -> None:
--- a/src/sardinemast/consensus/_log.py
+++ b/src/sardinemast/consensus/_log.py
@@ -100,13 +100,21 @@
                 return added
         return ()
 
-    def compact(self, snapshot: Snapshot, retained: int) -> None:
+    def compact(
+        self, snapshot: Snapshot, retained_count: int, retained_bytes: int
+    ) -> None:
         """Drop entries that a snapshot covers, but retain the newest.
 
         A follower that lags a little catches up from the retained entries
         instead of the whole snapshot.
         """
-        base_index = max(self._base_index, snapshot.last_index - retained)
+        base_index = snapshot.last_index
+        last_dropped = max(self._base_index, base_index - retained_count)
+        while base_index > last_dropped:
+            retained_bytes -= len(self.get_entry(base_index).payload)
+            if retained_bytes < 0:
+                break
+            base_index -= 1
         base_term = self.get_term(base_index) or 0
         del self._entries[: base_index - self._base_index]
         self._base_index = base_index
@@ -116,7 +124,7 @@
     def install(self, snapshot: Snapshot) -> None:
         """Replace the log by a snapshot, keeping matching later entries."""
         if self.get_term(snapshot.last_index) == snapshot.last_term:
-            self.compact(snapshot, 0)
+            self.compact(snapshot, 0, 0)
             return
         self._entries.clear()
         self._base_index = snapshot.last_index
--- a/src/sardinemast/consensus/_settings.py
+++ b/src/sardinemast/consensus/_settings.py
@@ -4,6 +4,7 @@
 
 _BATCH_BYTES = 1024 * 1024
 _CHUNK_BYTES = _BATCH_BYTES // 4
+_RETAINED_BYTES = 4 * _BATCH_BYTES
 
 
 class ReplicaSettings(NamedTuple):
@@ -20,6 +21,9 @@
     how much the rates of two clocks may differ. Batches and chunks are bounded
     because a frame of more than ``wire.MAX_FRAME_BYTES`` breaks the stream
     each time it is sent.
+
+    Of the entries that a snapshot covers, at most ``retained_entries`` with at
+    most ``retained_bytes`` stay in memory.
     """
 
     name: str
@@ -31,6 +35,7 @@
     batch_bytes: int = _BATCH_BYTES
     chunk_bytes: int = _CHUNK_BYTES
     retained_entries: int = 1024
+    retained_bytes: int = _RETAINED_BYTES
     voters_max: int = 0
     replace_after_s: float = 1.5
 
--- a/tests/control/test_snapshots.py
+++ b/tests/control/test_snapshots.py
@@ -101,3 +101,17 @@
     steps = [after - before for before, after in pairwise(indexes)]
     assert indexes[-1] > len(entries)
     assert max(steps) * _CHANGE_BYTES <= _MIB_BYTES
+
+
+def test_replica_keeps_few_large_entries_in_memory() -> None:
+    """Guard against memory that fills with entries that a snapshot covers."""
+    settings = control.ControlSettings(_SETTINGS.replica)
+    entries = make_catalog_log(2 * settings.snapshot_bytes, _CHANGE_BYTES)
+    core = control.ControlCore(
+        settings, consensus.HardState(1, _NAME), entries, Random(1)
+    )
+    run_until_applied(core)
+    log = core.replica.log
+    kept = range(log.base_index + 1, log.last_index + 1)
+    kept_bytes = sum(len(log.get_entry(index).payload) for index in kept)
+    assert 0 < kept_bytes <= settings.replica.retained_bytes
