--- a/src/sardinemast/storage/_log_store.py
+++ b/src/sardinemast/storage/_log_store.py
@@ -272,7 +272,7 @@
 def _is_sealed(
     folder: Path, identity: FolderIdentity, first: StoredRecord
 ) -> bool:
-    return _RECORDS.decode(first.content) == read_seal(folder, identity)
+    return bool(_RECORDS.decode(first.content) == read_seal(folder, identity))
 
 
 def _encode(records: Iterable[_Record]) -> Iterator[bytes]:
