control: let no announcement take the place of a worker that is still there

Cause: what one process says of itself was taken for knowledge of another. Each report that could be read was registered, and a registration removes earlier workers of its instance and address at once, with their runs.

Change: a report that lacks a field, or that gives no capacity, is refused when it is decoded. A worker counts only for a pool that the catalog names (jobs.E005); known workers stay while they have runs. A worker takes a place only once the earlier one is known to be gone: it is polled at once, gets no new runs until it has answered, and is forgotten if another worker answers at its address, or if it is silent and has no runs or no lease. The registration that waited follows at once. Records and the applying of the log are as before, so that replicas of both versions agree.

The invalid heartbeats that the test had are kept, each wrong in its one field now, where most of them also lacked others.

--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -1,13 +1,13 @@
 """Handle calls to the leader: jobs, workers, catalogs and waves."""
 
 from collections import defaultdict
-from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import AnswerCall
 from sardinemast.control._job_admission import JobAdmission
+from sardinemast.control._worker_registrar import WorkerHooks, WorkerRegistrar
 from sardinemast.fleet import refuse_unknown_data_centre
 from sardinemast.jobs import (
     Command,
@@ -15,7 +15,6 @@
     JobState,
     MaintenanceStatus,
     Queue,
-    Worker,
     check_catalog,
     commands,
 )
@@ -60,23 +59,21 @@
     def __init__(
         self,
         context: ControlContext,
-        record_announcement: Callable[[str, float], None],
-        record_leaving: Callable[[str, float], None],
+        hooks: WorkerHooks,
         admission: JobAdmission,
     ) -> None:
         self._context = context
-        self._record_announcement = record_announcement
-        self._record_leaving = record_leaving
+        self._record_leaving = hooks.record_leaving
+        self._registrar = WorkerRegistrar(context, hooks)
         self._admission = admission
         self._waiting: dict[Any, list[CallerId]] = defaultdict(list)
-        self._last_sequences: dict[tuple[str, int], int] = {}
         # Bound once: each attribute access of a singledispatchmethod creates a
         # new function.
         self._handle_call = self._handle
 
     def start_term(self) -> None:
-        """Clear the announcement sequences of an earlier term."""
-        self._last_sequences.clear()
+        """Discard what was announced in an earlier term."""
+        self._registrar.start_term()
 
     def end_term(self) -> None:
         """Answer all waiting callers that the outcome is uncertain."""
@@ -96,10 +93,13 @@
         if answer is not None:
             self._answer(caller, answer)
 
-    def handle_applied(self, command: Command) -> None:
+    def handle_applied(self, command: Command, now_s: float) -> None:
         """Answer the callers that wait for the command."""
         if isinstance(command, commands.SubmitJob):
             self._admission.handle_applied(command.name)
+        elif isinstance(command, commands.ForgetWorker):
+            for follow in self._registrar.take_successors(command, now_s):
+                self._context.propose(follow, INTERNAL_REQUEST, now_s)
         key = _get_wait_key(command)
         if key is not None:
             self._answer_waiting(key, self._make_result(command))
@@ -169,21 +169,10 @@
         now_s: float,
         now_ms: int,
     ) -> CallAnswer | None:
-        worker = call.worker
-        boot = (worker.name, worker.boot_ms)
-        known = self._state.workers.get(worker.name)
-        # A delayed announcement must not overwrite a later one.
-        if call.sequence < self._last_sequences.get(boot, 0):
-            return _DONE
-        if known is not None and known.boot_ms > worker.boot_ms:
-            return _DONE
-        self._last_sequences[boot] = call.sequence
-        if known is not None and _reverts_drain(known, worker):
-            worker = worker._replace(is_draining=True)
-        if known == worker:
-            self._record_announcement(worker.name, now_s)
-            return _DONE
-        self._propose(commands.RegisterWorker(worker), caller)
+        decided = self._registrar.decide(call, now_s)
+        if isinstance(decided, CallAnswer):
+            return decided
+        self._propose(decided, caller)
         return None
 
     @_handle.register
@@ -336,12 +325,6 @@
         )
 
 
-def _reverts_drain(known: Worker, worker: Worker) -> bool:
-    # A worker does not resume after draining, so an announcement of the same
-    # boot without the flag is outdated.
-    return known.boot_ms == worker.boot_ms and known.is_draining
-
-
 def _make_evacuation(call: ChangeEvacuation) -> commands.EvacuationCommand:
     """Return the command of a call to evacuate or readmit a data centre."""
     if call.is_evacuated:
--- a/src/sardinemast/control/_events.py
+++ b/src/sardinemast/control/_events.py
@@ -179,6 +179,7 @@
     | CallerDisconnected
     | ProposalsDue
     | dispatch.WorkerPolled
+    | dispatch.WorkerContested
     | dispatch.StartAnswered
     | dispatch.MaintenanceAnswered
     | dispatch.MoveAnswered
--- a/src/sardinemast/control/_job_controller.py
+++ b/src/sardinemast/control/_job_controller.py
@@ -24,6 +24,7 @@
 )
 from sardinemast.control._job_admission import JobAdmission
 from sardinemast.control._wall_clock import WallClock
+from sardinemast.control._worker_registrar import WorkerHooks
 from sardinemast.dispatch import (
     AdviceAnswered,
     Dispatcher,
@@ -41,6 +42,7 @@
     RequestAdvice,
     StartAnswered,
     StartRun,
+    WorkerContested,
     WorkerPolled,
 )
 from sardinemast.fleet import COMMANDS, Command
@@ -78,8 +80,11 @@
         )
         self._calls = CallHandler(
             self._context,
-            self._dispatcher.record_announcement,
-            self._dispatcher.record_leaving,
+            WorkerHooks(
+                self._dispatcher.record_announcement,
+                self._dispatcher.record_leaving,
+                self._contest_worker,
+            ),
             self._admission,
         )
         self._streams: dict[int, None] = {}
@@ -149,7 +154,7 @@
         self._dispatcher.record_order_time(command, now_s)
         if not self._is_leading:
             return
-        self._calls.handle_applied(command)
+        self._calls.handle_applied(command, now_s)
         now_ms = self._clock.get_ms(now_s)
         outputs = self._dispatcher.handle_applied(command, now_s, now_ms)
         self._emit(outputs, now_s)
@@ -202,6 +207,9 @@
             outputs = self._dispatcher.step(event, now_s, now_ms)
             self._emit(outputs, now_s)
 
+    def _contest_worker(self, worker: str, now_s: float) -> None:
+        self._handle(WorkerContested(worker), now_s)
+
     def _emit(self, outputs: list[DispatchOutput], now_s: float) -> None:
         if not outputs:
             return
--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -18,6 +18,7 @@
     StopRun,
     ThrottleRun,
     Ticket,
+    WorkerContested,
     WorkerPolled,
     WorkerReport,
 )
@@ -75,6 +76,7 @@
     'Ticket',
     'WaitEstimate',
     'WaitEstimates',
+    'WorkerContested',
     'WorkerPolled',
     'WorkerReport',
 )
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -8,6 +8,7 @@
     DispatchEvent,
     DispatchOutput,
     StartAnswered,
+    WorkerContested,
     WorkerPolled,
 )
 from sardinemast.dispatch._failure_domains import FailureDomains
@@ -131,7 +132,7 @@
         now_s: float,
         now_ms: int,
     ) -> list[DispatchOutput]:
-        """Handle an answer of a worker or of a platform service."""
+        """Handle an answer, or a claim to the place of a worker."""
         self._state.outputs = []
         self._state.now_ms = now_ms
         self._domains.detect_pause(now_s)
@@ -145,6 +146,8 @@
         elif isinstance(event, AdviceAnswered):
             if self._tickets.handle_answer(event, now_s):
                 self._state.needs_planning = True
+        elif isinstance(event, WorkerContested):
+            self._poller.contest(event.worker, now_s)
         else:
             self._unresolved.record_result(event)
             self._handle_worker_answer(event, now_s)
@@ -243,6 +246,8 @@
     def _poll_workers(self, now_s: float) -> None:
         self._poller.sync_sessions(now_s)
         self._domains.tick(now_s)
+        if not self._recorder.is_recording:
+            self._poller.forget_without_pool()
         for session in tuple(self._state.sessions.values()):
             self._poller.expire_lease(session, now_s)
             self._poller.poll(session, now_s)
--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -80,6 +80,12 @@
     answer: WorkerReport | None = None
 
 
+class WorkerContested(NamedTuple):
+    """Report that another worker claims the place of this one."""
+
+    worker: str
+
+
 class StartRun(NamedTuple):
     """Tell a worker to start a run."""
 
@@ -169,6 +175,7 @@
 
 DispatchEvent = (
     WorkerPolled
+    | WorkerContested
     | StartAnswered
     | MaintenanceAnswered
     | MoveAnswered
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -18,8 +18,13 @@
 from sardinemast.dispatch._worker_session import WorkerSession
 from sardinemast.jobs import RunEnd, Worker
 from sardinemast.jobs.commands import FinishedRun, ForgetWorker
+from sardinemast.jobs.queries import has_pool
 
 _MS = 1000
+_NEVER_S = float('-inf')
+# Another writer that claims a worker's place repeats that for as long as it
+# lives, and each time the worker gets no new runs until it has answered.
+_CONTEST_AGAIN_S = 1.0
 
 
 class WorkerPoller:
@@ -28,6 +33,7 @@
     def __init__(self, state: DispatchState) -> None:
         self._state = state
         self._forgetting: set[tuple[str, int]] = set()
+        self._contested_at_s: dict[str, float] = {}
         # Sessions with reported ends that are not recorded yet. Keeps the work
         # per event independent of the number of workers.
         self._sessions_with_ends: dict[str, WorkerSession] = {}
@@ -38,6 +44,7 @@
     def start_term(self) -> None:
         """Discard the state of the previous term."""
         self._forgetting.clear()
+        self._contested_at_s.clear()
         self._sessions_with_ends.clear()
         self._next_fence = 0
         self._throttle = BestEffortThrottle()
@@ -50,6 +57,7 @@
             self._next_fence = max(self._next_fence, gone.fence + 1)
             end_cordon(state, gone, 'worker gone', now_s)
             self._sessions_with_ends.pop(name, None)
+            self._contested_at_s.pop(name, None)
         for worker in state.jobs.workers.values():
             session = state.sessions.get(worker.name)
             if session is None:
@@ -59,11 +67,35 @@
                 self._restart(session, worker.boot_ms, now_s)
             session.worker = worker
 
+    def contest(self, name: str, now_s: float) -> None:
+        """Find out at once whether a worker is still there."""
+        session = self._state.sessions.get(name)
+        if session is None or session.contested_s is not None:
+            return
+        if now_s < self._contested_at_s.get(name, _NEVER_S) + _CONTEST_AGAIN_S:
+            return
+        self._contested_at_s[name] = now_s
+        self._state.log('worker.contested', name)
+        session.contested_s = now_s
+        if session.poll_state.is_pending:
+            session.poll_state.replace_pending()
+        session.poll_state.due_s = now_s
+        self.poll(session, now_s)
+
+    def forget_without_pool(self) -> None:
+        """Remove idle workers of pools that the catalog does not name."""
+        for session in self._state.sessions.values():
+            if has_pool(self._state.jobs, session.worker.pool):
+                continue
+            if not self._state.get_runs(session.worker.name):
+                self.propose_forget(session)
+
     def expire_lease(self, session: WorkerSession, now_s: float) -> None:
         """Report all runs of a worker as lost once its lease has expired."""
         if now_s < session.lease_ends_s:
             return
         self._forget_if_silent(session, now_s)
+        self._forget_if_replaced(session)
         runs = self._state.get_runs(session.worker.name)
         if not runs:
             return
@@ -102,7 +134,11 @@
             and not is_withheld
         )
         # A poll that settles what became of a run returns at once.
-        is_settling = is_raising or bool(session.missing_runs)
+        is_settling = (
+            is_raising
+            or bool(session.missing_runs)
+            or session.contested_s is not None
+        )
         may_wait = is_responsive and not is_settling
         wait_ms = self._get_wait_ms(session) if may_wait else 0
         session.poll_state.is_pending = True
@@ -136,6 +172,9 @@
             self.propose_forget(session)
         elif answer is None:
             self._record_miss(session, now_s)
+            if polled.outcome is not OrderOutcome.refused:
+                if not self._state.get_runs(session.worker.name):
+                    self._forget_if_replaced(session)
         elif answer.boot_ms > session.boot_ms:
             # The worker has restarted. Its capacity, labels, pool and state may
             # be others now, so it gets no runs until it announces them.
@@ -209,11 +248,20 @@
         ):
             self.propose_forget(session)
 
+    def _forget_if_replaced(self, session: WorkerSession) -> None:
+        """Remove a silent worker whose place another one claims.
+
+        It must have no runs, or none that its lease still allows.
+        """
+        if session.contested_s is not None and session.poll_state.misses:
+            self.propose_forget(session)
+
     def _is_poll_needed(self, session: WorkerSession) -> bool:
         name = session.worker.name
         return (
             not session.is_synced
             or session.poll_state.must_raise_fence
+            or session.contested_s is not None
             or bool(session.reported_runs)
             or bool(self._state.get_runs(name))
             or self._state.suspected.is_withheld(name)
@@ -256,6 +304,9 @@
         session.record_clock(answer.clock_ms, now_s)
         session.last_heard_s = now_s
         session.poll_state.misses = 0
+        if session.contested_s is not None:
+            session.contested_s = None
+            self._state.needs_planning = True
         if not session.is_synced:
             self._state.needs_planning = True
             runs = len(answer.running)
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -321,6 +321,8 @@
             return False
         if not (session.is_synced and session.is_announced):
             return False
+        if session.contested_s is not None:
+            return False
         return not self._state.is_evacuated(session.worker)
 
     def _send_start(
--- a/src/sardinemast/dispatch/_withheld_reasons.py
+++ b/src/sardinemast/dispatch/_withheld_reasons.py
@@ -10,6 +10,7 @@
     rack_suspected = 'rack_suspected'
     not_synced = 'not_synced'
     not_announced = 'not_announced'
+    contested = 'contested'
     draining = 'draining'
     leaving = 'leaving'
     cordoned = 'cordoned'
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -104,6 +104,9 @@
     ``boot_ms`` is that boot. ``worker`` is what the worker last announced; if
     that was in an earlier boot, it may be outdated in all but its name.
 
+    ``contested_s`` is since when another worker claims its place and it has
+    not shown that it is still there.
+
     ``missing_runs`` holds the runs in the log that are missing from the last
     report and whose ends may be listed by a later one.
 
@@ -125,6 +128,7 @@
         self.fence = term * _FENCES_PER_TERM
         self.is_synced = False
         self.is_leaving = False
+        self.contested_s: float | None = None
         self.cordon: Cordon | None = None
         self.poll_state = PollState()
         self.end_cursor = EndCursor()
@@ -204,6 +208,7 @@
         self.is_synced = False
         # Shutdown and failures were those of the previous boot.
         self.is_leaving = False
+        self.contested_s = None
         self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
         self.reported_runs = {}
@@ -258,6 +263,8 @@
             return WithheldReason.not_synced
         if not self.is_announced:
             return WithheldReason.not_announced
+        if self.contested_s is not None:
+            return WithheldReason.contested
         if self.is_draining:
             return WithheldReason.draining
         return WithheldReason.leaving if self.is_leaving else None
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -235,6 +235,7 @@
         self.source = b''
         self.teams = Teams()
         self.queues: dict[str, Queue] = {}
+        self.pools: frozenset[str] = frozenset()
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, None] = {}
         self.live: dict[str, JobState] = {}
@@ -256,6 +257,7 @@
         self.source = source
         self.teams.replace(catalog.teams)
         self.queues = {queue.name: queue for queue in catalog.queues}
+        self.pools = frozenset(pool.name for pool in catalog.pools)
         for job in self.live.values():
             job.queue = self.queues.get(job.queue.name, job.queue)
 
--- a/src/sardinemast/jobs/queries.py
+++ b/src/sardinemast/jobs/queries.py
@@ -19,6 +19,14 @@
     return state.teams.find_by_key(key)
 
 
+def has_pool(state: JobsState, pool: str) -> bool:
+    """Check whether workers of a pool count, which the catalog must name.
+
+    Workers may announce themselves before the first catalog.
+    """
+    return not state.catalog.version or pool in state.pools
+
+
 def count_queued_jobs(state: JobsState, queue: str) -> int:
     """Count the jobs of a queue that have not started a task."""
     return sum(
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -37,6 +37,7 @@
     HeartbeatBody,
     InstanceBody,
     RunRow,
+    WorkerCapacityBody,
     WorkerReportBody,
 )
 
@@ -94,8 +95,10 @@
     host, _, port = body['addr'].rpartition(':')
     if not host or not _is_port(port):
         raise ValueError(f'{body["addr"]!r} is not a valid address.')
-    labels = tuple(body.get('labels', ()))
-    capacity = _make_size(body.get('capacity', {}))
+    labels = tuple(body['labels'])
+    capacity = _make_size(body['capacity'])
+    if capacity.millicores <= 0:
+        raise ValueError('The worker has no capacity.')
     boot_ms = body.get('born', 0)
     _check_numbers(*capacity, boot_ms)
     return Worker(
@@ -103,7 +106,7 @@
         boot_ms,
         body['addr'],
         body['service'],
-        body.get('zone', ''),
+        body['zone'],
         labels[1] if len(labels) > 1 else '',
         labels,
         capacity,
@@ -178,7 +181,7 @@
         raise ValueError('A number is out of range.')
 
 
-def _make_size(body: CapacityBody | StepBody) -> Size:
+def _make_size(body: CapacityBody | WorkerCapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
         body.get('mem_mb', 0) * _MIB_BYTES,
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -8,23 +8,32 @@
 
 import msgspec
 
-from sardinemast.platform._job_bodies import CapacityBody
+
+class _WorkerCapacityRequired(TypedDict):
+    cpu: int
+    mem_mb: int
+
+
+class WorkerCapacityBody(_WorkerCapacityRequired, total=False):
+    """Hold a worker's capacity: CPU in millicores, memory in MB, and GPUs."""
+
+    gpu: int
 
 
 class _HeartbeatRequired(TypedDict):
     service: str
     addr: str
+    zone: str
     state: str
     seq: int
+    capacity: WorkerCapacityBody
+    labels: list[str]
 
 
 class HeartbeatBody(_HeartbeatRequired, total=False):
     """Hold a worker's heartbeat; ``labels`` are its kind and its rack."""
 
-    zone: str
     machine: str
-    capacity: CapacityBody
-    labels: list[str]
     # Time of the worker's start, in Unix milliseconds.
     born: int
 
--- a/tests/builders/admission.py
+++ b/tests/builders/admission.py
@@ -10,6 +10,7 @@
 )
 from sardinemast.control import AnswerCall, ControlContext, JobAdmission
 from sardinemast.control._call_handler import CallerId, CallHandler
+from sardinemast.control._worker_registrar import WorkerHooks
 from sardinemast.dispatch import AdmissionPolicy, LogDecision, WaitEstimate
 from sardinemast.fleet import FleetState
 from sardinemast.jobs import JobRequest, JobState, Step, apply_command
@@ -54,10 +55,13 @@
             context,
             self.waits,  # type: ignore[arg-type]
         )
+
+        def ignore(worker: str, now_s: float) -> None:
+            """Pass over what concerns workers."""
+
         self.handler = CallHandler(
             context,
-            lambda worker, now_s: None,
-            lambda worker, now_s: None,
+            WorkerHooks(ignore, ignore, ignore),
             self.admission,
         )
         self._call_id = 0
@@ -86,7 +90,7 @@
         """Apply all proposals."""
         for command in self.proposed:
             apply_command(command, self.state, 2)
-            self.handler.handle_applied(command)
+            self.handler.handle_applied(command, self.now_s)
         self.proposed.clear()
 
     def count_events(self) -> int:
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -159,21 +159,52 @@
     assert worker.is_draining
 
 
+def _encode_heartbeat(**changes: object) -> bytes:
+    """Return a worker's heartbeat; a field that is None is missing."""
+    heartbeat = {
+        'service': 's',
+        'addr': '10.0.0.9:80',
+        'zone': 'rennes',
+        'state': 'ready',
+        'seq': 1,
+        'labels': ['a', 'r1-3'],
+        'capacity': {'cpu': 1000, 'mem_mb': 1},
+        **changes,
+    }
+    fields = heartbeat.items()
+    return msgspec.json.encode(
+        {name: field for name, field in fields if field is not None}
+    )
+
+
 @pytest.mark.parametrize(
     'body',
     [
-        b'{"service":"s","addr":"10.0.0.9:80","state":"odd","seq":1}',
-        b'{"service":"s","addr":"nowhere","state":"ready","seq":1}',
-        b'{"service":"s","addr":"10.0.0.9:0","state":"ready","seq":1}',
-        b'{"service":"s","addr":"10.0.0.9:70000","state":"ready","seq":1}',
-        b'{"service":"s","addr":"10.0.0.9:\xc2\xb2","state":"ready","seq":1}',
-        b'{"service":"s","state":"ready","seq":1}',
-        b'{"service":"s","addr":"1:2","state":"ready","seq":"one"}',
-        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
-        b'"capacity":{"cpu":%b}}' % _HUGE,
-        b'{"service":"s","addr":"1:2","state":"ready","seq":1,'
-        b'"capacity":{"gpu":-1}}',
+        _encode_heartbeat(state='odd'),
+        _encode_heartbeat(addr='nowhere'),
+        _encode_heartbeat(addr='10.0.0.9:0'),
+        _encode_heartbeat(addr='10.0.0.9:70000'),
+        _encode_heartbeat(addr='10.0.0.9:\xb2'),
+        _encode_heartbeat(addr=None),
+        _encode_heartbeat(seq='one'),
+        _encode_heartbeat(capacity={'cpu': 1000, 'mem_mb': 1, 'gpu': -1}),
+        _encode_heartbeat(capacity={'cpu': 7777, 'mem_mb': 1}).replace(
+            b'7777', _HUGE
+        ),
         b'[]',
+        # Reports of another writer, which names no worker to use.
+        _encode_heartbeat(service=None),
+        _encode_heartbeat(zone=None),
+        _encode_heartbeat(state=None),
+        _encode_heartbeat(seq=None),
+        _encode_heartbeat(labels=None),
+        _encode_heartbeat(labels='a'),
+        _encode_heartbeat(capacity=None),
+        _encode_heartbeat(capacity={}),
+        _encode_heartbeat(capacity={'mem_mb': 1}),
+        _encode_heartbeat(capacity={'cpu': 1000}),
+        _encode_heartbeat(capacity={'cpu': 0, 'mem_mb': 1}),
+        _encode_heartbeat(capacity={'cpu': 1000.5, 'mem_mb': 1}),
     ],
 )
 def test_invalid_heartbeat_is_rejected(body: bytes) -> None:
@@ -186,6 +217,12 @@
         make_worker('i-1', decode(body, HeartbeatBody))
 
 
+def test_heartbeat_needs_only_what_is_used() -> None:
+    """Guard against a check that refuses each heartbeat, valid or not."""
+    worker = make_worker('i-1', decode(_encode_heartbeat(), HeartbeatBody))
+    assert worker.capacity == (1000, _MIB, 0)
+
+
 def test_rows_with_invalid_task_names_are_skipped() -> None:
     """Keep the valid rows of a report that also has invalid ones."""
     body = (
