dispatch: name no lease that outlasts the next leader's wait

Cause: the end of the lease was reckoned from the last reading of the worker's clock as if it had run at full speed since. The reading was as old as the worker was idle, and on a clock that is 2% slow the lease grew by 2% of that. The next leader does not know of the reading and waits for 5 s on the slowest clock.

Change: the end is reckoned from what the clock shows at least, so that its length no longer depends on the age of the reading; one setting tells both how long a lease lasts and how long a new leader waits. Readings are refreshed by the announcements, which tell the worker's clock, and by a poll once they are older than 30 s, so that a lease is shorter by 0.6 s at most.

--- a/bench/starts.py
+++ b/bench/starts.py
@@ -181,7 +181,7 @@
         if self._now_s >= self._announced_s + _ANNOUNCE_INTERVAL_S:
             self._announced_s = self._now_s
             for name in self.state.workers:
-                self._dispatcher.record_announcement(name, self._now_s)
+                self._dispatcher.record_announcement(name, 0, self._now_s)
 
     def _commit(self, command: Command) -> list[DispatchOutput]:
         payload = COMMANDS.encode(command)
--- a/src/sardinemast/control/_worker_registrar.py
+++ b/src/sardinemast/control/_worker_registrar.py
@@ -31,7 +31,7 @@
     ``contest`` lets it find out whether a worker is still there.
     """
 
-    record_announcement: Callable[[str, float], None]
+    record_announcement: Callable[[str, int, float], None]
     record_leaving: Callable[[str, float], None]
     contest: Callable[[str, float], None]
 
@@ -81,7 +81,7 @@
         if known is not None and _reverts_drain(known, worker):
             worker = worker._replace(is_draining=True)
         if known == worker:
-            self._hooks.record_announcement(worker.name, now_s)
+            self._hooks.record_announcement(worker.name, call.clock_ms, now_s)
             return _DONE
         earlier = self._list_earlier(worker)
         for other in earlier:
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -178,12 +178,22 @@
             self._handle_fleet_change(command, now_s)
         return self._finish(now_s, now_ms)
 
-    def record_announcement(self, worker: str, now_s: float) -> None:
-        """Record an announcement of a worker."""
+    def record_announcement(
+        self, worker: str, clock_ms: int, now_s: float
+    ) -> None:
+        """Record an announcement of a worker, and its clock if it tells it.
+
+        The announcement may have been under way for long, which makes the
+        clock show less than it does now, never more.
+        """
         session = self._state.sessions.get(worker)
-        if session is not None:
-            session.last_announced_s = now_s
-            session.is_leaving = False
+        if session is None:
+            return
+        session.last_announced_s = now_s
+        session.is_leaving = False
+        # The clock of an earlier boot is another one.
+        if session.boot_ms and session.boot_ms == session.worker.boot_ms:
+            session.record_clock(clock_ms, now_s)
 
     def record_leaving(self, worker: str, now_s: float) -> None:
         """Record that a worker is shutting down.
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -117,7 +117,7 @@
         """Send a poll to a worker if one is due."""
         if session.poll_state.is_pending or now_s < session.poll_state.due_s:
             return
-        if not self._is_poll_needed(session):
+        if not self._is_poll_needed(session, now_s):
             return
         # Until its ends are recorded, the worker would only repeat them.
         if session.end_cursor.reported > session.end_cursor.recorded:
@@ -256,12 +256,13 @@
         if session.contested_s is not None and session.poll_state.misses:
             self.propose_forget(session)
 
-    def _is_poll_needed(self, session: WorkerSession) -> bool:
+    def _is_poll_needed(self, session: WorkerSession, now_s: float) -> bool:
         name = session.worker.name
         return (
             not session.is_synced
             or session.poll_state.must_raise_fence
             or session.contested_s is not None
+            or session.needs_clock(now_s)
             or bool(session.reported_runs)
             or bool(self._state.get_runs(name))
             or self._state.suspected.is_withheld(name)
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -4,6 +4,8 @@
 
 from sardinemast.dispatch._admission_policy import AdmissionPolicy
 
+_MS = 1000
+
 
 class PoolPolicy(NamedTuple):
     """Configure how many workers a pool keeps.
@@ -147,3 +149,8 @@
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
     preemption: PreemptionPolicy = PreemptionPolicy()
     admission: AdmissionPolicy = AdmissionPolicy()
+
+    @property
+    def longest_lease_s(self) -> float:
+        """Return how long a lease lasts on the slowest clock of a worker."""
+        return self.lease_ms / _MS / (1 - self.drift)
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -96,8 +96,7 @@
         expired, which was before this term started.
         """
         settings = self.settings
-        lease_s = settings.lease_ms / _MS / (1 - settings.drift)
-        return self.started_s + lease_s + settings.margin_s
+        return self.started_s + settings.longest_lease_s + settings.margin_s
 
     @property
     def settled_at_s(self) -> float:
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -12,6 +12,8 @@
 # Keeps all fences of a term below those of the next.
 _FENCES_PER_TERM = 1_000_000
 _MS = 1000
+# By then a clock may have lost 0.6 s, an eighth of a lease.
+_CLOCK_MAX_AGE_S = 30.0
 
 
 class NumberedRun(NamedTuple):
@@ -176,26 +178,32 @@
 
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Record a reading of the worker's clock, unless it is outdated."""
-        if clock_ms > 0 and clock_ms >= self._get_clock_ms(
-            now_s, is_upper_bound=False
-        ):
+        if clock_ms > 0 and clock_ms >= self._get_least_clock_ms(now_s):
             self._clock_ms = clock_ms
             self._clock_at_s = now_s
 
     def extend_lease(self, now_s: float) -> int:
         """Extend the lease and return its expiry on the worker's clock.
 
-        On the leader's clock, the lease may last longer than ``lease_ms``,
-        since the worker's clock may be slow.
+        The worker's clock shows at least the value from which the expiry is
+        reckoned. So the lease never lasts longer than ``longest_lease_s``,
+        however old the last reading of the clock is, and later leaders, which
+        do not know that reading, need to wait no longer.
         """
-        lease_ms = self._settings.lease_ms
-        since_s = now_s - (self._clock_at_s or now_s)
-        longest_s = lease_ms / _MS + since_s * self._settings.drift
-        ends_s = now_s + longest_s / (1 - self._settings.drift)
         self.lease_ends_s = max(
-            self.lease_ends_s, ends_s + self._settings.margin_s
+            self.lease_ends_s,
+            now_s + self._settings.longest_lease_s + self._settings.margin_s,
         )
-        return self._get_clock_ms(now_s, is_upper_bound=True) + lease_ms
+        return self._get_least_clock_ms(now_s) + self._settings.lease_ms
+
+    def needs_clock(self, now_s: float) -> bool:
+        """Check whether the last reading of the worker's clock is too old.
+
+        A lease is shorter by what the clock may have lost since then.
+        """
+        if self._clock_at_s is None:
+            return False
+        return now_s > self._clock_at_s + _CLOCK_MAX_AGE_S
 
     def restart(self, boot_ms: int, now_s: float) -> None:
         """Continue with a later boot of the worker.
@@ -269,9 +277,9 @@
             return WithheldReason.draining
         return WithheldReason.leaving if self.is_leaving else None
 
-    def _get_clock_ms(self, now_s: float, *, is_upper_bound: bool) -> int:
+    def _get_least_clock_ms(self, now_s: float) -> int:
+        """Return what the worker's clock shows at least."""
         if self._clock_at_s is None:
             return 0
-        rate = 1 if is_upper_bound else 1 - self._settings.drift
         since_s = now_s - self._clock_at_s
-        return self._clock_ms + int(since_s * rate * _MS)
+        return self._clock_ms + int(since_s * (1 - self._settings.drift) * _MS)
--- a/src/sardinemast/model/_simulation.py
+++ b/src/sardinemast/model/_simulation.py
@@ -192,7 +192,7 @@
         for worker in self.instances.workers.values():
             if self._has_leader and not worker.is_unreachable:
                 name = worker.registration.name
-                self.dispatcher.record_announcement(name, self.clock.now_s)
+                self.dispatcher.record_announcement(name, 0, self.clock.now_s)
         self.clock.call_later(_ANNOUNCE_INTERVAL_S, self._announce)
 
     def _sample_availability(self) -> None:
--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -135,7 +135,11 @@
 def _read_worker_call(request: HTTPServerRequest, name: str) -> Call | None:
     if request.method == 'PUT':
         heartbeat = decode(request.body, HeartbeatBody)
-        return AnnounceWorker(make_worker(name, heartbeat), heartbeat['seq'])
+        return AnnounceWorker(
+            make_worker(name, heartbeat),
+            heartbeat['seq'],
+            heartbeat.get('wall_ms', 0),
+        )
     if request.method == 'DELETE':
         return WorkerLeft(name)
     return None
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -100,7 +100,7 @@
     if capacity.millicores <= 0:
         raise ValueError('The worker has no capacity.')
     boot_ms = body.get('born', 0)
-    _check_numbers(*capacity, boot_ms)
+    _check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
     return Worker(
         name,
         boot_ms,
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -36,6 +36,8 @@
     machine: str
     # Time of the worker's start, in Unix milliseconds.
     born: int
+    # Time on the worker's own clock.
+    wall_ms: int
 
 
 class RunRow(NamedTuple):
--- a/src/sardinemast/protocol/_calls.py
+++ b/src/sardinemast/protocol/_calls.py
@@ -32,10 +32,14 @@
 
 
 class AnnounceWorker(NamedTuple):
-    """Announce a worker; a lower ``sequence`` than the last is ignored."""
+    """Announce a worker; a lower ``sequence`` than the last is ignored.
+
+    ``clock_ms`` is the time on the worker's own clock, 0 if it is not known.
+    """
 
     worker: Worker
     sequence: int
+    clock_ms: int = 0
 
 
 class WorkerLeft(NamedTuple):
--- a/tests/builders/admission.py
+++ b/tests/builders/admission.py
@@ -56,7 +56,7 @@
             self.waits,  # type: ignore[arg-type]
         )
 
-        def ignore(worker: str, now_s: float) -> None:
+        def ignore(*worker: Any) -> None:
             """Pass over what concerns workers."""
 
         self.handler = CallHandler(
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -145,7 +145,8 @@
     Orders to an unreachable worker are kept in ``undelivered_orders``, so
     that a test can deliver them later; so are the next ``starts_to_lose``
     starts. While ``is_held``, proposals are not
-    committed. Workers that are added list at most ``ends_per_report`` ends.
+    committed. Workers that are added list at most ``ends_per_report`` ends, and
+    announce what their clocks show if ``announces_clocks``.
     """
 
     def __init__(
@@ -165,6 +166,7 @@
         self.follower.reset_order_times(self.now_s)
         self.workers: dict[str, ModelWorker] = {}
         self.ends_per_report: int | None = None
+        self.announces_clocks = True
         self.is_held = False
         self.proposed: deque[Command] = deque()
         self.undelivered_orders: list[tuple[ModelWorker, Any]] = []
@@ -277,8 +279,7 @@
                 model.advance_clock(self.now_s)
                 is_cut = model.is_unreachable or model.loses_responses
                 if not (is_cut or model.is_silent):
-                    name = model.worker.name
-                    self.dispatcher.record_announcement(name, self.now_s)
+                    self._record_announcement(model)
             self._answer_due()
             self._execute(self.dispatcher.tick(self.now_s, self.now_ms))
 
@@ -305,6 +306,14 @@
             if task in model.running
         ]
 
+    def _record_announcement(self, model: ModelWorker) -> None:
+        clock_ms = model.get_clock_ms(self.now_s)
+        self.dispatcher.record_announcement(
+            model.worker.name,
+            clock_ms if self.announces_clocks else 0,
+            self.now_s,
+        )
+
     def _put_model(self, worker: Worker, rate: float = 1) -> ModelWorker:
         model = ModelWorker(worker, rate)
         model.ends_per_report = self.ends_per_report
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -1,5 +1,7 @@
 """Test leases, fencing of late orders, and changes of leader."""
 
+import pytest
+
 from builders.workers import POOL, ModelFleet, make_step, make_worker
 from sardinemast.dispatch import DispatchSettings, OrderOutcome, StartRun
 from sardinemast.jobs import JobStatus, TaskKey
@@ -193,3 +195,67 @@
     fleet.run(1)
     assert fleet.state.jobs['job'].status is JobStatus.done
     assert not fleet.get_running_workers(TASK)
+
+
+@pytest.mark.parametrize('announces_clocks', [True, False])
+@pytest.mark.parametrize('idle_s', [12, 29, 92, 300])
+@pytest.mark.parametrize('rate', [0.98, 1])
+def test_lease_of_an_idle_worker_outlasts_no_leader(
+    *, announces_clocks: bool, idle_s: int, rate: float
+) -> None:
+    """Guard against a second run since a lease named an old clock reading.
+
+    The worker is cut off and its leader is lost right after the start.
+    """
+    fleet = ModelFleet(worker_count=0)
+    fleet.announces_clocks = announces_clocks
+    for number in range(2):
+        fleet.add_worker(make_worker(number), rate)
+    fleet.run(idle_s)
+    worker = _start_one(fleet)
+    fleet.workers[worker].is_unreachable = True
+    fleet.run(0.05)
+    fleet.elect()
+    counts = []
+    for _ in range(160):
+        fleet.run(0.05)
+        counts.append(len(fleet.get_running_workers(TASK)))
+    assert max(counts) == 1
+    assert fleet.get_running_workers(TASK) not in ([], [worker])
+
+
+@pytest.mark.parametrize('announces_clocks', [True, False])
+@pytest.mark.parametrize('idle_s', [29, 600])
+@pytest.mark.parametrize('rate', [0.98, 1])
+def test_start_on_an_idle_worker_names_most_of_a_lease_and_no_more(
+    *, announces_clocks: bool, idle_s: int, rate: float
+) -> None:
+    """Guard against leases that are too short to start, or outlast a leader."""
+    fleet = ModelFleet(worker_count=0)
+    fleet.announces_clocks = announces_clocks
+    fleet.add_worker(make_worker(0), rate)
+    fleet.run(idle_s)
+    fleet.submit('job', make_step())
+    fleet.run(0.05)
+    model = fleet.workers['w-0']
+    left_ms = fleet.started[0].expires_ms - model.get_clock_ms(fleet.now_s)
+    assert _LEASE_S * 1000 * 3 / 4 < left_ms <= _LEASE_S * 1000
+
+
+def test_announcement_of_an_earlier_boot_tells_no_clock() -> None:
+    """Guard against a lease by the clock that a worker had before it restarted.
+
+    That clock may show hours more.
+    """
+    fleet = ModelFleet(worker_count=1)
+    fleet.run(5)
+    model = fleet.restart_silently(0)
+    fleet.elect()
+    fleet.run(0.5)
+    fleet.dispatcher.record_announcement('w-0', 10**9, fleet.now_s)
+    fleet.announce(model)
+    fleet.run(0.5)
+    fleet.submit('job', make_step())
+    fleet.run(0.05)
+    left_ms = fleet.started[0].expires_ms - model.get_clock_ms(fleet.now_s)
+    assert left_ms <= _LEASE_S * 1000
