jobs: know a job by its host, prefix and id, whatever its queue is called

Cause: a job was looked up by the name of its queue, which callers do not know. A name was taken for an identity.

Where none is left, it follows the policy of the name, and is reached where that queue went. A submission that comes while a catalog is in flight waits for it, since it names its queue in the log. The usage of teams moves with the name.

--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -12,13 +12,17 @@
 from sardinemast.jobs import (
     Command,
     JobsState,
-    JobState,
     MaintenanceStatus,
     Queue,
     check_catalog,
     commands,
 )
-from sardinemast.jobs.queries import count_queued_jobs, find_queue, find_team
+from sardinemast.jobs.queries import (
+    count_queued_jobs,
+    find_job,
+    find_queue,
+    find_team,
+)
 from sardinemast.protocol import (
     AnnounceWorker,
     BeginWave,
@@ -67,6 +71,8 @@
         self._registrar = WorkerRegistrar(context, hooks)
         self._admission = admission
         self._waiting: dict[Any, list[CallerId]] = defaultdict(list)
+        self._catalogs_in_flight: set[Any] = set()
+        self._deferred: list[tuple[JobCall, CallerId]] = []
         # Bound once: each attribute access of a singledispatchmethod creates a
         # new function.
         self._handle_call = self._handle
@@ -80,6 +86,10 @@
         answer = CallAnswer(CallOutcome.uncertain)
         for key in tuple(self._waiting):
             self._answer_waiting(key, answer)
+        for _, caller in self._deferred:
+            self._answer(caller, answer)
+        self._deferred.clear()
+        self._catalogs_in_flight.clear()
 
     def handle(
         self,
@@ -93,7 +103,9 @@
         if answer is not None:
             self._answer(caller, answer)
 
-    def handle_applied(self, command: Command, now_s: float) -> None:
+    def handle_applied(
+        self, command: Command, now_s: float, now_ms: int
+    ) -> None:
         """Answer the callers that wait for the command."""
         if isinstance(command, commands.SubmitJob):
             self._admission.handle_applied(command.name)
@@ -103,6 +115,9 @@
         key = _get_wait_key(command)
         if key is not None:
             self._answer_waiting(key, self._make_result(command))
+        if isinstance(command, commands.PutCatalog):
+            self._catalogs_in_flight.discard(key)
+            self._handle_deferred(now_s, now_ms)
 
     @property
     def _state(self) -> JobsState:
@@ -126,6 +141,11 @@
         now_s: float,
         now_ms: int,
     ) -> CallAnswer | None:
+        # A submission names its queue in the log. By the time it is applied, a
+        # catalog that is in flight may have given that name to another queue.
+        if call.action is JobAction.submit and self._catalogs_in_flight:
+            self._deferred.append((call, caller))
+            return None
         queue = find_queue(self._state, call.host, call.path)
         if queue is None:
             return CallAnswer(CallOutcome.unknown_queue)
@@ -151,9 +171,9 @@
         caller: CallerId,
     ) -> CallAnswer | None:
         if action is JobAction.read and not name:
-            waiting = count_queued_jobs(self._state, queue.name)
+            waiting = count_queued_jobs(self._state, queue)
             return CallAnswer(CallOutcome.done, waiting=waiting)
-        job = self._find_job(queue, name)
+        job = find_job(self._state, queue, name)
         if job is None:
             return CallAnswer(CallOutcome.unknown_job)
         if action is JobAction.cancel and not job.is_over:
@@ -293,11 +313,13 @@
         self._propose(admitted, caller)
         return None
 
-    def _find_job(self, queue: Queue, name: str) -> JobState | None:
-        job = self._state.jobs.get(name)
-        if job is None or job.queue.name != queue.name:
-            return None
-        return job
+    def _handle_deferred(self, now_s: float, now_ms: int) -> None:
+        if self._catalogs_in_flight:
+            return
+        deferred = tuple(self._deferred)
+        self._deferred.clear()
+        for call, caller in deferred:
+            self.handle(caller, call, now_s, now_ms)
 
     def _make_result(self, command: Command) -> CallAnswer:
         # A catalog applied after the proposal may have removed the queue; the
@@ -312,6 +334,8 @@
         key = _get_wait_key(command)
         is_first = key not in self._waiting
         self._waiting[key].append(caller)
+        if isinstance(command, commands.PutCatalog):
+            self._catalogs_in_flight.add(key)
         if is_first:
             self._context.propose(command, INTERNAL_REQUEST, 0)
 
--- a/src/sardinemast/control/_job_controller.py
+++ b/src/sardinemast/control/_job_controller.py
@@ -154,8 +154,8 @@
         self._dispatcher.record_order_time(command, now_s)
         if not self._is_leading:
             return
-        self._calls.handle_applied(command, now_s)
         now_ms = self._clock.get_ms(now_s)
+        self._calls.handle_applied(command, now_s, now_ms)
         outputs = self._dispatcher.handle_applied(command, now_s, now_ms)
         self._emit(outputs, now_s)
 
--- a/src/sardinemast/jobs/_images.py
+++ b/src/sardinemast/jobs/_images.py
@@ -160,7 +160,8 @@
 def _load_job(state: JobsState, image: JobImage) -> JobState:
     job = JobState(
         image.name,
-        image.queue,
+        # Older versions did not move all jobs to the queues of a new catalog.
+        state.get_current_queue(image.queue),
         image.team,
         image.request,
         image.log_index,
--- a/src/sardinemast/jobs/_records.py
+++ b/src/sardinemast/jobs/_records.py
@@ -92,6 +92,11 @@
     is_public: bool = False
     advice: Advice | None = None
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Return the host and the prefix, by which callers know the queue."""
+        return self.host, self.prefix
+
 
 class Pool(NamedTuple):
     """Declare a pool of workers; those of a standby pool are switched off.
--- a/src/sardinemast/jobs/_state.py
+++ b/src/sardinemast/jobs/_state.py
@@ -235,6 +235,7 @@
         self.source = b''
         self.teams = Teams()
         self.queues: dict[str, Queue] = {}
+        self._queues_by_place: dict[tuple[str, str], Queue] = {}
         self.pools: frozenset[str] = frozenset()
         self.jobs: dict[str, JobState] = {}
         self.ended: dict[str, None] = {}
@@ -252,14 +253,37 @@
         self.instance_records: dict[str, InstanceRecord] = {}
 
     def put_catalog(self, catalog: Catalog, source: bytes) -> None:
-        """Activate a catalog and update the queues of live jobs."""
+        """Activate a catalog, and give all jobs to its queues."""
         self.catalog = catalog
         self.source = source
         self.teams.replace(catalog.teams)
         self.queues = {queue.name: queue for queue in catalog.queues}
         self.pools = frozenset(pool.name for pool in catalog.pools)
-        for job in self.live.values():
-            job.queue = self.queues.get(job.queue.name, job.queue)
+        self._queues_by_place = {one.place: one for one in catalog.queues}
+        for job in self.jobs.values():
+            self._change_queue(job, self.get_current_queue(job.queue))
+
+    def get_current_queue(self, queue: Queue) -> Queue:
+        """Return the queue that the jobs of an earlier one belong to now.
+
+        Callers name a job by host and path and do not know the name of its
+        queue. So a job stays where it was submitted, whatever the queue there
+        is called. If none is left there, it follows the policy of the name.
+        """
+        current = self._queues_by_place.get(queue.place)
+        if current is not None:
+            return current
+        named = self.queues.get(queue.name, queue)
+        return named._replace(host=queue.host, prefix=queue.prefix)
+
+    def serves(self, queue: Queue, job: JobState) -> bool:
+        """Check whether callers reach a job at the place of a queue.
+
+        A job whose own place is gone is reached where its queue went.
+        """
+        if job.queue.place in self._queues_by_place:
+            return job.queue.place == queue.place
+        return job.queue.name == queue.name
 
     def put_worker(self, worker: Worker) -> None:
         """Add or update a worker."""
@@ -312,9 +336,25 @@
         self.runs[run.worker].pop(step.get_task(index), None)
         self._charge(step, run.worker, -1)
 
+    def _change_queue(self, job: JobState, queue: Queue) -> None:
+        """Set the queue of a job, which its runs count for from then on."""
+        counted: list[StepState] = []
+        if queue.name != job.queue.name:
+            for step in job.iterate_steps():
+                counted.extend(step for _ in step.running)
+        for leaving in counted:
+            self._charge_queue(leaving, -1)
+        job.queue = queue
+        for arriving in counted:
+            self._charge_queue(arriving, 1)
+
     def _charge(self, step: StepState, worker: str, sign: int) -> None:
         job = self.get_job(step)
         self.usage.charge(step.spec, worker, job.team, sign)
+        self._charge_queue(step, sign)
+
+    def _charge_queue(self, step: StepState, sign: int) -> None:
         if not step.spec.is_long_running:
+            job = self.get_job(step)
             millicores = sign * step.spec.reserved_size.millicores
             self.usage.by_queue[job.queue.name][job.team] += millicores
--- a/src/sardinemast/jobs/queries.py
+++ b/src/sardinemast/jobs/queries.py
@@ -1,7 +1,7 @@
 """Read-only queries on the state of jobs."""
 
 from sardinemast.jobs._records import JobStatus, Queue, Team
-from sardinemast.jobs._state import JobsState
+from sardinemast.jobs._state import JobsState, JobState
 
 
 def find_queue(state: JobsState, host: str, path: str) -> Queue | None:
@@ -27,9 +27,15 @@
     return not state.catalog.version or pool in state.pools
 
 
-def count_queued_jobs(state: JobsState, queue: str) -> int:
+def find_job(state: JobsState, queue: Queue, name: str) -> JobState | None:
+    """Return the job that callers name at the place of a queue."""
+    job = state.jobs.get(name)
+    return job if job is not None and state.serves(queue, job) else None
+
+
+def count_queued_jobs(state: JobsState, queue: Queue) -> int:
     """Count the jobs of a queue that have not started a task."""
     return sum(
-        job.queue.name == queue and job.status is JobStatus.queued
+        job.status is JobStatus.queued and state.serves(queue, job)
         for job in state.live.values()
     )
--- a/tests/builders/admission.py
+++ b/tests/builders/admission.py
@@ -90,7 +90,8 @@
         """Apply all proposals."""
         for command in self.proposed:
             apply_command(command, self.state, 2)
-            self.handler.handle_applied(command, self.now_s)
+            now_ms = int(self.now_s * _MS)
+            self.handler.handle_applied(command, self.now_s, now_ms)
         self.proposed.clear()
 
     def count_events(self) -> int:
