dispatch: count a pool without capacity without dividing by it

Cause: the number of workers that a pool keeps is reckoned by the size of its largest worker. The other counts of the same module pass over a pool whose workers have no capacity, this one did not.

Change: it returns the number of workers that the pool began with, as the count beside it does.

--- a/src/sardinemast/dispatch/_pool_sizes.py
+++ b/src/sardinemast/dispatch/_pool_sizes.py
@@ -69,7 +69,8 @@
         return 0
     late_share = peaks.get_first_wait_s(now_s) / (policy.late_factor * ONSET_S)
     demanded = peaks.get_onset_quantile(1 - late_share)
-    if demanded is None:
+    # Without capacity there is no size to count workers by.
+    if demanded is None or not baseline.worker_millicores:
         return baseline.worker_count
     expected = _count_for_share(demanded, load, baseline)
     return min(expected, baseline.worker_count)
--- a/tests/dispatch/test_peaks.py
+++ b/tests/dispatch/test_peaks.py
@@ -238,3 +238,13 @@
     assert tracker.has_peaked(POOL)
     assert not tracker.is_peaking(POOL)
     assert tracker.get_next_start_s(POOL) > fleet.now_s
+
+
+def test_pool_without_capacity_is_counted() -> None:
+    """Guard against leaders that end as long as such a pool has workers."""
+    tracker = PeakTracker()
+    _record_peaks(tracker, 6)
+    idle = PoolLoad(0, 0, 0, 0, workers=1, idle_workers=())
+    baseline = PoolBaseline(worker_count=1, worker_millicores=0)
+    for count in (count_workers_kept, count_workers_needed):
+        assert count('e', idle, baseline, tracker, 6, _POLICY) == 1
