control, dispatch: give contested workers and waiting submissions modules

What finds out whether a contested worker is there, and what holds submissions while a catalog is in flight, now stand by themselves. Behaviour is the same; a test is added for submissions that wait when a leader loses its term, which were answered before as well.

--- a/src/sardinemast/control/_call_handler.py
+++ b/src/sardinemast/control/_call_handler.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
 
+from sardinemast.control._catalog_barrier import CatalogBarrier
 from sardinemast.control._context import INTERNAL_REQUEST, ControlContext
 from sardinemast.control._events import AnswerCall
 from sardinemast.control._job_admission import JobAdmission
@@ -53,6 +54,13 @@
     received_s: float = 0
 
 
+class _Submission(NamedTuple):
+    """Hold the submission of a job and its caller."""
+
+    call: JobCall
+    caller: CallerId
+
+
 class CallHandler:
     """Answer calls to the leader.
 
@@ -71,8 +79,7 @@
         self._registrar = WorkerRegistrar(context, hooks)
         self._admission = admission
         self._waiting: dict[Any, list[CallerId]] = defaultdict(list)
-        self._catalogs_in_flight: set[Any] = set()
-        self._deferred: list[tuple[JobCall, CallerId]] = []
+        self._catalogs: CatalogBarrier[_Submission] = CatalogBarrier()
         # Bound once: each attribute access of a singledispatchmethod creates a
         # new function.
         self._handle_call = self._handle
@@ -86,10 +93,8 @@
         answer = CallAnswer(CallOutcome.uncertain)
         for key in tuple(self._waiting):
             self._answer_waiting(key, answer)
-        for _, caller in self._deferred:
-            self._answer(caller, answer)
-        self._deferred.clear()
-        self._catalogs_in_flight.clear()
+        for held in self._catalogs.end_term():
+            self._answer(held.caller, answer)
 
     def handle(
         self,
@@ -116,8 +121,8 @@
         if key is not None:
             self._answer_waiting(key, self._make_result(command))
         if isinstance(command, commands.PutCatalog):
-            self._catalogs_in_flight.discard(key)
-            self._handle_deferred(now_s, now_ms)
+            for held in self._catalogs.record_applied(command):
+                self.handle(held.caller, held.call, now_s, now_ms)
 
     @property
     def _state(self) -> JobsState:
@@ -141,10 +146,8 @@
         now_s: float,
         now_ms: int,
     ) -> CallAnswer | None:
-        # A submission names its queue in the log. By the time it is applied, a
-        # catalog that is in flight may have given that name to another queue.
-        if call.action is JobAction.submit and self._catalogs_in_flight:
-            self._deferred.append((call, caller))
+        if call.action is JobAction.submit and self._catalogs.is_closed:
+            self._catalogs.hold(_Submission(call, caller))
             return None
         queue = find_queue(self._state, call.host, call.path)
         if queue is None:
@@ -313,14 +316,6 @@
         self._propose(admitted, caller)
         return None
 
-    def _handle_deferred(self, now_s: float, now_ms: int) -> None:
-        if self._catalogs_in_flight:
-            return
-        deferred = tuple(self._deferred)
-        self._deferred.clear()
-        for call, caller in deferred:
-            self.handle(caller, call, now_s, now_ms)
-
     def _make_result(self, command: Command) -> CallAnswer:
         # A catalog applied after the proposal may have removed the queue; the
         # job was not created then.
@@ -335,7 +330,7 @@
         is_first = key not in self._waiting
         self._waiting[key].append(caller)
         if isinstance(command, commands.PutCatalog):
-            self._catalogs_in_flight.add(key)
+            self._catalogs.record_proposed(command)
         if is_first:
             self._context.propose(command, INTERNAL_REQUEST, 0)
 
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -1,5 +1,9 @@
 """Poll workers, renew their leases and process their reports."""
 
+from sardinemast.dispatch._contested_workers import (
+    ContestedWorkers,
+    is_silent,
+)
 from sardinemast.dispatch._cordons import end_cordon
 from sardinemast.dispatch._events import (
     PollWorker,
@@ -21,10 +25,6 @@
 from sardinemast.jobs.queries import has_pool
 
 _MS = 1000
-_NEVER_S = float('-inf')
-# Another writer that claims a worker's place repeats that for as long as it
-# lives, and each time the worker gets no new runs until it has answered.
-_CONTEST_AGAIN_S = 1.0
 
 
 class WorkerPoller:
@@ -33,7 +33,7 @@
     def __init__(self, state: DispatchState) -> None:
         self._state = state
         self._forgetting: set[tuple[str, int]] = set()
-        self._contested_at_s: dict[str, float] = {}
+        self._contested = ContestedWorkers(state)
         # Sessions with reported ends that are not recorded yet. Keeps the work
         # per event independent of the number of workers.
         self._sessions_with_ends: dict[str, WorkerSession] = {}
@@ -44,7 +44,7 @@
     def start_term(self) -> None:
         """Discard the state of the previous term."""
         self._forgetting.clear()
-        self._contested_at_s.clear()
+        self._contested.start_term()
         self._sessions_with_ends.clear()
         self._next_fence = 0
         self._throttle = BestEffortThrottle()
@@ -57,7 +57,7 @@
             self._next_fence = max(self._next_fence, gone.fence + 1)
             end_cordon(state, gone, 'worker gone', now_s)
             self._sessions_with_ends.pop(name, None)
-            self._contested_at_s.pop(name, None)
+            self._contested.drop(name)
         for worker in state.jobs.workers.values():
             session = state.sessions.get(worker.name)
             if session is None:
@@ -70,17 +70,8 @@
     def contest(self, name: str, now_s: float) -> None:
         """Find out at once whether a worker is still there."""
         session = self._state.sessions.get(name)
-        if session is None or session.contested_s is not None:
-            return
-        if now_s < self._contested_at_s.get(name, _NEVER_S) + _CONTEST_AGAIN_S:
-            return
-        self._contested_at_s[name] = now_s
-        self._state.log('worker.contested', name)
-        session.contested_s = now_s
-        if session.poll_state.is_pending:
-            session.poll_state.replace_pending()
-        session.poll_state.due_s = now_s
-        self.poll(session, now_s)
+        if session is not None and self._contested.contest(session, now_s):
+            self.poll(session, now_s)
 
     def forget_without_pool(self) -> None:
         """Remove idle workers of pools that the catalog does not name."""
@@ -95,7 +86,8 @@
         if now_s < session.lease_ends_s:
             return
         self._forget_if_silent(session, now_s)
-        self._forget_if_replaced(session)
+        if self._contested.is_gone(session, now_s):
+            self.propose_forget(session)
         runs = self._state.get_runs(session.worker.name)
         if not runs:
             return
@@ -172,9 +164,8 @@
             self.propose_forget(session)
         elif answer is None:
             self._record_miss(session, now_s)
-            if polled.outcome is not OrderOutcome.refused:
-                if not self._state.get_runs(session.worker.name):
-                    self._forget_if_replaced(session)
+            if is_silent(polled) and self._contested.is_gone(session, now_s):
+                self.propose_forget(session)
         elif answer.boot_ms > session.boot_ms:
             # The worker has restarted. Its capacity, labels, pool and state may
             # be others now, so it gets no runs until it announces them.
@@ -248,14 +239,6 @@
         ):
             self.propose_forget(session)
 
-    def _forget_if_replaced(self, session: WorkerSession) -> None:
-        """Remove a silent worker whose place another one claims.
-
-        It must have no runs, or none that its lease still allows.
-        """
-        if session.contested_s is not None and session.poll_state.misses:
-            self.propose_forget(session)
-
     def _is_poll_needed(self, session: WorkerSession, now_s: float) -> bool:
         name = session.worker.name
         return (
@@ -305,9 +288,7 @@
         session.record_clock(answer.clock_ms, now_s)
         session.last_heard_s = now_s
         session.poll_state.misses = 0
-        if session.contested_s is not None:
-            session.contested_s = None
-            self._state.needs_planning = True
+        self._contested.record_answer(session)
         if not session.is_synced:
             self._state.needs_planning = True
             runs = len(answer.running)
--- a/tests/control/test_renamed_queues.py
+++ b/tests/control/test_renamed_queues.py
@@ -5,7 +5,8 @@
 from builders.call_leaders import CallLeader
 from builders.catalogs import HOST, KEY, make_named_catalog
 from builders.workers import make_step
-from sardinemast.control import ProposalsDue
+from sardinemast import consensus
+from sardinemast.control import PeerMessageReceived, ProposalsDue
 from sardinemast.fleet import dump_state, load_state
 from sardinemast.jobs import (
     Catalog,
@@ -164,3 +165,16 @@
     stale = image.jobs._replace(catalog=_RENAMED)
     loaded = load_state(image._replace(jobs=stale))
     assert loaded.subsystems.jobs.jobs['j1'].queue == _RENAMED.queues[0]
+
+
+def test_submission_that_waits_for_a_catalog_is_answered_at_the_end() -> None:
+    """Guard against callers that wait for a leader that has lost its term."""
+    caller = _Caller()
+    caller.configure(_RENAMED, is_acked=False)
+    request = JobRequest('spec', (make_step(),))
+    submission = JobCall(JobAction.submit, HOST, '/seats/j1', KEY, request)
+    caller.leader.call(99, submission, is_acked=False)
+    assert 99 not in caller.leader.answers
+    later_term = consensus.AppendReply(9, False, 0, 0)
+    caller.leader.step(PeerMessageReceived('control-2', later_term))
+    assert caller.leader.answers[99] is CallOutcome.uncertain
