tests: draw contested workers and slow clocks in the dispatch fuzz

The histories of the fuzz had neither claims to the place of a worker, nor a slow clock, nor announcements without clocks.

--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -18,7 +18,7 @@
     make_step,
     make_worker,
 )
-from sardinemast.dispatch import DispatchSettings
+from sardinemast.dispatch import DispatchSettings, WorkerContested
 from sardinemast.jobs import ZERO_SIZE, Size, TaskKey
 from sardinemast.jobs.commands import (
     CancelJob,
@@ -30,6 +30,8 @@
 pytestmark = pytest.mark.fuzz
 _CAP = 5 * CORE
 _WORKERS = 3
+# Of the clock of one worker.
+_SLOW_RATE = 0.98
 _RACKS = ('r-0', 'r-1')
 _DATA_CENTRES = (DATA_CENTRE, OTHER_DATA_CENTRE)
 
@@ -41,7 +43,7 @@
         super().__init__(_WORKERS, settings)
         self.done: set[TaskKey] = set()
         self.fleet.add_worker(
-            make_worker(_WORKERS, data_centre=OTHER_DATA_CENTRE)
+            make_worker(_WORKERS, data_centre=OTHER_DATA_CENTRE), _SLOW_RATE
         )
 
     @initialize()
@@ -126,6 +128,16 @@
         """Let a worker announce itself."""
         self.fleet.announce(self.fleet.workers[f'w-{number}'])
 
+    @rule(number=st.integers(0, _WORKERS))
+    def contest(self, number: int) -> None:
+        """Let another worker claim the place of a worker."""
+        self.fleet.deliver(WorkerContested(f'w-{number}'))
+
+    @rule()
+    def toggle_clocks(self) -> None:
+        """Let announcements tell no clocks, or tell them again."""
+        self.fleet.announces_clocks = not self.fleet.announces_clocks
+
     @rule(name=st.sampled_from(_DATA_CENTRES))
     def evacuate(self, name: str) -> None:
         """Evacuate a data centre."""
