dispatch: measure an instance's absence anew after a gap

Cause: since when an instance is listed as down was kept until a list showed it as up. Lists are asked for only while an instance refuses its order, so that nobody looked between the two times, and 17 s counted as one absence.

Giving an instance up is logged.

On the code before, test_instance_that_is_not_looked_at... and one of the nine cases of test_instance_that_is_down_twice... fail.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from sardinemast.dispatch._absences import Absences
 from sardinemast.dispatch._cordons import (
     bind_cordon,
     cordon_for_wave,
@@ -41,7 +42,7 @@
         self._drainer = Drainer(state)
         self._ordered_at_s: dict[tuple[int, str], float] = {}
         self._proposed: dict[tuple[int, str], MaintenanceStatus] = {}
-        self._down_since_s: dict[str, float] = {}
+        self._absences = Absences()
         self._down_confirmed_s: dict[tuple[int, str], float] = {}
         self._list_requested_s = float('-inf')
 
@@ -50,7 +51,7 @@
         self._drainer.start_term()
         self._ordered_at_s.clear()
         self._proposed.clear()
-        self._down_since_s.clear()
+        self._absences.clear()
         self._down_confirmed_s.clear()
 
     @property
@@ -117,9 +118,12 @@
                 if item.instance in up:
                     self._record_return(wave, item, event.asked_s)
                 if item.instance in names - down:
-                    self._down_since_s.pop(item.instance, None)
+                    self._absences.record_present(item.instance)
                 else:
-                    self._down_since_s.setdefault(item.instance, now_s)
+                    worker = self._state.jobs.worker_index.find_newest(
+                        item.instance
+                    )
+                    self._absences.record_absent(item.instance, worker, now_s)
 
     def _is_lost(self, event: MaintenanceAnswered, now_s: float) -> bool:
         """Check whether an instance is lost, so that the wave can end.
@@ -130,8 +134,20 @@
         if event.outcome is not OrderOutcome.refused:
             return False
         self._request_list(now_s)
-        since_s = self._down_since_s.get(event.instance, now_s)
-        return now_s >= since_s + self._state.settings.lost_after_s
+        absent_s = self._absences.get_duration_s(
+            event.instance,
+            self._state.jobs.worker_index.find_newest(event.instance),
+            now_s,
+        )
+        if absent_s < self._state.settings.lost_after_s:
+            return False
+        self._state.log(
+            'upkeep.given_up',
+            event.instance,
+            wave=event.wave,
+            absent_s=round(absent_s, 3),
+        )
+        return True
 
     def _request_list(self, now_s: float) -> None:
         if now_s >= self._list_requested_s + _LIST_INTERVAL_S:
--- a/tests/dispatch/test_maintenance_waves.py
+++ b/tests/dispatch/test_maintenance_waves.py
@@ -1,5 +1,7 @@
 """Test maintenance waves and the limits of long-running steps."""
 
+import pytest
+
 from builders.workers import MAINTENANCE_S, ModelFleet, make_step, make_worker
 from sardinemast.jobs import MaintenanceStatus, TaskKey, WaveItem
 from sardinemast.jobs.commands import (
@@ -138,6 +140,47 @@
     assert 'm-1' not in waiting
 
 
+@pytest.mark.parametrize('dark_s', [3, 7, 12])
+@pytest.mark.parametrize('back_s', [0.5, 2, 10])
+def test_instance_that_is_down_twice_is_not_given_up(
+    *, dark_s: float, back_s: float
+) -> None:
+    """Guard against a wave that is said to be done without an upkeep.
+
+    The instance works between the times that it is down, together longer than
+    after which it counts as lost.
+    """
+    fleet = ModelFleet(_WORKERS)
+    _start_long_running_step(fleet, 2, 1)
+    fleet.instances.refused.add('m-1')
+    _declare_wave(fleet, names=('m-1',))
+    for boot_ms in range(10, 16):
+        fleet.instances.down.add('m-1')
+        fleet.run(dark_s)
+        fleet.instances.down.discard('m-1')
+        fleet.replace_worker('m-1', boot_ms)
+        fleet.run(back_s)
+    assert 'm-1' in [one.instance for one in _list_unfinished(fleet)]
+
+
+def test_instance_that_is_not_looked_at_is_not_given_up() -> None:
+    """Guard against an absence that is taken for one over a gap in the lists.
+
+    No worker announces itself in between.
+    """
+    fleet = ModelFleet(_WORKERS)
+    _start_long_running_step(fleet, 2, 1)
+    fleet.instances.refused.add('m-1')
+    fleet.instances.down.add('m-1')
+    _declare_wave(fleet, names=('m-1',))
+    fleet.run(8)
+    fleet.instances.lost_list_responses = 100
+    fleet.run(8)
+    fleet.instances.lost_list_responses = 0
+    fleet.run(8)
+    assert 'm-1' in [one.instance for one in _list_unfinished(fleet)]
+
+
 def test_instance_that_is_moving_is_not_given_up() -> None:
     """Keep an instance in the wave that refuses but is not down."""
     fleet = ModelFleet(_WORKERS)
