dispatch: log which boot of a worker a lease is for

Cause: a record of the leader could not tell a lease that a later boot of a worker took over from one that was renewed too late. Change: run.started names the boot that the leader knows and the end of the lease on the worker's clock, worker.heard the boot and clock that answered, and worker.lease_ended the boot that was heard last.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -95,6 +95,7 @@
             'worker.lease_ended',
             session.worker.name,
             runs=len(runs),
+            boot_ms=session.boot_ms,
             silent_s=round(now_s - session.last_heard_s, 3),
         )
         # The worker has stopped all runs by itself. Raising the fence voids
@@ -293,7 +294,13 @@
             self._state.needs_planning = True
             runs = len(answer.running)
             name = session.worker.name
-            self._state.log('worker.heard', name, runs=runs)
+            self._state.log(
+                'worker.heard',
+                name,
+                runs=runs,
+                boot_ms=answer.boot_ms,
+                clock_ms=answer.clock_ms,
+            )
         session.is_synced = session.has_clock
         ends = collect_new_ends(session, answer)
         if ends:
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -333,12 +333,15 @@
             lost_run = FinishedRun(start.task, start.number, RunEnd.lost)
             self._state.record_end(lost_run)
             return
+        expires_ms = session.extend_lease(now_s)
         self._state.log(
             'run.started',
             str(start.task),
             run=start.number,
             worker=start.worker,
+            boot_ms=session.boot_ms,
             fence=session.fence,
+            expires_ms=expires_ms,
         )
         self._state.starts_in_flight.record_sent(
             start.task, start.number, start.worker, now_s
@@ -352,7 +355,7 @@
                 start.task,
                 start.number,
                 session.fence,
-                session.extend_lease(now_s),
+                expires_ms,
                 self._state.jobs.get_job(step).request.spec,
                 _get_checkpoint(step, start.task.position),
                 self._state.settings.start_answer_s,
