tests: model each boot of a worker with a clock that begins anew

A start that was under way when its worker restarted reaches the later boot. It names an end of the lease by the former clock, so that the worker grants the 10 s that it grants at most, and the leader counts on 5.4 s. The model of a worker could not show it: its clock went on through a restart, and it granted leases of any length.

Change: the clock of each boot of a model worker begins at 1 s, and a lease is shortened to 10 s by that clock. Orders that have not arrived when their leader is lost stay under way; before, they were lost with it. An order under way names the boot that it was sent to and when. No test asserted the former clock.

--- a/tests/builders/instance_fleets.py
+++ b/tests/builders/instance_fleets.py
@@ -3,7 +3,13 @@
 from typing import Any, NamedTuple
 
 from builders.model_workers import ModelWorker
-from builders.workers import MAINTENANCE_S, STANDBY, ModelFleet, make_worker
+from builders.workers import (
+    MAINTENANCE_S,
+    STANDBY,
+    ModelFleet,
+    PendingOutput,
+    make_worker,
+)
 from sardinemast.dispatch import OrderMaintenance, OrderMove
 from sardinemast.jobs import Worker
 from sardinemast.jobs.commands import RegisterWorker
@@ -66,13 +72,14 @@
             None,
         )
 
-    def _answer(self, order: Any) -> None:
+    def _answer(self, pending: PendingOutput) -> None:
+        order = pending.order
         if isinstance(order, OrderMaintenance):
             if order.instance not in self.instances.refused:
                 self._take_down(order.instance, MAINTENANCE_S)
         elif isinstance(order, OrderMove):
             self._carry_out_move(order)
-        super()._answer(order)
+        super()._answer(pending)
 
     def _take_down(self, instance: str, away_s: float) -> None:
         model = self.find_worker(instance)
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -18,11 +18,19 @@
 )
 from sardinemast.jobs import TaskKey, Worker
 
+# What the clock of a worker shows when it starts.
+BOOT_CLOCK_MS = 1000
+# A worker shortens longer leases to this, by its own clock.
+LONGEST_LEASE_MS = 10_000
 _MS = 1000
 
 
 class ModelWorker:
-    """Simulate a worker whose clock runs at ``rate``.
+    """Simulate one boot of a worker, whose clock runs at ``rate``.
+
+    The clock begins anew at ``booted_s``. A lease lasts ``LONGEST_LEASE_MS`` at
+    most, and never becomes shorter. With ``is_full`` starts are refused for
+    want of room.
 
     With ``is_unreachable`` it receives no orders; with ``loses_responses`` it
     executes orders, but its responses are lost. With ``loses_results`` the
@@ -32,9 +40,12 @@
     whose end was acknowledged under an unbroken lease.
     """
 
-    def __init__(self, worker: Worker, rate: float = 1) -> None:
+    def __init__(
+        self, worker: Worker, rate: float = 1, booted_s: float = 0
+    ) -> None:
         self.worker = worker
         self.rate = rate
+        self.is_full = False
         self.is_unreachable = False
         self.loses_responses = False
         self.loses_results = False
@@ -53,10 +64,12 @@
         self.stop_delay_s: float = 0
         self.stopping: dict[TaskKey, float] = {}
         self._position = 0
+        self._booted_s = booted_s
 
     def get_clock_ms(self, true_s: float) -> int:
         """Return the time on the worker's clock."""
-        return int(1_000_000 + true_s * self.rate * _MS)
+        since_ms = (true_s - self._booted_s) * self.rate * _MS
+        return int(BOOT_CLOCK_MS + since_ms)
 
     def advance_clock(self, true_s: float) -> None:
         """End stopped runs that are due, and all runs after the lease."""
@@ -97,7 +110,7 @@
         return OrderOutcome.done, ''
 
     def _poll(self, order: PollWorker, true_s: float) -> WorkerReport:
-        self.expires_ms = max(self.expires_ms, order.expires_ms or 0)
+        self._extend_lease(order.expires_ms or 0, true_s)
         self._forget_ends(order.acked_position)
         return WorkerReport(
             self.worker.boot_ms,
@@ -115,6 +128,10 @@
             tuple(self.ends[: self.ends_per_report]),
         )
 
+    def _extend_lease(self, expires_ms: int, true_s: float) -> None:
+        longest_ms = self.get_clock_ms(true_s) + LONGEST_LEASE_MS
+        self.expires_ms = max(self.expires_ms, min(expires_ms, longest_ms))
+
     def _forget_ends(self, acked_position: int) -> None:
         self.ends = [one for one in self.ends if one.position > acked_position]
         for position, task in tuple(self._ended_under_lease.items()):
@@ -123,13 +140,15 @@
                 self.acknowledged.add(task)
 
     def _start(self, order: StartRun, true_s: float) -> Any:
-        self.expires_ms = max(self.expires_ms, order.expires_ms)
+        self._extend_lease(order.expires_ms, true_s)
         if self.running.get(order.task) == order.number:
             return OrderOutcome.done, ''
         if order.number <= self.highest_numbers.get(order.task, 0):
             return OrderOutcome.refused, 'old'
         if order.expires_ms < self.get_clock_ms(true_s):
             return OrderOutcome.refused, 'late'
+        if self.is_full:
+            return OrderOutcome.refused, 'room'
         self.highest_numbers[order.task] = order.number
         self.running[order.task] = order.number
         return OrderOutcome.done, ''
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -132,21 +132,34 @@
     return step._replace(**changes)
 
 
-class _PendingOutput(NamedTuple):
+class PendingOutput(NamedTuple):
     """An output of the dispatcher and the time of its response."""
 
     order: Any
     due_s: float
+    sent_s: float
+    model: ModelWorker | None = None
+
+
+class UndeliveredOrder(NamedTuple):
+    """An order under way, the boot that it was sent to, and when."""
+
+    model: ModelWorker
+    order: Any
+    sent_s: float
 
 
 class ModelFleet:
     """Simulate a leader's dispatcher, its log and its workers.
 
-    Orders to an unreachable worker are kept in ``undelivered_orders``, so
-    that a test can deliver them later; so are the next ``starts_to_lose``
-    starts. While ``is_held``, proposals are not
-    committed. Workers that are added list at most ``ends_per_report`` ends, and
-    announce what their clocks show if ``announces_clocks``.
+    An order is executed by the boot that has the name of its worker when it
+    arrives, which may be later than the one that it was sent to. Orders to an
+    unreachable worker are kept in ``undelivered_orders``, so that a test can
+    deliver them later; so are the next ``starts_to_lose`` starts, and orders
+    that had not arrived when their leader was lost. While ``is_held``,
+    proposals are not committed. Workers that are added list at most
+    ``ends_per_report`` ends, and announce what their clocks show if
+    ``announces_clocks``.
     """
 
     def __init__(
@@ -169,7 +182,7 @@
         self.announces_clocks = True
         self.is_held = False
         self.proposed: deque[Command] = deque()
-        self.undelivered_orders: list[tuple[ModelWorker, Any]] = []
+        self.undelivered_orders: list[UndeliveredOrder] = []
         self.started: list[StartRun] = []
         self.started_evacuated: list[StartRun] = []
         self.starts_to_lose = 0
@@ -178,7 +191,7 @@
         self.instances = ModelInstances()
         self.logged: list[str] = []
         self.decisions: list[LogDecision] = []
-        self._waiting: list[_PendingOutput] = []
+        self._waiting: list[PendingOutput] = []
         self.commit(PutCatalog(make_catalog(), b'{}'))
         for number in range(worker_count):
             self.add_worker(make_worker(number, **worker))
@@ -200,7 +213,7 @@
         old = self.workers[f'w-{number}'].worker
         boot_ms = old.boot_ms + 1
         worker = old._replace(boot_ms=boot_ms, is_draining=False, **changes)
-        model = self._put_model(worker)
+        model = self._put_model(worker, self.workers[old.name].rate)
         model.is_silent = True
         return model
 
@@ -236,6 +249,8 @@
         """Start a new leader; uncommitted proposals are lost."""
         self.term += 1
         self.proposed.clear()
+        for pending in self._waiting:
+            self._keep_undelivered(pending)
         self._waiting.clear()
         self.dispatcher = self.follower
         self.follower = Dispatcher(self._settings)
@@ -283,6 +298,16 @@
             self._answer_due()
             self._execute(self.dispatcher.tick(self.now_s, self.now_ms))
 
+    def execute_late(self, late: UndeliveredOrder) -> OrderOutcome:
+        """Let the boot that now has the worker's name execute an order.
+
+        The order is executed once; its answer is lost.
+        """
+        self.undelivered_orders.remove(late)
+        model = self.workers[late.model.worker.name]
+        outcome: OrderOutcome = model.carry_out(late.order, self.now_s)[0]
+        return outcome
+
     def deliver(self, event: DispatchEvent) -> None:
         """Deliver an answer to the leader, besides those of the workers."""
         outputs = self.dispatcher.step(event, self.now_s, self.now_ms)
@@ -315,7 +340,7 @@
         )
 
     def _put_model(self, worker: Worker, rate: float = 1) -> ModelWorker:
-        model = ModelWorker(worker, rate)
+        model = ModelWorker(worker, rate, self.now_s)
         model.ends_per_report = self.ends_per_report
         self.workers[worker.name] = model
         return model
@@ -330,17 +355,25 @@
             elif isinstance(output, OrderMaintenance):
                 self.instances.maintenance_orders.append(output.instance)
                 self._note_order(output)
-                self._waiting.append(_PendingOutput(output, self.now_s))
+                self._waiting.append(
+                    PendingOutput(output, self.now_s, self.now_s)
+                )
             elif isinstance(output, RequestAdvice):
                 self.policy.questions.append(output)
                 answer_s = self.now_s + ADVICE_S
-                self._waiting.append(_PendingOutput(output, answer_s))
+                self._waiting.append(
+                    PendingOutput(output, answer_s, self.now_s)
+                )
             elif isinstance(output, OrderMove):
                 self.instances.moves.append(output)
                 self._note_order(output)
-                self._waiting.append(_PendingOutput(output, self.now_s))
+                self._waiting.append(
+                    PendingOutput(output, self.now_s, self.now_s)
+                )
             elif isinstance(output, ListInstances):
-                self._waiting.append(_PendingOutput(output, self.now_s))
+                self._waiting.append(
+                    PendingOutput(output, self.now_s, self.now_s)
+                )
             else:
                 self._send(output)
         if not self.is_held:
@@ -366,26 +399,30 @@
             due_s += order.timeout_s
         elif isinstance(order, PollWorker):
             due_s += order.wait_ms / _MS
-        self._waiting.append(_PendingOutput(order, due_s))
+        pending = PendingOutput(order, due_s, self.now_s, model)
+        if is_lost:
+            self._keep_undelivered(pending)
+        self._waiting.append(pending)
 
     def _answer_due(self) -> None:
         waiting = self._waiting
         self._waiting = []
         for pending in waiting:
             if self._is_due(pending):
-                self._answer(pending.order)
+                self._answer(pending)
             else:
                 self._waiting.append(pending)
 
-    def _is_due(self, waiting: _PendingOutput) -> bool:
+    def _is_due(self, waiting: PendingOutput) -> bool:
         if isinstance(waiting.order, PollWorker):
             model = self.workers.get(waiting.order.worker.name)
             if model is not None and not model.is_unreachable and model.ends:
                 return True
         return self.now_s >= waiting.due_s
 
-    def _answer(self, order: Any) -> None:
+    def _answer(self, pending: PendingOutput) -> None:
         event: DispatchEvent | None = None
+        order = pending.order
         if isinstance(order, OrderMaintenance):
             is_refused = order.instance in self.instances.refused
             if not is_refused:
@@ -410,7 +447,7 @@
             done = OrderOutcome.done
             event = MoveAnswered(order.instance, order.pool, done)
         else:
-            event = self._answer_worker(order)
+            event = self._answer_worker(pending)
         if event is not None:
             self.deliver(event)
 
@@ -440,7 +477,8 @@
         back_s = self.instances.away_until_s.get(instance, 0)
         return self.now_s < back_s
 
-    def _answer_worker(self, order: Any) -> DispatchEvent | None:
+    def _answer_worker(self, pending: PendingOutput) -> DispatchEvent | None:
+        order = pending.order
         name = order.worker.name
         model = self.workers.get(name)
         if model is not None and model.loses_results:
@@ -451,8 +489,8 @@
             outcome, body = model.carry_out(order, self.now_s)
             if model.loses_responses:
                 outcome, body = OrderOutcome.unknown, None
-        elif model is not None:
-            self.undelivered_orders.append((model, order))
+        elif not is_lost:
+            self._keep_undelivered(pending)
         if isinstance(order, PollWorker):
             answer = body if isinstance(body, WorkerReport) else None
             sent_s = order.sent_s
@@ -461,3 +499,9 @@
             task, number = order.task, order.number
             return StartAnswered(name, task, number, outcome, body or '')
         return None
+
+    def _keep_undelivered(self, pending: PendingOutput) -> None:
+        if pending.model is not None:
+            self.undelivered_orders.append(
+                UndeliveredOrder(pending.model, pending.order, pending.sent_s)
+            )
--- a/tests/dispatch/test_dispatch_fuzz.py
+++ b/tests/dispatch/test_dispatch_fuzz.py
@@ -153,7 +153,7 @@
         """Execute an unanswered order late."""
         undelivered_orders = self.fleet.undelivered_orders
         if undelivered_orders:
-            model, order = undelivered_orders.pop(
+            model, order, _ = undelivered_orders.pop(
                 index % len(undelivered_orders)
             )
             if model is self.fleet.workers[model.worker.name]:
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -72,7 +72,7 @@
     fleet.run(8)
     assert len(fleet.get_running_workers(TASK)) == 1
     late_starts = 0
-    for model, order in fleet.undelivered_orders:
+    for model, order, _ in fleet.undelivered_orders:
         outcome, _ = model.carry_out(order, fleet.now_s)
         if isinstance(order, StartRun):
             late_starts += 1
--- a/tests/dispatch/test_preemption_fuzz.py
+++ b/tests/dispatch/test_preemption_fuzz.py
@@ -102,7 +102,7 @@
         """Execute an unanswered order late."""
         orders = self.fleet.undelivered_orders
         if orders:
-            model, order = orders.pop(index % len(orders))
+            model, order, _ = orders.pop(index % len(orders))
             model.carry_out(order, self.fleet.now_s)
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 6.0]))
--- a/tests/dispatch/test_unanswered_starts.py
+++ b/tests/dispatch/test_unanswered_starts.py
@@ -24,7 +24,7 @@
     while len(fleet.started) < 2:
         fleet.run(_STEP_S, _STEP_S)
     assert fleet.now_s - submitted_s < _TARGET_S
-    lost_worker, lost_order = fleet.undelivered_orders[0]
+    lost_worker, lost_order, _ = fleet.undelivered_orders[0]
     lost_worker.carry_out(lost_order, fleet.now_s)
     fleet.run(_STEP_S, _STEP_S)
     assert len(fleet.get_running_workers(lost_order.task)) == 1
