dispatch: wait for the longest lease where a later boot may have a run

Cause: the end of a lease is a time on the worker's clock. A worker that has restarted under its name takes orders for its earlier boot; its clock began anew, so the lease that such an order names lasts for the 10 s that the worker permits and never shortens. The leader waited for 5.4 s. The class: what is said for one boot of a process is read by the next one.

Change: a run is settled once a report of this boot lists it, or its start was answered with a clock that is not behind the one from which the lease was reckoned. A run that is not settled ends, for the leader, 10 s on a slow clock after the last order that may have reached a later boot; a start without an answer counts as executed up to 5 s late. Replicas keep when a start was recorded, so that the next leader reckons the same. The first report of a boot extends the reckoned lease likewise, unless the boot is too old to have taken orders for an earlier one. A clock that shows less than before is a restart, also without a start time. The answer to a start sets no clock: it does not name the boot.

The model's first workers are 100 s old, as their start times say.

--- a/src/sardinemast/dispatch/__init__.py
+++ b/src/sardinemast/dispatch/__init__.py
@@ -31,6 +31,7 @@
     OrderMaintenance,
     OrderMove,
 )
+from sardinemast.dispatch._lease_policy import LeasePolicy
 from sardinemast.dispatch._outcomes import OrderOutcome
 from sardinemast.dispatch._settings import (
     DispatchSettings,
@@ -53,6 +54,7 @@
     'FailureDomainPolicy',
     'InstancesListed',
     'LearningPolicy',
+    'LeasePolicy',
     'ListedInstance',
     'ListInstances',
     'LogDecision',
--- a/src/sardinemast/dispatch/_contested_workers.py
+++ b/src/sardinemast/dispatch/_contested_workers.py
@@ -2,6 +2,7 @@
 
 from sardinemast.dispatch._events import WorkerPolled
 from sardinemast.dispatch._outcomes import OrderOutcome
+from sardinemast.dispatch._run_leases import list_running
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._worker_session import WorkerSession
 
@@ -54,8 +55,7 @@
         """Check whether a contested worker is gone for certain."""
         if session.contested_s is None or not session.poll_state.misses:
             return False
-        has_lease = now_s < session.lease_ends_s
-        return not (has_lease and self._state.get_runs(session.worker.name))
+        return not list_running(self._state, session, now_s)
 
 
 def is_silent(polled: WorkerPolled) -> bool:
--- a/src/sardinemast/dispatch/_core.py
+++ b/src/sardinemast/dispatch/_core.py
@@ -100,9 +100,11 @@
         self._last_polled_s = float('-inf')
 
     def record_order_time(self, command: Command, now_s: float) -> None:
-        """Record when an order for an instance was applied, on any replica."""
+        """Record when an order or a start was applied, on any replica."""
         if isinstance(command, NoteMove | NoteUpkeep):
             self._state.order_times.record(command.instance, now_s)
+        elif isinstance(command, RecordRuns):
+            self._state.order_times.starts.record(command, now_s)
 
     def reset_order_times(self, now_s: float) -> None:
         """Treat all order times as unknown, after restoring a snapshot."""
--- /dev/null
+++ b/src/sardinemast/dispatch/_lease_policy.py
@@ -0,0 +1,20 @@
+"""Settings of the leases that workers grant to their runs."""
+
+from typing import NamedTuple
+
+_MS = 1000
+
+
+class LeasePolicy(NamedTuple):
+    """Configure what workers make of the lease that an order names.
+
+    A worker shortens a lease to ``longest_ms`` on its own clock. A start
+    without an answer may be executed until ``late_start_s`` after its sending.
+    """
+
+    longest_ms: int = 10_000
+    late_start_s: float = 5.0
+
+    def get_longest_s(self, drift: float) -> float:
+        """Return how long a lease lasts at most on the slowest clock."""
+        return self.longest_ms / _MS / (1 - drift)
--- a/src/sardinemast/dispatch/_order_times.py
+++ b/src/sardinemast/dispatch/_order_times.py
@@ -5,15 +5,18 @@
 therefore order an instance at once if no recent entry names it.
 """
 
+from sardinemast.dispatch._start_times import StartTimes
+
 
 class OrderTimes:
     """Hold when the last order for each instance was applied here.
 
     Replicas apply an entry no earlier than the leader that sends the order,
-    so these times err on the late side.
+    so these times err on the late side. ``starts`` holds those of runs.
     """
 
     def __init__(self) -> None:
+        self.starts = StartTimes()
         self._ordered_s: dict[str, float] = {}
         self._unknown_until_s: float | None = None
 
@@ -27,6 +30,7 @@
         A snapshot does not show when its entries were applied.
         """
         self._unknown_until_s = now_s
+        self.starts.mark_unknown_until(now_s)
 
     def get_last_order_s(self, instance: str) -> float:
         """Return the latest time at which an order may have been recorded."""
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -1,5 +1,7 @@
 """Poll workers, renew their leases and process their reports."""
 
+from itertools import starmap
+
 from sardinemast.dispatch._contested_workers import (
     ContestedWorkers,
     is_silent,
@@ -17,9 +19,10 @@
     find_lost_runs,
     find_orphan_runs,
 )
+from sardinemast.dispatch._run_leases import list_running
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._throttling import BestEffortThrottle
-from sardinemast.dispatch._worker_session import WorkerSession
+from sardinemast.dispatch._worker_session import NumberedRun, WorkerSession
 from sardinemast.jobs import RunEnd, Worker
 from sardinemast.jobs.commands import FinishedRun, ForgetWorker
 from sardinemast.jobs.queries import has_pool
@@ -85,23 +88,27 @@
         """Report all runs of a worker as lost once its lease has expired."""
         if now_s < session.lease_ends_s:
             return
-        self._forget_if_silent(session, now_s)
-        if self._contested.is_gone(session, now_s):
-            self.propose_forget(session)
+        held = list_running(self._state, session, now_s)
+        if not held:
+            self._forget_if_silent(session, now_s)
+            if self._contested.is_gone(session, now_s):
+                self.propose_forget(session)
         runs = self._state.get_runs(session.worker.name)
-        if not runs:
+        if len(runs) == len(held):
             return
         self._state.log(
             'worker.lease_ended',
             session.worker.name,
-            runs=len(runs),
+            runs=len(runs) - len(held),
+            held=len(held),
             boot_ms=session.boot_ms,
             silent_s=round(now_s - session.last_heard_s, 3),
         )
         # The worker has stopped all runs by itself. Raising the fence voids
         # orders that it has not executed yet.
-        for task, number in runs.items():
-            self._state.record_end(FinishedRun(task, number, RunEnd.lost))
+        for run in starmap(NumberedRun, runs.items()):
+            if run not in held:
+                self._state.record_end(FinishedRun(*run, RunEnd.lost))
         if session.is_synced:
             session.is_synced = False
             session.poll_state.must_raise_fence = True
@@ -171,7 +178,12 @@
             # The worker has restarted. Its capacity, labels, pool and state may
             # be others now, so it gets no runs until it announces them.
             self._restart(session, answer.boot_ms, now_s)
-        elif not answer.boot_ms or answer.boot_ms == session.boot_ms:
+        elif answer.boot_ms and answer.boot_ms < session.boot_ms:
+            self._state.log('worker.answer_outdated', session.worker.name)
+        elif session.is_earlier_clock(answer.clock_ms, polled.sent_s):
+            # A restart that the boot time does not show.
+            self._restart(session, session.boot_ms, now_s)
+        else:
             ends = self._process_report(session, polled, now_s)
         session.poll_state.due_s = max(session.poll_state.due_s, now_s)
         self.poll(session, now_s)
@@ -287,6 +299,7 @@
         if answer is None or polled.fence < session.fence:
             return []
         session.record_clock(answer.clock_ms, now_s)
+        session.record_report(now_s, self._state.now_ms)
         session.last_heard_s = now_s
         session.poll_state.misses = 0
         self._contested.record_answer(session)
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -140,7 +140,6 @@
         sent_start = session.sent_starts.get(event.task)
         if sent_start is None or sent_start.number != event.number:
             return
-        session.record_clock(event.clock_ms, now_s)
         if event.outcome is not OrderOutcome.done:
             self._state.log(
                 'run.not_started',
@@ -151,10 +150,7 @@
                 reason=event.reason,
             )
         if event.outcome is OrderOutcome.done:
-            session.sent_starts[event.task] = sent_start._replace(
-                confirmed_s=now_s
-            )
-            session.last_heard_s = now_s
+            self._confirm(session, sent_start, event, now_s)
         elif event.outcome is OrderOutcome.unknown:
             session.poll_state.replace_pending()
             session.backoff.until_s = now_s + _AVOID_UNHEALTHY_S
@@ -347,7 +343,7 @@
             start.task, start.number, start.worker, now_s
         )
         session.sent_starts[start.task] = SentStart(
-            start.number, session.fence, sent_s=now_s
+            start.number, session.fence, None, now_s, expires_ms
         )
         self._state.outputs.append(
             StartRun(
@@ -363,6 +359,26 @@
             ),
         )
 
+    def _confirm(
+        self,
+        session: WorkerSession,
+        sent_start: SentStart,
+        event: StartAnswered,
+        now_s: float,
+    ) -> None:
+        """Record that a start was executed, by this boot or a later one.
+
+        An answer does not name the boot. A clock that shows less than the one
+        from which the lease was reckoned is that of a later boot.
+        """
+        least_ms = sent_start.expires_ms - self._state.settings.lease_ms
+        session.sent_starts[event.task] = sent_start._replace(
+            confirmed_s=now_s, is_settled=event.clock_ms >= least_ms
+        )
+        session.last_heard_s = now_s
+        if 0 < event.clock_ms < least_ms:
+            session.poll_state.replace_pending()
+
     def _stop_leftover_runs(self, finished_task: TaskKey, now_s: float) -> None:
         self._state.stop_job(finished_task.job, now_s)
         step = self._state.jobs.find_step(finished_task)
--- a/src/sardinemast/dispatch/_settings.py
+++ b/src/sardinemast/dispatch/_settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sardinemast.dispatch._admission_policy import AdmissionPolicy
+from sardinemast.dispatch._lease_policy import LeasePolicy
 
 _MS = 1000
 
@@ -149,6 +150,7 @@
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
     preemption: PreemptionPolicy = PreemptionPolicy()
     admission: AdmissionPolicy = AdmissionPolicy()
+    leases: LeasePolicy = LeasePolicy()
 
     @property
     def longest_lease_s(self) -> float:
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -14,6 +14,9 @@
 _MS = 1000
 # By then a clock may have lost 0.6 s, an eighth of a lease.
 _CLOCK_MAX_AGE_S = 30.0
+# How long after a worker starts, orders for its earlier boot may be executed: a
+# leader sends none to a worker silent for 4 s, and they may be 12 s late.
+_MISDIRECTED_MAX_S = 16.0
 
 
 class NumberedRun(NamedTuple):
@@ -24,12 +27,17 @@
 
 
 class SentStart(NamedTuple):
-    """Hold a start, when it was sent and when the worker confirmed it."""
+    """Hold a start, when it was sent and when the worker confirmed it.
+
+    It ``is_settled`` once its lease is known to end when this leader expects.
+    """
 
     number: int
     fence: int
     confirmed_s: float | None = None
     sent_s: float = float('-inf')
+    expires_ms: int = 0
+    is_settled: bool = False
 
 
 class CordonReason(StrEnum):
@@ -116,6 +124,9 @@
     worker late. Once it has answered a poll with a higher fence, it refuses
     them. ``is_synced`` is set once the worker has answered a poll of this term
     and its clock is known.
+
+    ``last_granted_s`` is when the last order with a lease was sent, to this
+    boot or an earlier one.
     """
 
     def __init__(
@@ -142,6 +153,9 @@
         self.missing_runs: set[NumberedRun] = set()
         self.sent_stops: dict[TaskKey, SentStop] = {}
         self.lease_ends_s = lease_ends_s
+        self.last_granted_s = float('-inf')
+        self._has_reported = False
+        self._earlier_runs: set[NumberedRun] = set()
         self._settings = settings
         self._clock_ms = 0
         self._clock_at_s: float | None = None
@@ -176,6 +190,30 @@
             return None
         return last_stop
 
+    def find_start(self, run: NumberedRun) -> SentStart | None:
+        """Return the start that was sent to this boot for a run, if any."""
+        sent_start = self.sent_starts.get(run.task)
+        if sent_start is None or sent_start.number != run.number:
+            return None
+        return sent_start
+
+    def is_settled(self, run: NumberedRun) -> bool:
+        """Check that a run's lease ends no later than ``lease_ends_s``.
+
+        Otherwise, another boot of the worker may have executed the start.
+        """
+        reported = self.reported_runs.get(run.task)
+        if reported is not None and reported.number == run.number:
+            return True
+        sent_start = self.find_start(run)
+        if sent_start is not None and sent_start.is_settled:
+            return True
+        return run in self.missing_runs or run in self._earlier_runs
+
+    def is_earlier_clock(self, clock_ms: int, at_s: float) -> bool:
+        """Check whether a clock shows less than this boot's did at a time."""
+        return 0 < clock_ms < self._get_least_clock_ms(at_s)
+
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Record a reading of the worker's clock, unless it is outdated."""
         if clock_ms > 0 and clock_ms >= self._get_least_clock_ms(now_s):
@@ -190,12 +228,31 @@
         however old the last reading of the clock is, and later leaders, which
         do not know that reading, need to wait no longer.
         """
+        self.last_granted_s = now_s
         self.lease_ends_s = max(
             self.lease_ends_s,
             now_s + self._settings.longest_lease_s + self._settings.margin_s,
         )
         return self._get_least_clock_ms(now_s) + self._settings.lease_ms
 
+    def record_report(self, now_s: float, now_ms: int) -> None:
+        """Record a report of this boot, which obeys no earlier order any more.
+
+        Until now, orders for an earlier boot may have extended its lease. Their
+        times are of another clock, so the lease may last for the longest time
+        that the worker permits.
+        """
+        if self._has_reported:
+            return
+        self._has_reported = True
+        settings = self._settings
+        age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
+        past_s = max(0, age_s - _MISDIRECTED_MAX_S) if self.boot_ms else 0
+        longest_s = settings.leases.get_longest_s(settings.drift)
+        self.lease_ends_s = max(
+            self.lease_ends_s, now_s + longest_s + settings.margin_s - past_s
+        )
+
     def needs_clock(self, now_s: float) -> bool:
         """Check whether the last reading of the worker's clock is too old.
 
@@ -210,15 +267,18 @@
 
         A start sent to the previous boot may have reached the new one, with a
         lease expiry on the old clock. A poll with a higher fence reveals such
-        runs; otherwise they end when the longest granted lease expires.
+        runs; otherwise they end when the longest lease that a worker permits
+        has expired.
         """
         self.boot_ms = boot_ms
         self.is_synced = False
+        self._has_reported = False
         # Shutdown and failures were those of the previous boot.
         self.is_leaving = False
         self.contested_s = None
         self.backoff = FailureBackoff()
         self.end_cursor = EndCursor()
+        self._keep_settled_runs()
         self.reported_runs = {}
         self.missing_runs = set()
         # Answers to orders for the previous boot may still arrive; they say
@@ -265,6 +325,16 @@
         )
         return None if is_heard else WithheldReason.silent
 
+    def _keep_settled_runs(self) -> None:
+        """Keep which runs the previous boot, and so no later one, executed."""
+        self._earlier_runs |= self.missing_runs
+        self._earlier_runs.update(
+            NumberedRun(task, one.number)
+            for runs in (self.reported_runs, self.sent_starts)
+            for task, one in runs.items()
+            if self.is_settled(NumberedRun(task, one.number))
+        )
+
     def _find_own_reason(self) -> WithheldReason | None:
         """Return why the worker itself cannot take new runs, if it cannot."""
         if not self.is_synced:
@@ -277,9 +347,11 @@
             return WithheldReason.draining
         return WithheldReason.leaving if self.is_leaving else None
 
-    def _get_least_clock_ms(self, now_s: float) -> int:
-        """Return what the worker's clock shows at least."""
+    def _get_least_clock_ms(self, at_s: float) -> int:
+        """Return what the worker's clock shows at least at a time."""
         if self._clock_at_s is None:
             return 0
-        since_s = now_s - self._clock_at_s
-        return self._clock_ms + int(since_s * (1 - self._settings.drift) * _MS)
+        since_s = at_s - self._clock_at_s
+        # Before the reading, a clock may have run at full speed.
+        rate = 1 - self._settings.drift if since_s > 0 else 1
+        return self._clock_ms + int(since_s * rate * _MS)
--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -65,6 +65,8 @@
 # How long maintenance takes an instance out of service.
 MAINTENANCE_S = 2.0
 _MS = 1000
+# The first workers have been up for so long when the first leader is elected.
+_STARTED_AT_S = 100
 # Keeps all workers in the pool until a peak of its load is known.
 SETTINGS = DispatchSettings(
     pools=PoolPolicy(opening_share=1), admission=AdmissionPolicy(enabled=True)
@@ -200,7 +202,7 @@
     @property
     def now_ms(self) -> int:
         """Return the wall-clock time."""
-        return int(self.now_s * _MS)
+        return int((_STARTED_AT_S + self.now_s) * _MS)
 
     def add_worker(self, worker: Worker, rate: float = 1) -> ModelWorker:
         """Add a worker and register it."""
@@ -211,7 +213,7 @@
     def restart_silently(self, number: int, **changes: Any) -> ModelWorker:
         """Restart a worker under its name; it announces nothing yet."""
         old = self.workers[f'w-{number}'].worker
-        boot_ms = old.boot_ms + 1
+        boot_ms = max(old.boot_ms + 1, self.now_ms)
         worker = old._replace(boot_ms=boot_ms, is_draining=False, **changes)
         model = self._put_model(worker, self.workers[old.name].rate)
         model.is_silent = True
@@ -497,8 +499,12 @@
             sent_s = order.sent_s
             return WorkerPolled(name, order.fence, sent_s, outcome, answer)
         if isinstance(order, StartRun):
-            task, number = order.task, order.number
-            return StartAnswered(name, task, number, outcome, body or '')
+            clock_ms = 0
+            if model is not None and outcome is not OrderOutcome.unknown:
+                clock_ms = model.get_clock_ms(self.now_s)
+            return StartAnswered(
+                name, order.task, order.number, outcome, body or '', clock_ms
+            )
         return None
 
     def _keep_undelivered(self, pending: PendingOutput) -> None:
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -9,6 +9,8 @@
 
 TASK = TaskKey('job', 0, 0, 0)
 _LEASE_S = DispatchSettings().lease_ms / 1000
+# A start that is 5 s late, a lease of 10 s on a slow clock, and a margin.
+_LATE_LEASE_S = 16
 
 
 def _start_one(fleet: ModelFleet) -> str:
@@ -200,12 +202,23 @@
 @pytest.mark.parametrize('announces_clocks', [True, False])
 @pytest.mark.parametrize('idle_s', [12, 29, 92, 300])
 @pytest.mark.parametrize('rate', [0.98, 1])
+@pytest.mark.parametrize(
+    ('run_s', 'ends_within_s'),
+    # The next leader cannot know whether a recent start came late, or reached a
+    # later boot of the worker.
+    [(0.05, _LATE_LEASE_S), (_LATE_LEASE_S, _LEASE_S + 1)],
+)
 def test_lease_of_an_idle_worker_outlasts_no_leader(
-    *, announces_clocks: bool, idle_s: int, rate: float
+    *,
+    announces_clocks: bool,
+    idle_s: int,
+    rate: float,
+    run_s: float,
+    ends_within_s: float,
 ) -> None:
     """Guard against a second run since a lease named an old clock reading.
 
-    The worker is cut off and its leader is lost right after the start.
+    The worker is cut off, and its leader is lost, some time after the start.
     """
     fleet = ModelFleet(worker_count=0)
     fleet.announces_clocks = announces_clocks
@@ -213,11 +226,12 @@
         fleet.add_worker(make_worker(number), rate)
     fleet.run(idle_s)
     worker = _start_one(fleet)
+    fleet.run(run_s - 0.05)
     fleet.workers[worker].is_unreachable = True
     fleet.run(0.05)
     fleet.elect()
     counts = []
-    for _ in range(160):
+    for _ in range(round(ends_within_s / 0.05)):
         fleet.run(0.05)
         counts.append(len(fleet.get_running_workers(TASK)))
     assert max(counts) == 1
