conf: configure the longest lease that workers permit

Cause: nothing told the leader how long a worker may keep a lease that it shortens by itself; it assumed 10 s everywhere.

--- a/src/sardinemast/conf/_policies.py
+++ b/src/sardinemast/conf/_policies.py
@@ -15,6 +15,7 @@
     AdmissionPolicy,
     FailureDomainPolicy,
     LearningPolicy,
+    LeasePolicy,
     PoolPolicy,
     PreemptionPolicy,
     TeamShares,
@@ -30,6 +31,7 @@
         'failure_domains': FailureDomainPolicy,
         'preemption': PreemptionPolicy,
         'admission': AdmissionPolicy,
+        'worker_leases': LeasePolicy,
     },
 )
 # Fields whose values are limited further than to numbers from 0 on.
@@ -37,6 +39,7 @@
     {
         ('team_shares', 'late_share'): number(0, _MAX_LATE_SHARE),
         ('learning', 'prior_ends'): number(1),
+        ('worker_leases', 'longest_ms'): number(1, is_whole=True),
     },
 )
 
--- a/src/sardinemast/conf/_process_files.py
+++ b/src/sardinemast/conf/_process_files.py
@@ -23,6 +23,7 @@
     AdmissionPolicy,
     FailureDomainPolicy,
     LearningPolicy,
+    LeasePolicy,
     PoolPolicy,
     PreemptionPolicy,
     TeamShares,
@@ -118,6 +119,7 @@
     failure_domains: FailureDomainPolicy = FailureDomainPolicy()
     preemption: PreemptionPolicy = PreemptionPolicy()
     admission: AdmissionPolicy = AdmissionPolicy()
+    worker_leases: LeasePolicy = LeasePolicy()
 
 
 _ADDRESS = record({'host': Field(text(), '127.0.0.1'), 'port': Field(_port)})
--- a/src/sardinemast/platform/_run.py
+++ b/src/sardinemast/platform/_run.py
@@ -148,6 +148,7 @@
             failure_domains=process.settings.failure_domains,
             preemption=process.settings.preemption,
             admission=process.settings.admission,
+            leases=process.settings.worker_leases,
         ),
         process.metrics,
         process.relay,
--- a/tests/conf/test_process_files.py
+++ b/tests/conf/test_process_files.py
@@ -9,6 +9,7 @@
 from sardinemast.dispatch import (
     AdmissionPolicy,
     LearningPolicy,
+    LeasePolicy,
     PoolPolicy,
     PreemptionPolicy,
     TeamShares,
@@ -31,6 +32,13 @@
     return path
 
 
+def test_lease_of_workers_is_configurable(tmp_path: Path) -> None:
+    """Guard against a leader that expects shorter leases than workers grant."""
+    path = _write(tmp_path, 'worker_leases: {longest_ms: 6000}\n')
+    leases = load_process_file(path).worker_leases
+    assert leases == LeasePolicy(longest_ms=6000)
+
+
 def test_omitted_pool_sizes_have_defaults(tmp_path: Path) -> None:
     """Load files from versions without ``pool_sizes``."""
     settings = load_process_file(_write(tmp_path, ''))
