dispatch: acknowledge ends no longer than needed

Cause: each poll carries the position of the last recorded end. A worker that restarts numbers its ends anew, so a poll for its earlier boot makes the later one forget ends that the leader has not seen; the run then counts as lost. The same class as the lease of an earlier boot. Change: a position is sent until one poll that carries it was answered, and not in polls to a worker that has stopped answering. What remains: the one poll that carries a new position and is under way as the worker restarts.

Evidence: test_end_of_a_later_boot_outlasts_polls_for_the_earlier_one failed before with 'running is done' and a second start; tests/dispatch without the fuzz pass.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -147,7 +147,9 @@
             PollWorker(
                 session.worker,
                 session.fence,
-                session.end_cursor.recorded,
+                session.end_cursor.send(
+                    is_responsive=is_responsive and not is_raising
+                ),
                 session.extend_lease(now_s) if is_responsive else None,
                 wait_ms,
                 wait_ms / _MS + self._get_answer_s(is_withheld=is_withheld),
@@ -298,6 +300,7 @@
         answer = polled.answer
         if answer is None or polled.fence < session.fence:
             return []
+        session.end_cursor.record_answer()
         session.record_clock(answer.clock_ms, now_s)
         session.record_report(now_s, self._state.now_ms)
         session.last_heard_s = now_s
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -98,14 +98,32 @@
 class EndCursor:
     """Hold the positions up to which a worker's ends are processed.
 
-    Ends pass three stages: reported by the worker, proposed for the log, and
-    recorded in it.
+    Ends pass four stages: reported by the worker, proposed for the log,
+    recorded in it, and acknowledged to the worker, which then forgets them.
+    ``sent`` is the position that the last poll acknowledged.
     """
 
     def __init__(self) -> None:
         self.reported = 0
         self.proposed = 0
         self.recorded = 0
+        self.acknowledged = 0
+        self.sent = 0
+
+    def send(self, *, is_responsive: bool) -> int:
+        """Return the position that a poll acknowledges, 0 for none.
+
+        A poll may reach a later boot, whose ends are numbered anew, and would
+        make it forget ends that nobody has seen. So each position is sent no
+        longer than needed, and to no worker that has stopped answering.
+        """
+        is_new = self.recorded > self.acknowledged
+        self.sent = self.recorded if is_new and is_responsive else 0
+        return self.sent
+
+    def record_answer(self) -> None:
+        """Record that the last poll was answered."""
+        self.acknowledged = max(self.acknowledged, self.sent)
 
 
 class WorkerSession:
--- a/tests/dispatch/test_earlier_lives.py
+++ b/tests/dispatch/test_earlier_lives.py
@@ -17,7 +17,7 @@
     StopRun,
     WorkerContested,
 )
-from sardinemast.jobs import TaskKey
+from sardinemast.jobs import JobStatus, TaskKey
 from sardinemast.jobs.commands import CancelJob
 
 _TASK = TaskKey('job', 0, 0, 0)
@@ -324,3 +324,27 @@
         fleet.run(_STEP_S)
         assert fleet.now_s <= cut_s + _RESTARTED_WITHIN_S
     _check_runs_once(fleet, cut_off)
+
+
+@rates
+def test_end_of_a_later_boot_outlasts_polls_for_the_earlier_one(
+    *, rate: float
+) -> None:
+    """Guard against a second run after an end that only its worker has seen.
+
+    The earlier boot had listed an end of the same number.
+    """
+    fleet = _make_fleet(rate, worker_count=1)
+    fleet.submit('other', make_step())
+    fleet.run(_HEARD_S)
+    fleet.workers['w-0'].end(_OTHER_TASK, 'done')
+    fleet.run(_HEARD_S)
+    later = _start_on_later_boot(fleet)
+    later.loses_responses = True
+    later.end(_TASK, 'done')
+    fleet.run(_HEARD_S)
+    later.loses_responses = False
+    fleet.announce(later)
+    fleet.run(_HEARD_S)
+    assert fleet.state.jobs['job'].status is JobStatus.done
+    assert len(fleet.started) == 2
