tests: draw orders of an earlier boot that a later one executes

Cause: the dispatch fuzz executes late orders only on the boot that they were sent to, and its workers seldom restart while a start is under way.

Change: a fuzz of its own draws restarts under a start, orders that arrive up to 4 s late at a later boot, workers that are cut off after they were heard or before, lost leaders, contested places and refusals for want of room. Each order is executed once. A start is not drawn if no leader can avoid a second run: one that stays under way although its worker has answered a poll with a higher fence.

Result: the fuzz fails on this code, two workers run one task; the history it ends with is one start under a restart and a cut after it.

--- a/tests/builders/workers.py
+++ b/tests/builders/workers.py
@@ -64,6 +64,9 @@
 MIB = 1024 * 1024
 # How long maintenance takes an instance out of service.
 MAINTENANCE_S = 2.0
+# An order reaches a later boot at most this late. One to the same boot may be
+# later, since the end of its lease is a time on that boot's clock.
+LONGEST_DELAY_S = 4.0
 _MS = 1000
 # Keeps all workers in the pool until a peak of its load is known.
 SETTINGS = DispatchSettings(
@@ -309,6 +312,41 @@
         model = self.workers[late.model.worker.name]
         return model.carry_out(late.order, self.now_s)
 
+    def execute_any_late(self, index: int) -> None:
+        """Execute an order under way, unless it is too late to arrive."""
+        if not self.undelivered_orders:
+            return
+        late = self.undelivered_orders[index % len(self.undelivered_orders)]
+        is_same_boot = late.model is self.workers[late.model.worker.name]
+        if is_same_boot or self.now_s <= late.sent_s + LONGEST_DELAY_S:
+            self.execute_late(late)
+        else:
+            self.undelivered_orders.remove(late)
+
+    def drop_voided_starts(self, name: str) -> None:
+        """Lose the starts under way that a worker refuses by their fence.
+
+        No leader can avoid a second run if such a start stays under way until
+        a later boot executes it: the worker answered a poll with a higher
+        fence, so that the task was rightly started elsewhere. The fuzz tests
+        do not draw that.
+        """
+        fence = self.workers[name].fence
+
+        def is_voided(order: Any) -> bool:
+            return (
+                isinstance(order, StartRun)
+                and order.worker.name == name
+                and order.fence < fence
+            )
+
+        self._lost_starts.extend(
+            one.order for one in self._waiting if is_voided(one.order)
+        )
+        self.undelivered_orders = [
+            one for one in self.undelivered_orders if not is_voided(one.order)
+        ]
+
     def deliver(self, event: DispatchEvent) -> None:
         """Deliver an answer to the leader, besides those of the workers."""
         outputs = self.dispatcher.step(event, self.now_s, self.now_ms)
