dispatch: take a worker for back from maintenance only once it answers

Callers saw: a wave could take down more instances than its cap (rule LIMIT).

Cause: an item of a wave counts as done once the instance's newest worker has a later boot time than the one that the order was sent for. A worker that restarts between the sending of the order and its execution has a later boot time too, and the order ends it. Its instance counted as back at the moment the order was confirmed, and the next instance was taken down.

Change: the worker of the later boot must also have answered a poll of this term, and one that was sent after the order was confirmed. Every worker that is new is polled at once, so that this delays nothing; one that cannot be polled counts as back after upkeep_max_s as before.

Why it works: an order that is confirmed has ended everything on the instance, so that only a worker that started after it answers later polls. What an earlier leader ordered was executed before any poll of this one.

Tests of dispatch, model, platform and maintenance pass.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -208,10 +208,11 @@
         settings = self._state.settings
         ordered_at_s = self._ordered_at_s.get(key)
         if item.status is MaintenanceStatus.down:
-            # If no worker was known when the order was sent, an announcement
-            # may be older than the order and does not count.
-            boot_ms = worker.boot_ms if worker else 0
-            is_back = 0 < item.boot_ms < boot_ms
+            # An order of an earlier leader was executed before any poll of this
+            # one; an answer to an own poll may be as old as its time-out.
+            down_s = self._down_confirmed_s.get(key, float('-inf'))
+            session = self._state.find_session(worker)
+            is_back = _is_back(item, session, down_s + settings.answer_s)
             since_s = ordered_at_s or self._state.started_s
             if is_back or now_s >= since_s + settings.upkeep_max_s:
                 self._propose_status(
@@ -373,3 +374,19 @@
                     self._state.now_ms,
                 ),
             )
+
+
+def _is_back(
+    item: WaveItem, session: WorkerSession | None, heard_after_s: float
+) -> bool:
+    """Check whether a worker has started since its instance was down.
+
+    A later boot than that of the order may have started before the order was
+    executed, and ended with it. One that answers polls after that has started
+    since. If no worker was known when the order was sent, an announcement may
+    be older than the order and does not count.
+    """
+    if session is None or not 0 < item.boot_ms < session.worker.boot_ms:
+        return False
+    is_known = session.is_synced and session.is_announced
+    return is_known and session.last_heard_s > heard_after_s
