tests: show two faults of workers that restart under their names

A poll names the position up to which ends are acknowledged on the last known boot of a worker. If the worker has restarted, its positions begin anew: it drops an end that nobody has seen, and the leader, which finds neither run nor end, starts the task again (rule TWICE).

A boot time that is earlier than the last one (its clock was set back) makes the answers to polls be ignored, while each poll renews the lease as the leader counts it. So the runs of the last boot never end in the log (rule LOST).

--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -4,12 +4,16 @@
 its ends then begin anew, and only the boot time tells the two apart.
 """
 
-from builders.workers import ModelFleet
-from sardinemast.jobs import MaintenanceStatus
+from builders.workers import ModelFleet, make_step
+from sardinemast.jobs import MaintenanceStatus, TaskKey
 from sardinemast.jobs.commands import DeclareWave
 
 _WAVE = 1
 _FAR_MS = 1_000_000
+_TASK = TaskKey('job', 0, 0, 0)
+_EARLIER_TASK = TaskKey('earlier', 0, 0, 0)
+# Longer than any lease and than the wait for its end.
+_SETTLED_S = 15.0
 
 
 def _order_maintenance(fleet: ModelFleet) -> str:
@@ -47,3 +51,40 @@
     fleet.elect()
     fleet.run(0.5)
     assert fleet.state.waves[_WAVE].items[0].status is MaintenanceStatus.done
+
+
+def test_end_on_a_later_boot_is_not_acknowledged_unseen() -> None:
+    """Guard against a task that starts again after its end was acknowledged.
+
+    The worker restarts, takes a start meant for its last boot, completes the
+    run, and drops the end at a poll that acknowledges ends of the last boot.
+    """
+    fleet = ModelFleet(1)
+    fleet.run(5)
+    fleet.submit('earlier', make_step())
+    fleet.run(0.5)
+    fleet.workers['w-0'].end(_EARLIER_TASK, 'done')
+    fleet.run(2)
+    fleet.submit('job', make_step())
+    model = fleet.restart_silently(0)
+    fleet.run(0.05)
+    model.end(_TASK, 'done')
+    fleet.run(1)
+    fleet.announce(model)
+    fleet.run(_SETTLED_S)
+    assert [one.number for one in fleet.started if one.task == _TASK] == [1]
+
+
+def test_task_restarts_if_the_later_boot_has_an_earlier_boot_time() -> None:
+    """Guard against a task that never starts again.
+
+    The clock that the boot time is taken from was set back.
+    """
+    fleet = ModelFleet(2, boot_ms=5)
+    fleet.run(5)
+    fleet.submit('job', make_step())
+    fleet.run(2)
+    model = fleet.restart_silently(int(fleet.get_running_workers(_TASK)[0][-1]))
+    model.worker = model.worker._replace(boot_ms=3)
+    fleet.run(_SETTLED_S)
+    assert len(fleet.get_running_workers(_TASK)) == 1
