tests: show a start that a later boot executes after it was given up

A start that was not answered counts as refused for good once its worker has answered a poll with a higher fence.

--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -88,3 +88,20 @@
     model.worker = model.worker._replace(boot_ms=3)
     fleet.run(_SETTLED_S)
     assert len(fleet.get_running_workers(_TASK)) == 1
+
+
+def test_refused_start_does_not_run_on_a_later_boot() -> None:
+    """Guard against two runs of a task at the same time.
+
+    The worker has answered a poll with a higher fence, but its next boot has
+    seen no fence and executes a start that arrives late.
+    """
+    fleet = ModelFleet(2)
+    fleet.run(5)
+    fleet.starts_to_lose = 1
+    fleet.submit('job', make_step())
+    fleet.run(2)
+    last_boot, start = fleet.undelivered_orders[-1]
+    model = fleet.restart_silently(int(last_boot.worker.name[-1]))
+    model.carry_out(start, fleet.now_s)
+    assert len(fleet.get_running_workers(_TASK)) == 1
