dispatch: run best-effort tasks at full speed on a later boot of a worker

Callers saw: best-effort work took longer on a worker that had restarted.

Cause: the speed of best-effort tasks was kept by the name of the worker. It is lowered for the tail latency of the tasks beside them; after a restart these are gone, but the tasks that start there were throttled on their first report and released in steps of 0.7 s.

Change: the speed is that of one boot of a worker. A later boot starts at full speed, as its tasks do.

--- a/src/sardinemast/dispatch/_throttling.py
+++ b/src/sardinemast/dispatch/_throttling.py
@@ -1,6 +1,7 @@
 """Throttle best-effort tasks beside latency-sensitive tasks."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from sardinemast.dispatch._worker_session import WorkerSession
 from sardinemast.jobs import JobsState, TaskKey
@@ -16,12 +17,19 @@
 CHANGE_INTERVAL_S = 0.7
 
 
+class _Speed(NamedTuple):
+    """Hold the speed on one boot of a worker and when it was changed."""
+
+    boot_ms: int
+    percent: int = FULL_PERCENT
+    changed_s: float = float('-inf')
+
+
 class BestEffortThrottle:
     """Decide the speed of the best-effort tasks on each worker."""
 
     def __init__(self) -> None:
-        self._percents: dict[str, int] = {}
-        self._changed_s: dict[str, float] = {}
+        self._speeds: dict[str, _Speed] = {}
         self._sent: dict[tuple[str, TaskKey, int], int] = {}
 
     def update(
@@ -32,20 +40,16 @@
     ) -> None:
         """Adjust the speed to the tail latencies in a worker's report."""
         name = session.worker.name
-        if (
-            not state.usage.best_effort_counts[name]
-            and name not in self._percents
-        ):
+        speed = self._get_speed(session)
+        is_unchanged = speed.changed_s == float('-inf')
+        if is_unchanged and not state.usage.best_effort_counts[name]:
             return
         worst_ratio = max(_iterate_latency_ratios(state, session), default=0)
-        changed_s = self._changed_s.get(name, float('-inf'))
-        if now_s < changed_s + CHANGE_INTERVAL_S:
+        if now_s < speed.changed_s + CHANGE_INTERVAL_S:
             return
-        percent = self._percents.get(name, FULL_PERCENT)
-        new_percent = _compute_percent(percent, worst_ratio)
-        if new_percent != percent:
-            self._percents[name] = new_percent
-            self._changed_s[name] = now_s
+        percent = _compute_percent(speed.percent, worst_ratio)
+        if percent != speed.percent:
+            self._speeds[name] = _Speed(session.boot_ms, percent, now_s)
 
     def list_changes(
         self,
@@ -56,7 +60,7 @@
         name = session.worker.name
         if not state.usage.best_effort_counts[name]:
             return []
-        percent = self._percents.get(name, FULL_PERCENT)
+        percent = self._get_speed(session).percent
         changes = []
         for task, reported in session.reported_runs.items():
             key = (name, task, reported.number)
@@ -75,6 +79,13 @@
         """Record the percentage that was sent for a run."""
         self._sent[(worker, task, number)] = percent
 
+    def _get_speed(self, session: WorkerSession) -> _Speed:
+        """Return the speed on a worker; a later boot starts at full speed."""
+        known = self._speeds.get(session.worker.name)
+        if known is None or known.boot_ms != session.boot_ms:
+            return _Speed(session.boot_ms)
+        return known
+
 
 def _iterate_latency_ratios(
     state: JobsState, session: WorkerSession
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -6,7 +6,7 @@
 
 from builders.workers import ModelFleet, make_step
 from sardinemast.jobs import MaintenanceStatus, TaskKey
-from sardinemast.jobs.commands import DeclareWave
+from sardinemast.jobs.commands import CancelJob, DeclareWave
 
 _WAVE = 1
 _FAR_MS = 1_000_000
@@ -105,3 +105,25 @@
     model = fleet.restart_silently(int(last_boot.worker.name[-1]))
     model.carry_out(start, fleet.now_s)
     assert len(fleet.get_running_workers(_TASK)) == 1
+
+
+def test_best_effort_task_starts_at_full_speed_on_a_later_boot() -> None:
+    """Guard against a task that is throttled for a task of the last boot."""
+    fleet = ModelFleet(1)
+    fleet.run(5)
+    service = make_step(is_long_running=True, tail_latency_limit_ms=100)
+    fleet.submit('watch', service)
+    fleet.submit('earlier', make_step(is_best_effort=True))
+    fleet.run(0.2)
+    model = fleet.workers['w-0']
+    model.reported_gauges[TaskKey('watch', 0, 0, 0)] = 200
+    fleet.run(4)
+    assert model.speeds_percent[_EARLIER_TASK] == 0
+    fleet.commit(CancelJob('watch'))
+    fleet.commit(CancelJob('earlier'))
+    model = fleet.restart_silently(0)
+    fleet.announce(model)
+    fleet.submit('job', make_step(is_best_effort=True))
+    fleet.run(2)
+    assert _TASK in model.running
+    assert _TASK not in model.speeds_percent
