dispatch: blame a later boot of a worker for its own slowness only

Callers saw: a worker that had restarted got no new runs for longer than others.

Cause: how often a worker was found to be slow was kept by its name, and the time for which it gets no new runs doubles each time.

Change: the count is that of one boot of a worker.

Evidence: test_later_boot_is_not_avoided_... failed before: 2 s, then 4 s for the first time that the later boot was slow.

--- a/src/sardinemast/dispatch/_stragglers.py
+++ b/src/sardinemast/dispatch/_stragglers.py
@@ -58,6 +58,13 @@
 _TrackedRuns = dict[TaskKey, _TrackedRun]
 
 
+class _SlowCount(NamedTuple):
+    """Hold how often one boot of a worker was found to be slow."""
+
+    boot_ms: int
+    times: int
+
+
 class StragglerDetector:
     """Track the progress of runs and stop those that are faster elsewhere."""
 
@@ -65,7 +72,7 @@
         self._state = state
         self._tracked: dict[str, _TrackedRuns] = {}
         self._duration_factors: dict[str, float] = {}
-        self._slow_counts: dict[str, int] = {}
+        self._slow_counts: dict[str, _SlowCount] = {}
 
     def start_term(self) -> None:
         """Discard the runs of the previous term."""
@@ -223,8 +230,11 @@
         name = session.worker.name
         if now_s < session.backoff.until_s:
             return
-        slow_count = self._slow_counts.get(name, 0)
-        self._slow_counts[name] = slow_count + 1
+        known = self._slow_counts.get(name)
+        # A later boot is not blamed for the earlier one.
+        is_known = known is not None and known.boot_ms == session.boot_ms
+        slow_count = known.times if known and is_known else 0
+        self._slow_counts[name] = _SlowCount(session.boot_ms, slow_count + 1)
         avoid_s = _AVOID_S * 2 ** min(slow_count, _DOUBLINGS_MAX)
         session.backoff.until_s = now_s + avoid_s
         self._state.log('worker.slow', name, avoid_s=avoid_s)
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -127,3 +127,20 @@
     fleet.run(2)
     assert _TASK in model.running
     assert _TASK not in model.speeds_percent
+
+
+def test_later_boot_is_not_avoided_for_the_slowness_of_the_last() -> None:
+    """Guard against a worker that is kept idle for what its last boot did."""
+    fleet = ModelFleet()
+    for name in ('earlier', 'job'):
+        fleet.run(5)
+        fleet.submit(name, make_step(2, estimate_ms=600))
+        fleet.run(0.2)
+        model = fleet.workers[fleet.started[-1].worker.name]
+        model.percent = 1
+        fleet.run(3)
+        fleet.commit(CancelJob(name))
+        fleet.announce(fleet.restart_silently(int(model.worker.name[-1])))
+    slow = fleet.list_decisions('worker.slow')
+    assert [one.details['avoid_s'] for one in slow] == [2, 2]
+    assert slow[0].subject == slow[1].subject
