dispatch: start nothing beside runs that the log has ended

Callers saw: a worker could be given more runs than its capacity (rule LIMIT).

Cause: free capacity is reckoned from the runs in the log. A start that was given up, since its worker refuses its fence, may be executed by the next boot of the worker, which has seen no fence. The leader stops such a run when a report lists it, but until it has ended it uses capacity that is free in the log, and new runs started beside it.

Change: a worker that reports such a run gets no new runs, as `unrecorded_runs`, until a report no longer lists it. Each such run was sent a stop when it was first reported, so that workers without stops need no comparison.

Why it works: a worker gets no starts until it has answered a poll of its boot, and that report lists every run that the boot has begun before; it refuses those that arrive later.

Evidence: test_run_that_the_log_has_ended_... failed before (two runs of one core each on a worker of one core). Tests of dispatch, docs and model pass.

--- a/src/sardinemast/dispatch/_reconcile.py
+++ b/src/sardinemast/dispatch/_reconcile.py
@@ -71,6 +71,21 @@
     ]
 
 
+def has_unrecorded_runs(state: JobsState, session: WorkerSession) -> bool:
+    """Check for reported runs whose capacity is free in the log.
+
+    A start that was given up may be executed by a later boot of its worker.
+    Each report that lists such a run stops it.
+    """
+    if not session.sent_stops:
+        return False
+    runs = state.runs.get(session.worker.name, {})
+    return any(
+        runs.get(task) != reported.number
+        for task, reported in session.reported_runs.items()
+    )
+
+
 def _find_missing_runs(
     state: JobsState,
     session: WorkerSession,
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -15,6 +15,7 @@
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._pool_prospects import PoolProspect
 from sardinemast.dispatch._preemption import Rank, get_rank
+from sardinemast.dispatch._reconcile import has_unrecorded_runs
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts_in_flight import StartsInFlight
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
@@ -152,9 +153,12 @@
         if self.suspected.is_withheld(name):
             return WithheldReason.rack_suspected
         has_runs = bool(self.jobs.runs.get(name))
-        return session.find_withheld_reason(
+        reason = session.find_withheld_reason(
             now_s, has_runs=has_runs, is_last_resort=is_last_resort
         )
+        if reason is None and has_unrecorded_runs(self.jobs, session):
+            return WithheldReason.unrecorded_runs
+        return reason
 
     def find_session(self, worker: Worker | None) -> WorkerSession | None:
         """Return the session with a worker, if there is one."""
--- a/src/sardinemast/dispatch/_withheld_reasons.py
+++ b/src/sardinemast/dispatch/_withheld_reasons.py
@@ -16,3 +16,4 @@
     cordoned = 'cordoned'
     backing_off = 'backing_off'
     silent = 'silent'
+    unrecorded_runs = 'unrecorded_runs'
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -144,3 +144,27 @@
     slow = fleet.list_decisions('worker.slow')
     assert [one.details['avoid_s'] for one in slow] == [2, 2]
     assert slow[0].subject == slow[1].subject
+
+
+def test_run_that_the_log_has_ended_keeps_others_off_its_worker() -> None:
+    """Guard against runs beyond the capacity of a worker.
+
+    A later boot executes a start that was given up; until it is stopped, the
+    run uses capacity that is free in the log.
+    """
+    fleet = ModelFleet(1, cores=1)
+    fleet.run(5)
+    fleet.starts_to_lose = 1
+    fleet.submit('earlier', make_step())
+    fleet.run(1)
+    fleet.commit(CancelJob('earlier'))
+    _, start = fleet.undelivered_orders[-1]
+    model = fleet.restart_silently(0)
+    model.stop_delay_s = 1
+    model.carry_out(start, fleet.now_s)
+    fleet.announce(model)
+    fleet.submit('job', make_step())
+    for _ in range(100):
+        fleet.run(0.05)
+        assert len(model.running) <= 1
+    assert list(model.running) == [_TASK]
