dispatch: abandon a planned move whose worker has restarted

Callers saw: runs could be started on a worker whose instance was being moved, and were ended by the move.

Cause: an idle worker is cordoned when its move is planned, and the move is ordered at the next measurement if it still has no runs. A later boot of the worker is not cordoned, which the order did not check, so that runs were started beside the order.

Change: the order is abandoned if the worker is no longer cordoned, as it is if the worker has runs.

Evidence: test_later_boot_gets_no_runs_... failed before (runs started on three instances whose moves were ordered). Tests of dispatch and model pass.

--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -300,8 +300,10 @@
             session = self._state.sessions.get(name)
             if session is None:
                 continue
+            # A later boot is not cordoned, and may get runs at any moment.
             if (
-                self._state.get_runs(name)
+                not session.is_cordoned
+                or self._state.get_runs(name)
                 or not session.is_announced
                 or session.is_draining
                 or self._state.suspected.is_withheld(name)
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -5,6 +5,7 @@
 """
 
 from builders.workers import ModelFleet, make_step
+from sardinemast.dispatch import DispatchSettings, PoolPolicy
 from sardinemast.jobs import MaintenanceStatus, TaskKey
 from sardinemast.jobs.commands import CancelJob, DeclareWave
 
@@ -12,6 +13,12 @@
 _FAR_MS = 1_000_000
 _TASK = TaskKey('job', 0, 0, 0)
 _EARLIER_TASK = TaskKey('earlier', 0, 0, 0)
+_CORES = 16
+_STEP_S = 0.02
+# The order for a planned move follows within these.
+_PLANNED_STEPS = 10
+_MOVED_BEFORE_S = 60
+_SWITCH_OFF = DispatchSettings(pools=PoolPolicy(opening_share=0))
 # Longer than any lease and than the wait for its end.
 _SETTLED_S = 15.0
 
@@ -168,3 +175,32 @@
         fleet.run(0.05)
         assert len(model.running) <= 1
     assert list(model.running) == [_TASK]
+
+
+def test_later_boot_gets_no_runs_while_its_instance_is_moved() -> None:
+    """Guard against runs that the move of an instance ends.
+
+    The worker restarts between the plan for the move and its order.
+    """
+    fleet = ModelFleet(4, _SWITCH_OFF)
+    fleet.run(1)
+    # Workers are switched off once a pool has had its first peak.
+    fleet.submit('earlier', make_step(_CORES))
+    fleet.run(3)
+    for model in fleet.workers.values():
+        for task in tuple(model.running):
+            model.end(task, 'done')
+    while not fleet.list_decisions('worker.cordoned'):
+        fleet.run(_STEP_S, _STEP_S)
+        assert fleet.now_s < _MOVED_BEFORE_S
+    for line in fleet.list_decisions('worker.cordoned'):
+        fleet.announce(fleet.restart_silently(int(line.subject[-1])))
+    for _ in range(_PLANNED_STEPS):
+        fleet.run(_STEP_S, _STEP_S)
+        if fleet.list_decisions('instance.moved'):
+            break
+    fleet.submit('job', make_step(_CORES))
+    moved = fleet.list_decisions('instance.moved')
+    used = {one.worker.name for one in fleet.started if one.task.job == 'job'}
+    assert used
+    assert not used.intersection(line.details['worker'] for line in moved)
