dispatch: start nothing on a later boot while its instance is moved

Callers saw: runs could be started on a worker whose instance was being moved, and were ended by the move.

Cause: the cordon for a move belongs to one boot of a worker. A later boot is cordoned again when pending moves are looked at, every 0.15 s; it may have answered its first poll before, and then got runs. The order to move may be executed in the meantime.

Change: a worker gets no new runs while its instance is being moved to another pool than the worker's own, whether it is cordoned or not.

--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -325,7 +325,7 @@
         is_off = pool == self._get_standby_pool()
         timeout_s = _SWITCH_OFF_TIMEOUT_S if is_off else _MOVE_TIMEOUT_S
         self._pending_moves[instance] = _PendingMove(pool, now_s + timeout_s)
-        self._state.moving.add(instance)
+        self._state.moving[instance] = pool
         self._state.propose(NoteMove(instance, pool, self._state.now_ms))
 
     def _update_pending_moves(self, now_s: float) -> None:
@@ -343,7 +343,7 @@
 
     def _finish_move(self, instance: str, cause: str, now_s: float) -> None:
         self._pending_moves.pop(instance, None)
-        self._state.moving.discard(instance)
+        self._state.moving.pop(instance, None)
         for worker in self._state.jobs.worker_index.list_on_instance(instance):
             session = self._state.sessions.get(worker.name)
             if session is not None:
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -42,8 +42,8 @@
 
     ``pending_ends`` holds ends of runs that are not in the log yet.
     ``needs_planning`` is set when tasks or capacity may have been added since
-    the last plan. ``moving`` holds the instances that are changing pools.
-    ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
+    the last plan. ``moving`` maps each instance that is changing pools to the
+    new one. ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
     pool, the millicores of each team as of the last division.
     ``held_workers`` holds the rank of the task that each worker makes room for.
     """
@@ -60,7 +60,7 @@
         self.needs_planning = True
         self.loads: dict[str, PoolLoad] = {}
         self.order_times = OrderTimes()
-        self.moving: set[str] = set()
+        self.moving: dict[str, str] = {}
         self.durations = DurationEstimates(settings.learning)
         self.team_shares: dict[str, Mapping[str, float]] = {}
         self.failing_tasks = FailingTasks()
@@ -156,9 +156,15 @@
         reason = session.find_withheld_reason(
             now_s, has_runs=has_runs, is_last_resort=is_last_resort
         )
-        if reason is None and has_unrecorded_runs(self.jobs, session):
+        if reason is not None:
+            return reason
+        # A later boot is not cordoned until the move is looked at again.
+        pool = session.worker.pool
+        if self.moving.get(session.worker.instance, pool) != pool:
+            return WithheldReason.cordoned
+        if has_unrecorded_runs(self.jobs, session):
             return WithheldReason.unrecorded_runs
-        return reason
+        return None
 
     def find_session(self, worker: Worker | None) -> WorkerSession | None:
         """Return the session with a worker, if there is one."""
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -4,6 +4,8 @@
 its ends then begin anew, and only the boot time tells the two apart.
 """
 
+import pytest
+
 from builders.workers import ModelFleet, make_step
 from sardinemast.dispatch import DispatchSettings, PoolPolicy
 from sardinemast.jobs import MaintenanceStatus, TaskKey
@@ -177,14 +179,13 @@
     assert list(model.running) == [_TASK]
 
 
-def test_later_boot_gets_no_runs_while_its_instance_is_moved() -> None:
-    """Guard against runs that the move of an instance ends.
+def _plan_to_switch_off() -> ModelFleet:
+    """Return a fleet with workers that are cordoned for a move.
 
-    The worker restarts between the plan for the move and its order.
+    Workers are switched off once a pool has had its first peak.
     """
     fleet = ModelFleet(4, _SWITCH_OFF)
     fleet.run(1)
-    # Workers are switched off once a pool has had its first peak.
     fleet.submit('earlier', make_step(_CORES))
     fleet.run(3)
     for model in fleet.workers.values():
@@ -193,14 +194,50 @@
     while not fleet.list_decisions('worker.cordoned'):
         fleet.run(_STEP_S, _STEP_S)
         assert fleet.now_s < _MOVED_BEFORE_S
+    return fleet
+
+
+def _restart_cordoned(fleet: ModelFleet) -> None:
     for line in fleet.list_decisions('worker.cordoned'):
         fleet.announce(fleet.restart_silently(int(line.subject[-1])))
+
+
+def _run_until_moved(fleet: ModelFleet) -> None:
     for _ in range(_PLANNED_STEPS):
         fleet.run(_STEP_S, _STEP_S)
         if fleet.list_decisions('instance.moved'):
             break
+
+
+def _check_moved_workers_are_unused(fleet: ModelFleet) -> None:
+    """Check that a job with a task for each core avoids moved workers."""
     fleet.submit('job', make_step(_CORES))
     moved = fleet.list_decisions('instance.moved')
     used = {one.worker.name for one in fleet.started if one.task.job == 'job'}
     assert used
     assert not used.intersection(line.details['worker'] for line in moved)
+
+
+def test_later_boot_gets_no_runs_while_its_instance_is_moved() -> None:
+    """Guard against runs that the move of an instance ends.
+
+    The worker restarts between the plan for the move and its order.
+    """
+    fleet = _plan_to_switch_off()
+    _restart_cordoned(fleet)
+    _run_until_moved(fleet)
+    _check_moved_workers_are_unused(fleet)
+
+
+@pytest.mark.parametrize('steps', range(1, 16))
+def test_later_boot_gets_no_runs_after_the_order_to_move(steps: int) -> None:
+    """Guard against runs that a move ends which is executed late.
+
+    The worker restarts after the order was sent.
+    """
+    fleet = _plan_to_switch_off()
+    _run_until_moved(fleet)
+    fleet._waiting.clear()
+    _restart_cordoned(fleet)
+    fleet.run(steps * _STEP_S, _STEP_S)
+    _check_moved_workers_are_unused(fleet)
