dispatch: cordon a later boot while an order for maintenance is open

Callers saw: runs could be started on a worker whose instance was ordered down, and were ended by the maintenance.

Cause: while an order is recorded and not answered, only the boot that it was sent for was cordoned. A later boot was cordoned once the order was repeated, 1 s later, or 3.8 s after a change of leader; the order may be executed in the meantime.

Change: every boot is cordoned until the order is answered.

Why it costs little: the order is repeated only once the worker is cordoned and drained, so that runs started before would have been awaited or stopped.

Evidence: test_later_boot_gets_no_runs_after_the_order_to_maintain failed before in all eight cases.

--- a/src/sardinemast/dispatch/_maintenance.py
+++ b/src/sardinemast/dispatch/_maintenance.py
@@ -315,16 +315,14 @@
     ) -> None:
         """Keep the worker cordoned that an order was recorded for.
 
-        One with a later boot is cordoned only once the order is repeated.
+        Until the order is answered it may be executed at any moment, and end
+        the runs of a later boot as well.
         """
         session = self._state.find_session(worker)
         if session is None:
             return
-        is_repeated = (
-            item.status is MaintenanceStatus.ordered
-            and is_cordoned_for_wave(session)
-        )
-        if is_repeated or session.worker.boot_ms == item.boot_ms:
+        is_open = item.status is MaintenanceStatus.ordered
+        if is_open or session.worker.boot_ms == item.boot_ms:
             self._cordon(wave, session, now_s)
             bind_cordon(session)
             self._urgent.add(session.worker.name)
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -241,3 +241,23 @@
     _restart_cordoned(fleet)
     fleet.run(steps * _STEP_S, _STEP_S)
     _check_moved_workers_are_unused(fleet)
+
+
+@pytest.mark.parametrize('steps', range(10, 50, 5))
+def test_later_boot_gets_no_runs_after_the_order_to_maintain(
+    steps: int,
+) -> None:
+    """Guard against runs that maintenance ends which is executed late.
+
+    The worker restarts after the order was sent and before its answer.
+    """
+    fleet = ModelFleet(2)
+    instance = _order_maintenance(fleet)
+    fleet._waiting.clear()
+    model = fleet.restart_silently(int(instance[-1]))
+    fleet.announce(model)
+    fleet.run(steps * _STEP_S, _STEP_S)
+    fleet.submit('job', make_step(_CORES))
+    used = {one.worker.name for one in fleet.started}
+    assert used
+    assert model.worker.name not in used
