--- a/src/sardinemast/dispatch/_pool_balancer.py
+++ b/src/sardinemast/dispatch/_pool_balancer.py
@@ -300,8 +300,10 @@
             session = self._state.sessions.get(name)
             if session is None:
                 continue
+            # A later boot is not cordoned, and may get runs at any moment.
             if (
-                self._state.get_runs(name)
+                not session.is_cordoned
+                or self._state.get_runs(name)
                 or not session.is_announced
                 or session.is_draining
                 or self._state.suspected.is_withheld(name)
@@ -323,7 +325,7 @@
         is_off = pool == self._get_standby_pool()
         timeout_s = _SWITCH_OFF_TIMEOUT_S if is_off else _MOVE_TIMEOUT_S
         self._pending_moves[instance] = _PendingMove(pool, now_s + timeout_s)
-        self._state.moving.add(instance)
+        self._state.moving[instance] = pool
         self._state.propose(NoteMove(instance, pool, self._state.now_ms))
 
     def _update_pending_moves(self, now_s: float) -> None:
@@ -341,7 +343,7 @@
 
     def _finish_move(self, instance: str, cause: str, now_s: float) -> None:
         self._pending_moves.pop(instance, None)
-        self._state.moving.discard(instance)
+        self._state.moving.pop(instance, None)
         for worker in self._state.jobs.worker_index.list_on_instance(instance):
             session = self._state.sessions.get(worker.name)
             if session is not None:
--- a/src/sardinemast/dispatch/_state.py
+++ b/src/sardinemast/dispatch/_state.py
@@ -15,6 +15,7 @@
 from sardinemast.dispatch._pool_load import PoolLoad
 from sardinemast.dispatch._pool_prospects import PoolProspect
 from sardinemast.dispatch._preemption import Rank, get_rank
+from sardinemast.dispatch._reconcile import has_unrecorded_runs
 from sardinemast.dispatch._settings import DispatchSettings
 from sardinemast.dispatch._starts_in_flight import StartsInFlight
 from sardinemast.dispatch._suspected_workers import SuspectedWorkers
@@ -41,8 +42,8 @@
 
     ``pending_ends`` holds ends of runs that are not in the log yet.
     ``needs_planning`` is set when tasks or capacity may have been added since
-    the last plan. ``moving`` holds the instances that are changing pools.
-    ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
+    the last plan. ``moving`` maps each instance that is changing pools to the
+    new one. ``now_ms`` is the wall clock time. ``team_shares`` holds, by full
     pool, the millicores of each team as of the last division.
     ``held_workers`` holds the rank of the task that each worker makes room for.
     """
@@ -59,7 +60,7 @@
         self.needs_planning = True
         self.loads: dict[str, PoolLoad] = {}
         self.order_times = OrderTimes()
-        self.moving: set[str] = set()
+        self.moving: dict[str, str] = {}
         self.durations = DurationEstimates(settings.learning)
         self.team_shares: dict[str, Mapping[str, float]] = {}
         self.failing_tasks = FailingTasks()
@@ -152,9 +153,18 @@
         if self.suspected.is_withheld(name):
             return WithheldReason.rack_suspected
         has_runs = bool(self.jobs.runs.get(name))
-        return session.find_withheld_reason(
+        reason = session.find_withheld_reason(
             now_s, has_runs=has_runs, is_last_resort=is_last_resort
         )
+        if reason is not None:
+            return reason
+        # A later boot is not cordoned until the move is looked at again.
+        pool = session.worker.pool
+        if self.moving.get(session.worker.instance, pool) != pool:
+            return WithheldReason.cordoned
+        if has_unrecorded_runs(self.jobs, session):
+            return WithheldReason.unrecorded_runs
+        return None
 
     def find_session(self, worker: Worker | None) -> WorkerSession | None:
         """Return the session with a worker, if there is one."""
