dispatch: take any other boot time in a poll's answer for a restart

A long task never ran again (rule LOST). Cause: a worker whose wall clock was set back restarts with an earlier boot time. Answers of an earlier boot were ignored without counting as missed polls, so that each poll renewed the lease as the leader counts it, and announcements of that boot count as outdated. Change: an answer to a poll that was sent after the last known boot can only be of a later one, whatever its time; the worker is forgotten once it has no runs, so that it can register.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -66,7 +66,8 @@
             if session is None:
                 state.sessions[worker.name] = self._open_session(worker, now_s)
                 continue
-            if worker.boot_ms > session.boot_ms:
+            is_new = worker.boot_ms > session.worker.boot_ms
+            if is_new and worker.boot_ms != session.boot_ms:
                 self._restart(session, worker.boot_ms, now_s)
             session.worker = worker
 
@@ -176,12 +177,12 @@
             self._record_miss(session, now_s)
             if is_silent(polled) and self._contested.is_gone(session, now_s):
                 self.propose_forget(session)
-        elif answer.boot_ms > session.boot_ms:
-            # The worker has restarted. Its capacity, labels, pool and state may
-            # be others now, so it gets no runs until it announces them.
+        elif answer.boot_ms and answer.boot_ms != session.boot_ms:
+            # The worker has restarted since the boot that this poll was sent
+            # to, even if its boot time is earlier: its wall clock may have been
+            # set back. Its capacity, labels, pool and state may be others now,
+            # so it gets no runs until it announces them.
             self._restart(session, answer.boot_ms, now_s)
-        elif answer.boot_ms and answer.boot_ms < session.boot_ms:
-            self._state.log('worker.answer_outdated', session.worker.name)
         elif session.is_earlier_clock(answer.clock_ms, polled.sent_s):
             # A restart that the boot time does not show.
             self._restart(session, session.boot_ms, now_s)
@@ -328,8 +329,19 @@
         for orphan in find_orphan_runs(self._state.jobs, session):
             self._state.stop_run(session, orphan.task, orphan.number, now_s)
         self._throttle_runs(session, now_s)
+        self._forget_later_boot(session)
         return ends
 
+    def _forget_later_boot(self, session: WorkerSession) -> None:
+        """Forget a worker whose current boot could not be registered.
+
+        An announcement with an earlier boot time than the registered one counts
+        as outdated.
+        """
+        runs = self._state.get_runs(session.worker.name)
+        if session.boot_ms < session.worker.boot_ms and not runs:
+            self.propose_forget(session)
+
     def _record_lost_runs(
         self,
         session: WorkerSession,
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -189,7 +189,7 @@
 
         A worker that announces no boot cannot be told apart from its next one.
         """
-        return not self.worker.boot_ms or self.worker.boot_ms >= self.boot_ms
+        return not self.worker.boot_ms or self.worker.boot_ms == self.boot_ms
 
     @property
     def is_draining(self) -> bool:
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -110,7 +110,7 @@
     fleet.starts_to_lose = 1
     fleet.submit('job', make_step())
     fleet.run(2)
-    last_boot, start = fleet.undelivered_orders[-1]
+    last_boot, start, _ = fleet.undelivered_orders[-1]
     model = fleet.restart_silently(int(last_boot.worker.name[-1]))
     model.carry_out(start, fleet.now_s)
     assert len(fleet.get_running_workers(_TASK)) == 1
@@ -167,7 +167,7 @@
     fleet.submit('earlier', make_step())
     fleet.run(1)
     fleet.commit(CancelJob('earlier'))
-    _, start = fleet.undelivered_orders[-1]
+    _, start, _ = fleet.undelivered_orders[-1]
     model = fleet.restart_silently(0)
     model.stop_delay_s = 1
     model.carry_out(start, fleet.now_s)
