soak: send a cancellation again with the key that is valid then

A caller that got no clear answer to a cancellation sent it again with the key that it had read at first. Callers now read the team's key for each try, so that the cancellation is confirmed and its own checks apply.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -306,8 +306,9 @@
 
     async def _poll_state(self, caller: Caller, name: str) -> bool:
         """Read the state of a job until it has begun."""
-        key = self._get_key(name)
         for _ in range(_TRIES):
+            # A configuration may revoke a key between two tries.
+            key = self._get_key(name)
             response = await self._call_entry(caller, 'GET', name, None, key)
             if response.code in {_DONE, _GONE}:
                 state = response.body['state'] if response.body else ''
@@ -318,8 +319,8 @@
         return False
 
     async def _cancel(self, caller: Caller, name: str) -> None:
-        key = self._get_key(name)
         for _ in range(_TRIES):
+            key = self._get_key(name)
             response = await self._call_entry(caller, 'DELETE', name, None, key)
             if response.code in {_DONE, _GONE}:
                 self.ledger.note_cancelled(name, time.monotonic())
