soak: restart workers under their names while calls are under way

Callers also submit tasks of 8 to 12 s, which may outlast a lease. The log of a run tells the starts, ends and acknowledged ends that the workers saw.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,10 +12,14 @@
 
 from soak.ledger import Ledger
 from soak.proxies import LinkFaults, Pair
+from soak.reboots import RESTARTS, Restart, make_times
 from soak.site import Site
 from soak.traffic import TEAMS, Traffic
+from soak.workers import LATE_S
 
 _GAP_S = (0.1, 2.0)
+# A worker that restarts is cut off for long, and the others must have room.
+_RESTART_GAP_S = (0.3, 4.0)
 _DURATION_S = (0.3, 4.0)
 # A replica that lost its disk must catch up before the next one loses its own.
 _DISK_LOSS_PAUSE_S = 9.0
@@ -47,14 +51,23 @@
     return (
         *_draw_kinds(tuple(KINDS), Random(seed), length_s),
         *_draw_kinds(tuple(LOAD_KINDS), Random(f'load-{seed}'), length_s),
+        *_draw_kinds(
+            tuple(RESTART_KINDS),
+            Random(f'restarts-{seed}'),
+            length_s,
+            _RESTART_GAP_S,
+        ),
     )
 
 
 def _draw_kinds(
-    kinds: tuple[str, ...], random: Random, length_s: float
+    kinds: tuple[str, ...],
+    random: Random,
+    length_s: float,
+    gap_s: tuple[float, float] = _GAP_S,
 ) -> list[Fault]:
     faults = []
-    at_s = random.uniform(*_GAP_S)
+    at_s = random.uniform(*gap_s)
     while at_s < length_s:
         faults.append(
             Fault(
@@ -64,7 +77,7 @@
                 random.randrange(1000),
             ),
         )
-        at_s += random.uniform(*_GAP_S)
+        at_s += random.uniform(*gap_s)
     return faults
 
 
@@ -267,6 +280,7 @@
         """Make a worker apply some orders late, and then answer 503."""
         worker = self.site.pick_worker(fault.target)
         worker.late_share = 0.3
+        worker.late_s = LATE_S
         await asyncio.sleep(2 * fault.duration_s)
         worker.late_share = 0
 
@@ -355,6 +369,21 @@
         await self.site.proxies.apply()
 
 
+def _make_fault(
+    restart: Restart,
+) -> Callable[[Injector, Fault], Awaitable[None]]:
+    async def inject(injector: Injector, fault: Fault) -> None:
+        site = injector.site
+        # Independent of the part of the number that selects the worker.
+        number = fault.target // len(site.workers)
+        times = make_times(number, fault.duration_s)
+        worker = site.pick_worker(fault.target)
+        others = [one for one in site.workers.values() if one is not worker]
+        await restart((worker, *others), times)
+
+    return inject
+
+
 KINDS = MappingProxyType[str, Callable[[Injector, Fault], Awaitable[None]]](
     {
         'process.kill': Injector.kill,
@@ -386,4 +415,7 @@
         'team.overload': Injector.overload,
     },
 )
-_ALL_KINDS = MappingProxyType({**KINDS, **LOAD_KINDS})
+RESTART_KINDS = MappingProxyType(
+    {kind: _make_fault(restart) for kind, restart in RESTARTS.items()},
+)
+_ALL_KINDS = MappingProxyType({**KINDS, **LOAD_KINDS, **RESTART_KINDS})
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import NamedTuple
 
 _ACCEPTED = range(200, 300)
@@ -103,6 +104,8 @@
         self.jobs: dict[str, _Job] = {}
         self.acknowledged_version = 0
         self.acknowledgement_count = 0
+        # Receives an event and its details.
+        self.log_event: Callable[..., None] = _ignore
         self._bounds = bounds
         self._caps = caps
         self._running: dict[Task, set[str]] = defaultdict(set)
@@ -192,12 +195,14 @@
             self._report_violation(
                 'DRAIN', f'{task} starts on draining worker {worker}'
             )
+        self.log_event('start', worker=worker, task=task)
         self._running[task].add(worker)
 
     def note_end(
         self, worker: str, task: Task, *, is_done: bool, now_s: float = 0
     ) -> None:
         """Record that a task no longer runs on a worker."""
+        self.log_event('end', worker=worker, task=task, is_done=is_done)
         self._running[task].discard(worker)
         self._last_run_s[task] = now_s
         if is_done and task.job in self.jobs:
@@ -205,6 +210,7 @@
 
     def note_recorded(self, task: Task) -> None:
         """Record that the system acknowledged the success of a task."""
+        self.log_event('recorded', task=task)
         self._recorded.add(task)
 
     def note_unreadable(self, name: str) -> None:
@@ -425,3 +431,7 @@
 
     def _report_violation(self, rule: str, text: str) -> None:
         self.broken.append(f'{rule}: {text}.')
+
+
+def _ignore(event: str, **details: object) -> None:
+    """Drop an event."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -67,6 +67,7 @@
     traffic = Traffic(ledger, Catalog(caps), entries, controls, random)
     with (folder / 'soak.log').open('a') as log:
         log_event = _make_event_log(log)
+        ledger.log_event = log_event
         injector = Injector(site, traffic, ledger, log_event)
         try:
             version = await _run(
@@ -140,6 +141,7 @@
     leases = [traffic.check_leases(worker) for worker in site.workers.values()]
     others = [traffic.configure(), traffic.maintain(site.instances)]
     others.append(traffic.submit_long_running())
+    others.append(traffic.submit_long_tasks())
     others.append(site.watch())
     return [
         asyncio.create_task(coroutine)
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -25,6 +25,10 @@
 _LONG_RUNNING_COUNT = 4
 _LONG_RUNNING_INTERVAL_S = (0.5, 3.0)
 _LONG_RUNNING_MS = (2000, 6000)
+# Longer than the lease of a run, so that a run may outlast it.
+_LONG_TASK_MS = (8000, 12_000)
+_LONG_TASK_INTERVAL_S = (0.5, 2.0)
+_LONG_TASK_MILLICORES = 300
 _ANNOUNCE_INTERVAL_S = 0.5
 _CHANGE_INTERVAL_S = (0.4, 1.5)
 _TRIES = 40
@@ -131,12 +135,21 @@
                 break
             millicores = self._random.randint(*_MILLICORES)
             step = Step(2, millicores, is_long_running=True)
-            name = await self._submit(caller, (step,))
+            name = await self._submit(caller, (step,), _LONG_RUNNING_MS)
             if name and self._random.random() < _CANCELLATION_SHARE:
                 await self._cancel(caller, name)
             await asyncio.sleep(self._random.uniform(*_LONG_RUNNING_INTERVAL_S))
         caller.close()
 
+    async def submit_long_tasks(self) -> None:
+        """Submit jobs whose tasks last longer than a lease."""
+        caller = Caller()
+        while not self.is_over:
+            await asyncio.sleep(self._random.uniform(*_LONG_TASK_INTERVAL_S))
+            steps = (Step(2, _LONG_TASK_MILLICORES),)
+            await self._submit(caller, steps, _LONG_TASK_MS)
+        caller.close()
+
     async def read_all_states(self) -> None:
         """Read the states of all accepted jobs that are not cancelled."""
         caller = Caller()
@@ -276,7 +289,10 @@
             )
 
     async def _submit(
-        self, caller: Caller, long_running: tuple[Step, ...] = ()
+        self,
+        caller: Caller,
+        chosen_steps: tuple[Step, ...] = (),
+        durations_ms: tuple[int, int] = _TASK_MS,
     ) -> str:
         """Submit a job until it is accepted or refused.
 
@@ -289,12 +305,11 @@
         team = self.overloading_team or team
         keys = self._catalog.keys[team] + self._catalog.revoked[team]
         key = self._random.choice([*keys, keys[0], keys[0]])
-        steps = long_running or self._make_steps()
+        steps = chosen_steps or self._make_steps()
+        job = self._make_job(steps, self._random.randint(*durations_ms))
         self.ledger.note_submitted(name, team, steps)
         for _ in range(_TRIES):
-            response = await self._call_entry(
-                caller, 'POST', name, self._make_job(steps), key
-            )
+            response = await self._call_entry(caller, 'POST', name, job, key)
             self.ledger.note_response(name, response.code, time.monotonic())
             self.ledger.note_key_used(key, response.code, response.sent_s)
             if response.code == _DONE:
@@ -338,12 +353,10 @@
         second = Step(random.randint(1, 2), first.millicores, (0,))
         return (first, second)
 
-    def _make_job(self, steps: tuple[Step, ...]) -> dict[str, Any]:
-        is_long_running = steps[0].is_long_running
-        outcome = 'failed' if is_long_running else 'done'
-        duration_ms = self._random.randint(
-            *(_LONG_RUNNING_MS if is_long_running else _TASK_MS)
-        )
+    def _make_job(
+        self, steps: tuple[Step, ...], duration_ms: int
+    ) -> dict[str, Any]:
+        outcome = 'failed' if steps[0].is_long_running else 'done'
         return {
             'spec': f'{duration_ms}:{steps[0].millicores}:{outcome}',
             'phases': [
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -21,14 +21,15 @@
 
 _MS_PER_S = 1000
 _UNRESPONSIVE_S = 6.0
-_LATE_S = (0.5, 4.0)
 _CLOCK_RATES = (0.98, 1.0)
 _MAX_LEASE_S = 10.0
 # A clock begins anew with a restart, far behind the time that it showed before.
 _CLOCK_STARTS_MS = (20_000, 90_000)
 _RESTARTED_CLOCK_MS = 1000
+LATE_S = (0.5, 4.0)
 CAPACITY_MILLICORES = 8000
 _Body = dict[str, Any]
+Intercept = Callable[['Worker', HTTPServerRequest], Awaitable[None]]
 
 
 class Incarnation:
@@ -105,9 +106,10 @@
         self.incarnation: Incarnation | None = None
         self.is_silent = False
         self.late_share: float = 0
+        self.late_s = LATE_S
         self.slowness: float = 1
-        # Called with the path of each call before the worker carries it out.
-        self.intercept: Callable[[str], Awaitable[None]] | None = None
+        # Called with each call before the worker carries it out.
+        self.intercepts: list[Intercept] = []
         self._ledger = ledger
         self._random = random
         self._make_worker_name = make_worker_name
@@ -139,6 +141,7 @@
             _RESTARTED_CLOCK_MS,
             former.polled_fence,
         )
+        self._ledger.log_event('restart', worker=self.incarnation.boot)
 
     def end(self) -> None:
         """End the current worker, if any, and all its tasks."""
@@ -198,10 +201,10 @@
         is_late = self._random.random() < self.late_share
         response: HttpResponse | None = None
         if not self.is_silent:
-            if self.intercept is not None:
-                await self.intercept(request.path)
+            for intercept in tuple(self.intercepts):
+                await intercept(self, request)
             if is_late:
-                await asyncio.sleep(self._random.uniform(*_LATE_S))
+                await asyncio.sleep(self._random.uniform(*self.late_s))
             response = await self._answer(request, is_late=is_late)
         # A call that was under way when the worker was cut off is carried out.
         if response is None or is_late or self.is_silent:
