platform: follow a list of instances with an entry that cannot be decoded

What callers saw: one entry of another writer in the platform's list hides all others. The leader logs 'Listing instances failed' at each interval, switches no instance of the standby pool on, and a wave does not learn what is lost or back.

Cause: the page was decoded as a whole before its entries. The decoder refuses the whole page for one entry that nests deeper than Python's recursion limit, or that has bytes which are no JSON (NaN, half of a surrogate pair, a raw line break). Besides, each entry that could not be decoded was logged by itself.

Change: a page that cannot be decoded is split at its outer commas, without recursion, and each entry is decoded by itself. What is truncated stays refused. Entries that cannot be decoded share one log line.

Why it works: to find the end of an entry only strings and brackets matter, so that its content can be anything that closes what it opens.

--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -1,6 +1,6 @@
 """Client of the platform's instance service and policy service."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -29,12 +29,9 @@
     classify_attempt,
     make_attempt,
 )
+from sardinemast.platform._partial_bodies import decode_instances
 from sardinemast.platform._translate import make_instance, make_tickets
-from sardinemast.platform._worker_bodies import (
-    GrantedBody,
-    InstanceBody,
-    InstancesBody,
-)
+from sardinemast.platform._worker_bodies import GrantedBody, InstanceBody
 from sardinemast.routing import StartAttempt
 from sardinemast.shell import RawAttempt
 
@@ -115,7 +112,7 @@
         }
         start = _make_start(self._advice, order.timeout_s, valid_until_s)
         attempt = await self._client.post(start, '/advise', body)
-        granted = _read_body(attempt, GrantedBody)
+        granted = _read_body(attempt, _decode_granted)
         if granted is None:
             return unanswered
         return AdviceAnswered(order.step, make_tickets(granted))
@@ -129,19 +126,19 @@
         if self._instances is None:
             return None
         start = _make_start(self._instances, order.timeout_s, valid_until_s)
-        listed: list[ListedInstance] = []
+        entries: list[msgspec.Raw] = []
         path = _LIST_PATH
-        while len(listed) < _INSTANCES_MAX:
+        while len(entries) <= _INSTANCES_MAX:
             attempt = await self._client.get(start, path)
-            page = _read_body(attempt, InstancesBody)
+            page = _read_body(attempt, decode_instances)
             if page is None:
                 result = attempt.attempt_result
                 _log.warning('Listing instances failed: {}.', result)
                 return None
-            listed.extend(_read_instances(page.get('machines', [])))
+            entries.extend(page.get('machines', []))
             token = page.get('next_token') or ''
             if not token:
-                return InstancesListed(tuple(listed), order.asked_s)
+                return InstancesListed(_read_instances(entries), order.asked_s)
             query = urlencode({'page_token': token})
             path = f'{_LIST_PATH}?{query}'
         return None
@@ -177,22 +174,35 @@
     return make_attempt(service, timeout_s, valid_until_s)
 
 
-def _read_body(attempt: RawAttempt, expected: type[_Body]) -> _Body | None:
+def _read_body(
+    attempt: RawAttempt, read: Callable[[bytes], _Body]
+) -> _Body | None:
     if attempt.response is None or attempt.response.code != HTTPStatus.OK:
         return None
     try:
-        return decode(attempt.response.body, expected)  # type: ignore[no-any-return]
+        return read(attempt.response.body)
     except DECODE_ERRORS as error:
-        _log.warning('{} cannot be decoded: {}.', expected.__name__, error)
+        _log.warning('A response cannot be decoded: {}.', error)
         return None
 
 
-def _read_instances(entries: Iterable[msgspec.Raw]) -> Iterator[ListedInstance]:
-    """Yield the instances of a page, without entries that are invalid."""
+def _read_instances(entries: list[msgspec.Raw]) -> tuple[ListedInstance, ...]:
+    """Return the instances of a list, without entries that are invalid."""
+    instances: list[ListedInstance] = []
     for entry in entries:
         try:
-            instance = decode(entry, InstanceBody)
+            instances.append(make_instance(decode(entry, InstanceBody)))
         except DECODE_ERRORS as error:
-            _log.warning('A listed instance cannot be decoded: {}.', error)
-            continue
-        yield make_instance(instance)
+            last_error = error
+    if len(instances) < len(entries):
+        _log.warning(
+            '{} of {} listed instances cannot be decoded, the last one: {}.',
+            len(entries) - len(instances),
+            len(entries),
+            last_error,
+        )
+    return tuple(instances)
+
+
+def _decode_granted(body: bytes) -> GrantedBody:
+    return decode(body, GrantedBody)  # type: ignore[no-any-return]
--- a/tests/platform/test_services.py
+++ b/tests/platform/test_services.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import logbook
 import msgspec
 import pytest
 
+from builders.odd_values import LONE_SURROGATE, make_nested
 from sardinemast.conf import Address
 from sardinemast.dispatch import InstancesListed, ListedInstance, ListInstances
 from sardinemast.platform._services import ServiceClient
@@ -12,6 +14,7 @@
 from sardinemast.shell import RawAttempt
 from sardinemast.shell._http_connection import RawResponse
 
+_DIGITS = b'1' * 5000
 _VALID = b'{"machine":"m-1","pool":"booking","state":"up","zone":"rennes"}'
 
 
@@ -46,6 +49,15 @@
         b'{"machine":"\xff","pool":"booking","state":"up"}',
         b'[]',
         b'null',
+        make_nested(10_000),
+        make_nested(200_000),
+        b'{"machine":"m-2","pool":"booking","state":%b}' % make_nested(2000),
+        b'{"machine":"m-2","pool":"booking","state":"up","zone":%b}' % _DIGITS,
+        b'{"machine":%b,"pool":"booking","state":"up"}' % LONE_SURROGATE,
+        b'{"machine":"a\nb","pool":"booking","state":"up"}',
+        b'NaN',
+        b'1e400',
+        b'',
     ],
 )
 def test_valid_instances_beside_an_invalid_one_are_listed(
@@ -65,3 +77,11 @@
     """Guard against a list that counts all instances as missing."""
     assert _list_instances(b'{"machines":{}}') is None
     assert _list_instances(msgspec.json.encode([])) is None
+
+
+def test_list_of_many_unreadable_entries_is_followed() -> None:
+    """Guard against log lines for each entry, which stop the process."""
+    with logbook.TestHandler() as handler:
+        listed = _list_instances(b'{"machines":[%b1]}' % (b'1,' * 9000))
+    assert listed == InstancesListed((), 7)
+    assert len(handler.records) == 1
