platform: give up a list of instances that has no end

What callers saw: a service that returns its page token again, with pages that hold no valid instance, gets one request after the other until the leader's lease ends, and then again. Each counts against the platform's rate limit, for all control processes together.

Cause: the bound of the loop counted valid instances, of which there were none.

Change: the bound counts all entries and pages, and a token that comes again ends the listing. The list is discarded, as an incomplete one, with a log line.

Evidence: test_list_without_end_is_discarded does not end on the commit before, and passes here after two requests.

--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -39,6 +39,7 @@
 # Rejects an endless list; several times the largest supported fleet of about
 # 1,900 workers.
 _INSTANCES_MAX = 10_000
+_PAGES_MAX = 1_000
 _LIST_PATH = '/machines'
 _Body = TypeVar('_Body')
 
@@ -127,8 +128,9 @@
             return None
         start = _make_start(self._instances, order.timeout_s, valid_until_s)
         entries: list[msgspec.Raw] = []
-        path = _LIST_PATH
-        while len(entries) <= _INSTANCES_MAX:
+        tokens = ['']
+        while len(entries) <= _INSTANCES_MAX and len(tokens) <= _PAGES_MAX:
+            path = _make_list_path(tokens[-1])
             attempt = await self._client.get(start, path)
             page = _read_body(attempt, decode_instances)
             if page is None:
@@ -139,8 +141,10 @@
             token = page.get('next_token') or ''
             if not token:
                 return InstancesListed(_read_instances(entries), order.asked_s)
-            query = urlencode({'page_token': token})
-            path = f'{_LIST_PATH}?{query}'
+            if token in tokens:
+                break
+            tokens.append(token)
+        _log.warning('The list of instances has no end.')
         return None
 
     async def _order_instance(
@@ -174,6 +178,13 @@
     return make_attempt(service, timeout_s, valid_until_s)
 
 
+def _make_list_path(token: str) -> str:
+    if not token:
+        return _LIST_PATH
+    query = urlencode({'page_token': token})
+    return f'{_LIST_PATH}?{query}'
+
+
 def _read_body(
     attempt: RawAttempt, read: Callable[[bytes], _Body]
 ) -> _Body | None:
--- a/tests/platform/test_services.py
+++ b/tests/platform/test_services.py
@@ -24,17 +24,21 @@
     own_host = '10.0.0.1'
 
     def __init__(self, body: bytes) -> None:
+        self.calls = 0
         self._body = body
 
     async def get(self, start: StartAttempt, path: str) -> RawAttempt:
         """Return the body with status 200."""
+        self.calls += 1
         response = RawResponse(200, 'OK', (), self._body)
         return RawAttempt(AttemptResult.answered, response)
 
 
-def _list_instances(body: bytes) -> InstancesListed | None:
+def _list_instances(
+    body: bytes, client: FakeClient | None = None
+) -> InstancesListed | None:
     services = ServiceClient(
-        FakeClient(body),  # type: ignore[arg-type]
+        client or FakeClient(body),  # type: ignore[arg-type]
         Address('10.0.0.2', 80),
         None,
     )
@@ -85,3 +89,11 @@
         listed = _list_instances(b'{"machines":[%b1]}' % (b'1,' * 9000))
     assert listed == InstancesListed((), 7)
     assert len(handler.records) == 1
+
+
+@pytest.mark.parametrize('entries', [b'', _VALID])
+def test_list_without_end_is_discarded(entries: bytes) -> None:
+    """Guard against requests without end for a list that repeats its token."""
+    client = FakeClient(b'{"machines":[%b],"next_token":"t"}' % entries)
+    assert _list_instances(b'', client) is None
+    assert client.calls == 2
