platform: read a worker's report with odd rows and refuse odd clocks

What callers saw: one row of another writer in the answer to a poll makes the whole answer unreadable. The worker counts as silent, its lease ends, and all its tasks are done again.

Cause: rows were decoded as one list. Numbers of an answer were not checked: the decoder accepts integers of up to 4,300 digits, the clock and the position of an end only ever grow, and a position that is too large hides all later ends.

Change: an answer that cannot be decoded is split, and each field of a row is decoded by itself. What it says of the worker's clock and start must be readable and in range, else the answer says nothing. A run that is listed with an unreadable number is not taken for lost. An end that cannot be read is acknowledged by its position; without one, the next poll waits for `retry_s`, since the worker would answer at once. Percentages and gauges are limited.

Why it works: what cannot be read leads to no decision, about this run or another one, and what can be read is used as before.

--- a/src/sardinemast/dispatch/_events.py
+++ b/src/sardinemast/dispatch/_events.py
@@ -44,12 +44,20 @@
 
 
 class WorkerReport(NamedTuple):
-    """Hold the answer to a poll: clock, active runs and ended runs."""
+    """Hold the answer to a poll: clock, active runs and ended runs.
+
+    ``unread_tasks`` are active in runs that cannot be read.
+    ``unread_position`` is the highest of the ends that cannot be read. If
+    ``has_unread_ends``, there are some whose positions cannot be read either.
+    """
 
     boot_ms: int
     clock_ms: int
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    unread_tasks: frozenset[TaskKey] = frozenset()
+    unread_position: int = 0
+    has_unread_ends: bool = False
 
 
 class PollWorker(NamedTuple):
--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -173,6 +173,10 @@
         elif not answer.boot_ms or answer.boot_ms == session.boot_ms:
             ends = self._process_report(session, polled, now_s)
         session.poll_state.due_s = max(session.poll_state.due_s, now_s)
+        if answer is not None and answer.has_unread_ends:
+            # The worker lists them again at once, since none can be
+            # acknowledged.
+            session.poll_state.due_s = now_s + self._state.settings.retry_s
         self.poll(session, now_s)
         return ends
 
@@ -296,7 +300,7 @@
             self._state.log('worker.heard', name, runs=runs)
         session.is_synced = session.has_clock
         ends = collect_new_ends(session, answer)
-        if ends:
+        if session.end_cursor.reported > session.end_cursor.recorded:
             self._sessions_with_ends[session.worker.name] = session
         for finished_run in ends:
             self._state.record_end(finished_run)
--- a/src/sardinemast/dispatch/_reconcile.py
+++ b/src/sardinemast/dispatch/_reconcile.py
@@ -19,14 +19,21 @@
 def collect_new_ends(
     session: WorkerSession, report: WorkerReport
 ) -> list[FinishedRun]:
-    """Return the ends not reported before, and advance the cursor."""
+    """Return the ends not reported before, and advance the cursor.
+
+    The cursor also passes ends that cannot be read. The worker would list them
+    again in each report, and answer each poll at once.
+    """
     new_ends = [
         one
         for one in report.ended
         if one.position > session.end_cursor.reported
     ]
-    if new_ends:
-        session.end_cursor.reported = max(one.position for one in new_ends)
+    session.end_cursor.reported = max(
+        session.end_cursor.reported,
+        report.unread_position,
+        *(one.position for one in new_ends),
+    )
     return [_make_finished_run(one) for one in new_ends]
 
 
@@ -52,7 +59,7 @@
         if run.task not in ending_tasks
     }
     lost_runs = missing_runs
-    if new_ends:
+    if new_ends or report.unread_position > session.end_cursor.recorded:
         is_covered = any(_was_active(session, one) for one in new_ends)
         lost_runs = missing_runs & session.missing_runs if is_covered else set()
     session.missing_runs = missing_runs - lost_runs
@@ -88,6 +95,7 @@
         run
         for run in itertools.starmap(NumberedRun, recorded_runs)
         if run not in active_runs
+        and run.task not in report.unread_tasks
         and _is_certainly_absent(session, run.task, run.number, polled)
     }
 
--- a/src/sardinemast/platform/_decoding.py
+++ b/src/sardinemast/platform/_decoding.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+# Integers up to this size are exact as floats, which estimates use.
+_NUMBER_MAX = 9_007_199_254_740_992
 # ``int`` refuses numbers of several thousand digits.
 _DIGITS_MAX = 18
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
@@ -20,3 +22,14 @@
     Other digits of Unicode are either refused by ``int`` or not as written.
     """
     return text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+
+
+def is_in_range(number: float) -> bool:
+    """Check that a number is neither negative nor too large."""
+    return 0 <= number <= _NUMBER_MAX
+
+
+def check_numbers(*numbers: float) -> None:
+    """Raise ``ValueError`` for a number that is negative or too large."""
+    if not all(map(is_in_range, numbers)):
+        raise ValueError('A number is out of range.')
--- a/src/sardinemast/platform/_gateway.py
+++ b/src/sardinemast/platform/_gateway.py
@@ -31,8 +31,8 @@
     classify_attempt,
     make_attempt,
 )
+from sardinemast.platform._reports import make_worker_report
 from sardinemast.platform._services import ServiceClient
-from sardinemast.platform._translate import make_worker_report
 
 _log = Logger('gateway')
 
--- a/src/sardinemast/platform/_http_client.py
+++ b/src/sardinemast/platform/_http_client.py
@@ -8,7 +8,8 @@
 
 from sardinemast.dispatch import OrderOutcome
 from sardinemast.membership import Announcement
-from sardinemast.platform._decoding import DECODE_ERRORS, decode
+from sardinemast.platform._decoding import DECODE_ERRORS
+from sardinemast.platform._partial_bodies import decode_report
 from sardinemast.platform._worker_bodies import WorkerReportBody
 from sardinemast.routing import AttemptResult, StartAttempt
 from sardinemast.shell import (
@@ -96,7 +97,7 @@
     if code == HTTPStatus.MISDIRECTED_REQUEST:
         return OrderReply(OrderOutcome.gone)
     try:
-        report = decode(body, WorkerReportBody) if body else None
+        report = decode_report(body) if body else None
     except DECODE_ERRORS as error:
         # Another program may answer at this address. An unreadable body says
         # nothing about the runs.
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -1,13 +1,8 @@
 """Translate the platform's JSON bodies to records."""
 
-from typing import Any
-
 from sardinemast.dispatch import (
     ListedInstance,
-    ReportedEnd,
-    ReportedRun,
     Ticket,
-    WorkerReport,
 )
 from sardinemast.jobs import (
     Advice,
@@ -17,11 +12,10 @@
     Queue,
     Size,
     Step,
-    TaskKey,
     Team,
     Worker,
 )
-from sardinemast.platform._decoding import is_number
+from sardinemast.platform._decoding import check_numbers, is_number
 from sardinemast.platform._job_bodies import (
     AdviceBody,
     CapacityBody,
@@ -32,20 +26,14 @@
     TeamBody,
 )
 from sardinemast.platform._worker_bodies import (
-    EndRow,
     GrantedBody,
     HeartbeatBody,
     InstanceBody,
-    RunRow,
     WorkerCapacityBody,
-    WorkerReportBody,
 )
 
 _MIB_BYTES = 1024 * 1024
-_TASK_NUMBERS = 3
 _PORT_MAX = 65_535
-# Integers up to this size are exact as floats, which estimates use.
-_NUMBER_MAX = 9_007_199_254_740_992
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -65,7 +53,7 @@
         body.get('start_at_ms', 0),
         body.get('interval_ms', 0),
     )
-    _check_numbers(
+    check_numbers(
         request.occurrences, request.first_due_ms, request.interval_ms
     )
     return request
@@ -100,7 +88,7 @@
     if capacity.millicores <= 0:
         raise ValueError('The worker has no capacity.')
     boot_ms = body.get('born', 0)
-    _check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
+    check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
     return Worker(
         name,
         boot_ms,
@@ -115,16 +103,6 @@
     )
 
 
-def make_worker_report(body: WorkerReportBody) -> WorkerReport:
-    """Return a worker's report, without rows of invalid task names."""
-    return WorkerReport(
-        body.get('born', 0),
-        body.get('wall_ms', 0),
-        tuple(_iterate_runs(body.get('running', []))),
-        tuple(_iterate_ends(body.get('finished', []))),
-    )
-
-
 def make_tickets(body: GrantedBody) -> tuple[Ticket, ...]:
     """Return the tickets for the workers that may run a step."""
     return tuple(Ticket(*row) for row in body['granted'])
@@ -141,46 +119,10 @@
     )
 
 
-def parse_task_key(name: str) -> TaskKey | None:
-    """Parse a task's dotted name; return ``None`` if it is invalid."""
-    parts = name.rsplit('.', _TASK_NUMBERS)
-    if len(parts) != _TASK_NUMBERS + 1:
-        return None
-    if not all(map(is_number, parts[1:])):
-        return None
-    return TaskKey(parts[0], *map(int, parts[1:]))
-
-
 def _is_port(text: str) -> bool:
     return is_number(text) and 0 < int(text) <= _PORT_MAX
 
 
-def _iterate_runs(rows: list[RunRow]) -> Any:
-    for row in rows:
-        task = parse_task_key(row.task)
-        if task is not None:
-            yield ReportedRun(
-                task,
-                row.run,
-                row.saved,
-                int(row.percent),
-                int(row.gauge),
-            )
-
-
-def _iterate_ends(rows: list[EndRow]) -> Any:
-    for row in rows:
-        task = parse_task_key(row.task)
-        if task is not None:
-            yield ReportedEnd(row.position, task, row.run, row.how, row.saved)
-
-
-def _check_numbers(*numbers: int) -> None:
-    """Raise ``ValueError`` for a number that is negative or too large."""
-    if not all(0 <= number <= _NUMBER_MAX for number in numbers):
-        raise ValueError('A number is out of range.')
-
-
 def _make_size(body: CapacityBody | WorkerCapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
@@ -192,7 +134,7 @@
 def _make_step(body: StepBody) -> Step:
     size = _make_size(body)
     estimate_ms = body.get('est_ms', 0)
-    _check_numbers(*size, estimate_ms)
+    check_numbers(*size, estimate_ms)
     return Step(
         task_count=body.get('count', 0),
         size=size,
@@ -214,7 +156,7 @@
 
 
 def _make_queue(body: QueueBody) -> Queue:
-    _check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
+    check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
     return Queue(
         body['name'],
         body['host'],
@@ -234,7 +176,7 @@
     if not body:
         return None
     advice = Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
-    _check_numbers(*advice)
+    check_numbers(*advice)
     return advice
 
 
--- a/src/sardinemast/platform/_worker_bodies.py
+++ b/src/sardinemast/platform/_worker_bodies.py
@@ -41,7 +41,7 @@
 
 
 class RunRow(NamedTuple):
-    """Hold an active run of a worker."""
+    """Hold an active run of a worker; ``run`` is 0 if it is unreadable."""
 
     task: str
     run: int
@@ -53,7 +53,7 @@
 
 
 class EndRow(NamedTuple):
-    """Hold an ended run of a worker."""
+    """Hold an ended run of a worker; unreadable fields are 0 or empty."""
 
     position: int
     task: str
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -28,8 +28,9 @@
     executes orders, but its responses are lost. With ``loses_results`` the
     dispatcher is not even told that an order timed out. With ``is_silent`` it
     answers orders but announces nothing. A report lists at most
-    ``ends_per_report`` ends. ``acknowledged`` holds the tasks that are done and
-    whose end was acknowledged under an unbroken lease.
+    ``ends_per_report`` ends, and ``unread`` replaces fields of it.
+    ``poll_count`` counts polls. ``acknowledged`` holds the tasks that are
+    done and whose end was acknowledged under an unbroken lease.
     """
 
     def __init__(self, worker: Worker, rate: float = 1) -> None:
@@ -45,6 +46,8 @@
         self.highest_numbers: dict[TaskKey, int] = {}
         self.ends: list[ReportedEnd] = []
         self.ends_per_report: int | None = None
+        self.unread: dict[str, Any] = {}
+        self.poll_count = 0
         self.acknowledged: set[TaskKey] = set()
         self._ended_under_lease: dict[int, TaskKey] = {}
         self.speeds_percent: dict[TaskKey, int] = {}
@@ -99,7 +102,8 @@
     def _poll(self, order: PollWorker, true_s: float) -> WorkerReport:
         self.expires_ms = max(self.expires_ms, order.expires_ms or 0)
         self._forget_ends(order.acked_position)
-        return WorkerReport(
+        self.poll_count += 1
+        report = WorkerReport(
             self.worker.boot_ms,
             self.get_clock_ms(true_s),
             tuple(
@@ -114,6 +118,7 @@
             ),
             tuple(self.ends[: self.ends_per_report]),
         )
+        return report._replace(**self.unread)
 
     def _forget_ends(self, acked_position: int) -> None:
         self.ends = [one for one in self.ends if one.position > acked_position]
--- a/tests/dispatch/test_partial_reports.py
+++ b/tests/dispatch/test_partial_reports.py
@@ -16,6 +16,8 @@
 _BACKOFF_S = 10.0
 # A job meets its latency target if a task whose start is lost runs within it.
 _TARGET_S = 0.6
+# Each second has four polls of a worker whose polls fail.
+_POLLS_MAX = 5
 _STEP_S = 0.02
 
 
@@ -111,3 +113,36 @@
         for model in fleet.workers.values():
             model.end(next(iter(model.running)), 'done')
         fleet.run(_STEP_S, _STEP_S)
+
+
+def test_run_that_is_listed_unreadably_is_not_lost() -> None:
+    """Guard against a task that starts elsewhere while its run goes on."""
+    fleet = ModelFleet(2)
+    fleet.run(0.5)
+    fleet.submit('job', make_step())
+    fleet.run(2)
+    worker = fleet.workers[fleet.started[0].worker.name]
+    worker.unread = {'running': (), 'unread_tasks': frozenset((_LOST,))}
+    fleet.run(3)
+    assert len(fleet.started) == 1
+
+
+def test_unreadable_end_is_acknowledged() -> None:
+    """Guard against a worker that answers each poll at once with that end."""
+    fleet = ModelFleet(1)
+    model = _run_tasks(fleet, 1)
+    _end_all(model, 'done')
+    model.unread = {'ended': (), 'unread_position': 3}
+    fleet.run(1)
+    assert [one.position for one in model.ends] == [4]
+
+
+def test_end_without_position_does_not_hurry_polls() -> None:
+    """Guard against a worker that is polled without a pause."""
+    fleet = ModelFleet(1)
+    model = _run_tasks(fleet, 1)
+    _end_all(model, 'done')
+    model.unread = {'ended': (), 'has_unread_ends': True}
+    model.poll_count = 0
+    fleet.run(1, 0.01)
+    assert 1 < model.poll_count <= _POLLS_MAX
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -21,7 +21,7 @@
 )
 from sardinemast.jobs import JobRequest, Size
 from sardinemast.jobs.commands import CancelJob, PreemptRuns, SubmitJob
-from sardinemast.platform._translate import parse_task_key
+from sardinemast.platform._reports import parse_task_key
 
 _DEMAND = Demand(Size(2 * CORE, MIB), 2000 * CORE)
 _FULL = Size(0, 0)
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -9,12 +9,11 @@
 from sardinemast.jobs import TaskKey, check_catalog
 from sardinemast.platform._decoding import DECODE_ERRORS, decode
 from sardinemast.platform._job_bodies import ConfigBody, JobBody
+from sardinemast.platform._reports import make_worker_report, parse_task_key
 from sardinemast.platform._translate import (
     make_catalog,
     make_request,
     make_worker,
-    make_worker_report,
-    parse_task_key,
 )
 from sardinemast.platform._worker_bodies import HeartbeatBody, WorkerReportBody
 
