platform: refuse jobs with more tasks or steps than a process can hold

What callers saw: one POST with a `count` of 40,000,000 ends control processes again and again (processes that end by themselves, LOST). With 1.5 GB of address space each, two of three ended within 8 s, and two after each start since. A job of 10,000 steps is accepted too; no other job was accepted in the 15 s after it, and roles changed 17 times.

Cause: each replica makes an entry for each task when it applies the job. The number of tasks was checked against 1 only, and the job is in the log, so that each start applies it again. The time of a plan grows faster than the number of steps that are ready: 29 s of work for a second with 10,000 steps, 0.5 s with 1,000. Numbers of a step that no estimate uses were not checked at all.

Change: a job of more than 100,000 tasks or 256 steps, or with any number out of range, is answered with 400 before it reaches the leader.

Why it works: the check is where the body is translated, the only way in which a job of callers becomes a command.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -32,6 +32,11 @@
     WorkerCapacityBody,
 )
 
+# Each control process holds all tasks of a job, some 8 MB for this many.
+_TASKS_MAX = 100_000
+# A plan takes time for each step that is ready. With several thousand steps the
+# leader cannot keep its term.
+_STEPS_MAX = 256
 _MIB_BYTES = 1024 * 1024
 _PORT_MAX = 65_535
 _READY = 'ready'
@@ -40,9 +45,13 @@
 
 def make_request(body: JobBody) -> JobRequest:
     """Return the job of a caller's request, or raise ``ValueError``."""
+    if len(body['phases']) > _STEPS_MAX:
+        raise ValueError('The job has too many steps.')
     steps = tuple(map(_make_step, body['phases']))
     if not steps or any(step.task_count < 1 for step in steps):
         raise ValueError('A job needs steps, and each step needs tasks.')
+    if sum(step.task_count for step in steps) > _TASKS_MAX:
+        raise ValueError('The job has too many tasks.')
     for number, step in enumerate(steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
             raise ValueError('A step may depend on earlier steps only.')
@@ -134,7 +143,11 @@
 def _make_step(body: StepBody) -> Step:
     size = _make_size(body)
     estimate_ms = body.get('est_ms', 0)
-    check_numbers(*size, estimate_ms)
+    max_per_worker = body.get('max_per_server', 0)
+    tail_latency_limit_ms = body.get('tail_latency_ms', 0)
+    max_unavailable = body.get('may_miss', 0)
+    check_numbers(*size, estimate_ms, max_per_worker)
+    check_numbers(tail_latency_limit_ms, max_unavailable)
     return Step(
         task_count=body.get('count', 0),
         size=size,
@@ -145,13 +158,13 @@
         is_same_rack=body.get('same_rack', False),
         required_label=body.get('required_label', ''),
         data_rack=body.get('affinity', ''),
-        max_per_worker=body.get('max_per_server', 0),
+        max_per_worker=max_per_worker,
         allows_speculation=body.get('speculative', False),
         is_long_running=body.get('long_running', False),
         image=body.get('image', ''),
-        tail_latency_limit_ms=body.get('tail_latency_ms', 0),
+        tail_latency_limit_ms=tail_latency_limit_ms,
         is_best_effort=body.get('fills', False),
-        max_unavailable=body.get('may_miss', 0),
+        max_unavailable=max_unavailable,
     )
 
 
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from builders.odd_values import LONE_SURROGATE, make_nested
 from sardinemast.dispatch import ReportedEnd, ReportedRun
 from sardinemast.jobs import TaskKey, check_catalog
 from sardinemast.platform._decoding import DECODE_ERRORS, decode
@@ -78,13 +79,22 @@
         b'{"phases":[{"count":1,"mem_mb":%b}]}' % _HUGE,
         b'{"phases":[{"count":1,"est_ms":%b}]}' % _HUGE,
         b'{"phases":[{"count":1}],"interval_ms":%b}' % _HUGE,
+        b'{"phases":[{"count":1,"max_per_server":-1}]}',
+        b'{"phases":[{"count":1,"tail_latency_ms":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"may_miss":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1000000000}]}',
+        b'{"phases":[{"count":60000},{"count":60000}]}',
+        b'{"phases":[%b{"count":1}]}' % (b'{"count":1},' * 2000),
+        b'{"phases":%b}' % make_nested(200_000),
+        b'{"phases":[{"count":1}],"spec":%b}' % LONE_SURROGATE,
     ],
 )
 def test_invalid_job_is_rejected(body: bytes) -> None:
     """Reject a job with missing, mistyped or inconsistent fields.
 
     A size that is negative adds to the capacity of its worker, and a number
-    that no float can hold ends each leader that estimates with it.
+    that no float can hold ends each leader that estimates with it. Tasks that
+    do not fit into memory end each process that applies the job.
     """
     with pytest.raises(DECODE_ERRORS):
         make_request(decode(body, JobBody))
