platform: refuse waves that no leader can work on

What callers saw: after a POST /wave-start with 200,000 instances the processes change their roles without end (31 times in 10 s, two of ten jobs accepted), and each restart reads the wave from the log again. A `cap` of 0 or less was accepted, so that the wave never ended, and so were numbers beyond 64 bits, and `/wave-get/1_0` was read as wave 10.

Cause: only the deadline was checked. The leader goes through all instances of a wave at each tick.

Change: a wave of more than 10,000 instances, of an empty name, with a cap less than 1 or with a number out of range is answered with 400. An instance that is named twice has its maintenance once.

--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -9,7 +9,12 @@
 from tornado.httputil import HTTPServerRequest
 
 from sardinemast.metrics import ProcessMetrics
-from sardinemast.platform._decoding import DECODE_ERRORS, decode
+from sardinemast.platform._decoding import (
+    DECODE_ERRORS,
+    check_numbers,
+    decode,
+    is_number,
+)
 from sardinemast.platform._http_server import HttpResponse
 from sardinemast.platform._job_bodies import ConfigBody
 from sardinemast.platform._responses import make_response
@@ -38,6 +43,9 @@
 _LARGE_BODY_BYTES = 16_384
 # About 30 years. The due time in milliseconds must be a valid integer.
 _DEADLINE_MAX_S = 1_000_000_000
+# Several times the largest supported fleet. A leader goes through all instances
+# of a wave at each tick.
+_INSTANCES_MAX = 10_000
 
 
 class ControlHandler:
@@ -104,20 +112,33 @@
     if path == '/wave-start' and method == 'POST':
         return _make_wave(decode(request.body, WaveBody))
     if path.startswith(_WAVE_PATH) and method == 'GET':
-        return ReadWave(int(path[len(_WAVE_PATH) :]))
+        return _read_wave(path[len(_WAVE_PATH) :])
     if path.startswith(_EVACUATION_PATH) and method in {'POST', 'DELETE'}:
         name = unquote(path[len(_EVACUATION_PATH) :])
         return ChangeEvacuation(name, is_evacuated=method == 'POST')
     return None
 
 
+def _read_wave(number: str) -> ReadWave:
+    if not is_number(number):
+        raise ValueError('A wave has a number.')
+    return ReadWave(int(number))
+
+
 def _make_wave(body: WaveBody) -> BeginWave:
     """Return the call for a wave, or raise ``ValueError``."""
     if not 0 <= body['deadline_s'] <= _DEADLINE_MAX_S:
         raise ValueError('The deadline of the wave is out of range.')
+    check_numbers(body['wave'], body['cap'])
+    if body['cap'] < 1:
+        raise ValueError('The cap of the wave is less than 1.')
+    # An instance that is named twice has its maintenance once.
+    instances = tuple(dict.fromkeys(body['machines']))
+    if len(instances) > _INSTANCES_MAX or not all(instances):
+        raise ValueError('The wave has too many instances, or an empty name.')
     return BeginWave(
         body['wave'],
-        tuple(body['machines']),
+        instances,
         body['cap'],
         body['deadline_s'],
     )
