platform: refuse configurations with odd numbers or unreadable bytes

What callers saw: PUT /config stored negative priorities, weights and caps, integers of 400 digits, a `stretch` and a `weight` of 1e308, and a version that no later one can follow. A configuration with bytes that are no UTF-8 in a field that is not used was stored too, so that what GET /config returned could not be read by its readers.

Cause: durations were checked alone, and the decoder skips the text of unknown fields without decoding it.

Change: each number of a configuration must be in range, and its bytes must be UTF-8; else the answer is 400, and nothing is replicated.

--- a/src/sardinemast/platform/_control_http.py
+++ b/src/sardinemast/platform/_control_http.py
@@ -148,6 +148,9 @@
     if request.method == 'GET':
         return ReadCatalog()
     if request.method == 'PUT':
+        # The decoder skips the text of unknown fields, but operators read the
+        # whole configuration again.
+        request.body.decode()
         catalog = make_catalog(decode(request.body, ConfigBody))
         return ReplaceCatalog(catalog, request.body)
     return None
--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -69,7 +69,8 @@
 
 
 def make_catalog(body: ConfigBody) -> Catalog:
-    """Return the catalog of an operator's configuration."""
+    """Return the catalog of a configuration, or raise ``ValueError``."""
+    check_numbers(body['version'])
     return Catalog(
         body['version'],
         tuple(map(_make_queue, body['routes'])),
@@ -170,6 +171,8 @@
 
 def _make_queue(body: QueueBody) -> Queue:
     check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
+    check_numbers(body.get('prio', 0), body.get('attempts', 1))
+    check_numbers(body.get('stretch', 1))
     return Queue(
         body['name'],
         body['host'],
@@ -194,12 +197,14 @@
 
 
 def _make_team(body: TeamBody) -> Team:
+    cap = _make_size(body.get('cap', {}))
+    check_numbers(*cap, body.get('prio', 0), body.get('weight', 1))
     return Team(
         body['name'],
         tuple(body.get('keys', ())),
         body.get('prio', 0),
         body.get('weight', 1),
-        _make_size(body.get('cap', {})),
+        cap,
         # The platform owes a team as many jobs per second as its weight.
         body.get('weight', 0),
     )
--- a/tests/builders/odd_values.py
+++ b/tests/builders/odd_values.py
@@ -29,3 +29,9 @@
 def make_nested(levels: int) -> bytes:
     """Return an array that contains only another one, and so on."""
     return b'[' * levels + b']' * levels
+
+
+def encode_object(fields: dict[str, bytes]) -> bytes:
+    """Return an object whose values are encoded already."""
+    members = [b'"%b":%b' % (key.encode(), one) for key, one in fields.items()]
+    return b'{%b}' % b','.join(members)
--- a/tests/platform/test_control_http.py
+++ b/tests/platform/test_control_http.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from builders.odd_values import LONE_SURROGATE, NUMBERS, make_nested
+from builders.odd_values import (
+    LONE_SURROGATE,
+    NUMBERS,
+    make_nested,
+)
 from builders.platform_requests import FakeRelay, make_request
 from sardinemast.metrics import ProcessMetrics
 from sardinemast.platform._control_http import ControlHandler
@@ -70,3 +74,11 @@
     """Guard against numbers that no frame between processes can carry."""
     assert _send('GET', f'/wave-get/{number}') == (400, 0)
     assert _send('GET', '/wave-get/17') == (200, 1)
+
+
+@pytest.mark.parametrize('odd', [b'"\xff"', b'"\xed\xa0\x80"', b'NaN', b'1,'])
+def test_configuration_with_unreadable_bytes_is_refused(odd: bytes) -> None:
+    """Guard against a stored configuration that operators cannot read."""
+    config = b'{"version":1,"routes":[],"services":[],"odd":%b}'
+    assert _send('PUT', '/config', config % odd) == (400, 0)
+    assert _send('PUT', '/config', config % b'1') == (200, 1)
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -132,10 +132,14 @@
         {'slo_ms': -1},
         {'slo_ms': int(_HUGE)},
         {'timeout_ms': int(_HUGE)},
+        {'prio': -1},
+        {'attempts': int(_HUGE)},
+        {'stretch': -0.5},
+        {'stretch': 1e300},
         {'advice': {'decide_ms': int(_HUGE), 'period_ms': 1, 'valid_ms': 1}},
     ],
 )
-def test_configuration_with_an_invalid_duration_is_rejected(
+def test_configuration_with_an_invalid_queue_is_rejected(
     changes: dict[str, object],
 ) -> None:
     """Guard against a duration that ends each leader that computes with it.
@@ -147,6 +151,26 @@
         make_catalog(decode(config, ConfigBody))
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'version': int(_HUGE)},
+        {'version': -1},
+        {'tenants': [{'name': 'a', 'weight': -1}]},
+        {'tenants': [{'name': 'a', 'weight': 1e300}]},
+        {'tenants': [{'name': 'a', 'prio': int(_HUGE)}]},
+        {'tenants': [{'name': 'a', 'cap': {'cpu': -1}}]},
+        {'tenants': [{'name': 'a', 'cap': {'mem_mb': int(_HUGE)}}]},
+    ],
+)
+def test_configuration_with_an_odd_number_is_rejected(
+    changes: dict[str, object],
+) -> None:
+    """Guard against a version that none follows, and limits that none meets."""
+    with pytest.raises(DECODE_ERRORS):
+        make_catalog(decode(_encode_config(**changes), ConfigBody))
+
+
 def test_truncated_configuration_is_rejected() -> None:
     """Guard against the loss of queues and keys to a truncated body."""
     with pytest.raises(DECODE_ERRORS):
