platform: treat an odd clock of a worker as unknown

What callers saw: while a worker's answers carried an odd `wall_ms`, its runs were lost with its lease, since the whole answer was refused (a job of three tasks made six starts and ended 8.4 s later). An answer that lists 100,000 runs that the log does not have led to as many stop orders at each poll.

The number of rows was not limited.

Change: an odd clock counts as unknown, which the dispatcher knows already. An answer with more than 10,000 rows of a kind says nothing.

--- a/src/sardinemast/platform/_partial_bodies.py
+++ b/src/sardinemast/platform/_partial_bodies.py
@@ -10,7 +10,12 @@
 import msgspec
 from logbook import Logger
 
-from sardinemast.platform._decoding import DECODE_ERRORS, check_numbers, decode
+from sardinemast.platform._decoding import (
+    DECODE_ERRORS,
+    check_numbers,
+    decode,
+    is_in_range,
+)
 from sardinemast.platform._splitting import split_array, split_object
 from sardinemast.platform._worker_bodies import (
     EndRow,
@@ -20,6 +25,8 @@
 )
 
 _log = Logger('partial-bodies')
+# Each run that the log does not have is stopped by an order of its own.
+_ROWS_MAX = 10_000
 _Row = TypeVar('_Row', RunRow, EndRow)
 _UNREAD_RUN = RunRow('', 0)
 _UNREAD_END = EndRow(0, '', 0, '')
@@ -41,14 +48,20 @@
 def decode_report(body: bytes) -> WorkerReportBody:
     """Decode a worker's answer to an order, or raise ``DECODE_ERRORS``.
 
-    Fields of rows that cannot be decoded have the values of an unread row.
+    Fields of rows that cannot be decoded have the values of an unread row. An
+    odd clock counts as unknown; after an odd start, nothing is known.
     """
     try:
         report: WorkerReportBody = decode(body, WorkerReportBody)
     except DECODE_ERRORS as error:
         report = _decode_parts(split_object(body))
         _log.warning('A report is decoded in part: {}.', error)
-    check_numbers(report.get('wall_ms', 0), report.get('born', 0))
+    check_numbers(report.get('born', 0))
+    if not is_in_range(report.get('wall_ms', 0)):
+        report['wall_ms'] = 0
+    for rows in (report.get('running', []), report.get('finished', [])):
+        if len(rows) > _ROWS_MAX:
+            raise ValueError('The report has too many rows.')
     return report
 
 
@@ -56,7 +69,7 @@
     running = split_array(fields.get('running', b'[]'))
     finished = split_array(fields.get('finished', b'[]'))
     return {
-        'wall_ms': decode(fields.get('wall_ms', b'0'), int),
+        'wall_ms': _decode_clock(fields.get('wall_ms', b'0')),
         'born': decode(fields.get('born', b'0'), int),
         'reason': decode(fields.get('reason', b'""'), str),
         'running': [_decode_row(row, _UNREAD_RUN) for row in running],
@@ -64,6 +77,12 @@
     }
 
 
+def _decode_clock(clock: bytes) -> int:
+    with suppress(*DECODE_ERRORS):
+        return decode(clock, int)  # type: ignore[no-any-return]
+    return 0
+
+
 def _decode_row(row: bytes, unread: _Row) -> _Row:
     """Decode each field of a row that can be decoded."""
     found: dict[str, Any] = {}
