wire: refuse integers beyond 64 bits in frames

What callers saw: a stranger's frame with an integer of 400 digits was decoded, and its number went on to clocks, loops and conversions. Where a float is expected, decoding raised an OverflowError, which the readers of streams do not expect: in an answer to a process's own stream to the leader it ends that stream's task, and with it the process.

Cause: CBOR has integers of any length, and a conversion to float was not guarded.

Change: frames are decoded without these tags, and such a conversion raises wire.E002.

Evidence: four new cases of tests/wire/test_codec.py fail on the commit before.

--- a/src/sardinemast/wire/_codec.py
+++ b/src/sardinemast/wire/_codec.py
@@ -20,6 +20,16 @@
 _SCALARS = frozenset((int, float, str, bytes, bool))
 _PLAIN = frozenset((*_SCALARS, types.NoneType))
 
+
+def _refuse_integer(*_: Any) -> Any:
+    raise ValueError('An integer has more than 64 bits.')
+
+
+# The tags of positive and negative integers of any length (RFC 8949, 3.4.3).
+_FRAME_DECODERS = types.MappingProxyType(
+    {2: _refuse_integer, 3: _refuse_integer}
+)
+
 Loader = Callable[[Any], Any]
 
 
@@ -85,7 +95,8 @@
         if plain.__class__ is value_type:
             return plain
         if value_type is float and plain.__class__ is int:
-            return float(plain)
+            with suppress(OverflowError):
+                return float(plain)
         raise _make_mismatch_error(value_type, plain)
 
     return load
@@ -214,9 +225,14 @@
         return self.unpack(load_cbor(encoded))
 
 
-def load_cbor(encoded: bytes) -> Any:
-    """Decode one CBOR value, or raise ``wire.E001``."""
+def load_cbor(encoded: bytes, *, is_frame: bool = False) -> Any:
+    """Decode one CBOR value, or raise ``wire.E001``.
+
+    A frame has no integers beyond 64 bits: those in it come from a stranger,
+    and loops and clocks do not expect them. Old logs may have some.
+    """
+    decoders = _FRAME_DECODERS if is_frame else None
     try:
-        return cbor2.loads(encoded)
+        return cbor2.loads(encoded, semantic_decoders=decoders)
     except (cbor2.CBORError, ValueError, RecursionError) as error:
         raise WireError('wire.E001', f'Invalid CBOR: {error}.') from error
--- a/src/sardinemast/wire/_envelope.py
+++ b/src/sardinemast/wire/_envelope.py
@@ -39,7 +39,7 @@
         raise WireError(
             'wire.E004', f'The frame of {len(frame)} bytes is too large.'
         )
-    envelope = load_plain(Envelope, load_cbor(frame))
+    envelope = load_plain(Envelope, load_cbor(frame, is_frame=True))
     if envelope.version != PROTOCOL_VERSION:
         raise WireError(
             'wire.E005',
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,5 +1,6 @@
 """Tests of the encoding of messages."""
 
+import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,6 +10,7 @@
 from sardinemast.jobs import DurationKey, DurationSummary, JobRequest, Team
 from sardinemast.jobs.commands import SubmitJob
 from sardinemast.wire import (
+    PROTOCOL_VERSION,
     WireError,
     decode_envelope,
     dump_plain,
@@ -46,6 +48,20 @@
             decode(frame)
 
 
+@pytest.mark.parametrize('number', [2**64, -(2**64) - 1, 10**400])
+def test_frame_with_a_huge_integer_raises_coded_error(number: int) -> None:
+    """Guard against numbers of strangers that end or stop a process."""
+    envelope = (PROTOCOL_VERSION, 'a', 1, 0, 0, 0, 0, number)
+    with pytest.raises(WireError, match=r'^wire\.E001'):
+        decode_envelope(cbor2.dumps(envelope))
+
+
+def test_integer_beyond_a_float_raises_coded_error() -> None:
+    """Guard against an uncoded error that ends the stream to the leader."""
+    with pytest.raises(WireError, match=r'^wire\.E002'):
+        load_plain(float, 10**400)
+
+
 def test_missing_last_fields_have_their_defaults() -> None:
     """Guard against entries of older versions that cannot be decoded."""
     assert load_plain(Team, ['breizh']) == Team('breizh')
