grants: limit the slots that a leader assigns for a reported pool

What callers saw: an entry, or a stranger on its stream, that reports a pool of 2**63 slots stops the leader: it assigns slots one by one and never comes back.

Cause: the reported number of slots was the number of rounds.

Change: at most 100,000 slots are assigned one by one.

Evidence: test_slots_of_an_odd_report_are_limited does not end on the commit before.

--- a/src/sardinemast/grants/_shares.py
+++ b/src/sardinemast/grants/_shares.py
@@ -12,6 +12,8 @@
 _MAX_DEBT_S = 5.0
 _MIN_WEIGHT = 0.02
 _SLOT_DECIMALS = 3
+# Slots are assigned one by one, some 50 ms for this many.
+_SLOTS_MAX = 100_000
 
 
 class TeamQuota(NamedTuple):
@@ -157,6 +159,7 @@
             for entry in entries
         }
         free = max(0, capacity - sum(running.values()))
+        free = min(free, _SLOTS_MAX)
         slots = {
             entry: min(running[entry], round(targets[entry]))
             for entry in entries
--- a/tests/grants/test_shares.py
+++ b/tests/grants/test_shares.py
@@ -75,3 +75,11 @@
 
 def _use(team: str, waiting: int, running: int, used_s: float = 0) -> PoolUse:
     return PoolUse('pool', 8, (TeamUse(team, waiting, running, used_s),))
+
+
+def test_slots_of_an_odd_report_are_limited() -> None:
+    """Guard against a leader that assigns slots one by one without end."""
+    shares = PoolShares('pool')
+    use = _use('a', waiting=5, running=1)._replace(capacity_slots=2**63)
+    shares.record_use('entry-1', use)
+    assert shares.plan(_QUOTAS, ('entry-1',), 1)['entry-1'].slots > 5
