timeline: ignore timestamps that no clock shows

What callers saw: after one frame with an odd clock all later events of a process have that time, and those of each process that it talks to. A time beyond the year 9999 cannot be printed.

Cause: the hybrid clock followed any timestamp that it received.

Change: a timestamp more than an hour ahead, or with a counter of more than 1,000,000,000, is not followed.

--- a/src/sardinemast/timeline/_clock.py
+++ b/src/sardinemast/timeline/_clock.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+_AHEAD_MAX_MS = 3_600_000
+_COUNTER_MAX = 1_000_000_000
+
 
 class Stamp(NamedTuple):
     """Hold a hybrid timestamp; stamps compare in causal order."""
@@ -32,5 +35,11 @@
         return self._last
 
     def observe(self, received: Stamp) -> None:
-        """Ensure that later timestamps are greater than a received one."""
-        self._last = max(self._last, received)
+        """Ensure that later timestamps are greater than a received one.
+
+        Ignore one that no clock shows. It would spread to all processes, and
+        none could show a time again.
+        """
+        limit_ms = self._get_wall_ms() + _AHEAD_MAX_MS
+        if received.wall_ms <= limit_ms and received.counter <= _COUNTER_MAX:
+            self._last = max(self._last, received)
