--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -1,13 +1,8 @@
 """Translate the platform's JSON bodies to records."""
 
-from typing import Any
-
 from sardinemast.dispatch import (
     ListedInstance,
-    ReportedEnd,
-    ReportedRun,
     Ticket,
-    WorkerReport,
 )
 from sardinemast.jobs import (
     Advice,
@@ -17,11 +12,10 @@
     Queue,
     Size,
     Step,
-    TaskKey,
     Team,
     Worker,
 )
-from sardinemast.platform._decoding import is_number
+from sardinemast.platform._decoding import check_numbers, is_number
 from sardinemast.platform._job_bodies import (
     AdviceBody,
     CapacityBody,
@@ -32,29 +26,32 @@
     TeamBody,
 )
 from sardinemast.platform._worker_bodies import (
-    EndRow,
     GrantedBody,
     HeartbeatBody,
     InstanceBody,
-    RunRow,
     WorkerCapacityBody,
-    WorkerReportBody,
 )
 
+# Each control process holds all tasks of a job, some 8 MB for this many.
+_TASKS_MAX = 100_000
+# A plan takes time for each step that is ready. With several thousand steps the
+# leader cannot keep its term.
+_STEPS_MAX = 256
 _MIB_BYTES = 1024 * 1024
-_TASK_NUMBERS = 3
 _PORT_MAX = 65_535
-# Integers up to this size are exact as floats, which estimates use.
-_NUMBER_MAX = 9_007_199_254_740_992
 _READY = 'ready'
 _DRAINING = 'draining'
 
 
 def make_request(body: JobBody) -> JobRequest:
     """Return the job of a caller's request, or raise ``ValueError``."""
+    if len(body['phases']) > _STEPS_MAX:
+        raise ValueError('The job has too many steps.')
     steps = tuple(map(_make_step, body['phases']))
     if not steps or any(step.task_count < 1 for step in steps):
         raise ValueError('A job needs steps, and each step needs tasks.')
+    if sum(step.task_count for step in steps) > _TASKS_MAX:
+        raise ValueError('The job has too many tasks.')
     for number, step in enumerate(steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
             raise ValueError('A step may depend on earlier steps only.')
@@ -65,14 +62,15 @@
         body.get('start_at_ms', 0),
         body.get('interval_ms', 0),
     )
-    _check_numbers(
+    check_numbers(
         request.occurrences, request.first_due_ms, request.interval_ms
     )
     return request
 
 
 def make_catalog(body: ConfigBody) -> Catalog:
-    """Return the catalog of an operator's configuration."""
+    """Return the catalog of a configuration, or raise ``ValueError``."""
+    check_numbers(body['version'])
     return Catalog(
         body['version'],
         tuple(map(_make_queue, body['routes'])),
@@ -100,7 +98,7 @@
     if capacity.millicores <= 0:
         raise ValueError('The worker has no capacity.')
     boot_ms = body.get('born', 0)
-    _check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
+    check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
     return Worker(
         name,
         boot_ms,
@@ -115,16 +113,6 @@
     )
 
 
-def make_worker_report(body: WorkerReportBody) -> WorkerReport:
-    """Return a worker's report, without rows of invalid task names."""
-    return WorkerReport(
-        body.get('born', 0),
-        body.get('wall_ms', 0),
-        tuple(_iterate_runs(body.get('running', []))),
-        tuple(_iterate_ends(body.get('finished', []))),
-    )
-
-
 def make_tickets(body: GrantedBody) -> tuple[Ticket, ...]:
     """Return the tickets for the workers that may run a step."""
     return tuple(Ticket(*row) for row in body['granted'])
@@ -141,46 +129,10 @@
     )
 
 
-def parse_task_key(name: str) -> TaskKey | None:
-    """Parse a task's dotted name; return ``None`` if it is invalid."""
-    parts = name.rsplit('.', _TASK_NUMBERS)
-    if len(parts) != _TASK_NUMBERS + 1:
-        return None
-    if not all(map(is_number, parts[1:])):
-        return None
-    return TaskKey(parts[0], *map(int, parts[1:]))
-
-
 def _is_port(text: str) -> bool:
     return is_number(text) and 0 < int(text) <= _PORT_MAX
 
 
-def _iterate_runs(rows: list[RunRow]) -> Any:
-    for row in rows:
-        task = parse_task_key(row.task)
-        if task is not None:
-            yield ReportedRun(
-                task,
-                row.run,
-                row.saved,
-                int(row.percent),
-                int(row.gauge),
-            )
-
-
-def _iterate_ends(rows: list[EndRow]) -> Any:
-    for row in rows:
-        task = parse_task_key(row.task)
-        if task is not None:
-            yield ReportedEnd(row.position, task, row.run, row.how, row.saved)
-
-
-def _check_numbers(*numbers: int) -> None:
-    """Raise ``ValueError`` for a number that is negative or too large."""
-    if not all(0 <= number <= _NUMBER_MAX for number in numbers):
-        raise ValueError('A number is out of range.')
-
-
 def _make_size(body: CapacityBody | WorkerCapacityBody | StepBody) -> Size:
     return Size(
         body.get('cpu', 0),
@@ -192,7 +144,11 @@
 def _make_step(body: StepBody) -> Step:
     size = _make_size(body)
     estimate_ms = body.get('est_ms', 0)
-    _check_numbers(*size, estimate_ms)
+    max_per_worker = body.get('max_per_server', 0)
+    tail_latency_limit_ms = body.get('tail_latency_ms', 0)
+    max_unavailable = body.get('may_miss', 0)
+    check_numbers(*size, estimate_ms, max_per_worker)
+    check_numbers(tail_latency_limit_ms, max_unavailable)
     return Step(
         task_count=body.get('count', 0),
         size=size,
@@ -203,18 +159,20 @@
         is_same_rack=body.get('same_rack', False),
         required_label=body.get('required_label', ''),
         data_rack=body.get('affinity', ''),
-        max_per_worker=body.get('max_per_server', 0),
+        max_per_worker=max_per_worker,
         allows_speculation=body.get('speculative', False),
         is_long_running=body.get('long_running', False),
         image=body.get('image', ''),
-        tail_latency_limit_ms=body.get('tail_latency_ms', 0),
+        tail_latency_limit_ms=tail_latency_limit_ms,
         is_best_effort=body.get('fills', False),
-        max_unavailable=body.get('may_miss', 0),
+        max_unavailable=max_unavailable,
     )
 
 
 def _make_queue(body: QueueBody) -> Queue:
-    _check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
+    check_numbers(body['timeout_ms'], body.get('slo_ms', 0))
+    check_numbers(body.get('prio', 0), body.get('attempts', 1))
+    check_numbers(body.get('stretch', 1))
     return Queue(
         body['name'],
         body['host'],
@@ -234,17 +192,19 @@
     if not body:
         return None
     advice = Advice(body['decide_ms'], body['period_ms'], body['valid_ms'])
-    _check_numbers(*advice)
+    check_numbers(*advice)
     return advice
 
 
 def _make_team(body: TeamBody) -> Team:
+    cap = _make_size(body.get('cap', {}))
+    check_numbers(*cap, body.get('prio', 0), body.get('weight', 1))
     return Team(
         body['name'],
         tuple(body.get('keys', ())),
         body.get('prio', 0),
         body.get('weight', 1),
-        _make_size(body.get('cap', {})),
+        cap,
         # The platform owes a team as many jobs per second as its weight.
         body.get('weight', 0),
     )
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -5,16 +5,16 @@
 import msgspec
 import pytest
 
+from builders.odd_values import LONE_SURROGATE, make_nested
 from sardinemast.dispatch import ReportedEnd, ReportedRun
 from sardinemast.jobs import TaskKey, check_catalog
 from sardinemast.platform._decoding import DECODE_ERRORS, decode
 from sardinemast.platform._job_bodies import ConfigBody, JobBody
+from sardinemast.platform._reports import make_worker_report, parse_task_key
 from sardinemast.platform._translate import (
     make_catalog,
     make_request,
     make_worker,
-    make_worker_report,
-    parse_task_key,
 )
 from sardinemast.platform._worker_bodies import HeartbeatBody, WorkerReportBody
 
@@ -79,13 +79,22 @@
         b'{"phases":[{"count":1,"mem_mb":%b}]}' % _HUGE,
         b'{"phases":[{"count":1,"est_ms":%b}]}' % _HUGE,
         b'{"phases":[{"count":1}],"interval_ms":%b}' % _HUGE,
+        b'{"phases":[{"count":1,"max_per_server":-1}]}',
+        b'{"phases":[{"count":1,"tail_latency_ms":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1,"may_miss":%b}]}' % _HUGE,
+        b'{"phases":[{"count":1000000000}]}',
+        b'{"phases":[{"count":60000},{"count":60000}]}',
+        b'{"phases":[%b{"count":1}]}' % (b'{"count":1},' * 2000),
+        b'{"phases":%b}' % make_nested(200_000),
+        b'{"phases":[{"count":1}],"spec":%b}' % LONE_SURROGATE,
     ],
 )
 def test_invalid_job_is_rejected(body: bytes) -> None:
     """Reject a job with missing, mistyped or inconsistent fields.
 
     A size that is negative adds to the capacity of its worker, and a number
-    that no float can hold ends each leader that estimates with it.
+    that no float can hold ends each leader that estimates with it. Tasks that
+    do not fit into memory end each process that applies the job.
     """
     with pytest.raises(DECODE_ERRORS):
         make_request(decode(body, JobBody))
@@ -123,10 +132,14 @@
         {'slo_ms': -1},
         {'slo_ms': int(_HUGE)},
         {'timeout_ms': int(_HUGE)},
+        {'prio': -1},
+        {'attempts': int(_HUGE)},
+        {'stretch': -0.5},
+        {'stretch': 1e300},
         {'advice': {'decide_ms': int(_HUGE), 'period_ms': 1, 'valid_ms': 1}},
     ],
 )
-def test_configuration_with_an_invalid_duration_is_rejected(
+def test_configuration_with_an_invalid_queue_is_rejected(
     changes: dict[str, object],
 ) -> None:
     """Guard against a duration that ends each leader that computes with it.
@@ -138,6 +151,26 @@
         make_catalog(decode(config, ConfigBody))
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'version': int(_HUGE)},
+        {'version': -1},
+        {'tenants': [{'name': 'a', 'weight': -1}]},
+        {'tenants': [{'name': 'a', 'weight': 1e300}]},
+        {'tenants': [{'name': 'a', 'prio': int(_HUGE)}]},
+        {'tenants': [{'name': 'a', 'cap': {'cpu': -1}}]},
+        {'tenants': [{'name': 'a', 'cap': {'mem_mb': int(_HUGE)}}]},
+    ],
+)
+def test_configuration_with_an_odd_number_is_rejected(
+    changes: dict[str, object],
+) -> None:
+    """Guard against a version that none follows, and limits that none meets."""
+    with pytest.raises(DECODE_ERRORS):
+        make_catalog(decode(_encode_config(**changes), ConfigBody))
+
+
 def test_truncated_configuration_is_rejected() -> None:
     """Guard against the loss of queues and keys to a truncated body."""
     with pytest.raises(DECODE_ERRORS):
