platform: read the tickets beside an odd one

What callers saw: one odd row among the tickets of the advice service hides the others, so that the step does not start and the request is repeated.

Cause: the rows were decoded as one list.

Change: tickets that cannot be decoded at once are split and decoded one by one.

Evidence: test_tickets_beside_an_odd_one_are_read; the function is new. Seen in this test only, not with processes.

--- a/src/sardinemast/platform/_partial_bodies.py
+++ b/src/sardinemast/platform/_partial_bodies.py
@@ -19,8 +19,10 @@
 from sardinemast.platform._splitting import split_array, split_object
 from sardinemast.platform._worker_bodies import (
     EndRow,
+    GrantedBody,
     InstancesBody,
     RunRow,
+    TicketRow,
     WorkerReportBody,
 )
 
@@ -45,6 +47,20 @@
     }
 
 
+def decode_granted(body: bytes) -> GrantedBody:
+    """Decode tickets, without odd ones, or raise ``DECODE_ERRORS``."""
+    try:
+        return decode(body, GrantedBody)  # type: ignore[no-any-return]
+    except DECODE_ERRORS:
+        fields = split_object(body)
+    granted: list[TicketRow] = []
+    for row in split_array(fields.get('granted', b'')):
+        with suppress(*DECODE_ERRORS):
+            granted.append(decode(row, TicketRow))
+    _log.warning('Tickets are decoded in part: {} can be.', len(granted))
+    return {'granted': granted}
+
+
 def decode_report(body: bytes) -> WorkerReportBody:
     """Decode a worker's answer to an order, or raise ``DECODE_ERRORS``.
 
--- a/src/sardinemast/platform/_services.py
+++ b/src/sardinemast/platform/_services.py
@@ -29,9 +29,12 @@
     classify_attempt,
     make_attempt,
 )
-from sardinemast.platform._partial_bodies import decode_instances
+from sardinemast.platform._partial_bodies import (
+    decode_granted,
+    decode_instances,
+)
 from sardinemast.platform._translate import make_instance, make_tickets
-from sardinemast.platform._worker_bodies import GrantedBody, InstanceBody
+from sardinemast.platform._worker_bodies import InstanceBody
 from sardinemast.routing import StartAttempt
 from sardinemast.shell import RawAttempt
 
@@ -113,7 +116,7 @@
         }
         start = _make_start(self._advice, order.timeout_s, valid_until_s)
         attempt = await self._client.post(start, '/advise', body)
-        granted = _read_body(attempt, _decode_granted)
+        granted = _read_body(attempt, decode_granted)
         if granted is None:
             return unanswered
         return AdviceAnswered(order.step, make_tickets(granted))
@@ -213,7 +216,3 @@
             last_error,
         )
     return tuple(instances)
-
-
-def _decode_granted(body: bytes) -> GrantedBody:
-    return decode(body, GrantedBody)  # type: ignore[no-any-return]
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -6,7 +6,7 @@
 from sardinemast.dispatch import OrderOutcome, ReportedEnd, ReportedRun
 from sardinemast.jobs import TaskKey
 from sardinemast.platform._http_client import classify_attempt
-from sardinemast.platform._partial_bodies import decode_report
+from sardinemast.platform._partial_bodies import decode_granted, decode_report
 from sardinemast.platform._reports import make_worker_report
 from sardinemast.routing import AttemptResult
 from sardinemast.shell import RawAttempt
@@ -89,3 +89,10 @@
     response = RawResponse(200, 'OK', (), body)
     reply = classify_attempt(RawAttempt(AttemptResult.answered, response))
     assert (reply.outcome, reply.body) == (OrderOutcome.unknown, None)
+
+
+@pytest.mark.parametrize('row', [*_ODD_ROWS, *NUMBERS, b'["w-1"]'])
+def test_tickets_beside_an_odd_one_are_read(row: bytes) -> None:
+    """Guard against a step that never starts for one odd ticket."""
+    granted = decode_granted(b'{"granted":[%b,["w-1","t"]]}' % row)['granted']
+    assert granted == [('w-1', 't')]
