platform: refuse status reports with odd sequences, names and texts

What callers saw: a report with a `seq` of 400 digits was accepted, after which no later report of that worker counts in that term. A refused state of 3 MB was logged as a whole.

Cause: these fields had no checks beside their types.

Change: the sequence must be in range, the host must be a name or an IP address, the name must not be empty, and a worker has at most 10,000 characters. A log line shows at most 100 of an invalid text.

--- a/src/sardinemast/platform/_translate.py
+++ b/src/sardinemast/platform/_translate.py
@@ -1,5 +1,7 @@
 """Translate the platform's JSON bodies to records."""
 
+import re
+
 from sardinemast.dispatch import (
     ListedInstance,
     Ticket,
@@ -39,6 +41,12 @@
 _STEPS_MAX = 256
 _MIB_BYTES = 1024 * 1024
 _PORT_MAX = 65_535
+# Names and IP addresses, as they can stand in a header.
+_HOST = re.compile(r'[A-Za-z0-9._:\[\]-]+')
+# Far above what workers send. All of them are in the log and in each snapshot.
+_WORKER_TEXT_MAX = 10_000
+# What a log line shows of a text that is invalid.
+_SHOWN_CHARS = 100
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -89,17 +97,19 @@
 def make_worker(name: str, body: HeartbeatBody) -> Worker:
     """Return the worker of a heartbeat, or raise ``ValueError``."""
     if body['state'] not in {_READY, _DRAINING}:
-        raise ValueError(f'{body["state"]!r} is not a known worker state.')
+        state = body['state'][:_SHOWN_CHARS]
+        raise ValueError(f'{state!r} is not a known worker state.')
     host, _, port = body['addr'].rpartition(':')
-    if not host or not _is_port(port):
-        raise ValueError(f'{body["addr"]!r} is not a valid address.')
+    if not _HOST.fullmatch(host) or not _is_port(port):
+        shown = body['addr'][:_SHOWN_CHARS]
+        raise ValueError(f'{shown!r} is not a valid address.')
     labels = tuple(body['labels'])
     capacity = _make_size(body['capacity'])
     if capacity.millicores <= 0:
         raise ValueError('The worker has no capacity.')
     boot_ms = body.get('born', 0)
-    check_numbers(*capacity, boot_ms, body.get('wall_ms', 0))
-    return Worker(
+    check_numbers(*capacity, boot_ms, body.get('wall_ms', 0), body['seq'])
+    worker = Worker(
         name,
         boot_ms,
         body['addr'],
@@ -111,6 +121,9 @@
         body.get('machine', ''),
         body['state'] == _DRAINING,
     )
+    if not name or len(repr(worker)) > _WORKER_TEXT_MAX:
+        raise ValueError('The worker has no name, or one of its texts is long.')
+    return worker
 
 
 def make_tickets(body: GrantedBody) -> tuple[Ticket, ...]:
--- a/tests/platform/test_translate.py
+++ b/tests/platform/test_translate.py
@@ -218,7 +218,16 @@
         _encode_heartbeat(addr='10.0.0.9:0'),
         _encode_heartbeat(addr='10.0.0.9:70000'),
         _encode_heartbeat(addr='10.0.0.9:\xb2'),
+        _encode_heartbeat(addr='10.0.0.9\r\nX: y:80'),
+        _encode_heartbeat(addr='\N{EURO SIGN}:80'),
+        _encode_heartbeat(addr='10.0.0.9:' + '9' * 5000),
         _encode_heartbeat(addr=None),
+        _encode_heartbeat(seq=int(_HUGE)),
+        _encode_heartbeat(seq=-1),
+        _encode_heartbeat(labels=['a', 'x' * 1_000_000]),
+        _encode_heartbeat(machine='m' * 1_000_000),
+        _encode_heartbeat(odd=7777).replace(b'7777', LONE_SURROGATE),
+        _encode_heartbeat(odd=7777).replace(b'7777', make_nested(10_000)),
         _encode_heartbeat(seq='one'),
         _encode_heartbeat(capacity={'cpu': 1000, 'mem_mb': 1, 'gpu': -1}),
         _encode_heartbeat(capacity={'cpu': 7777, 'mem_mb': 1}).replace(
@@ -250,6 +259,12 @@
         make_worker('i-1', decode(body, HeartbeatBody))
 
 
+def test_worker_without_a_name_is_rejected() -> None:
+    """Guard against a worker that no order can name."""
+    with pytest.raises(ValueError, match='no name'):
+        make_worker('', decode(_encode_heartbeat(), HeartbeatBody))
+
+
 def test_heartbeat_needs_only_what_is_used() -> None:
     """Guard against a check that refuses each heartbeat, valid or not."""
     worker = make_worker('i-1', decode(_encode_heartbeat(), HeartbeatBody))
