--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -305,11 +305,7 @@
         answer = polled.answer
         if answer is None or polled.fence < session.fence:
             return []
-        session.end_cursor.record_answer()
-        session.record_clock(answer.clock_ms, now_s)
-        session.record_report(now_s, self._state.now_ms)
-        session.last_heard_s = now_s
-        session.poll_state.misses = 0
+        session.record_report(answer.clock_ms, now_s, self._state.now_ms)
         self._contested.record_answer(session)
         if not session.is_synced:
             self._state.needs_planning = True
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -253,23 +253,15 @@
         )
         return self._get_least_clock_ms(now_s) + self._settings.lease_ms
 
-    def record_report(self, now_s: float, now_ms: int) -> None:
-        """Record a report of this boot, which obeys no earlier order any more.
-
-        Until now, orders for an earlier boot may have extended its lease. Their
-        times are of another clock, so the lease may last for the longest time
-        that the worker permits.
-        """
-        if self._has_reported:
-            return
-        self._has_reported = True
-        settings = self._settings
-        age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
-        past_s = max(0, age_s - _MISDIRECTED_MAX_S) if self.boot_ms else 0
-        longest_s = settings.leases.get_longest_s(settings.drift)
-        self.lease_ends_s = max(
-            self.lease_ends_s, now_s + longest_s + settings.margin_s - past_s
-        )
+    def record_report(self, clock_ms: int, now_s: float, now_ms: int) -> None:
+        """Record a report of this boot, which obeys no earlier order."""
+        if not self._has_reported:
+            self._has_reported = True
+            self._extend_by_earlier_orders(now_s, now_ms)
+        self.record_clock(clock_ms, now_s)
+        self.end_cursor.record_answer()
+        self.poll_state.misses = 0
+        self.last_heard_s = now_s
 
     def needs_clock(self, now_s: float) -> bool:
         """Check whether the last reading of the worker's clock is too old.
@@ -343,6 +335,20 @@
         )
         return None if is_heard else WithheldReason.silent
 
+    def _extend_by_earlier_orders(self, now_s: float, now_ms: int) -> None:
+        """Extend the lease by what orders for an earlier boot may have granted.
+
+        Their times are of another clock, so until now each of them granted the
+        longest lease that the worker permits.
+        """
+        settings = self._settings
+        age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
+        past_s = max(0, age_s - _MISDIRECTED_MAX_S) if self.boot_ms else 0
+        longest_s = settings.leases.get_longest_s(settings.drift)
+        self.lease_ends_s = max(
+            self.lease_ends_s, now_s + longest_s + settings.margin_s - past_s
+        )
+
     def _keep_settled_runs(self) -> None:
         """Keep which runs the previous boot, and so no later one, executed."""
         self._earlier_runs |= self.missing_runs
--- a/tests/builders/model_workers.py
+++ b/tests/builders/model_workers.py
@@ -52,7 +52,7 @@
         self.loses_results = False
         self.is_silent = False
         self.fence = 0
-        self.expires_ms: float = 0
+        self._expires_ms: float = 0
         self.running: dict[TaskKey, int] = {}
         self.highest_numbers: dict[TaskKey, int] = {}
         self.ends: list[ReportedEnd] = []
@@ -81,7 +81,7 @@
                 self.stopping.pop(stopped)
                 if stopped in self.running:
                     self.end(stopped, 'stopped')
-        if self.get_clock_ms(true_s) > self.expires_ms:
+        if self.get_clock_ms(true_s) > self._expires_ms:
             for task in tuple(self.running):
                 self.end(task, 'lapsed')
             self._ended_under_lease.clear()
@@ -135,7 +135,7 @@
 
     def _extend_lease(self, expires_ms: int, true_s: float) -> None:
         longest_ms = self.get_clock_ms(true_s) + LONGEST_LEASE_MS
-        self.expires_ms = max(self.expires_ms, min(expires_ms, longest_ms))
+        self._expires_ms = max(self._expires_ms, min(expires_ms, longest_ms))
 
     def _forget_ends(self, acked_position: int) -> None:
         self.ends = [one for one in self.ends if one.position > acked_position]
