--- a/tests/dispatch/test_review_of_earlier_lives.py
+++ b/tests/dispatch/test_review_of_earlier_lives.py
@@ -142,6 +142,17 @@
     assert [one.number for one in fleet.started if one.task == _TASK] == [1]
 
 
+def test_end_on_a_worker_that_becomes_idle_is_acknowledged() -> None:
+    """Guard against a position that is kept until a later boot has a run."""
+    fleet = _make_fleet()
+    fleet.submit('job', make_step())
+    fleet.run(1.5)
+    fleet.workers['w-0'].end(_TASK, 'done')
+    fleet.run(_TIMED_OUT_S)
+    assert 'job' not in fleet.state.live
+    assert fleet.workers['w-0'].acknowledged == {_TASK}
+
+
 def test_lasting_task_of_a_new_worker_restarts_in_time() -> None:
     """Guard against a task that waits for a lease that no order can grant."""
     fleet = ModelFleet(worker_count=0)
