soak: let workers announce themselves until the end of a run

Workers stopped announcing themselves, and no longer checked their leases, as soon as the traffic was over. Workers now go on until the run ends.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -91,7 +91,7 @@
 
 
 class Traffic:
-    """Run callers, worker announcements and operators until ``is_over``.
+    """Run callers and operators until ``is_over``, and workers until cancelled.
 
     Each request goes to a random address. Submissions, cancellations and
     configuration changes are retried until the outcome is clear.
@@ -161,10 +161,13 @@
     async def announce(
         self, worker: Worker, interval_s: float = _ANNOUNCE_INTERVAL_S
     ) -> None:
-        """Announce a worker, to the control process that last accepted it."""
+        """Announce a worker until cancelled.
+
+        It calls the control process that last accepted an announcement.
+        """
         caller = Caller()
         accepting: Address | None = None
-        while not self.is_over:
+        while True:
             await asyncio.sleep(interval_s)
             worker.check_lease()
             incarnation = worker.incarnation
@@ -185,11 +188,13 @@
                     self.ledger.note_draining(
                         incarnation.boot, time.monotonic()
                     )
-        caller.close()
 
     async def check_leases(self, worker: Worker) -> None:
-        """Make a worker end its tasks once its lease has expired."""
-        while not self.is_over:
+        """Make a worker end its tasks once its lease has expired.
+
+        It returns only when it is cancelled.
+        """
+        while True:
             await asyncio.sleep(_PAUSE_S[0])
             worker.check_lease()
 
