dispatch: ignore the result of a poll of a closed session

A worker that had registered again was forgotten at once, with the runs that it got. Cause: a new session accepted the result of any poll until it had sent one itself, also one to an earlier boot that found another worker at the address. Change: a session that opens expects the fence of its own first poll. It also drops the runs of earlier boots once the present one has reported, so that they do not add up over restarts. Evidence: test_late_result_of_a_closed_session_does_not_forget_a_worker failed before.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -236,6 +236,7 @@
         # its closed session and refuses lower ones. A higher one also voids
         # orders that were sent in it.
         session.fence = max(session.fence, self._next_fence)
+        session.poll_state.sent_fence = session.fence
         # Otherwise a new worker would count as silent and be forgotten before
         # its first poll.
         session.last_announced_s = now_s
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -257,6 +257,7 @@
         """Record a report of this boot, which obeys no earlier order."""
         if not self._has_reported:
             self._has_reported = True
+            self._earlier_runs.clear()
             self._extend_by_earlier_orders(now_s, now_ms)
         self.record_clock(clock_ms, now_s)
         self.end_cursor.record_answer()
--- a/tests/dispatch/test_later_lives.py
+++ b/tests/dispatch/test_later_lives.py
@@ -7,9 +7,19 @@
 import pytest
 
 from builders.workers import ModelFleet, make_step
-from sardinemast.dispatch import DispatchSettings, PoolPolicy
+from sardinemast.dispatch import (
+    DispatchSettings,
+    OrderOutcome,
+    PoolPolicy,
+    WorkerPolled,
+)
 from sardinemast.jobs import MaintenanceStatus, TaskKey
-from sardinemast.jobs.commands import CancelJob, DeclareWave
+from sardinemast.jobs.commands import (
+    CancelJob,
+    DeclareWave,
+    ForgetWorker,
+    RegisterWorker,
+)
 
 _WAVE = 1
 _FAR_MS = 1_000_000
@@ -261,3 +271,21 @@
     used = {one.worker.name for one in fleet.started}
     assert used
     assert model.worker.name not in used
+
+
+def test_late_result_of_a_closed_session_does_not_forget_a_worker() -> None:
+    """Guard against a worker that is forgotten right after it registers again.
+
+    A poll to its earlier boot found another worker at the address.
+    """
+    fleet = ModelFleet(2)
+    fleet.run(1)
+    name = 'w-0'
+    known = fleet.state.workers[name]
+    fleet.commit(ForgetWorker(name, known.boot_ms))
+    fleet.run(0.1)
+    fleet.commit(RegisterWorker(known._replace(boot_ms=known.boot_ms + 1)))
+    late = WorkerPolled(name, 1, fleet.now_s, OrderOutcome.gone)
+    fleet.deliver(late)
+    fleet.run(0.1)
+    assert name in fleet.state.workers
