dispatch: count any order as late that may extend a stray lease

Cause: a later boot had answered the start, so that no delay was added to the time when its lease was last extended; a poll that was sent before the leader knew of that boot, and was executed 2.5 s late, extended the lease again. Change: the delay counts for every run that is not settled; the setting is late_order_s.

--- a/src/sardinemast/dispatch/_run_leases.py
+++ b/src/sardinemast/dispatch/_run_leases.py
@@ -43,9 +43,6 @@
     state: DispatchState, session: WorkerSession, run: NumberedRun
 ) -> float:
     """Return until when an order may have extended the lease of a run."""
-    late_s = state.settings.leases.late_start_s
-    sent_start = session.find_start(run)
-    if sent_start is not None and sent_start.confirmed_s is not None:
-        late_s = 0
     started_s = state.order_times.starts.get_start_s(run)
-    return max(started_s, session.last_granted_s) + late_s
+    sent_s = max(started_s, session.last_granted_s)
+    return sent_s + state.settings.leases.late_order_s
--- a/tests/dispatch/test_earlier_lives.py
+++ b/tests/dispatch/test_earlier_lives.py
@@ -348,3 +348,20 @@
     fleet.run(_HEARD_S)
     assert fleet.state.jobs['job'].status is JobStatus.done
     assert len(fleet.started) == 2
+
+
+@rates
+def test_late_renewal_of_a_stray_run_whose_start_was_answered(
+    *, rate: float
+) -> None:
+    """Guard against a second run while a late poll extends a stray lease.
+
+    The poll was sent before its leader knew of the later boot.
+    """
+    fleet = _make_fleet(rate)
+    later = _start_on_later_boot(fleet)
+    later.is_unreachable = True
+    fleet.run(_TIMED_OUT_S)
+    outcome, _ = _execute_late(fleet, PollWorker)
+    assert outcome is OrderOutcome.done
+    _check_runs_once(fleet, later)
