--- a/src/sardinemast/dispatch/_start_times.py
+++ b/src/sardinemast/dispatch/_start_times.py
@@ -4,7 +4,6 @@
 reached a later boot of it. A new leader knows by this when it was sent.
 """
 
-from sardinemast.dispatch._worker_session import NumberedRun
 from sardinemast.jobs.commands import RecordRuns
 
 # Beyond that, a start can no longer be executed, nor its lease last.
@@ -12,25 +11,23 @@
 
 
 class StartTimes:
-    """Hold when the last start of each task was applied here.
+    """Hold when the last start on each worker was applied here.
 
     Replicas apply an entry no earlier than the leader that sends the start,
-    so these times err on the late side.
+    so these times err on the late side. A start extends the lease of all runs
+    on its worker.
     """
 
     def __init__(self) -> None:
         # In the order of recording.
-        self._started_s: dict[NumberedRun, float] = {}
+        self._started_s: dict[str, float] = {}
         self._unknown_until_s = float('-inf')
 
     def record(self, command: RecordRuns, now_s: float) -> None:
-        """Record that starts were applied, and forget ended and old ones."""
-        for finished in command.ends:
-            run = NumberedRun(finished.task, finished.number)
-            self._started_s.pop(run, None)
+        """Record that starts were applied, and forget old ones."""
         for start in command.starts:
-            run = NumberedRun(start.task, start.number)
-            self._started_s[run] = now_s
+            self._started_s.pop(start.worker, None)
+            self._started_s[start.worker] = now_s
         while self._started_s:
             oldest = next(iter(self._started_s))
             if self._started_s[oldest] > now_s - _KEPT_S:
@@ -44,7 +41,7 @@
         """
         self._unknown_until_s = now_s
 
-    def get_start_s(self, run: NumberedRun) -> float:
+    def get_start_s(self, worker: str) -> float:
         """Return the latest time at which a start may have been recorded."""
-        started_s = self._started_s.get(run, float('-inf'))
+        started_s = self._started_s.get(worker, float('-inf'))
         return max(started_s, self._unknown_until_s)
