dispatch: doubt clocks that begin higher and boot times that are too early

Change: an answer settles a start only if its clock is within 1 s of what it has to show; any other clock, also in a refusal, keeps the worker from starts until a poll has found out about its boot. A boot is no older than its steady clock shows. A worker that was not known in the last 16 s has no earlier orders.

--- a/src/sardinemast/dispatch/_polling.py
+++ b/src/sardinemast/dispatch/_polling.py
@@ -22,7 +22,11 @@
 from sardinemast.dispatch._run_leases import list_running
 from sardinemast.dispatch._state import DispatchState
 from sardinemast.dispatch._throttling import BestEffortThrottle
-from sardinemast.dispatch._worker_session import NumberedRun, WorkerSession
+from sardinemast.dispatch._worker_session import (
+    MISDIRECTED_MAX_S,
+    NumberedRun,
+    WorkerSession,
+)
 from sardinemast.jobs import RunEnd, Worker
 from sardinemast.jobs.commands import FinishedRun, ForgetWorker
 from sardinemast.jobs.queries import has_pool
@@ -42,6 +46,7 @@
         self._sessions_with_ends: dict[str, WorkerSession] = {}
         # Above the fences of all sessions that were closed in this term.
         self._next_fence = 0
+        self._closed_s: dict[str, float] = {}
         self._throttle = BestEffortThrottle()
 
     def start_term(self) -> None:
@@ -50,6 +55,7 @@
         self._contested.start_term()
         self._sessions_with_ends.clear()
         self._next_fence = 0
+        self._closed_s.clear()
         self._throttle = BestEffortThrottle()
 
     def sync_sessions(self, now_s: float) -> None:
@@ -58,6 +64,7 @@
         for name in state.sessions.keys() - state.jobs.workers.keys():
             gone = state.sessions.pop(name)
             self._next_fence = max(self._next_fence, gone.fence + 1)
+            self._closed_s[name] = now_s
             end_cordon(state, gone, 'worker gone', now_s)
             self._sessions_with_ends.pop(name, None)
             self._contested.drop(name)
@@ -237,6 +244,8 @@
         # orders that were sent in it.
         session.fence = max(session.fence, self._next_fence)
         session.poll_state.sent_fence = session.fence
+        closed_s = self._closed_s.pop(worker.name, state.started_s)
+        session.has_earlier_orders = now_s < closed_s + MISDIRECTED_MAX_S
         # Otherwise a new worker would count as silent and be forgotten before
         # its first poll.
         session.last_announced_s = now_s
--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -140,6 +140,12 @@
         sent_start = session.sent_starts.get(event.task)
         if sent_start is None or sent_start.number != event.number:
             return
+        if event.clock_ms and not session.is_continued(
+            sent_start, event.clock_ms
+        ):
+            # A poll finds out whether a later boot has answered.
+            session.is_synced = False
+            session.poll_state.replace_pending()
         if event.outcome is not OrderOutcome.done:
             self._state.log(
                 'run.not_started',
@@ -366,18 +372,12 @@
         event: StartAnswered,
         now_s: float,
     ) -> None:
-        """Record that a start was executed, by this boot or a later one.
-
-        An answer does not name the boot. A clock that shows less than the one
-        from which the lease was reckoned is that of a later boot.
-        """
-        least_ms = sent_start.expires_ms - self._state.settings.lease_ms
+        """Record that a start was executed, by this boot or a later one."""
         session.sent_starts[event.task] = sent_start._replace(
-            confirmed_s=now_s, is_settled=event.clock_ms >= least_ms
+            confirmed_s=now_s,
+            is_settled=session.is_continued(sent_start, event.clock_ms),
         )
         session.last_heard_s = now_s
-        if 0 < event.clock_ms < least_ms:
-            session.poll_state.replace_pending()
 
     def _stop_leftover_runs(self, finished_task: TaskKey, now_s: float) -> None:
         self._state.stop_job(finished_task.job, now_s)
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -14,9 +14,11 @@
 _MS = 1000
 # By then a clock may have lost 0.6 s, an eighth of a lease.
 _CLOCK_MAX_AGE_S = 30.0
+# A clock differs from its last reading by its drift and the way of an answer.
+_CLOCK_ERROR_MS = 1000
 # How long after a worker starts, orders for its earlier boot may be executed: a
 # leader sends none to a worker silent for 4 s, and they may be 12 s late.
-_MISDIRECTED_MAX_S = 16.0
+MISDIRECTED_MAX_S = 16.0
 
 
 class NumberedRun(NamedTuple):
@@ -144,7 +146,8 @@
     and its clock is known.
 
     ``last_granted_s`` is when the last order with a lease was sent, to this
-    boot or an earlier one.
+    boot or an earlier one. ``has_earlier_orders`` is set while this boot may
+    still execute orders for an earlier one.
     """
 
     def __init__(
@@ -172,7 +175,7 @@
         self.sent_stops: dict[TaskKey, SentStop] = {}
         self.lease_ends_s = lease_ends_s
         self.last_granted_s = float('-inf')
-        self._has_reported = False
+        self.has_earlier_orders = True
         self._earlier_runs: set[NumberedRun] = set()
         self._settings = settings
         self._clock_ms = 0
@@ -228,6 +231,14 @@
             return True
         return run in self.missing_runs or run in self._earlier_runs
 
+    def is_continued(self, sent_start: SentStart, clock_ms: int) -> bool:
+        """Check whether the answer to a start is likely of this boot's clock.
+
+        An answer does not name its boot.
+        """
+        least_ms = sent_start.expires_ms - self._settings.lease_ms
+        return 0 <= clock_ms - least_ms <= _CLOCK_ERROR_MS
+
     def is_earlier_clock(self, clock_ms: int, at_s: float) -> bool:
         """Check whether a clock shows less than this boot's did at a time."""
         return 0 < clock_ms < self._get_least_clock_ms(at_s)
@@ -255,10 +266,10 @@
 
     def record_report(self, clock_ms: int, now_s: float, now_ms: int) -> None:
         """Record a report of this boot, which obeys no earlier order."""
-        if not self._has_reported:
-            self._has_reported = True
-            self._earlier_runs.clear()
-            self._extend_by_earlier_orders(now_s, now_ms)
+        self._earlier_runs.clear()
+        if self.has_earlier_orders:
+            self.has_earlier_orders = False
+            self._extend_by_earlier_orders(clock_ms, now_s, now_ms)
         self.record_clock(clock_ms, now_s)
         self.end_cursor.record_answer()
         self.poll_state.misses = 0
@@ -283,7 +294,7 @@
         """
         self.boot_ms = boot_ms
         self.is_synced = False
-        self._has_reported = False
+        self.has_earlier_orders = True
         # Shutdown and failures were those of the previous boot.
         self.is_leaving = False
         self.contested_s = None
@@ -336,15 +347,21 @@
         )
         return None if is_heard else WithheldReason.silent
 
-    def _extend_by_earlier_orders(self, now_s: float, now_ms: int) -> None:
+    def _extend_by_earlier_orders(
+        self, clock_ms: int, now_s: float, now_ms: int
+    ) -> None:
         """Extend the lease by what orders for an earlier boot may have granted.
 
         Their times are of another clock, so until now each of them granted the
         longest lease that the worker permits.
         """
         settings = self._settings
-        age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
-        past_s = max(0, age_s - _MISDIRECTED_MAX_S) if self.boot_ms else 0
+        # The wall clock that the boot time is of may have been set back.
+        clock_s = clock_ms / _MS / (1 - settings.drift)
+        boot_age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
+        past_s = max(0, min(boot_age_s, clock_s) - MISDIRECTED_MAX_S)
+        if not self.boot_ms:
+            past_s = 0
         longest_s = settings.leases.get_longest_s(settings.drift)
         self.lease_ends_s = max(
             self.lease_ends_s, now_s + longest_s + settings.margin_s - past_s
