dispatch: withhold a worker only for a clock that shows too little

Cause: the answer to a start whose clock is over a second ahead raised the fence, which voids the other starts under way, although only a clock that shows too little can extend a lease. Change: such an answer settles nothing, and a report of the same boot does soon after; only a clock that shows too little leads to a poll at once. A start keeps the clock that its lease was reckoned from.

--- a/src/sardinemast/dispatch/_run_recorder.py
+++ b/src/sardinemast/dispatch/_run_recorder.py
@@ -140,10 +140,8 @@
         sent_start = session.sent_starts.get(event.task)
         if sent_start is None or sent_start.number != event.number:
             return
-        if event.clock_ms and not session.is_continued(
-            sent_start, event.clock_ms
-        ):
-            # A poll finds out whether a later boot has answered.
+        if 0 < event.clock_ms < sent_start.least_clock_ms:
+            # A later boot has answered; a poll finds out about it.
             session.is_synced = False
             session.poll_state.replace_pending()
         if event.outcome is not OrderOutcome.done:
@@ -349,7 +347,11 @@
             start.task, start.number, start.worker, now_s
         )
         session.sent_starts[start.task] = SentStart(
-            start.number, session.fence, None, now_s, expires_ms
+            start.number,
+            session.fence,
+            None,
+            now_s,
+            expires_ms - self._state.settings.lease_ms,
         )
         self._state.outputs.append(
             StartRun(
@@ -375,7 +377,7 @@
         """Record that a start was executed, by this boot or a later one."""
         session.sent_starts[event.task] = sent_start._replace(
             confirmed_s=now_s,
-            is_settled=session.is_continued(sent_start, event.clock_ms),
+            is_settled=sent_start.is_continued(event.clock_ms),
         )
         session.last_heard_s = now_s
 
--- a/src/sardinemast/dispatch/_worker_session.py
+++ b/src/sardinemast/dispatch/_worker_session.py
@@ -14,7 +14,7 @@
 _MS = 1000
 # By then a clock may have lost 0.6 s, an eighth of a lease.
 _CLOCK_MAX_AGE_S = 30.0
-# A clock differs from its last reading by its drift and the way of an answer.
+# The drift of a clock since its last reading, and the time of an answer.
 _CLOCK_ERROR_MS = 1000
 # How long after a worker starts, orders for its earlier boot may be executed: a
 # leader sends none to a worker silent for 4 s, and they may be 12 s late.
@@ -31,16 +31,25 @@
 class SentStart(NamedTuple):
     """Hold a start, when it was sent and when the worker confirmed it.
 
-    It ``is_settled`` once its lease is known to end when this leader expects.
+    Its lease was reckoned from ``least_clock_ms``, which the worker's clock
+    showed at least. It ``is_settled`` once that lease is known to end when this
+    leader expects.
     """
 
     number: int
     fence: int
     confirmed_s: float | None = None
     sent_s: float = float('-inf')
-    expires_ms: int = 0
+    least_clock_ms: int = 0
     is_settled: bool = False
 
+    def is_continued(self, clock_ms: int) -> bool:
+        """Check whether an answer is likely of the clock reckoned with.
+
+        An answer does not name its boot.
+        """
+        return 0 <= clock_ms - self.least_clock_ms <= _CLOCK_ERROR_MS
+
 
 class CordonReason(StrEnum):
     """Name what cordons a worker, and alone may release it."""
@@ -231,14 +240,6 @@
             return True
         return run in self.missing_runs or run in self._earlier_runs
 
-    def is_continued(self, sent_start: SentStart, clock_ms: int) -> bool:
-        """Check whether the answer to a start is likely of this boot's clock.
-
-        An answer does not name its boot.
-        """
-        least_ms = sent_start.expires_ms - self._settings.lease_ms
-        return 0 <= clock_ms - least_ms <= _CLOCK_ERROR_MS
-
     def is_earlier_clock(self, clock_ms: int, at_s: float) -> bool:
         """Check whether a clock shows less than this boot's did at a time."""
         return 0 < clock_ms < self._get_least_clock_ms(at_s)
@@ -356,7 +357,7 @@
         longest lease that the worker permits.
         """
         settings = self._settings
-        # The wall clock that the boot time is of may have been set back.
+        # The wall clock that gave the boot time may have been set back.
         clock_s = clock_ms / _MS / (1 - settings.drift)
         boot_age_s = now_ms / _MS - self.boot_ms / _MS - settings.clock_doubt_s
         past_s = max(0, min(boot_age_s, clock_s) - MISDIRECTED_MAX_S)
